Ground: build, checks, schemas, strong types, plain headers of network and link

The headers of HTTP, links and the platform name no library, so that Beast is compiled in a few files only.

--- /dev/null
+++ b/src/base/settings.cpp
@@ -0,0 +1,196 @@
+#include "base/settings.h"
+
+#include <google/protobuf/descriptor.h>
+#include <google/protobuf/message.h>
+#include <ini.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace chervilpulley {
+
+namespace {
+
+using google::protobuf::Descriptor;
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+
+struct reading
+{
+  settings::settings mSettings;
+  std::vector<settings_fault> mFaults;
+  std::set<std::string> mSeen;
+  std::string mFile;
+};
+
+const settings::key_options& OptionsOf(const FieldDescriptor& aField)
+{
+  return aField.options().GetExtension(settings::key);
+}
+
+std::string Allowed(const FieldDescriptor& aField)
+{
+  const auto& options = OptionsOf(aField);
+  if (options.one_of_size() > 0) {
+    std::string text = "one of";
+    for (const auto& choice : options.one_of()) {
+      text += " \"" + choice + "\"";
+    }
+    return text;
+  }
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_UINT32) {
+    std::ostringstream text;
+    text << "a whole number from " << static_cast<std::uint64_t>(options.min()) << " to "
+         << static_cast<std::uint64_t>(options.max());
+    if (!options.unit().empty()) {
+      text << " (" << options.unit() << ")";
+    }
+    return text.str();
+  }
+  return "text";
+}
+
+bool SetNumber(Message& aSection, const FieldDescriptor& aField, const std::string& aValue)
+{
+  std::uint32_t number = 0;
+  const char* end = aValue.data() + aValue.size();
+  const auto parsed = std::from_chars(aValue.data(), end, number);
+  const auto& options = OptionsOf(aField);
+  if (parsed.ec != std::errc() || parsed.ptr != end || number < options.min() || number > options.max()) {
+    return false;
+  }
+  aSection.GetReflection()->SetUInt32(&aSection, &aField, number);
+  return true;
+}
+
+bool SetText(Message& aSection, const FieldDescriptor& aField, const std::string& aValue)
+{
+  const auto& choices = OptionsOf(aField).one_of();
+  if (!choices.empty() && std::find(choices.begin(), choices.end(), aValue) == choices.end()) {
+    return false;
+  }
+  aSection.GetReflection()->SetString(&aSection, &aField, aValue);
+  return true;
+}
+
+bool SetValue(Message& aSection, const FieldDescriptor& aField, const std::string& aValue)
+{
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_UINT32) {
+    return SetNumber(aSection, aField, aValue);
+  }
+  return SetText(aSection, aField, aValue);
+}
+
+void AddFault(reading& aReading, const std::string& aText)
+{
+  aReading.mFaults.push_back({ aReading.mFile + ": " + aText });
+}
+
+void TakeKey(reading& aReading, const std::string& aSection, const std::string& aKey, const std::string& aValue)
+{
+  const auto* sectionField = aReading.mSettings.GetDescriptor()->FindFieldByName(aSection);
+  if (sectionField == nullptr) {
+    AddFault(aReading, "section [" + aSection + "] does not exist (key \"" + aKey + "\")");
+    return;
+  }
+  const auto* field = sectionField->message_type()->FindFieldByName(aKey);
+  if (field == nullptr) {
+    AddFault(aReading, "key \"" + aKey + "\" does not exist in section [" + aSection + "]");
+    return;
+  }
+  if (!aReading.mSeen.insert(aSection + "." + aKey).second) {
+    AddFault(aReading, "key \"" + aKey + "\" stands twice in section [" + aSection + "]");
+    return;
+  }
+  Message* section = aReading.mSettings.GetReflection()->MutableMessage(&aReading.mSettings, sectionField);
+  if (!SetValue(*section, *field, aValue)) {
+    AddFault(aReading,
+             "value \"" + aValue + "\" of key \"" + aKey + "\" in section [" + aSection + "] must be " +
+               Allowed(*field));
+  }
+}
+
+int TakeIniLine(void* aUser, const char* aSection, const char* aKey, const char* aValue)
+{
+  TakeKey(*static_cast<reading*>(aUser), aSection, aKey, aValue);
+  return 1;
+}
+
+template<class Function>
+void ForEachKey(Function&& aFunction)
+{
+  const Descriptor* all = settings::settings::descriptor();
+  for (int s = 0; s < all->field_count(); ++s) {
+    const FieldDescriptor* section = all->field(s);
+    for (int k = 0; k < section->message_type()->field_count(); ++k) {
+      aFunction(*section, *section->message_type()->field(k));
+    }
+  }
+}
+
+void FillIn(reading& aReading)
+{
+  ForEachKey([&](const FieldDescriptor& aSection, const FieldDescriptor& aKey) {
+    if (aReading.mSeen.contains(aSection.name() + "." + aKey.name())) {
+      return;
+    }
+    const auto& options = OptionsOf(aKey);
+    if (options.required()) {
+      AddFault(aReading, "key \"" + aKey.name() + "\" is missing in section [" + aSection.name() + "]");
+    } else if (!options.default_value().empty()) {
+      Message* section = aReading.mSettings.GetReflection()->MutableMessage(&aReading.mSettings, &aSection);
+      SetValue(*section, aKey, options.default_value());
+    }
+  });
+}
+
+} // namespace
+
+result<settings::settings, std::vector<settings_fault>> ParseSettings(const std::string& aText,
+                                                                      const std::string& aFile)
+{
+  reading state;
+  state.mFile = aFile;
+  const int badLine = ini_parse_string(aText.c_str(), TakeIniLine, &state);
+  if (badLine > 0) {
+    AddFault(state, "line " + std::to_string(badLine) + " is neither a section nor \"key = value\"");
+  }
+  FillIn(state);
+  if (!state.mFaults.empty()) {
+    return state.mFaults;
+  }
+  return state.mSettings;
+}
+
+result<settings::settings, std::vector<settings_fault>> LoadSettings(const std::string& aFile)
+{
+  std::ifstream in(aFile);
+  if (!in) {
+    return std::vector<settings_fault>{ { aFile + ": can't be read" } };
+  }
+  std::ostringstream text;
+  text << in.rdbuf();
+  return ParseSettings(text.str(), aFile);
+}
+
+std::string SettingsReference()
+{
+  std::ostringstream page;
+  page << "# Settings\n\nMade from `schema/settings.proto` by `chervilpulley settings-reference`.\n";
+  std::string section;
+  ForEachKey([&](const FieldDescriptor& aSection, const FieldDescriptor& aKey) {
+    if (section != aSection.name()) {
+      section = aSection.name();
+      page << "\n## [" << section << "]\n\n| key | default | allowed | what it does |\n| --- | --- | --- | --- |\n";
+    }
+    const auto& options = OptionsOf(aKey);
+    const std::string standard = options.required() ? "(required)" : options.default_value();
+    page << "| `" << aKey.name() << "` | " << standard << " | " << Allowed(aKey) << " | " << options.help() << " |\n";
+  });
+  return page.str();
+}
+
+} // namespace chervilpulley
--- /dev/null
+++ b/src/base/sharded_map.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <array>
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "chervilpulley/config.h"
+
+namespace chervilpulley {
+
+/// A map whose entries are spread over shards, each under its own lock.
+template<class Key, class Value>
+class sharded_map
+{
+public:
+  /// Inserts unless the key is there; tells whether it inserted.
+  bool Insert(const Key& aKey, Value aValue)
+  {
+    shard& s = ShardOf(aKey);
+    std::lock_guard lock(s.mMutex);
+    return s.mEntries.emplace(aKey, std::move(aValue)).second;
+  }
+
+  /// The value of a key, copied.
+  std::optional<Value> Find(const Key& aKey) const
+  {
+    const shard& s = ShardOf(aKey);
+    std::lock_guard lock(s.mMutex);
+    auto found = s.mEntries.find(aKey);
+    if (found == s.mEntries.end()) {
+      return std::nullopt;
+    }
+    return found->second;
+  }
+
+  /// Removes a key; tells whether it was there.
+  bool Erase(const Key& aKey)
+  {
+    shard& s = ShardOf(aKey);
+    std::lock_guard lock(s.mMutex);
+    return s.mEntries.erase(aKey) > 0;
+  }
+
+  /// Calls aFunction(map of the key's shard) under the shard's lock and returns its result.
+  template<class Function>
+  auto WithShard(const Key& aKey, Function&& aFunction)
+  {
+    shard& s = ShardOf(aKey);
+    std::lock_guard lock(s.mMutex);
+    return aFunction(s.mEntries);
+  }
+
+  /// All values, copied shard by shard.
+  std::vector<Value> Values() const
+  {
+    std::vector<Value> values;
+    for (const shard& s : mShards) {
+      std::lock_guard lock(s.mMutex);
+      for (const auto& entry : s.mEntries) {
+        values.push_back(entry.second);
+      }
+    }
+    return values;
+  }
+
+  /// Number of entries; another thread may change it at once.
+  std::size_t Size() const
+  {
+    std::size_t total = 0;
+    for (const shard& s : mShards) {
+      std::lock_guard lock(s.mMutex);
+      total += s.mEntries.size();
+    }
+    return total;
+  }
+
+private:
+  struct shard
+  {
+    mutable std::mutex mMutex;
+    std::unordered_map<Key, Value> mEntries;
+  };
+
+  shard& ShardOf(const Key& aKey) { return mShards[std::hash<Key>{}(aKey) % kShardCount]; }
+  const shard& ShardOf(const Key& aKey) const { return mShards[std::hash<Key>{}(aKey) % kShardCount]; }
+
+  std::array<shard, kShardCount> mShards;
+};
+
+} // namespace chervilpulley
--- /dev/null
+++ b/src/config/config_view.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "base/ref_counted.h"
+#include "chervilpulley/ids.h"
+#include "generated/admin.pb.h"
+
+namespace chervilpulley::config {
+
+/// The whole configuration at one revision. Immutable, so it is read without a lock.
+class config_view : public ref_counted
+{
+public:
+  virtual revision_number Revision() const = 0;
+  /// Each Find returns null when there is none of that name.
+  virtual const admin::workspace* FindWorkspace(const workspace_id& aName) const = 0;
+  /// The workspace whose key this is: keys are "workspace.secret", compared as salted hashes.
+  virtual const admin::workspace* WorkspaceOfKey(std::string_view aApiKey) const = 0;
+  virtual const admin::route* FindRoute(const workspace_id& aWorkspace, const route_name& aName) const = 0;
+  virtual const admin::model_version* FindModel(const model_name& aName) const = 0;
+  virtual const admin::backend_pool* FindPool(const pool_name& aName) const = 0;
+  virtual const admin::placement* FindPlacement(const instance_id& aInstance) const = 0;
+  /// The operator key that this secret belongs to: keys are "name.secret".
+  virtual const admin::operator_key* FindOperatorKey(std::string_view aKey) const = 0;
+  virtual bool HasOperatorKeys() const = 0;
+  virtual std::vector<const admin::model_version*> Models() const = 0;
+  /// An object of any kind; null when there is none.
+  virtual const admin::object* Find(const admin::object_ref& aRef) const = 0;
+  virtual std::vector<const admin::object*> List(admin::object_kind aKind) const = 0;
+};
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+  return 0;
+}
--- /dev/null
+++ b/src/net/endpoint.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "net/net_error.h"
+
+namespace chervilpulley::net {
+
+/// An IP address and port.
+struct endpoint
+{
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+
+  /// "ip:port", or "[ip6]:port".
+  std::string Str() const;
+  auto operator<=>(const endpoint&) const = default;
+};
+
+/// Parses "ip:port"; host names are refused.
+net_result<endpoint> ParseEndpoint(std::string_view aText);
+
+} // namespace chervilpulley::net
+
+template<>
+struct std::hash<chervilpulley::net::endpoint>
+{
+  std::size_t operator()(const chervilpulley::net::endpoint& aEndpoint) const noexcept
+  {
+    return std::hash<std::string>{}(aEndpoint.mAddress) * 31 + aEndpoint.mPort;
+  }
+};
--- /dev/null
+++ b/src/platform/live_list.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "chervilpulley/ids.h"
+#include "net/endpoint.h"
+#include "platform/object_store.h"
+
+namespace chervilpulley::platform {
+
+enum class instance_role
+{
+  Entry,
+  Sidecar
+};
+
+/// One line of the live list. It lags: it gives candidates, never certainty.
+struct live_instance
+{
+  instance_id mInstance;
+  instance_role mRole = instance_role::Sidecar;
+  failure_domain_id mFailureDomain;
+  pool_name mPool; ///< of a sidecar
+  bool mLeaving = false;
+  net::endpoint mHttp;
+  net::endpoint mLink;
+  net::endpoint mPeer;
+  net::endpoint mAdmin;
+};
+
+/// Parses the body of GET /live; lines that can't be read are left out.
+platform_result<std::vector<live_instance>> ParseLiveList(const std::string& aBody);
+
+} // namespace chervilpulley::platform
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
