--- a/src/config/config_view.h
+++ b/src/config/config_view.h
@@ -6,6 +6,7 @@
 #include "base/ref_counted.h"
 #include "chervilpulley/ids.h"
 #include "generated/admin.pb.h"
+#include "policy/config_objects.h"
 
 namespace chervilpulley::config {
 
@@ -31,4 +32,9 @@
   virtual std::vector<const admin::object*> List(admin::object_kind aKind) const = 0;
 };
 
+/// The view of a whole state, as a snapshot holds it.
+ref<const config_view> MakeConfigView(const admin::config_state& aState);
+/// The view of these objects; shares them.
+ref<const config_view> MakeConfigView(revision_number aRevision, policy::config_objects aObjects);
+
 } // namespace chervilpulley::config
