--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -11,7 +11,6 @@
 #include "chervilpulley/units.h"
 #include "net/endpoint.h"
 #include "net/http.h"
-#include "net/tls.h"
 
 namespace chervilpulley::net {
 
@@ -22,8 +21,7 @@
 class http_client : public ref_counted
 {
 public:
-  /// @param aTls may be null for plain TCP.
-  static ref<http_client> Create(boost::asio::io_context& aContext, ref<tls_context> aTls = nullptr);
+  static ref<http_client> Create(boost::asio::io_context& aContext);
 
   /// Sends a request and reads the whole answer. A request on a kept connection that turns out closed is sent again
   /// on a new one only if nothing of it can have been processed; otherwise the error has mMaybeSent.
@@ -39,7 +37,7 @@
                                                                 body_sink aSink) = 0;
 };
 
-/// Fetch for callers without an event loop (tests, command line): runs aContext until the answer is there.
+/// Fetch for callers without an event loop (tests, command line): runs a loop of its own until the answer is there.
 net_result<http_reply> FetchBlocking(const endpoint& aEndpoint, const http_request& aRequest, duration aTimeout);
 
 /// Stream for callers without an event loop.
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,383 @@
+#include "net/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
+
+#include <mutex>
+#include <optional>
+
+#include "net/http_p.h"
+
+namespace chervilpulley::net {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+class server_impl;
+
+/// One connection; runs on its own strand.
+class server_connection
+  : public ref_counted
+  , public http_exchange
+  , public boost::intrusive::list_base_hook<>
+{
+public:
+  server_connection(ref<server_impl> aServer, tcp::socket aSocket);
+
+  asio::awaitable<void> Run();
+  void CloseIfIdle();
+
+  http_request& Request() override { return mRequest; }
+  asio::any_io_executor Executor() override { return mStream.get_executor(); }
+  asio::awaitable<net_result<void>> Reply(http_reply aReply) override;
+  asio::awaitable<net_result<void>> Begin(http_reply aHead) override;
+  asio::awaitable<net_result<void>> Write(std::string aPiece) override;
+  asio::awaitable<net_result<void>> End() override;
+  void OnHangUp(std::function<void()> aCallback) override;
+
+private:
+  asio::awaitable<bool> ReadRequest();
+  asio::awaitable<void> RefuseRequest(const boost::system::error_code& aError);
+  asio::awaitable<void> Answer();
+  void WatchForHangUp();
+  void HungUp();
+  bool KeepAlive() const;
+  template<class Message>
+  void SetConnectionHeader(Message& aMessage);
+
+  ref<server_impl> mServer;
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  http_request mRequest;
+  bool mRequestKeepAlive = false;
+  bool mIsHead = false;
+  bool mBusy = false;
+  bool mAnswered = false;
+  bool mFailed = false;
+  bool mHungUp = false;
+  std::uint64_t mExchange = 0;
+  std::function<void()> mOnHangUp;
+};
+
+class server_impl : public http_server
+{
+public:
+  server_impl(asio::io_context& aContext, http_handler aHandler, http_limits aLimits)
+    : mContext(aContext)
+    , mAcceptor(asio::make_strand(aContext))
+    , mHandler(std::move(aHandler))
+    , mLimits(aLimits)
+  {
+  }
+
+  net_result<void> Bind(const endpoint& aEndpoint);
+  asio::awaitable<void> AcceptLoop(ref<server_impl> aSelf);
+
+  endpoint LocalEndpoint() const override { return mLocal; }
+  void StopAccepting() override;
+  std::size_t OpenExchanges() const override { return mOpenExchanges; }
+
+  void Add(server_connection& aConnection);
+  void Remove(server_connection& aConnection);
+  bool IsStopping() const { return mStopping; }
+  const http_handler& Handler() const { return mHandler; }
+  const http_limits& Limits() const { return mLimits; }
+  std::atomic<std::size_t> mOpenExchanges{ 0 };
+  auto AcceptorExecutor() { return mAcceptor.get_executor(); }
+
+private:
+  asio::io_context& mContext;
+  tcp::acceptor mAcceptor;
+  http_handler mHandler;
+  http_limits mLimits;
+  endpoint mLocal;
+  std::atomic<bool> mStopping{ false };
+  std::mutex mMutex;
+  boost::intrusive::list<server_connection, boost::intrusive::constant_time_size<true>> mConnections;
+};
+
+server_connection::server_connection(ref<server_impl> aServer, tcp::socket aSocket)
+  : mServer(std::move(aServer))
+  , mStream(std::move(aSocket))
+{
+}
+
+asio::awaitable<void> server_connection::Run()
+{
+  const ref<server_connection> self(this);
+  mServer->Add(*this);
+  while (!mServer->IsStopping() && co_await ReadRequest()) {
+    co_await Answer();
+    if (!KeepAlive()) {
+      break;
+    }
+  }
+  boost::system::error_code ignored;
+  mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  mStream.close();
+  mServer->Remove(*this);
+}
+
+bool server_connection::KeepAlive() const
+{
+  return mRequestKeepAlive && mAnswered && !mFailed && !mHungUp && !mServer->IsStopping();
+}
+
+asio::awaitable<bool> server_connection::ReadRequest()
+{
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(mServer->Limits().mMaxBodyBytes);
+  parser.header_limit(static_cast<std::uint32_t>(mServer->Limits().mMaxHeaderBytes));
+  mStream.expires_after(mServer->Limits().mIdleTimeout);
+  const auto [error, size] = co_await http::async_read(mStream, mBuffer, parser, kAwait);
+  if (error) {
+    co_await RefuseRequest(error);
+    co_return false;
+  }
+  auto message = parser.release();
+  mRequestKeepAlive = message.keep_alive();
+  mIsHead = message.method() == http::verb::head;
+  mRequest.mMethod.assign(message.method_string().data(), message.method_string().size());
+  mRequest.mTarget.assign(message.target().data(), message.target().size());
+  mRequest.mHeaders = TakeHeaders(message);
+  mRequest.mBody = std::move(message.body());
+  co_return true;
+}
+
+asio::awaitable<void> server_connection::RefuseRequest(const boost::system::error_code& aError)
+{
+  const net_error error = TurnError(aError, "request", false);
+  http_reply reply;
+  if (error.mCode == net_errc::TooLarge) {
+    reply = JsonReply(
+      aError == http::error::body_limit ? 413 : 431,
+      R"({"error":{"message":"the request is larger than this server allows","type":"invalid_request_error","outcome":"not_run"}})");
+  } else if (error.mCode == net_errc::Malformed) {
+    reply = JsonReply(
+      400,
+      R"({"error":{"message":"the request is not valid HTTP/1.1","type":"invalid_request_error","outcome":"not_run"}})");
+  } else {
+    co_return;
+  }
+  mRequestKeepAlive = false;
+  co_await Reply(std::move(reply));
+}
+
+asio::awaitable<void> server_connection::Answer()
+{
+  mBusy = true;
+  mAnswered = false;
+  ++mExchange;
+  mServer->mOpenExchanges.fetch_add(1);
+  WatchForHangUp();
+  co_await mServer->Handler()(*this);
+  mOnHangUp = nullptr;
+  mServer->mOpenExchanges.fetch_sub(1);
+  mBusy = false;
+  boost::system::error_code ignored;
+  mStream.socket().cancel(ignored);
+}
+
+void server_connection::WatchForHangUp()
+{
+  const std::uint64_t exchange = mExchange;
+  mStream.socket().async_wait(tcp::socket::wait_read,
+                              [self = ref<server_connection>(this), exchange](const boost::system::error_code& aError) {
+                                if (aError || exchange != self->mExchange || !self->mBusy) {
+                                  return;
+                                }
+                                boost::system::error_code error;
+                                // Readable with nothing to read is the end of the stream; pipelined bytes end the watch
+                                // instead.
+                                if (self->mStream.socket().available(error) == 0 || error) {
+                                  self->HungUp();
+                                }
+                              });
+}
+
+void server_connection::HungUp()
+{
+  mHungUp = true;
+  if (auto callback = std::exchange(mOnHangUp, nullptr)) {
+    callback();
+  }
+}
+
+void server_connection::OnHangUp(std::function<void()> aCallback)
+{
+  if (mHungUp) {
+    asio::post(mStream.get_executor(), std::move(aCallback));
+    return;
+  }
+  mOnHangUp = std::move(aCallback);
+}
+
+template<class Message>
+void server_connection::SetConnectionHeader(Message& aMessage)
+{
+  if (mServer->IsStopping()) {
+    mRequestKeepAlive = false;
+  }
+  aMessage.keep_alive(mRequestKeepAlive);
+}
+
+asio::awaitable<net_result<void>> server_connection::Reply(http_reply aReply)
+{
+  http::response<http::string_body> message(http::int_to_status(aReply.mStatus), 11);
+  message.result(aReply.mStatus);
+  GiveHeaders(aReply.mHeaders, message);
+  message.body() = std::move(aReply.mBody);
+  SetConnectionHeader(message);
+  message.prepare_payload();
+  if (mIsHead) {
+    message.body().clear();
+  }
+  mAnswered = true;
+  mStream.expires_after(mServer->Limits().mWriteTimeout);
+  const auto [error, size] = co_await http::async_write(mStream, message, kAwait);
+  if (error) {
+    mFailed = true;
+    co_return TurnError(error, "reply", true);
+  }
+  co_return outcome::success();
+}
+
+asio::awaitable<net_result<void>> server_connection::Begin(http_reply aHead)
+{
+  http::response<http::empty_body> message(http::int_to_status(aHead.mStatus), 11);
+  GiveHeaders(aHead.mHeaders, message);
+  SetConnectionHeader(message);
+  message.chunked(true);
+  http::response_serializer<http::empty_body> serializer(message);
+  mStream.expires_after(mServer->Limits().mWriteTimeout);
+  const auto [error, size] = co_await http::async_write_header(mStream, serializer, kAwait);
+  if (error) {
+    mFailed = true;
+    co_return TurnError(error, "reply", true);
+  }
+  co_return outcome::success();
+}
+
+asio::awaitable<net_result<void>> server_connection::Write(std::string aPiece)
+{
+  mStream.expires_after(mServer->Limits().mWriteTimeout);
+  const auto [error, size] = co_await asio::async_write(mStream, http::make_chunk(asio::buffer(aPiece)), kAwait);
+  if (error) {
+    mFailed = true;
+    co_return TurnError(error, "reply", true);
+  }
+  co_return outcome::success();
+}
+
+asio::awaitable<net_result<void>> server_connection::End()
+{
+  mAnswered = true;
+  mStream.expires_after(mServer->Limits().mWriteTimeout);
+  const auto [error, size] = co_await asio::async_write(mStream, http::make_chunk_last(), kAwait);
+  if (error) {
+    mFailed = true;
+    co_return TurnError(error, "reply", true);
+  }
+  co_return outcome::success();
+}
+
+void server_connection::CloseIfIdle()
+{
+  asio::post(mStream.get_executor(), [self = ref<server_connection>(this)] {
+    if (!self->mBusy) {
+      self->mStream.cancel();
+    }
+  });
+}
+
+net_result<void> server_impl::Bind(const endpoint& aEndpoint)
+{
+  boost::system::error_code error;
+  const auto local = ToTcp(aEndpoint.mAddress, aEndpoint.mPort);
+  mAcceptor.open(local.protocol(), error);
+  if (!error) {
+    mAcceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    mAcceptor.bind(local, error);
+  }
+  if (!error) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return net_error{ net_errc::BadAddress, "can't listen on " + aEndpoint.Str() + ": " + error.message() };
+  }
+  mLocal = { aEndpoint.mAddress, mAcceptor.local_endpoint().port() };
+  return outcome::success();
+}
+
+asio::awaitable<void> server_impl::AcceptLoop(ref<server_impl> aSelf)
+{
+  while (!mStopping) {
+    auto [error, socket] = co_await mAcceptor.async_accept(asio::make_strand(mContext), kAwait);
+    if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+      co_return;
+    }
+    if (error) {
+      continue;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    bool isFull = false;
+    {
+      std::lock_guard lock(mMutex);
+      isFull = mConnections.size() >= mLimits.mMaxConnections;
+    }
+    if (isFull) {
+      continue;
+    }
+    const auto strand = socket.get_executor();
+    auto connection = MakeRef<server_connection>(aSelf, std::move(socket));
+    asio::co_spawn(
+      strand, [connection]() -> asio::awaitable<void> { co_await connection->Run(); }, asio::detached);
+  }
+}
+
+void server_impl::StopAccepting()
+{
+  mStopping = true;
+  asio::post(mAcceptor.get_executor(), [self = ref<server_impl>(this)] {
+    boost::system::error_code ignored;
+    self->mAcceptor.close(ignored);
+  });
+  std::lock_guard lock(mMutex);
+  for (server_connection& connection : mConnections) {
+    connection.CloseIfIdle();
+  }
+}
+
+void server_impl::Add(server_connection& aConnection)
+{
+  std::lock_guard lock(mMutex);
+  mConnections.push_back(aConnection);
+}
+
+void server_impl::Remove(server_connection& aConnection)
+{
+  std::lock_guard lock(mMutex);
+  mConnections.erase(mConnections.iterator_to(aConnection));
+}
+
+} // namespace
+
+net_result<ref<http_server>> http_server::Start(asio::io_context& aContext,
+                                                const endpoint& aEndpoint,
+                                                http_handler aHandler,
+                                                http_limits aLimits)
+{
+  auto server = MakeRef<server_impl>(aContext, std::move(aHandler), aLimits);
+  BOOST_OUTCOME_TRY(server->Bind(aEndpoint));
+  asio::co_spawn(server->AcceptorExecutor(), server->AcceptLoop(server), asio::detached);
+  return ref<http_server>(server);
+}
+
+} // namespace chervilpulley::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -13,7 +13,6 @@
 #include "chervilpulley/units.h"
 #include "net/endpoint.h"
 #include "net/http.h"
-#include "net/tls.h"
 
 namespace chervilpulley::net {
 
@@ -55,12 +54,10 @@
 {
 public:
   /// Binds and starts to accept. Port 0 takes a free one.
-  /// @param aTls may be null for plain TCP.
   static net_result<ref<http_server>> Start(boost::asio::io_context& aContext,
                                             const endpoint& aEndpoint,
                                             http_handler aHandler,
-                                            http_limits aLimits,
-                                            ref<tls_context> aTls = nullptr);
+                                            http_limits aLimits);
   virtual endpoint LocalEndpoint() const = 0;
   /// Stops accepting and closes idle connections; answers in progress go on, then their connections close.
   virtual void StopAccepting() = 0;
