--- a/src/platform/live_list.h
+++ b/src/platform/live_list.h
@@ -5,6 +5,7 @@
 
 #include "chervilpulley/ids.h"
 #include "net/endpoint.h"
+#include "net/http_client.h"
 #include "platform/object_store.h"
 
 namespace chervilpulley::platform {
@@ -31,5 +32,9 @@
 
 /// Parses the body of GET /live; lines that can't be read are left out.
 platform_result<std::vector<live_instance>> ParseLiveList(const std::string& aBody);
+/// Reads the live list from the platform.
+platform_call<std::vector<live_instance>> ReadLiveList(ref<net::http_client> aClient,
+                                                       net::endpoint aPlatform,
+                                                       duration aTimeout);
 
 } // namespace chervilpulley::platform
