--- /dev/null
+++ b/src/policy/stage_progress.cpp
@@ -0,0 +1,112 @@
+#include "policy/stage_progress.h"
+
+namespace chervilpulley::policy {
+
+bool stage_progress::Open(attempt_key aAttempt, token_position aStart)
+{
+  if (aAttempt <= mCurrent) {
+    return false;
+  }
+  mCurrent = aAttempt;
+  mAsked.reset();
+  Delivered(aStart);
+  return true;
+}
+
+bool stage_progress::NeedsPrefill(token_position aStart) const
+{
+  return !mHasState || mEnd < aStart;
+}
+
+void stage_progress::Prefilled(token_position aStart)
+{
+  mHasState = true;
+  mEnd = aStart;
+  mKept.erase(mKept.lower_bound(aStart), mKept.end());
+}
+
+void stage_progress::LoseState()
+{
+  mHasState = false;
+  mEnd = token_position();
+  mKept.clear();
+  mRunning.reset();
+}
+
+stage_action stage_progress::OnInput(attempt_key aAttempt, token_position aPosition, std::uint64_t aDigest)
+{
+  if (aAttempt != mCurrent) {
+    return stage_action::Fenced;
+  }
+  if (!mHasState) {
+    return stage_action::Gap;
+  }
+  if (mRunning) {
+    const bool isSame = *mRunning == aPosition && mRunningDigest == aDigest;
+    if (isSame) {
+      mAsked = aPosition;
+    }
+    return isSame ? stage_action::Wait : stage_action::Gap;
+  }
+  if (aPosition > mEnd) {
+    return stage_action::Gap;
+  }
+  if (aPosition < mEnd) {
+    return OnKnownPosition(aPosition, aDigest);
+  }
+  StartRun(aPosition, aDigest);
+  return stage_action::Run;
+}
+
+stage_action stage_progress::OnKnownPosition(token_position aPosition, std::uint64_t aDigest)
+{
+  const auto kept = mKept.find(aPosition);
+  if (kept == mKept.end()) {
+    return stage_action::Gap;
+  }
+  if (kept->second.mDigest == aDigest) {
+    mAsked = aPosition;
+    return stage_action::Replay;
+  }
+  // The position follows another token than before: the KV cache is cut back to it.
+  mKept.erase(kept, mKept.end());
+  mEnd = aPosition;
+  StartRun(aPosition, aDigest);
+  return stage_action::Run;
+}
+
+void stage_progress::StartRun(token_position aPosition, std::uint64_t aDigest)
+{
+  mRunning = aPosition;
+  mRunningDigest = aDigest;
+  mAsked = aPosition;
+}
+
+bool stage_progress::OnOutput(token_position aPosition, stage_output aOutput)
+{
+  if (mRunning != aPosition) {
+    return false;
+  }
+  mRunning.reset();
+  mEnd = aPosition.Next();
+  mKept[aPosition] = { mRunningDigest, std::move(aOutput) };
+  return mAsked == aPosition;
+}
+
+void stage_progress::OnFailure()
+{
+  mRunning.reset();
+}
+
+const stage_output* stage_progress::Kept(token_position aPosition) const
+{
+  const auto kept = mKept.find(aPosition);
+  return kept == mKept.end() ? nullptr : &kept->second.mOutput;
+}
+
+void stage_progress::Delivered(token_position aNext)
+{
+  mKept.erase(mKept.begin(), mKept.lower_bound(aNext));
+}
+
+} // namespace chervilpulley::policy
