--- /dev/null
+++ b/src/cli/key.cpp
@@ -0,0 +1,37 @@
+#include "cli/key.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "base/random.h"
+
+namespace chervilpulley::cli {
+
+namespace {
+
+constexpr std::size_t kSecretBytes = 24;
+constexpr std::size_t kSaltBytes = 8;
+constexpr std::size_t kMaxNameChars = 63;
+
+bool IsNameChar(char aChar)
+{
+  return (aChar >= 'a' && aChar <= 'z') || (aChar >= 'A' && aChar <= 'Z') || (aChar >= '0' && aChar <= '9') ||
+         aChar == '-' || aChar == '_';
+}
+
+} // namespace
+
+result<new_key, key_error> MakeKey(std::string_view aName)
+{
+  const bool fits = !aName.empty() && aName.size() <= kMaxNameChars;
+  if (!fits || !std::all_of(aName.begin(), aName.end(), IsNameChar)) {
+    return key_error{ fmt::format(
+      "name \"{}\" must be 1 to {} letters, digits, \"-\" or \"_\"", aName, kMaxNameChars) };
+  }
+  const std::string secret = RandomHex(kSecretBytes);
+  const std::string salt = RandomHex(kSaltBytes);
+  return new_key{ std::string(aName) + "." + secret, salt + "$" + Sha256Hex(salt + secret) };
+}
+
+} // namespace chervilpulley::cli
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,8 @@
-int main()
+#include "cli/cli.h"
+
+int main(int aCount, char** aWords)
 {
-  return 0;
+  using namespace chervilpulley;
+  const std::vector<cli::role_command> roles{};
+  return cli::Main(aCount, aWords, roles);
 }
