--- /dev/null
+++ b/src/policy/route_choice.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+#include "chervilpulley/policy.h"
+
+/// Choice of the next stage (or of a plain backend server) by expected cost to finish.
+namespace chervilpulley::policy {
+
+/// What is known of one instance that could take the request.
+struct route_candidate
+{
+  instance_id mInstance;
+  failure_domain_id mFailureDomain;
+  layer_index mFirstLayer; ///< first layer held, inclusive
+  layer_index mLastLayer;  ///< last layer held, inclusive
+  std::uint32_t mQueued = 0;
+  std::uint32_t mRunning = 0;
+  duration mStep{ 0 };                    ///< usual time of one engine step, or of one call of a plain service
+  duration mPrefillPerToken{ 0 };         ///< prefill time of one prompt token
+  duration mCostToGo{ 0 };                ///< as reported; 0 when unknown
+  duration mLinkDelay{ 0 };               ///< one way
+  duration mReportAge{ 0 };               ///< since the figures above were true
+  std::uint32_t mInFlightSinceReport = 0; ///< sent by the chooser after the report was made
+  std::uint32_t mInFlight = 0;            ///< sent by the chooser and not finished
+  std::optional<duration> mJoinedFor;     ///< time since it joined, when that is recent enough to be known
+  bool mLeaving = false;
+  bool mBackendUp = true;
+  token_count mCachedTokens; ///< of this prompt, in its prefix cache
+  bool mPreferred = false;   ///< holds the state of an earlier attempt
+  bool mAvoid = false;       ///< must not be chosen
+};
+
+/// What is to be placed.
+struct route_request
+{
+  layer_index mFirstLayer; ///< first layer that the chosen instance must run
+  token_count mPromptTokens;
+};
+
+/// Time in which a new instance is ramped up to its full share.
+inline constexpr duration kSlowStart = std::chrono::seconds(10);
+/// Candidates drawn for one choice; the cheapest of them wins.
+inline constexpr std::size_t kRouteChoices = 4;
+
+/// Whether the candidate may take the request at all.
+bool IsEligible(const route_candidate& aCandidate, const route_request& aRequest);
+
+/// Expected time until the candidate has produced a token of the request: link, prefill of what is not cached, work
+/// that was reported, and work sent since. aMeanCost replaces a reported figure bit by bit as it ages.
+duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, duration aMeanCost);
+
+/// Index of the chosen candidate, or nothing when none is eligible. Candidates are drawn at random in proportion to
+/// their speed, so that choosers which see the same late reports do not all choose the same one; those that hold a
+/// state or a cached prefix of the request always take part.
+std::optional<std::size_t> ChooseRoute(std::span<const route_candidate> aCandidates,
+                                       const route_request& aRequest,
+                                       random_pair aRandom,
+                                       std::size_t aChoices = kRouteChoices);
+
+/// Load of the instance that advertises a cost to go.
+struct stage_load
+{
+  layer_index mLastLayer;        ///< last layer that it runs, inclusive
+  std::uint32_t mLayerCount = 0; ///< layers of the model
+  std::uint32_t mQueued = 0;
+  std::uint32_t mRunning = 0;
+  duration mStep{ 0 };
+};
+
+/// Expected time of one token from the instance's first layer to the last layer of the model: its own load, and the
+/// least over its eligible successors. Nothing when no successor holds the next layer.
+std::optional<duration> CostToGo(const stage_load& aOwn, std::span<const route_candidate> aSuccessors);
+
+} // namespace chervilpulley::policy
