--- /dev/null
+++ b/src/link/frames.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+#include "base/ref_counted.h"
+#include "chervilpulley/ids.h"
+#include "generated/link.pb.h"
+#include "link/link.h"
+#include "policy/stage_progress.h"
+
+/// Sending and reading frames.
+namespace chervilpulley::link {
+
+/// The revision of the configuration that this process has; it goes out with every frame.
+class revision_board : public ref_counted
+{
+public:
+  std::atomic<std::uint64_t> mOwn{ 0 };
+};
+
+/// A frame about one attempt, without a body.
+frame AttemptFrame(const request_id& aRequest, const policy::attempt_key& aAttempt);
+/// The attempt that a frame is about.
+policy::attempt_key AttemptOf(const frame& aFrame);
+/// Stamps and sends a frame; false when the link is closed. A null link counts as closed.
+bool SendFrame(connection* aLink, const revision_board& aBoard, frame aFrame);
+/// Parses a message; false when it is not a frame.
+bool ReadFrame(const std::string& aMessage, frame& aFrame);
+
+} // namespace chervilpulley::link
--- a/src/policy/stage_progress.cpp
+++ b/src/policy/stage_progress.cpp
@@ -20,9 +20,12 @@
 
 void stage_progress::Prefilled(token_position aStart)
 {
+  const bool isLonger = mHasState && mEnd >= aStart;
   mHasState = true;
-  mEnd = aStart;
-  mKept.erase(mKept.lower_bound(aStart), mKept.end());
+  if (!isLonger) {
+    mEnd = aStart;
+    mKept.clear();
+  }
 }
 
 void stage_progress::LoseState()
--- a/src/policy/stage_progress.h
+++ b/src/policy/stage_progress.h
@@ -49,7 +49,7 @@
 
   /// Whether the KV cache must be filled before aStart can run here.
   bool NeedsPrefill(token_position aStart) const;
-  /// The KV cache now holds all positions below aStart.
+  /// The KV cache now holds at least all positions below aStart; a longer one stays as it is.
   void Prefilled(token_position aStart);
   /// The KV cache is gone: the engine ended or dropped it.
   void LoseState();
--- /dev/null
+++ b/src/runtime/process.cpp
@@ -0,0 +1,111 @@
+#include "runtime/process.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <thread>
+
+#include "base/log.h"
+
+namespace chervilpulley::runtime {
+
+namespace {
+
+constexpr part_log kLog("process");
+
+boost::asio::awaitable<void> RepeatEvery(boost::asio::io_context& aContext,
+                                         duration aInterval,
+                                         std::function<void()> aFunction)
+{
+  boost::asio::steady_timer timer(aContext);
+  while (true) {
+    timer.expires_after(aInterval);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    aFunction();
+  }
+}
+
+boost::asio::awaitable<void> WaitForSignals(boost::asio::io_context& aContext, std::function<void()> aOnLeave)
+{
+  boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
+  bool isLeaving = false;
+  while (true) {
+    const int number = co_await signals.async_wait(boost::asio::use_awaitable);
+    kLog.Info("Signal {} came.", number);
+    if (!std::exchange(isLeaving, true)) {
+      aOnLeave();
+    }
+  }
+}
+
+void SetUnlessEmpty(boost::json::object& aLine, std::string_view aName, const std::string& aValue)
+{
+  if (!aValue.empty()) {
+    aLine[aName] = aValue;
+  }
+}
+
+} // namespace
+
+void PrintListening(const settings::settings& aSettings,
+                    const std::string& aRole,
+                    const listening_addresses& aAddresses)
+{
+  boost::json::object line;
+  line["instance"] = aSettings.instance().id();
+  line["role"] = aRole;
+  line["failure_domain"] = aSettings.instance().failure_domain();
+  line["pool"] = aSettings.backend().pool();
+  line["pid"] = getpid();
+  SetUnlessEmpty(line, "http", aAddresses.mHttp);
+  SetUnlessEmpty(line, "link", aAddresses.mLink);
+  SetUnlessEmpty(line, "peer", aAddresses.mPeer);
+  SetUnlessEmpty(line, "admin", aAddresses.mAdmin);
+  const std::string text = boost::json::serialize(boost::json::object{ { "listening", line } });
+  std::printf("%s\n", text.c_str());
+  std::fflush(stdout);
+}
+
+void Every(boost::asio::io_context& aContext, duration aInterval, std::function<void()> aFunction)
+{
+  boost::asio::co_spawn(aContext, RepeatEvery(aContext, aInterval, std::move(aFunction)), boost::asio::detached);
+}
+
+void OnTerminate(boost::asio::io_context& aContext, std::function<void()> aOnLeave)
+{
+  boost::asio::co_spawn(aContext, WaitForSignals(aContext, std::move(aOnLeave)), boost::asio::detached);
+}
+
+void RunThreads(boost::asio::io_context& aContext, unsigned aThreads)
+{
+  std::vector<std::jthread> threads;
+  for (unsigned i = 1; i < aThreads; ++i) {
+    threads.emplace_back([&aContext] { aContext.run(); });
+  }
+  aContext.run();
+}
+
+boost::asio::awaitable<bool> AnswerHealth(net::http_exchange& aExchange, const health& aHealth)
+{
+  const std::string_view path = net::PathOf(aExchange.Request().mTarget);
+  if (path == "/healthz") {
+    co_await aExchange.Reply(net::JsonReply(200, R"({"status":"ok"})"));
+    co_return true;
+  }
+  if (path == "/readyz") {
+    const bool isReady = aHealth.mReady && !aHealth.mLeaving;
+    co_await aExchange.Reply(isReady ? net::JsonReply(200, R"({"status":"ready"})")
+                                     : net::JsonReply(503, R"({"status":"not ready"})"));
+    co_return true;
+  }
+  co_return false;
+}
+
+} // namespace chervilpulley::runtime
--- /dev/null
+++ b/src/sidecar/pipeline_stage.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+
+#include "base/sharded_map.h"
+#include "sidecar/backend_monitor.h"
+#include "sidecar/stage_stream.h"
+
+namespace chervilpulley::sidecar {
+
+struct stage_options
+{
+  instance_id mInstance;
+  pool_name mPool;
+  duration mEngineTimeout = std::chrono::seconds(30);
+  duration mStreamGrace = std::chrono::seconds(15);
+  duration mStallFloor = std::chrono::seconds(1);
+};
+
+/// All requests at this stage of pipelines, and what they share: the engine and the links to successors.
+class pipeline_stage
+  : public ref_counted
+  , public stage_host
+{
+public:
+  pipeline_stage(boost::asio::io_context& aContext,
+                 stage_options aOptions,
+                 ref<engine::engine_client> aEngine,
+                 ref<backend_monitor> aMonitor,
+                 ref<link::revision_board> aBoard);
+
+  /// Sets the links to successors; before the first frame.
+  void SetSuccessors(ref<link::provider_links> aLinks) { mSuccessors = std::move(aLinks); }
+  /// Takes a frame about a request from an entry or from the stage before.
+  void OnRequestFrame(const ref<link::connection>& aFrom, const link::frame& aFrame);
+  void OnUpstreamLost(const link::connection& aFrom);
+  void OnSuccessorFrame(const ref<link::provider>& aSuccessor, const link::frame& aFrame);
+  void OnSuccessorLost(const ref<link::provider>& aSuccessor);
+  void OnTick(instant aNow);
+  void Leave(bool aIsLeaving) { mLeaving = aIsLeaving; }
+  /// Sets how many requests may run here at once; 0 is no limit.
+  void SetMaxRunning(std::uint32_t aMax) { mMaxRunning = aMax; }
+  std::uint32_t RunningCount() const { return mRunning; }
+  /// Fills in the engine's part of a load report.
+  void FillReport(link::load_report& aReport) const;
+
+  const instance_id& Instance() const override { return mOptions.mInstance; }
+  const link::revision_board& Board() const override { return *mBoard; }
+  bool IsLeaving() const override { return mLeaving; }
+  std::optional<engine::engine_state> Engine() const override { return mMonitor->Engine(); }
+  bool TryAdmit() override;
+  void GiveBackPlace() override { mRunning.fetch_sub(1); }
+  ref<link::provider> ChooseSuccessor(const link::open_attempt& aOpen, const std::set<std::string>& aExcluded) override;
+  bool SendTo(const ref<link::provider>& aProvider, link::frame aFrame) override;
+  void Probe(const ref<link::provider>& aProvider) override { mSuccessors->Probe(aProvider); }
+  void StartRun(ref<stage_stream> aStream, engine::run_request aRequest) override;
+  void CancelAtEngine(const request_id& aRequest) override;
+  void EngineFailed() override { mMonitor->MarkDown(); }
+  duration StallAllowance(bool aIsPrefill, std::uint32_t aPromptTokens) const override;
+  duration StreamGrace() const override { return mOptions.mStreamGrace; }
+  duration StallFloor() const override { return mOptions.mStallFloor; }
+
+private:
+  std::vector<policy::route_candidate> SuccessorCandidates(const std::vector<ref<link::provider>>& aProviders,
+                                                           const link::open_attempt& aOpen,
+                                                           const std::set<std::string>& aExcluded) const;
+  boost::asio::awaitable<void> RunAtEngine(ref<stage_stream> aStream, engine::run_request aRequest);
+
+  boost::asio::io_context& mContext;
+  stage_options mOptions;
+  ref<engine::engine_client> mEngine;
+  ref<backend_monitor> mMonitor;
+  ref<link::revision_board> mBoard;
+  ref<link::provider_links> mSuccessors;
+  sharded_map<request_id, ref<stage_stream>> mStreams;
+  std::atomic<bool> mLeaving{ false };
+  std::atomic<std::uint32_t> mRunning{ 0 };
+  std::atomic<std::uint32_t> mMaxRunning{ 64 };
+};
+
+} // namespace chervilpulley::sidecar
--- /dev/null
+++ b/src/sidecar/stage_stream.cpp
@@ -0,0 +1,546 @@
+#include "sidecar/stage_stream.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "chervilpulley/config.h"
+
+namespace chervilpulley::sidecar {
+
+namespace {
+
+constexpr part_log kLog("stage");
+constexpr duration kOpenTimeout = std::chrono::seconds(1);
+constexpr std::uint64_t kRetryAfterMs = 500;
+
+link::frame LostFrame(link::frame aFrame, const std::string& aInstance, const std::string& aMessage)
+{
+  aFrame.mutable_lost()->set_instance(aInstance);
+  aFrame.mutable_lost()->set_message(aMessage);
+  return aFrame;
+}
+
+} // namespace
+
+stage_stream::stage_stream(stage_host& aHost, request_id aRequest)
+  : mHost(aHost)
+  , mRequest(std::move(aRequest))
+{
+}
+
+void stage_stream::RefuseTo(const ref<link::connection>& aUpstream,
+                            const policy::attempt_key& aAttempt,
+                            link::refusal_reason aReason,
+                            const std::string& aMessage)
+{
+  link::frame answer = link::AttemptFrame(mRequest, aAttempt);
+  answer.mutable_refused()->set_reason(aReason);
+  answer.mutable_refused()->set_outcome(link::OUTCOME_NOT_RUN);
+  answer.mutable_refused()->set_message(aMessage);
+  answer.mutable_refused()->set_retry_after_ms(kRetryAfterMs);
+  answer.mutable_refused()->set_instance(mHost.Instance().Str());
+  link::SendFrame(aUpstream.get(), mHost.Board(), std::move(answer));
+}
+
+void stage_stream::Refuse(link::refusal_reason aReason, const std::string& aMessage)
+{
+  RefuseTo(mUpstream, mProgress.Current(), aReason, aMessage);
+  mPhase = phase::Lost;
+}
+
+bool stage_stream::CheckOpen(const ref<link::connection>& aUpstream,
+                             const policy::attempt_key& aAttempt,
+                             const link::open_attempt& aOpen)
+{
+  const bool isNew = mPhase == phase::Idle;
+  const std::string self = "sidecar \"" + mHost.Instance().Str() + "\" ";
+  if (mPhase == phase::Ended || aAttempt <= mProgress.Current()) {
+    RefuseTo(aUpstream, aAttempt, link::REFUSAL_FENCED, self + "has a newer attempt of this request");
+    return false;
+  }
+  if (isNew && mHost.IsLeaving()) {
+    RefuseTo(aUpstream, aAttempt, link::REFUSAL_LEAVING, self + "is leaving");
+    return false;
+  }
+  const auto state = mHost.Engine();
+  if (!state) {
+    RefuseTo(aUpstream, aAttempt, link::REFUSAL_BACKEND_DOWN, "the engine of " + self + "can't be reached");
+    return false;
+  }
+  const bool isHeld = state->mModel.Str() == aOpen.model() && state->mFirstLayer <= aOpen.first_layer() &&
+                      aOpen.first_layer() <= state->mLastLayer && state->mLayerCount == aOpen.layer_count();
+  if (!isHeld) {
+    RefuseTo(aUpstream,
+             aAttempt,
+             link::REFUSAL_WRONG_MODEL,
+             self + "does not hold layer " + std::to_string(aOpen.first_layer()) + " of model \"" + aOpen.model() +
+               "\"");
+    return false;
+  }
+  if (!mHasPlace && !mHost.TryAdmit()) {
+    RefuseTo(aUpstream, aAttempt, link::REFUSAL_OVERLOADED, self + "runs as many requests as it may");
+    return false;
+  }
+  mHasPlace = true;
+  mLastLayer = state->mLastLayer;
+  return true;
+}
+
+void stage_stream::OnOpen(ref<link::connection> aUpstream,
+                          policy::attempt_key aAttempt,
+                          const link::open_attempt& aOpen)
+{
+  std::lock_guard lock(mMutex);
+  if (!CheckOpen(aUpstream, aAttempt, aOpen)) {
+    return;
+  }
+  const token_position start(static_cast<std::uint64_t>(aOpen.delivered_size()));
+  mProgress.Open(aAttempt, start);
+  mOpen = aOpen;
+  mUpstream = std::move(aUpstream);
+  mUpstreamLostAt = {};
+  mWork.clear();
+  mTried.clear();
+  mBlockedAt.reset();
+  mDelivered = start;
+  mTokens.assign(aOpen.delivered().begin(), aOpen.delivered().end());
+  mPhase = phase::Opening;
+  if (IsLast()) {
+    LeaveSuccessor("another chain was chosen");
+    Opened(0, {});
+    return;
+  }
+  TrySuccessor();
+}
+
+void stage_stream::TrySuccessor()
+{
+  link::open_attempt next = mOpen;
+  next.set_first_layer(mLastLayer + 1);
+  ref<link::provider> chosen = mHost.ChooseSuccessor(next, mTried);
+  if (chosen != mSuccessor) {
+    LeaveSuccessor("another chain was chosen");
+  }
+  if (!chosen) {
+    Refuse(link::REFUSAL_NO_ROUTE,
+           "no sidecar that takes work holds layer " + std::to_string(mLastLayer + 1) + " of model \"" + mOpen.model() +
+             "\"");
+    return;
+  }
+  mTried.insert(chosen->Instance().Str());
+  if (mSuccessor != chosen) {
+    mSuccessor = chosen;
+    mSuccessor->Began();
+  }
+  mWaitingSince = Now();
+  link::frame open = Frame();
+  *open.mutable_open() = std::move(next);
+  SendDown(std::move(open));
+}
+
+void stage_stream::LeaveSuccessor(const std::string& aReason)
+{
+  if (!mSuccessor) {
+    return;
+  }
+  link::frame cancel = Frame();
+  cancel.mutable_cancel()->set_reason(aReason);
+  SendDown(std::move(cancel));
+  mSuccessor->Ended();
+  mSuccessor = nullptr;
+}
+
+void stage_stream::Opened(std::uint32_t aDownstreamPrefill, const std::vector<std::string>& aChain)
+{
+  const token_position start(static_cast<std::uint64_t>(mOpen.delivered_size()));
+  const std::uint32_t own = mProgress.NeedsPrefill(start) ? 1 : 0;
+  const std::uint32_t stages = aDownstreamPrefill > 0 ? aDownstreamPrefill + 1 : own;
+  mPhase = phase::Running;
+  mWaitingSince = {};
+  mChain = { mHost.Instance().Str() };
+  mChain.insert(mChain.end(), aChain.begin(), aChain.end());
+  link::frame opened = Frame();
+  opened.mutable_opened()->set_prefill_stages(stages);
+  for (const auto& instance : mChain) {
+    opened.mutable_opened()->add_chain(instance);
+  }
+  SendUp(std::move(opened));
+  if (IsHead()) {
+    StartHead(stages);
+  }
+}
+
+void stage_stream::StartHead(std::uint32_t aPrefillStages)
+{
+  const token_position start(mTokens.size());
+  if (aPrefillStages > 0) {
+    mWork.push_back({ true, start, "", aPrefillStages });
+  }
+  QueueHeadStep(start);
+  Pump();
+}
+
+void stage_stream::QueueHeadStep(token_position aPosition)
+{
+  if (aPosition.Value() >= mDelivered.Value() + kDeliveryWindow) {
+    mBlockedAt = aPosition;
+    return;
+  }
+  const std::string input = aPosition.Value() == 0 ? "" : mTokens[aPosition.Value() - 1];
+  mWork.push_back({ false, aPosition, input, 0 });
+}
+
+void stage_stream::OnActivation(const policy::attempt_key& aAttempt, const link::activation& aActivation)
+{
+  std::lock_guard lock(mMutex);
+  if (!mProgress.IsCurrent(aAttempt) || mPhase != phase::Running || IsHead()) {
+    return;
+  }
+  mWork.push_back({ aActivation.prefill(),
+                    token_position(aActivation.position()),
+                    aActivation.data(),
+                    aActivation.prefill_stages() });
+  Pump();
+}
+
+void stage_stream::Pump()
+{
+  while (!mIsRunning && !mWork.empty() && mPhase == phase::Running) {
+    const work_item item = std::move(mWork.front());
+    mWork.pop_front();
+    if (item.mIsPrefill) {
+      Run(item);
+    } else {
+      PumpStep(item);
+    }
+  }
+}
+
+void stage_stream::PumpStep(const work_item& aItem)
+{
+  const auto action = mProgress.OnInput(mProgress.Current(), aItem.mPosition, StableHash(aItem.mInput));
+  switch (action) {
+    case policy::stage_action::Run:
+      Run(aItem);
+      return;
+    case policy::stage_action::Replay:
+      Emit(aItem.mPosition);
+      return;
+    case policy::stage_action::Wait:
+    case policy::stage_action::Fenced:
+      return;
+    case policy::stage_action::Gap:
+      Lose(mHost.Instance().Str(),
+           false,
+           false,
+           "position " + std::to_string(aItem.mPosition.Value()) + " is not the next one here");
+      return;
+  }
+}
+
+void stage_stream::Run(const work_item& aItem)
+{
+  mIsRunning = true;
+  mRunSince = Now();
+  mRunPrefillStages = aItem.mPrefillStages;
+  engine::run_request run;
+  run.mRequest = mRequest;
+  run.mAttempt = mProgress.Current().mNumber;
+  run.mPosition = aItem.mPosition;
+  run.mFirstLayer = mOpen.first_layer();
+  run.mLastLayer = mLastLayer;
+  run.mIsPrefill = aItem.mIsPrefill;
+  run.mPriority = mOpen.priority();
+  run.mMaxTokens = mOpen.max_tokens();
+  run.mInput = aItem.mInput;
+  if (aItem.mIsPrefill && IsHead()) {
+    run.mPrompt = mOpen.prompt();
+    run.mDelivered.assign(mOpen.delivered().begin(), mOpen.delivered().end());
+  }
+  mHost.StartRun(ref<stage_stream>(this), std::move(run));
+}
+
+void stage_stream::OnRunDone(const engine::run_request& aRequest,
+                             const engine::engine_result<engine::run_reply>& aReply)
+{
+  std::lock_guard lock(mMutex);
+  mIsRunning = false;
+  if (mPhase == phase::Ended) {
+    mHost.CancelAtEngine(mRequest);
+    return;
+  }
+  if (aReply.has_error()) {
+    RunFailed(aReply.error());
+    return;
+  }
+  const engine::run_reply& reply = aReply.value();
+  if (aRequest.mIsPrefill) {
+    mProgress.Prefilled(aRequest.mPosition);
+    if (aRequest.mAttempt == mProgress.Current().mNumber) {
+      PrefillDone(reply.mOutput, aRequest.mPosition);
+    }
+  } else {
+    StepDone(aRequest.mPosition, { reply.mOutput, reply.mToken, reply.mIsLast, reply.mFinishReason });
+  }
+  Pump();
+}
+
+void stage_stream::PrefillDone(const std::string& aOutput, token_position aStart)
+{
+  if (mRunPrefillStages <= 1 || IsLast()) {
+    return;
+  }
+  link::frame next = Frame();
+  next.mutable_activation()->set_position(aStart.Value());
+  next.mutable_activation()->set_prefill(true);
+  next.mutable_activation()->set_prefill_stages(mRunPrefillStages - 1);
+  next.mutable_activation()->set_data(aOutput);
+  mWaitingSince = Now();
+  SendDown(std::move(next));
+}
+
+void stage_stream::StepDone(token_position aPosition, policy::stage_output aOutput)
+{
+  if (mProgress.OnOutput(aPosition, std::move(aOutput)) && mPhase == phase::Running) {
+    Emit(aPosition);
+  }
+}
+
+void stage_stream::RunFailed(const engine::engine_error& aError)
+{
+  mProgress.OnFailure();
+  const bool isDown = aError.mCode == engine::engine_errc::Down;
+  if (isDown) {
+    mHost.EngineFailed();
+  }
+  if (isDown || aError.mCode == engine::engine_errc::NoState) {
+    mProgress.LoseState();
+  }
+  Lose(mHost.Instance().Str(), isDown, aError.mCode == engine::engine_errc::Timeout, aError.mMessage);
+}
+
+void stage_stream::Emit(token_position aPosition)
+{
+  const policy::stage_output* output = mProgress.Kept(aPosition);
+  if (output == nullptr) {
+    return;
+  }
+  if (!IsLast()) {
+    link::frame next = Frame();
+    next.mutable_activation()->set_position(aPosition.Value());
+    next.mutable_activation()->set_data(output->mData);
+    mWaitingSince = Now();
+    SendDown(std::move(next));
+    return;
+  }
+  link::token token;
+  token.set_position(aPosition.Value());
+  token.set_text(output->mToken);
+  token.set_last(output->mIsLast);
+  token.set_finish_reason(output->mFinishReason);
+  TakeToken(token);
+}
+
+void stage_stream::TakeToken(const link::token& aToken)
+{
+  mWaitingSince = {};
+  link::frame up = Frame();
+  *up.mutable_token() = aToken;
+  if (IsHead()) {
+    if (aToken.position() != mTokens.size()) {
+      return;
+    }
+    mTokens.push_back(aToken.text());
+  }
+  SendUp(std::move(up));
+  if (IsHead() && !aToken.last()) {
+    QueueHeadStep(token_position(aToken.position()).Next());
+    Pump();
+  }
+}
+
+void stage_stream::OnDelivered(const policy::attempt_key& aAttempt, token_position aNext)
+{
+  std::lock_guard lock(mMutex);
+  if (!mProgress.IsCurrent(aAttempt) || aNext <= mDelivered) {
+    return;
+  }
+  mDelivered = aNext;
+  mProgress.Delivered(aNext);
+  if (mSuccessor) {
+    link::frame down = Frame();
+    down.mutable_delivered()->set_next_position(aNext.Value());
+    SendDown(std::move(down));
+  }
+  if (mBlockedAt && IsHead()) {
+    const token_position blocked = *mBlockedAt;
+    mBlockedAt.reset();
+    QueueHeadStep(blocked);
+    Pump();
+  }
+}
+
+void stage_stream::OnCancel(const policy::attempt_key& aAttempt)
+{
+  std::lock_guard lock(mMutex);
+  if (aAttempt >= mProgress.Current()) {
+    End();
+  }
+}
+
+void stage_stream::OnSuccessorFrame(const ref<link::provider>& aSuccessor, const link::frame& aFrame)
+{
+  std::lock_guard lock(mMutex);
+  if (aSuccessor != mSuccessor || !mProgress.IsCurrent(link::AttemptOf(aFrame))) {
+    return;
+  }
+  if (aFrame.has_refused() && mPhase == phase::Opening) {
+    mSuccessor->Ended();
+    mSuccessor = nullptr;
+    TrySuccessor();
+  } else if (aFrame.has_opened() && mPhase == phase::Opening) {
+    Opened(aFrame.opened().prefill_stages(), { aFrame.opened().chain().begin(), aFrame.opened().chain().end() });
+  } else if (aFrame.has_token() && mPhase == phase::Running) {
+    TakeToken(aFrame.token());
+  } else if (aFrame.has_lost() && mPhase == phase::Running) {
+    Lose(aFrame.lost().instance(), aFrame.lost().crashed(), aFrame.lost().stalled(), aFrame.lost().message());
+  }
+}
+
+void stage_stream::OnSuccessorLost(const ref<link::provider>& aSuccessor)
+{
+  std::lock_guard lock(mMutex);
+  if (aSuccessor != mSuccessor) {
+    return;
+  }
+  mSuccessor = nullptr;
+  if (mPhase == phase::Opening) {
+    TrySuccessor();
+  } else if (mPhase == phase::Running) {
+    Lose(aSuccessor->Instance().Str(),
+         false,
+         false,
+         "the link to sidecar \"" + aSuccessor->Instance().Str() + "\" closed");
+  }
+}
+
+void stage_stream::OnUpstreamLost(const link::connection& aUpstream)
+{
+  std::lock_guard lock(mMutex);
+  if (mUpstream.get() == &aUpstream) {
+    mUpstream = nullptr;
+    mUpstreamLostAt = Now();
+  }
+}
+
+void stage_stream::Lose(const std::string& aInstance, bool aCrashed, bool aStalled, const std::string& aMessage)
+{
+  kLog.Request(
+    mRequest.Str(), "Attempt {} is lost at {}: {}.", mProgress.Current().mNumber.Value(), aInstance, aMessage);
+  mPhase = phase::Lost;
+  mWork.clear();
+  mWaitingSince = {};
+  link::frame lost = LostFrame(Frame(), aInstance, aMessage);
+  lost.mutable_lost()->set_crashed(aCrashed);
+  lost.mutable_lost()->set_stalled(aStalled);
+  SendUp(std::move(lost));
+  if (mSuccessor && mSuccessor->Instance().Str() == aInstance) {
+    LeaveSuccessor("it is at fault");
+  }
+}
+
+void stage_stream::OnTick(instant aNow)
+{
+  std::lock_guard lock(mMutex);
+  const bool isOrphan = !mUpstream && mUpstreamLostAt != instant{} && aNow - mUpstreamLostAt > mHost.StreamGrace();
+  if (isOrphan && mPhase != phase::Ended) {
+    End();
+    return;
+  }
+  if (mPhase == phase::Opening && mWaitingSince != instant{} && aNow - mWaitingSince > kOpenTimeout) {
+    LeaveSuccessor("it did not answer in time");
+    TrySuccessor();
+    return;
+  }
+  if (mPhase != phase::Running) {
+    return;
+  }
+  if (mIsRunning && aNow - mRunSince > mHost.StallAllowance(mRunPrefillStages > 0, mOpen.prompt_tokens())) {
+    Lose(mHost.Instance().Str(), false, true, "the engine has stalled");
+    return;
+  }
+  if (mWaitingSince == instant{} || !mSuccessor || aNow - mWaitingSince < mHost.StallFloor() / 2) {
+    return;
+  }
+  mHost.Probe(mSuccessor);
+  const ref<link::connection> link = mSuccessor->Link();
+  if (link && link->SilentFor() > mHost.StallFloor()) {
+    Lose(mSuccessor->Instance().Str(), false, true, "sidecar \"" + mSuccessor->Instance().Str() + "\" is silent");
+  }
+}
+
+void stage_stream::End()
+{
+  if (mPhase == phase::Ended) {
+    return;
+  }
+  LeaveSuccessor("the request has ended");
+  mPhase = phase::Ended;
+  mEndedAt = Now();
+  mWork.clear();
+  mUpstream = nullptr;
+  mHost.CancelAtEngine(mRequest);
+  GiveBackPlace();
+}
+
+void stage_stream::GiveBackPlace()
+{
+  if (std::exchange(mHasPlace, false)) {
+    mHost.GiveBackPlace();
+  }
+}
+
+void stage_stream::SendUp(link::frame aFrame)
+{
+  link::SendFrame(mUpstream.get(), mHost.Board(), std::move(aFrame));
+}
+
+void stage_stream::SendDown(link::frame aFrame)
+{
+  if (mSuccessor) {
+    mHost.SendTo(mSuccessor, std::move(aFrame));
+  }
+}
+
+link::stream_state stage_stream::State(const std::string& aWorkspace, token_position aNext) const
+{
+  std::lock_guard lock(mMutex);
+  link::stream_state state;
+  const bool isKnown = mPhase != phase::Idle && mPhase != phase::Ended && IsHead();
+  if (!isKnown || mOpen.workspace() != aWorkspace || aNext.Value() > mTokens.size()) {
+    return state;
+  }
+  state.set_found(true);
+  state.set_attempt(static_cast<std::uint32_t>(mProgress.Current().mNumber.Value()));
+  *state.mutable_open() = mOpen;
+  state.mutable_open()->mutable_delivered()->Assign(mTokens.begin(), mTokens.end());
+  state.mutable_chain()->Assign(mChain.begin(), mChain.end());
+  return state;
+}
+
+bool stage_stream::IsActive() const
+{
+  std::lock_guard lock(mMutex);
+  return mHasPlace;
+}
+
+bool stage_stream::IsForgotten(instant aNow) const
+{
+  std::lock_guard lock(mMutex);
+  if (mPhase == phase::Idle) {
+    return true;
+  }
+  return mPhase == phase::Ended && !mIsRunning && aNow - mEndedAt > mHost.StreamGrace();
+}
+
+} // namespace chervilpulley::sidecar
