--- /dev/null
+++ b/src/entry/caller_api.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <string>
+
+#include "config/config_view.h"
+#include "entry/api_reply.h"
+#include "entry/api_request.h"
+#include "entry/completion_run.h"
+#include "entry/request_router.h"
+#include "entry/service_run.h"
+#include "net/http_server.h"
+#include "runtime/process.h"
+
+/// The callers' interface: completions, chats, models and plain services.
+namespace chervilpulley::entry {
+
+struct caller_options
+{
+  std::string mClusterKey;
+  duration mDefaultDeadline = std::chrono::minutes(5);
+  duration mStallFloor = std::chrono::seconds(1);
+};
+
+/// Answers the requests of callers. Thread-safe.
+class caller_api : public ref_counted
+{
+public:
+  using view_source = std::function<ref<const config::config_view>()>;
+  caller_api(request_router& aRouter, view_source aView, caller_options aOptions);
+  /// Answers one request; runs on the connection's strand.
+  boost::asio::awaitable<void> Answer(net::http_exchange& aExchange);
+
+private:
+  boost::asio::awaitable<void> AnswerModels(net::http_exchange& aExchange, const config::config_view& aView);
+  boost::asio::awaitable<void> AnswerCompletion(net::http_exchange& aExchange,
+                                                const config::config_view& aView,
+                                                const admin::workspace& aWorkspace,
+                                                api_style aStyle);
+  boost::asio::awaitable<void> RunCompletion(net::http_exchange& aExchange,
+                                             completion_order aOrder,
+                                             const completion_request& aRequest);
+  boost::asio::awaitable<std::optional<api_error>> TakeUp(completion_order& aOrder,
+                                                          ref<request_mailbox> aMailbox,
+                                                          const std::string& aLastEventId,
+                                                          token_position& aNext);
+  boost::asio::awaitable<void> AnswerService(net::http_exchange& aExchange,
+                                             const config::config_view& aView,
+                                             const admin::workspace& aWorkspace);
+  boost::asio::awaitable<void> GiveWholeAnswer(net::http_exchange& aExchange,
+                                               completion_order aOrder,
+                                               answer_identity aIdentity,
+                                               ref<request_mailbox> aMailbox);
+  boost::asio::awaitable<void> StreamAnswer(net::http_exchange& aExchange,
+                                            completion_order aOrder,
+                                            answer_identity aIdentity,
+                                            ref<request_mailbox> aMailbox,
+                                            token_position aNext,
+                                            bool aIncludeUsage);
+  service_order OrderOf(const net::http_request& aRequest,
+                        const admin::workspace& aWorkspace,
+                        const admin::route& aRoute,
+                        std::string_view aPath) const;
+  net::http_reply ReplyOf(const service_result& aResult) const;
+  duration DeadlineOf(const net::http_request& aRequest, duration aDefault) const;
+
+  request_router& mRouter;
+  view_source mView;
+  caller_options mOptions;
+};
+
+} // namespace chervilpulley::entry
--- /dev/null
+++ b/src/entry/completion_run.cpp
@@ -0,0 +1,280 @@
+#include "entry/completion_run.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "chervilpulley/config.h"
+
+namespace chervilpulley::entry {
+
+namespace {
+
+constexpr part_log kLog("entry");
+constexpr duration kOpenTimeout = std::chrono::milliseconds(2500);
+constexpr duration kQuietCheck = std::chrono::milliseconds(100);
+constexpr duration kRouteRetry = std::chrono::milliseconds(100);
+constexpr duration kLongestRouteWait = std::chrono::seconds(10);
+constexpr duration kRetryAfter = std::chrono::seconds(1);
+constexpr std::uint32_t kMostCrashes = 2;
+constexpr std::uint32_t kMostOpens = 64;
+
+} // namespace
+
+completion_run::completion_run(request_router& aRouter, ref<request_mailbox> aMailbox, completion_order aOrder)
+  : mRouter(aRouter)
+  , mMailbox(std::move(aMailbox))
+  , mOrder(std::move(aOrder))
+{
+  mAttempt = { attempt_number(mOrder.mLastAttempt), RandomNumber() };
+  mChain = mOrder.mHolders;
+}
+
+boost::asio::awaitable<completion_end> completion_run::Run(token_sink& aSink)
+{
+  instant waitingSince = Now();
+  mEnd.mIsComplete = !mOrder.mFinishReason.empty();
+  while (!mEnd.mIsComplete) {
+    if (!StartAttempt()) {
+      const bool mayWait = !mOrder.mTokens.empty() && Now() - waitingSince < kLongestRouteWait;
+      if (!mayWait) {
+        api_error none{ 503, "server_error", "", link::OUTCOME_NOT_RUN, kRetryAfter };
+        none.mMessage = "no chain of backend servers takes model \"" + mOrder.mModel + "\" now";
+        Fail(mLastRefusal ? FromRefusal(*mLastRefusal) : none);
+        break;
+      }
+      co_await WaitForRoute();
+      continue;
+    }
+    const step next = co_await RunAttempt(aSink);
+    if (mIsOpened) {
+      waitingSince = Now();
+    }
+    if (next == step::Ended) {
+      break;
+    }
+  }
+  Cancel(mEnd.mIsComplete ? "finished" : "given up");
+  CancelFormerHeads();
+  co_return mEnd;
+}
+
+boost::asio::awaitable<void> completion_run::WaitForRoute()
+{
+  mRefused.clear();
+  const auto event = co_await mMailbox->Pop(Now() + kRouteRetry);
+  if (event && event->mKind == request_event::kind::HungUp) {
+    mEnd.mHungUp = true;
+  }
+}
+
+link::open_attempt completion_run::OpenBody() const
+{
+  link::open_attempt open;
+  open.set_workspace(mOrder.mWorkspace.Str());
+  open.set_model(mOrder.mModel);
+  open.set_layer_count(mOrder.mLayerCount);
+  open.set_prompt(mOrder.mPrompt);
+  open.set_prompt_tokens(mOrder.mPromptTokens);
+  open.mutable_delivered()->Assign(mOrder.mTokens.begin(), mOrder.mTokens.end());
+  open.set_max_tokens(mOrder.mMaxTokens);
+  open.set_priority(mOrder.mPriority);
+  open.set_deadline_ms(static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(mOrder.mDeadline - Now()).count()));
+  open.mutable_avoid()->Assign(mAvoid.begin(), mAvoid.end());
+  open.mutable_prefer()->Assign(mChain.begin(), mChain.end());
+  return open;
+}
+
+bool completion_run::StartAttempt()
+{
+  provider_wish wish{ mOrder.mPool, mOrder.mModel, mOrder.mPromptTokens, mAvoid, { mChain.begin(), mChain.end() } };
+  wish.mExcluded.insert(mRefused.begin(), mRefused.end());
+  if (mOpens >= kMostOpens) {
+    return false;
+  }
+  ref<link::provider> chosen = mRouter.Choose(wish);
+  if (!chosen) {
+    return false;
+  }
+  if (mHead && mHead != chosen) {
+    mFormerHeads.push_back(mHead);
+  }
+  mHead = std::move(chosen);
+  ++mOpens;
+  mAttempt.mNumber = mAttempt.mNumber.Next();
+  mIsOpened = false;
+  mLastProgress = Now();
+  link::frame open = Frame();
+  *open.mutable_open() = OpenBody();
+  mHead->Began();
+  SendToHead(std::move(open));
+  return true;
+}
+
+boost::asio::awaitable<completion_run::step> completion_run::RunAttempt(token_sink& aSink)
+{
+  step next = step::Continue;
+  while (next == step::Continue) {
+    const auto event = co_await mMailbox->Pop(std::min(Now() + kQuietCheck, mOrder.mDeadline));
+    if (mEnd.mHungUp || (event && event->mKind == request_event::kind::HungUp)) {
+      mEnd.mHungUp = true;
+      next = step::Ended;
+    } else if (Now() >= mOrder.mDeadline) {
+      next = Fail({ 504, "timeout_error", "the request's deadline has passed", link::OUTCOME_FAILED, std::nullopt });
+    } else if (!event) {
+      next = OnQuiet();
+    } else if (event->mProvider != mHead) {
+      next = step::Continue;
+    } else if (event->mKind == request_event::kind::ProviderLost) {
+      next = OnHeadLost(false);
+    } else if (link::AttemptOf(event->mFrame) == mAttempt) {
+      next = co_await OnFrame(event->mFrame, aSink);
+    }
+  }
+  mHead->Ended();
+  co_return next;
+}
+
+boost::asio::awaitable<completion_run::step> completion_run::OnFrame(const link::frame& aFrame, token_sink& aSink)
+{
+  mLastProgress = Now();
+  if (aFrame.has_refused()) {
+    co_return OnRefused(aFrame.refused());
+  }
+  if (aFrame.has_opened()) {
+    mIsOpened = true;
+    mMayHaveRun = true;
+    mRefused.clear();
+    mChain.assign(aFrame.opened().chain().begin(), aFrame.opened().chain().end());
+    CancelFormerHeads();
+    co_return step::Continue;
+  }
+  if (aFrame.has_lost()) {
+    co_return OnLost(aFrame.lost());
+  }
+  if (aFrame.has_token()) {
+    co_return co_await OnToken(aFrame.token(), aSink);
+  }
+  co_return step::Continue;
+}
+
+boost::asio::awaitable<completion_run::step> completion_run::OnToken(const link::token& aToken, token_sink& aSink)
+{
+  if (aToken.position() < mOrder.mTokens.size()) {
+    co_return step::Continue;
+  }
+  if (aToken.position() > mOrder.mTokens.size()) {
+    kLog.Request(mOrder.mRequest.Str(), "Position {} came before {}.", aToken.position(), mOrder.mTokens.size());
+    co_return step::NextAttempt;
+  }
+  mOrder.mTokens.push_back(aToken.text());
+  const answer_token token{
+    token_position(aToken.position()), aToken.text(), aToken.finish_reason(), mHead->Instance()
+  };
+  if (!co_await aSink.Deliver(token)) {
+    mEnd.mHungUp = true;
+    co_return step::Ended;
+  }
+  mLastProgress = Now();
+  link::frame delivered = Frame();
+  delivered.mutable_delivered()->set_next_position(mOrder.mTokens.size());
+  SendToHead(std::move(delivered));
+  if (!aToken.last()) {
+    co_return step::Continue;
+  }
+  mEnd.mIsComplete = true;
+  co_return step::Ended;
+}
+
+completion_run::step completion_run::OnRefused(const link::refusal& aRefusal)
+{
+  kLog.Request(mOrder.mRequest.Str(), "{} refused: {}.", mHead->Instance().Str(), aRefusal.message());
+  mLastRefusal = aRefusal;
+  mRefused.insert(mHead->Instance().Str());
+  return step::NextAttempt;
+}
+
+completion_run::step completion_run::OnLost(const link::attempt_lost& aLost)
+{
+  mAvoid.insert(aLost.instance());
+  std::erase(mChain, aLost.instance());
+  mCrashes += aLost.crashed() ? 1 : 0;
+  if (mCrashes >= kMostCrashes) {
+    return Fail({ 422,
+                  "invalid_request_error",
+                  "the request ended two engines and is not run again",
+                  link::OUTCOME_FAILED,
+                  std::nullopt });
+  }
+  return step::NextAttempt;
+}
+
+completion_run::step completion_run::OnHeadLost(bool aStalled)
+{
+  kLog.Request(mOrder.mRequest.Str(), "{} {}.", mHead->Instance().Str(), aStalled ? "is silent" : "is gone");
+  mMayHaveRun = true;
+  mAvoid.insert(mHead->Instance().Str());
+  std::erase(mChain, mHead->Instance().Str());
+  return step::NextAttempt;
+}
+
+completion_run::step completion_run::OnQuiet()
+{
+  const duration quiet = Now() - mLastProgress;
+  if (!mIsOpened && quiet > kOpenTimeout) {
+    Cancel("it did not answer in time");
+    return OnHeadLost(true);
+  }
+  if (quiet < mOrder.mStallFloor / 2) {
+    return step::Continue;
+  }
+  mRouter.Links().Probe(mHead);
+  const ref<link::connection> link = mHead->Link();
+  if (!link || link->SilentFor() > mOrder.mStallFloor) {
+    return OnHeadLost(true);
+  }
+  return step::Continue;
+}
+
+completion_run::step completion_run::Fail(api_error aError)
+{
+  if (mMayHaveRun && aError.mOutcome == link::OUTCOME_NOT_RUN) {
+    aError.mOutcome = link::OUTCOME_FAILED;
+  }
+  mEnd.mError = std::move(aError);
+  return step::Ended;
+}
+
+void completion_run::Cancel(const std::string& aReason)
+{
+  link::frame cancel = Frame();
+  cancel.mutable_cancel()->set_reason(aReason);
+  SendToHead(std::move(cancel));
+}
+
+void completion_run::CancelFormerHeads()
+{
+  // Only now: a cancel before the new attempt is open would end the stages that it takes over.
+  for (const auto& former : mFormerHeads) {
+    if (former != mHead) {
+      link::frame cancel = Frame();
+      cancel.mutable_cancel()->set_reason("another chain was chosen");
+      mRouter.Links().Send(former, std::move(cancel));
+    }
+  }
+  mFormerHeads.clear();
+}
+
+void completion_run::SendToHead(link::frame aFrame)
+{
+  if (mHead) {
+    mRouter.Links().Send(mHead, std::move(aFrame));
+  }
+}
+
+link::frame completion_run::Frame() const
+{
+  return link::AttemptFrame(mOrder.mRequest, mAttempt);
+}
+
+} // namespace chervilpulley::entry
--- /dev/null
+++ b/src/entry/completion_run.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "entry/api_error.h"
+#include "entry/request_router.h"
+#include "policy/stage_progress.h"
+
+/// One completion: attempts over chains of stages until the caller has the whole answer.
+namespace chervilpulley::entry {
+
+/// What a completion is to do.
+struct completion_order
+{
+  request_id mRequest;
+  workspace_id mWorkspace;
+  pool_name mPool;
+  std::string mModel;
+  std::uint32_t mLayerCount = 0;
+  std::string mPrompt;
+  std::uint32_t mPromptTokens = 0;
+  std::uint32_t mMaxTokens = 0;
+  std::uint32_t mPriority = 0;
+  instant mDeadline{};
+  duration mStallFloor = std::chrono::seconds(1);
+  /// When a stream is taken up: tokens known so far, the last attempt, and the sidecars that hold its state.
+  std::vector<std::string> mTokens;
+  std::uint32_t mLastAttempt = 0;
+  std::vector<std::string> mHolders;
+  std::string mFinishReason; ///< not empty when mTokens are the whole answer
+};
+
+/// A token on its way to the caller.
+struct answer_token
+{
+  token_position mPosition;
+  std::string mText;
+  std::string mFinishReason; ///< with the last one
+  instance_id mHead;         ///< sidecar that keeps the stream
+};
+
+/// How a completion ended.
+struct completion_end
+{
+  bool mIsComplete = false;
+  bool mHungUp = false;
+  std::optional<api_error> mError;
+};
+
+/// Takes the tokens of an answer in order; false when the caller is gone.
+class token_sink
+{
+public:
+  virtual ~token_sink() = default;
+  virtual boost::asio::awaitable<bool> Deliver(const answer_token& aToken) = 0;
+};
+
+/// Runs one completion. All its work is on the strand of the caller's connection.
+class completion_run
+{
+public:
+  completion_run(request_router& aRouter, ref<request_mailbox> aMailbox, completion_order aOrder);
+  boost::asio::awaitable<completion_end> Run(token_sink& aSink);
+  /// Tokens of the answer so far.
+  std::uint32_t TokenCount() const { return static_cast<std::uint32_t>(mOrder.mTokens.size()); }
+  /// Tells the sidecars to drop the request.
+  void Cancel(const std::string& aReason);
+
+private:
+  enum class step
+  {
+    Continue,
+    NextAttempt,
+    Ended
+  };
+
+  bool StartAttempt();
+  boost::asio::awaitable<void> WaitForRoute();
+  boost::asio::awaitable<step> RunAttempt(token_sink& aSink);
+  boost::asio::awaitable<step> OnFrame(const link::frame& aFrame, token_sink& aSink);
+  boost::asio::awaitable<step> OnToken(const link::token& aToken, token_sink& aSink);
+  step OnRefused(const link::refusal& aRefusal);
+  step OnLost(const link::attempt_lost& aLost);
+  step OnHeadLost(bool aStalled);
+  step OnQuiet();
+  step Fail(api_error aError);
+  link::open_attempt OpenBody() const;
+  void CancelFormerHeads();
+  void SendToHead(link::frame aFrame);
+  link::frame Frame() const;
+
+  request_router& mRouter;
+  ref<request_mailbox> mMailbox;
+  completion_order mOrder;
+  completion_end mEnd;
+  policy::attempt_key mAttempt;
+  std::uint32_t mOpens = 0;
+  std::uint32_t mCrashes = 0;
+  bool mMayHaveRun = false;
+  ref<link::provider> mHead;
+  std::vector<ref<link::provider>> mFormerHeads; ///< not told yet that the request has left them
+  bool mIsOpened = false;
+  std::vector<std::string> mChain;
+  std::set<std::string> mAvoid;   ///< at fault in an earlier attempt
+  std::set<std::string> mRefused; ///< refused since the last attempt that was opened
+  std::optional<link::refusal> mLastRefusal;
+  instant mLastProgress{};
+};
+
+} // namespace chervilpulley::entry
--- /dev/null
+++ b/src/entry/request_router.cpp
@@ -0,0 +1,50 @@
+#include "entry/request_router.h"
+
+#include "base/clock.h"
+#include "base/random.h"
+
+namespace chervilpulley::entry {
+
+void request_router::Register(const request_id& aRequest, ref<request_mailbox> aMailbox)
+{
+  mMailboxes.Insert(aRequest, std::move(aMailbox));
+}
+
+void request_router::Unregister(const request_id& aRequest)
+{
+  mMailboxes.Erase(aRequest);
+}
+
+void request_router::OnFrame(const ref<link::provider>& aProvider, link::frame aFrame)
+{
+  if (auto mailbox = mMailboxes.Find(request_id(aFrame.request()))) {
+    (*mailbox)->Push({ request_event::kind::Frame, aProvider, std::move(aFrame) });
+  }
+}
+
+void request_router::OnProviderLost(const ref<link::provider>& aProvider)
+{
+  for (const auto& mailbox : mMailboxes.Values()) {
+    mailbox->Push({ request_event::kind::ProviderLost, aProvider, {} });
+  }
+}
+
+ref<link::provider> request_router::Choose(const provider_wish& aWish) const
+{
+  const instant now = Now();
+  const auto providers = mLinks->OfPool(aWish.mPool);
+  std::vector<policy::route_candidate> candidates;
+  candidates.reserve(providers.size());
+  for (const auto& known : providers) {
+    policy::route_candidate candidate = known->Candidate(now);
+    const std::string& name = known->Instance().Str();
+    candidate.mAvoid = aWish.mExcluded.contains(name) || known->Report().model() != aWish.mModel;
+    candidate.mPreferred = aWish.mPreferred.contains(name);
+    candidates.push_back(std::move(candidate));
+  }
+  const policy::route_request request{ layer_index(0), token_count(aWish.mPromptTokens) };
+  const auto chosen = policy::ChooseRoute(candidates, request, { RandomNumber(), RandomNumber() });
+  return chosen ? providers[*chosen] : nullptr;
+}
+
+} // namespace chervilpulley::entry
--- a/src/sidecar/stage_stream.cpp
+++ b/src/sidecar/stage_stream.cpp
@@ -52,9 +52,9 @@
                              const policy::attempt_key& aAttempt,
                              const link::open_attempt& aOpen)
 {
-  const bool isNew = mPhase == phase::Idle;
+  const bool isNew = mPhase == phase::Idle || mPhase == phase::Ended;
   const std::string self = "sidecar \"" + mHost.Instance().Str() + "\" ";
-  if (mPhase == phase::Ended || aAttempt <= mProgress.Current()) {
+  if (aAttempt <= mProgress.Current()) {
     RefuseTo(aUpstream, aAttempt, link::REFUSAL_FENCED, self + "has a newer attempt of this request");
     return false;
   }
@@ -351,6 +351,7 @@
       return;
     }
     mTokens.push_back(aToken.text());
+    mFinishReason = aToken.finish_reason();
   }
   SendUp(std::move(up));
   if (IsHead() && !aToken.last()) {
@@ -383,9 +384,12 @@
 void stage_stream::OnCancel(const policy::attempt_key& aAttempt)
 {
   std::lock_guard lock(mMutex);
-  if (aAttempt >= mProgress.Current()) {
-    End();
+  if (aAttempt < mProgress.Current()) {
+    return;
   }
+  End();
+  // Whatever is late of the cancelled attempt is fenced from now on.
+  mProgress.Open(aAttempt, token_position());
 }
 
 void stage_stream::OnSuccessorFrame(const ref<link::provider>& aSuccessor, const link::frame& aFrame)
@@ -488,6 +492,7 @@
   mPhase = phase::Ended;
   mEndedAt = Now();
   mWork.clear();
+  mProgress.LoseState();
   mUpstream = nullptr;
   mHost.CancelAtEngine(mRequest);
   GiveBackPlace();
@@ -524,6 +529,7 @@
   state.set_attempt(static_cast<std::uint32_t>(mProgress.Current().mNumber.Value()));
   *state.mutable_open() = mOpen;
   state.mutable_open()->mutable_delivered()->Assign(mTokens.begin(), mTokens.end());
+  state.set_finish_reason(mFinishReason);
   state.mutable_chain()->Assign(mChain.begin(), mChain.end());
   return state;
 }
