--- /dev/null
+++ b/src/admin/listing.cpp
@@ -0,0 +1,101 @@
+#include "admin/listing.h"
+
+#include <boost/algorithm/hex.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+
+#include "admin/key_hashes.h"
+#include "policy/config_objects.h"
+
+namespace chervilpulley::admin {
+
+namespace {
+
+/// Stands before the name of the last object in a token.
+constexpr std::string_view kTokenMark = "after:";
+
+std::string TokenAfter(const std::string& aName)
+{
+  std::string token;
+  boost::algorithm::hex_lower(std::string(kTokenMark) + aName, std::back_inserter(token));
+  return token;
+}
+
+/// The name after which a page starts.
+admin_result<std::string> NameOfToken(const std::string& aToken)
+{
+  if (aToken.empty()) {
+    return std::string();
+  }
+  std::string text;
+  try {
+    boost::algorithm::unhex(aToken, std::back_inserter(text));
+  } catch (const boost::algorithm::hex_decode_error&) {
+    text.clear();
+  }
+  if (!text.starts_with(kTokenMark)) {
+    return admin_error{ admin_errc::Invalid, fmt::format("page token \"{}\" is not one of a list's reply", aToken) };
+  }
+  return text.substr(kTokenMark.size());
+}
+
+bool HasWorkspace(object_kind aKind)
+{
+  return aKind == OBJECT_KIND_ROUTE || aKind == OBJECT_KIND_OPERATOR_KEY;
+}
+
+const std::string& WorkspaceOf(const object& aObject)
+{
+  return aObject.has_route() ? aObject.route().workspace() : aObject.operator_key().workspace();
+}
+
+admin_result<void> CheckRequest(const list_request& aRequest)
+{
+  const auto& kinds = policy::kObjectKinds;
+  if (std::find(kinds.begin(), kinds.end(), aRequest.kind()) == kinds.end()) {
+    return admin_error{ admin_errc::Invalid, "a list needs the kind of its objects" };
+  }
+  if (!aRequest.workspace().empty() && !HasWorkspace(aRequest.kind())) {
+    return admin_error{ admin_errc::Invalid,
+                        fmt::format("a list of kind \"{}\" can't be filtered by workspace",
+                                    policy::KindText(aRequest.kind())) };
+  }
+  return outcome::success();
+}
+
+} // namespace
+
+std::uint32_t BoundedPageSize(std::uint32_t aAsked)
+{
+  return aAsked == 0 ? kDefaultPageSize : std::min(aAsked, kMaxPageSize);
+}
+
+admin_result<list_reply> ListObjects(const config::config_view& aView, const list_request& aRequest)
+{
+  BOOST_OUTCOME_TRYV(CheckRequest(aRequest));
+  BOOST_OUTCOME_TRY(const std::string after, NameOfToken(aRequest.page_token()));
+  const std::uint32_t size = BoundedPageSize(aRequest.page_size());
+  list_reply reply;
+  reply.set_revision(aView.Revision().Value());
+  std::string last;
+  for (const object* each : aView.List(aRequest.kind())) {
+    const std::string name = policy::NameOf(*each);
+    const bool isAsked = aRequest.workspace().empty() || WorkspaceOf(*each) == aRequest.workspace();
+    if (name <= after || !isAsked) {
+      continue;
+    }
+    if (static_cast<std::uint32_t>(reply.objects_size()) == size) {
+      reply.set_next_page_token(TokenAfter(last));
+      break;
+    }
+    last = name;
+    object* added = reply.add_objects();
+    *added = *each;
+    RemoveKeyHashes(*added);
+  }
+  return reply;
+}
+
+} // namespace chervilpulley::admin
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -107,8 +107,8 @@
   for (const role_command& role : aRoles) {
     all.push_back(RoleCommand(role));
   }
-  for (command& each : LocalCommands()) {
-    all.push_back(std::move(each));
+  for (auto group : { OperatorCommands(), LocalCommands() }) {
+    all.insert(all.end(), group.begin(), group.end());
   }
   return all;
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -8,6 +8,8 @@
 
 /// check-settings, settings-reference, make-key, version.
 std::vector<command> LocalCommands();
+/// apply, get, delete, watch, audit, status, rollout, drain.
+std::vector<command> OperatorCommands();
 /// A process in a role.
 command RoleCommand(const role_command& aRole);
 
--- /dev/null
+++ b/src/cli/commands_operator.cpp
@@ -0,0 +1,417 @@
+#include "cli/commands.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <ostream>
+
+#include "base/random.h"
+#include "cli/apply_change.h"
+#include "cli/change_text.h"
+#include "cli/object_kinds.h"
+#include "cli/object_text.h"
+#include "cli/operator_session.h"
+#include "cli/suggest.h"
+
+namespace {
+
+constexpr std::int64_t kFromHead = -1;
+
+} // namespace
+
+DEFINE_string(operator_file, "", "File of the change, INI or JSON; - is standard input.");
+DEFINE_bool(operator_validate, false, "Only validate the change.");
+DEFINE_string(operator_change_id, "", "Id of the change; random when absent. Sending the same id again is safe.");
+DEFINE_uint64(operator_expected_version, 0, "Version that the object must have; 0 is any.");
+DEFINE_string(operator_output, "table", "Form of the output, table or json.");
+DEFINE_string(operator_workspace, "", "Only objects of this workspace.");
+DEFINE_uint64(audit_after, 0, "Revision after which to start.");
+DEFINE_int64(watch_after, kFromHead, "Revision after which to start; -1 is the newest.");
+DEFINE_uint32(operator_count, 0, "Number of entries after which to end; 0 is no limit.");
+DEFINE_uint64(operator_revision, 0, "Revision to look for; 0 is the newest.");
+DEFINE_bool(operator_undo, false, "Take new work again.");
+
+namespace chervilpulley::cli {
+
+namespace {
+
+using words = std::vector<std::string>;
+
+constexpr std::size_t kChangeIdBytes = 12;
+constexpr std::uint32_t kPageSize = 200;
+constexpr duration kRetryPause = std::chrono::milliseconds(200);
+constexpr flag kOutput{ "output", "operator_output", 'o' };
+constexpr flag kChangeId{ "change-id", "operator_change_id" };
+
+bool IsJson()
+{
+  return FLAGS_operator_output == "json";
+}
+
+/// Tells whether --output has one of its values; prints a fault when not.
+bool CheckOutput(std::string_view aCommand, streams aStreams)
+{
+  if (IsJson() || FLAGS_operator_output == "table") {
+    return true;
+  }
+  aStreams.mErr << fmt::format(
+    "{}: value \"{}\" of flag \"--output\" must be table or json\n", aCommand, FLAGS_operator_output);
+  return false;
+}
+
+std::string ChosenChangeId(const std::string& aOfFile)
+{
+  if (!FLAGS_operator_change_id.empty()) {
+    return FLAGS_operator_change_id;
+  }
+  return aOfFile.empty() ? RandomHex(kChangeIdBytes) : aOfFile;
+}
+
+int SendChange(std::string_view aCommand, const admin::apply_request& aRequest, streams aStreams)
+{
+  const auto client = Connect(aCommand, aStreams);
+  if (!client) {
+    return ExitUsage;
+  }
+  const auto applied = ApplyChange(*client, aRequest, kRetryPause);
+  const std::string& id = aRequest.change().change_id();
+  if (!applied) {
+    if (applied.error().mCode == client_errc::Unknown) {
+      aStreams.mErr << fmt::format("{}: the outcome is unknown; send it again with --change-id {}\n", aCommand, id);
+    }
+    return Fail(aCommand, applied.error(), aStreams);
+  }
+  const admin::apply_reply& reply = applied.value();
+  if (aRequest.validate_only()) {
+    aStreams.mOut << "valid\n";
+    return ExitOk;
+  }
+  aStreams.mOut << fmt::format("change \"{}\" is revision {}{}{}\n",
+                               id,
+                               reply.revision(),
+                               reply.repeated() ? ", accepted before" : "",
+                               reply.spread_pending() ? ", spread pending" : "");
+  return ExitOk;
+}
+
+int Apply(const words&, streams aStreams)
+{
+  if (FLAGS_operator_file.empty()) {
+    aStreams.mErr << "apply: flag \"--file\" is needed\n";
+    return ExitUsage;
+  }
+  auto loaded = LoadChange(FLAGS_operator_file);
+  if (!loaded) {
+    for (const change_fault& fault : loaded.error()) {
+      aStreams.mErr << fault.mText << "\n";
+    }
+    return ExitRefused;
+  }
+  admin::apply_request request;
+  *request.mutable_change() = loaded.value();
+  request.mutable_change()->set_change_id(ChosenChangeId(loaded.value().change_id()));
+  request.set_validate_only(FLAGS_operator_validate);
+  return SendChange("apply", request, aStreams);
+}
+
+/// The kind that a word names; prints a fault when there is none.
+std::optional<admin::object_kind> ReadKind(std::string_view aCommand, const std::string& aWord, streams aStreams)
+{
+  const auto kind = KindOfText(aWord);
+  if (!kind) {
+    const std::string near = Suggest(aWord, KindTexts());
+    const std::string hint = near.empty() ? fmt::format("kinds are {}", fmt::join(KindTexts(), ", "))
+                                          : fmt::format("did you mean \"{}\"?", near);
+    aStreams.mErr << fmt::format("{}: kind \"{}\" does not exist; {}\n", aCommand, aWord, hint);
+  }
+  return kind;
+}
+
+int Delete(const words& aArguments, streams aStreams)
+{
+  const auto kind = ReadKind("delete", aArguments[0], aStreams);
+  if (!kind) {
+    return ExitUsage;
+  }
+  admin::apply_request request;
+  request.mutable_change()->set_change_id(ChosenChangeId(""));
+  admin::operation* operation = request.mutable_change()->add_operations();
+  operation->set_op(admin::CHANGE_OP_DELETE);
+  operation->mutable_ref()->set_kind(*kind);
+  operation->mutable_ref()->set_name(aArguments[1]);
+  operation->set_expected_version(FLAGS_operator_expected_version);
+  return SendChange("delete", request, aStreams);
+}
+
+int GetOne(admin_client& aClient, admin::object_kind aKind, const std::string& aName, streams aStreams)
+{
+  admin::get_request request;
+  request.mutable_ref()->set_kind(aKind);
+  request.mutable_ref()->set_name(aName);
+  const auto reply = aClient.Get(request);
+  if (!reply) {
+    return Fail("get", reply.error(), aStreams);
+  }
+  const admin::object& object = reply.value().object();
+  aStreams.mOut << (IsJson() ? JsonOf(object, true) : ObjectTable({ object }));
+  return ExitOk;
+}
+
+client_result<std::vector<admin::object>> ListAll(admin_client& aClient, admin::object_kind aKind)
+{
+  std::vector<admin::object> objects;
+  admin::list_request request;
+  request.set_kind(aKind);
+  request.set_workspace(FLAGS_operator_workspace);
+  request.set_page_size(kPageSize);
+  do {
+    const auto reply = aClient.List(request);
+    if (!reply) {
+      return reply.error();
+    }
+    objects.insert(objects.end(), reply.value().objects().begin(), reply.value().objects().end());
+    request.set_page_token(reply.value().next_page_token());
+  } while (!request.page_token().empty());
+  return objects;
+}
+
+int GetAll(admin_client& aClient, admin::object_kind aKind, streams aStreams)
+{
+  const auto listed = ListAll(aClient, aKind);
+  if (!listed) {
+    return Fail("get", listed.error(), aStreams);
+  }
+  if (!IsJson()) {
+    aStreams.mOut << ObjectTable(listed.value());
+    return ExitOk;
+  }
+  admin::list_reply all;
+  for (const admin::object& object : listed.value()) {
+    *all.add_objects() = object;
+  }
+  aStreams.mOut << JsonOf(all, true);
+  return ExitOk;
+}
+
+int Get(const words& aArguments, streams aStreams)
+{
+  const auto kind = ReadKind("get", aArguments[0], aStreams);
+  if (!kind || !CheckOutput("get", aStreams)) {
+    return ExitUsage;
+  }
+  const auto client = Connect("get", aStreams);
+  if (!client) {
+    return ExitUsage;
+  }
+  return aArguments.size() > 1 ? GetOne(*client, *kind, aArguments[1], aStreams) : GetAll(*client, *kind, aStreams);
+}
+
+/// Prints entries until enough are printed.
+class entry_printer
+{
+public:
+  explicit entry_printer(streams aStreams)
+    : mStreams(aStreams)
+  {
+  }
+
+  /// Tells whether more are wanted.
+  bool Print(const admin::log_entry& aEntry)
+  {
+    mStreams.mOut << (IsJson() ? JsonOf(aEntry, false) : EntryText(aEntry)) << std::flush;
+    ++mCount;
+    return FLAGS_operator_count == 0 || mCount < FLAGS_operator_count;
+  }
+
+private:
+  streams mStreams;
+  std::uint32_t mCount = 0;
+};
+
+/// The revision after which a watch starts.
+client_result<std::uint64_t> WatchStart(admin_client& aClient)
+{
+  if (FLAGS_watch_after >= 0) {
+    return static_cast<std::uint64_t>(FLAGS_watch_after);
+  }
+  admin::audit_request request;
+  request.set_page_size(1);
+  const auto reply = aClient.Audit(request);
+  if (!reply) {
+    return reply.error();
+  }
+  return reply.value().head_revision();
+}
+
+int Watch(const words&, streams aStreams)
+{
+  if (!CheckOutput("watch", aStreams)) {
+    return ExitUsage;
+  }
+  const auto client = Connect("watch", aStreams);
+  if (!client) {
+    return ExitUsage;
+  }
+  const auto after = WatchStart(*client);
+  if (!after) {
+    return Fail("watch", after.error(), aStreams);
+  }
+  admin::watch_request request;
+  request.set_after_revision(after.value());
+  entry_printer printer(aStreams);
+  const auto ended = client->Watch(request, [&](const admin::log_entry& aEntry) { return printer.Print(aEntry); });
+  return ended ? ExitOk : Fail("watch", ended.error(), aStreams);
+}
+
+int Audit(const words&, streams aStreams)
+{
+  if (!CheckOutput("audit", aStreams)) {
+    return ExitUsage;
+  }
+  const auto client = Connect("audit", aStreams);
+  if (!client) {
+    return ExitUsage;
+  }
+  entry_printer printer(aStreams);
+  admin::audit_request request;
+  request.set_after_revision(FLAGS_audit_after);
+  request.set_page_size(kPageSize);
+  while (true) {
+    const auto reply = client->Audit(request);
+    if (!reply) {
+      return Fail("audit", reply.error(), aStreams);
+    }
+    for (const admin::log_entry& entry : reply.value().entries()) {
+      request.set_after_revision(entry.revision());
+      if (!printer.Print(entry)) {
+        return ExitOk;
+      }
+    }
+    if (reply.value().entries().empty() || request.after_revision() >= reply.value().head_revision()) {
+      return ExitOk;
+    }
+  }
+}
+
+int Status(const words&, streams aStreams)
+{
+  if (!CheckOutput("status", aStreams)) {
+    return ExitUsage;
+  }
+  const auto client = Connect("status", aStreams);
+  if (!client) {
+    return ExitUsage;
+  }
+  const auto reply = client->Status();
+  if (!reply) {
+    return Fail("status", reply.error(), aStreams);
+  }
+  aStreams.mOut << (IsJson() ? JsonOf(reply.value(), true) : StatusText(reply.value()));
+  return ExitOk;
+}
+
+int Rollout(const words&, streams aStreams)
+{
+  if (!CheckOutput("rollout", aStreams)) {
+    return ExitUsage;
+  }
+  const auto client = Connect("rollout", aStreams);
+  if (!client) {
+    return ExitUsage;
+  }
+  admin::rollout_request request;
+  request.set_revision(FLAGS_operator_revision);
+  const auto reply = client->GetRollout(request);
+  if (!reply) {
+    return Fail("rollout", reply.error(), aStreams);
+  }
+  aStreams.mOut << (IsJson() ? JsonOf(reply.value(), true) : RolloutText(reply.value()));
+  return ExitOk;
+}
+
+int Drain(const words& aArguments, streams aStreams)
+{
+  const auto client = Connect("drain", aStreams);
+  if (!client) {
+    return ExitUsage;
+  }
+  admin::drain_request request;
+  request.set_instance(aArguments[0]);
+  request.set_undo(FLAGS_operator_undo);
+  const auto reply = client->Drain(request);
+  if (!reply) {
+    return Fail("drain", reply.error(), aStreams);
+  }
+  const std::string_view what = FLAGS_operator_undo ? "takes new work again" : "takes no new work";
+  aStreams.mOut << fmt::format("instance \"{}\" {}, {} running\n", aArguments[0], what, reply.value().running());
+  return ExitOk;
+}
+
+std::vector<flag> WithClientFlags(std::vector<flag> aFlags)
+{
+  for (const flag& each : ClientFlags()) {
+    aFlags.push_back(each);
+  }
+  return aFlags;
+}
+
+} // namespace
+
+std::vector<command> OperatorCommands()
+{
+  const flag count{ "count", "operator_count" };
+  return {
+    { "apply",
+      "-f FILE",
+      "Applies a change from an INI or JSON file.",
+      WithClientFlags({ { "file", "operator_file", 'f' }, { "validate", "operator_validate" }, kChangeId }),
+      0,
+      0,
+      Apply },
+    { "get",
+      "KIND [NAME]",
+      "Prints an object, or all of a kind: workspace, route, model, pool, placement, operator_key.",
+      WithClientFlags({ kOutput, { "workspace", "operator_workspace" } }),
+      1,
+      2,
+      Get },
+    { "delete",
+      "KIND NAME",
+      "Deletes an object.",
+      WithClientFlags({ { "expected-version", "operator_expected_version" }, kChangeId }),
+      2,
+      2,
+      Delete },
+    { "watch",
+      "",
+      "Prints changes as they are accepted.",
+      WithClientFlags({ kOutput, { "after", "watch_after" }, count }),
+      0,
+      0,
+      Watch },
+    { "audit",
+      "",
+      "Prints who changed what, when, and from which value to which.",
+      WithClientFlags({ kOutput, { "after", "audit_after" }, count }),
+      0,
+      0,
+      Audit },
+    { "status", "", "Prints all instances and what they do.", WithClientFlags({ kOutput }), 0, 0, Status },
+    { "rollout",
+      "",
+      "Prints which instances have a revision in force.",
+      WithClientFlags({ kOutput, { "revision", "operator_revision" } }),
+      0,
+      0,
+      Rollout },
+    { "drain",
+      "INSTANCE",
+      "Tells an instance to take no new work.",
+      WithClientFlags({ { "undo", "operator_undo" } }),
+      1,
+      1,
+      Drain },
+  };
+}
+
+} // namespace chervilpulley::cli
