--- /dev/null
+++ b/src/policy/admission_queue.cpp
@@ -0,0 +1,234 @@
+#include "policy/admission_queue.h"
+
+#include <algorithm>
+
+namespace chervilpulley::policy {
+
+namespace {
+
+/// Cost of a prompt token, in answer tokens.
+constexpr double kPromptTokenCost = 0.125;
+/// Retry time while the rate is unknown.
+constexpr duration kUnknownRetryAfter = std::chrono::seconds(1);
+constexpr duration kLeastRetryAfter = std::chrono::milliseconds(50);
+constexpr duration kMostRetryAfter = std::chrono::minutes(2);
+
+double Weight(const admission_request& aRequest)
+{
+  return std::max(kLeastWeight, aRequest.mWeight);
+}
+
+double RequestCost(const admission_request& aRequest)
+{
+  return AdmissionCost(aRequest.mPromptTokens, aRequest.mAnswerTokens);
+}
+
+std::size_t Level(const admission_request& aRequest)
+{
+  return std::min<std::size_t>(aRequest.mPriority, kPriorityLevels - 1);
+}
+
+duration Seconds(double aSeconds)
+{
+  return std::chrono::round<duration>(std::chrono::duration<double>(aSeconds));
+}
+
+} // namespace
+
+double AdmissionCost(token_count aPromptTokens, token_count aAnswerTokens)
+{
+  return 1.0 + static_cast<double>(aAnswerTokens.Value()) +
+         kPromptTokenCost * static_cast<double>(aPromptTokens.Value());
+}
+
+admission_queue::admission_queue(std::size_t aCapacity)
+  : mCapacity(aCapacity)
+{
+}
+
+admission_queue::~admission_queue()
+{
+  mRound.clear();
+  for (auto& entry : mQueues) {
+    for (auto& level : entry.second.mLevels) {
+      level.clear();
+    }
+  }
+}
+
+admission_queue::workspace_queue* admission_queue::Find(const workspace_id& aWorkspace)
+{
+  auto found = mQueues.find(aWorkspace);
+  return found == mQueues.end() ? nullptr : &found->second;
+}
+
+const admission_queue::workspace_queue* admission_queue::Find(const workspace_id& aWorkspace) const
+{
+  auto found = mQueues.find(aWorkspace);
+  return found == mQueues.end() ? nullptr : &found->second;
+}
+
+admission_queue::workspace_queue& admission_queue::Open(const admission_request& aRequest, instant aNow)
+{
+  auto [found, opened] = mQueues.try_emplace(aRequest.mWorkspace);
+  workspace_queue& queue = found->second;
+  if (opened) {
+    if (mRound.empty()) {
+      mRate.Restarted(aNow);
+    }
+    queue.mWorkspace = aRequest.mWorkspace;
+    mRound.push_back(queue);
+  } else {
+    mWeight -= queue.mWeight;
+  }
+  queue.mWeight = Weight(aRequest);
+  mWeight += queue.mWeight;
+  return queue;
+}
+
+double admission_queue::CostAhead(const admission_request& aRequest) const
+{
+  const workspace_queue* queue = Find(aRequest.mWorkspace);
+  double ownAhead = 0.0;
+  double own = 0.0;
+  double otherWeight = mWeight;
+  if (queue != nullptr) {
+    for (std::size_t level = 0; level < kPriorityLevels; ++level) {
+      own += queue->mCost[level];
+      ownAhead += level >= Level(aRequest) ? queue->mCost[level] : 0.0;
+    }
+    otherWeight -= queue->mWeight;
+  }
+  // While ownAhead and the request itself are served, each other workspace gets at most its share beside them.
+  const double othersInRounds = (ownAhead + RequestCost(aRequest)) * std::max(0.0, otherWeight) / Weight(aRequest);
+  return ownAhead + std::min(mCost - own, othersInRounds);
+}
+
+duration admission_queue::PredictedWait(const admission_request& aRequest) const
+{
+  const double rate = mRate.PerSecond();
+  return rate > 0.0 ? Seconds(CostAhead(aRequest) / rate) : duration(0);
+}
+
+bool admission_queue::HasRoom(const admission_request& aRequest) const
+{
+  const std::size_t free = mCapacity - std::min(mCapacity, mWaiting.size());
+  const workspace_queue* queue = Find(aRequest.mWorkspace);
+  return free > 0 && (queue == nullptr || queue->mCount < free);
+}
+
+duration admission_queue::UntilRoom(const admission_request& aRequest) const
+{
+  const double rate = mRate.PerSecond();
+  if (rate <= 0.0) {
+    return kUnknownRetryAfter;
+  }
+  // One more request of the workspace fits after one of its own has been served, which takes a round.
+  const workspace_queue* queue = Find(aRequest.mWorkspace);
+  const double share = queue == nullptr ? 1.0 : queue->mWeight / mWeight;
+  const double meanCost = mCost / static_cast<double>(std::max<std::size_t>(1, mWaiting.size()));
+  return std::clamp(Seconds(meanCost / (rate * share)), kLeastRetryAfter, kMostRetryAfter);
+}
+
+std::optional<admission_error> admission_queue::Check(const admission_request& aRequest, instant aNow) const
+{
+  if (aRequest.mFirstTokenDeadline && aNow + aRequest.mFirstTokenAfterStart > *aRequest.mFirstTokenDeadline) {
+    return admission_error{ admission_refusal::NeverInTime, std::nullopt };
+  }
+  if (!HasRoom(aRequest)) {
+    return admission_error{ admission_refusal::QueueFull, UntilRoom(aRequest) };
+  }
+  if (!aRequest.mFirstTokenDeadline) {
+    return std::nullopt;
+  }
+  const instant firstToken = aNow + PredictedWait(aRequest) + aRequest.mFirstTokenAfterStart;
+  const duration late = firstToken - *aRequest.mFirstTokenDeadline;
+  if (late <= duration(0)) {
+    return std::nullopt;
+  }
+  return admission_error{ admission_refusal::DeadlineMissed, std::clamp(late, kLeastRetryAfter, kMostRetryAfter) };
+}
+
+result<admission_ticket, admission_error> admission_queue::Offer(const admission_request& aRequest, instant aNow)
+{
+  if (auto error = Check(aRequest, aNow)) {
+    return *error;
+  }
+  workspace_queue& queue = Open(aRequest, aNow);
+  mLastTicket = mLastTicket.Next();
+  waiting& entry = mWaiting[mLastTicket];
+  entry.mTicket = mLastTicket;
+  entry.mQueue = &queue;
+  entry.mLevel = Level(aRequest);
+  entry.mCost = RequestCost(aRequest);
+  entry.mDeadline = aRequest.mFirstTokenDeadline;
+  queue.mLevels[entry.mLevel].push_back(entry);
+  queue.mCost[entry.mLevel] += entry.mCost;
+  ++queue.mCount;
+  mCost += entry.mCost;
+  return mLastTicket;
+}
+
+admission_queue::waiting& admission_queue::Head(workspace_queue& aQueue)
+{
+  std::size_t level = kPriorityLevels - 1;
+  while (aQueue.mLevels[level].empty()) {
+    --level;
+  }
+  return aQueue.mLevels[level].front();
+}
+
+void admission_queue::Remove(waiting& aWaiting)
+{
+  workspace_queue& queue = *aWaiting.mQueue;
+  queue.mLevels[aWaiting.mLevel].erase(queue.mLevels[aWaiting.mLevel].iterator_to(aWaiting));
+  queue.mCost[aWaiting.mLevel] -= aWaiting.mCost;
+  --queue.mCount;
+  mCost -= aWaiting.mCost;
+  mWaiting.erase(admission_ticket(aWaiting.mTicket));
+  if (queue.mCount > 0) {
+    return;
+  }
+  mWeight -= queue.mWeight;
+  mRound.erase(mRound.iterator_to(queue));
+  mQueues.erase(workspace_id(queue.mWorkspace));
+  if (mRound.empty()) {
+    mCost = 0.0;
+    mWeight = 0.0;
+    mRate.Emptied();
+  }
+}
+
+std::optional<admission_grant> admission_queue::Next(instant aNow)
+{
+  while (!mRound.empty()) {
+    workspace_queue& queue = mRound.front();
+    waiting& head = Head(queue);
+    const bool expired = head.mDeadline && *head.mDeadline < aNow;
+    const bool alone = mRound.size() == 1;
+    if (expired || alone || queue.mDeficit >= head.mCost) {
+      const admission_grant grant{ head.mTicket, expired };
+      if (!expired) {
+        queue.mDeficit = std::max(0.0, queue.mDeficit - head.mCost);
+        mRate.Drained(head.mCost, aNow);
+      }
+      Remove(head);
+      return grant;
+    }
+    queue.mDeficit += kRoundCost * queue.mWeight;
+    mRound.splice(mRound.end(), mRound, mRound.begin());
+  }
+  return std::nullopt;
+}
+
+bool admission_queue::Cancel(admission_ticket aTicket)
+{
+  auto found = mWaiting.find(aTicket);
+  if (found == mWaiting.end()) {
+    return false;
+  }
+  Remove(found->second);
+  return true;
+}
+
+} // namespace chervilpulley::policy
