--- /dev/null
+++ b/src/policy/stall_detector.cpp
@@ -0,0 +1,85 @@
+#include "policy/stall_detector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilpulley::policy {
+
+namespace {
+
+/// Weight of a new observation.
+constexpr float kGain = 0.05F;
+/// Deviations above the mean that are usual.
+constexpr float kDeviations = 6.0F;
+/// Multiple of the mean that is usual.
+constexpr float kMeanFactor = 4.0F;
+/// An observation counts as at most this multiple of what is usual, so that one stall does not hide the next.
+constexpr float kOutlierFactor = 2.0F;
+/// Prompt tokens for which prefill times are kept.
+constexpr std::uint64_t kPrefillUnit = 1000;
+/// Prompts shorter than this say little of the prefill speed.
+constexpr std::uint64_t kLeastPrefill = 64;
+/// Reported prefill and queue times may be exceeded by this factor.
+constexpr int kReportFactor = 3;
+
+} // namespace
+
+void gap_statistics::Observed(duration aGap)
+{
+  auto gap = static_cast<float>(aGap.count());
+  if (mMean == 0.0F) {
+    mMean = std::max(1.0F, gap);
+    mDeviation = gap / 2.0F;
+    return;
+  }
+  gap = std::min(gap, kOutlierFactor * static_cast<float>(Unusual().count()));
+  const float difference = gap - mMean;
+  mMean += kGain * difference;
+  mDeviation += kGain * (std::abs(difference) - mDeviation);
+}
+
+duration gap_statistics::Unusual() const
+{
+  const float usual = std::max(kMeanFactor * mMean, mMean + kDeviations * mDeviation);
+  return duration(static_cast<duration::rep>(usual));
+}
+
+stall_detector::stall_detector(duration aFloor)
+  : mFloor(aFloor)
+{
+}
+
+void stall_detector::TokenObserved(const stream_kind& aKind, duration aGap)
+{
+  mKinds[aKind].mGaps.Observed(aGap);
+}
+
+void stall_detector::FirstTokenObserved(const stream_kind& aKind, token_count aUncached, duration aTime)
+{
+  if (aUncached.Value() >= kLeastPrefill) {
+    mKinds[aKind].mPrefill.Observed(aTime * kPrefillUnit / aUncached.Value());
+  }
+}
+
+duration stall_detector::TokenAllowance(const stream_kind& aKind, const gap_statistics& aOwn) const
+{
+  auto found = mKinds.find(aKind);
+  const duration kind = found == mKinds.end() ? duration(0) : found->second.mGaps.Unusual();
+  return std::max({ mFloor, kind, aOwn.Unusual() });
+}
+
+duration stall_detector::FirstTokenAllowance(const stream_kind& aKind,
+                                             token_count aUncached,
+                                             duration aPrefillPerToken,
+                                             duration aQueueWait) const
+{
+  const duration reported = kReportFactor * (aPrefillPerToken * aUncached.Value() + aQueueWait);
+  auto found = mKinds.find(aKind);
+  duration observed{ 0 };
+  if (found != mKinds.end()) {
+    observed = found->second.mPrefill.Unusual() * aUncached.Value() / kPrefillUnit;
+  }
+  return TokenAllowance(aKind, gap_statistics()) + std::max(reported, observed);
+}
+
+} // namespace chervilpulley::policy
