--- /dev/null
+++ b/tests/standin/standin_engine.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "demo_model.h"
+#include "json_body.h"
+#include "net/http_server.h"
+#include "record_log.h"
+#include "signal.h"
+
+namespace chervilpulley::standin {
+
+struct engine_options
+{
+  std::string mModel = "demo";
+  std::uint32_t mLayerCount = 8;
+  std::uint32_t mFirstLayer = 0;
+  std::uint32_t mLastLayer = 7;
+  duration mStepPerLayer{ 500 };
+  duration mPrefillPerToken{ 50 };
+  std::string mAccelerator = "standin";
+  bool mKvImport = true;
+  bool mCheckFence = true;
+  std::size_t mMaxBatch = 64;
+  std::size_t mMaxQueued = 1024;
+  std::string mRecordsFile;
+};
+
+/// One pass through layers, as ordered by POST /v1/run.
+struct run_order
+{
+  std::string mRequest;
+  std::uint64_t mAttempt = 0;
+  std::uint64_t mPosition = 0;
+  std::uint32_t mFirstLayer = 0;
+  std::uint32_t mLastLayer = 0;
+  bool mPrefill = false;
+  std::uint64_t mPriority = 0;
+  std::uint64_t mMaxTokens = 0;
+  std::string mPrompt;
+  std::vector<std::string> mDelivered;
+  std::string mInput;
+};
+
+/// A model engine that holds a range of the demo model's layers.
+class engine
+{
+public:
+  explicit engine(engine_options aOptions);
+
+  boost::asio::awaitable<void> Handle(net::http_exchange& aExchange);
+
+private:
+  /// KV cache of a request: valid for all positions below mPosition.
+  struct kv_cache
+  {
+    std::uint64_t mGeneration = 0; ///< tells it from a later cache of the same request
+    std::uint32_t mFirstLayer = 0;
+    std::uint32_t mLastLayer = 0;
+    std::uint64_t mPosition = 0;
+    context_digest mPrompt = 0;
+    std::uint64_t mPromptTokens = 0;
+    std::vector<context_digest> mContexts; ///< by position; only where layer 0 is
+  };
+
+  boost::asio::awaitable<net::http_reply> Answer(const net::http_request& aRequest);
+  boost::asio::awaitable<net::http_reply> Run(run_order aOrder);
+  boost::asio::awaitable<net::http_reply> Prefill(const run_order& aOrder);
+  boost::asio::awaitable<net::http_reply> Step(const run_order& aOrder);
+  boost::asio::awaitable<bool> TakeSlot(std::uint64_t aPriority);
+  void FreeSlot();
+  boost::asio::awaitable<void> Work(duration aTime);
+  net::http_reply State() const;
+  net::http_reply Cancel(const net::http_request& aRequest);
+  net::http_reply Export(const net::http_request& aRequest) const;
+  net::http_reply Import(const net::http_request& aRequest);
+  net::http_reply Load(const net::http_request& aRequest);
+  net::http_reply Control(const net::http_request& aRequest);
+  void Record(const run_order& aOrder);
+  std::string CheckLayers(const run_order& aOrder) const;
+  bool IsCurrent(const std::string& aRequest, std::uint64_t aGeneration) const;
+
+  engine_options mOptions;
+  record_log mLog;
+  std::map<std::string, kv_cache> mCaches;
+  std::uint64_t mGenerations = 0;
+  std::uint64_t mFence = 0;
+  std::size_t mRunning = 0;
+  std::multiset<std::uint64_t> mQueued; ///< priorities of the orders that wait
+  duration mSlow{ 0 };
+  bool mStalled = false;
+  signal mChanged;
+};
+
+} // namespace chervilpulley::standin
--- /dev/null
+++ b/tests/standin/standin_platform.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "json_body.h"
+#include "net/http_server.h"
+#include "record_log.h"
+#include "signal.h"
+
+namespace chervilpulley::standin {
+
+/// The platform: object API, watch and live list, with faults by control call.
+class platform
+{
+public:
+  /// @param aStateFile keeps objects, live list and records over a restart; empty keeps them in memory only.
+  explicit platform(const std::string& aStateFile);
+
+  boost::asio::awaitable<void> Handle(net::http_exchange& aExchange);
+
+private:
+  struct stored
+  {
+    std::uint64_t mVersion = 0;
+    bool mDeleted = false;
+    std::string mBody;
+  };
+  struct live_change
+  {
+    instant mTime;
+    std::string mInstance;
+    boost::json::object mLine; ///< empty when the instance was removed
+  };
+  struct faults
+  {
+    bool mOutage = false;
+    bool mHang = false;
+    duration mSlow{ 0 };
+    std::uint64_t mLoseAnswers = 0;
+    duration mListLag{ 0 };
+  };
+
+  boost::asio::awaitable<void> HandlePlatformCall(net::http_exchange& aExchange);
+  boost::asio::awaitable<net::http_reply> Watch(const net::http_request& aRequest);
+  net::http_reply Object(const net::http_request& aRequest, std::string_view aKey);
+  net::http_reply Get(std::string_view aKey) const;
+  net::http_reply Put(const net::http_request& aRequest, std::string_view aKey);
+  net::http_reply Delete(const net::http_request& aRequest, std::string_view aKey);
+  net::http_reply List(const net::http_request& aRequest) const;
+  net::http_reply Live() const;
+  net::http_reply ChangeLive(const net::http_request& aRequest, std::string_view aInstance);
+  net::http_reply Control(const net::http_request& aRequest);
+  net::http_reply Counts() const;
+
+  const stored* Find(std::string_view aKey) const;
+  bool ConditionHolds(const net::http_request& aRequest, std::string_view aKey) const;
+  std::uint64_t Store(std::string_view aKey, std::string aBody, bool aDeleted, std::string_view aWriter);
+  bool HasNews(std::string_view aPrefix, std::uint64_t aAfter) const;
+  void Restore();
+
+  record_log mRecords;
+  record_log mState;
+  bool mKeepsState;
+  std::map<std::string, stored, std::less<>> mObjects;
+  std::deque<live_change> mLiveChanges;
+  std::map<std::string, std::uint64_t, std::less<>> mCalls; ///< calls of each kind, a waiting watch as one
+  std::uint64_t mSequence = 0;
+  faults mFaults;
+  signal mChanged;
+};
+
+} // namespace chervilpulley::standin
--- /dev/null
+++ b/tests/standin/standin_service.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <string>
+
+#include "net/http_server.h"
+#include "record_log.h"
+#include "signal.h"
+
+namespace chervilpulley::standin {
+
+/// A plain service: bookings and a stock.
+class service
+{
+public:
+  explicit service(const std::string& aRecordsFile);
+
+  boost::asio::awaitable<void> Handle(net::http_exchange& aExchange);
+
+private:
+  boost::asio::awaitable<net::http_reply> Run(const net::http_request& aRequest);
+  net::http_reply Control(const net::http_request& aRequest);
+
+  record_log mLog;
+  duration mSlow{ 0 };
+  bool mStalled = false;
+  std::uint64_t mReservations = 0;
+  signal mChanged;
+};
+
+} // namespace chervilpulley::standin
