--- a/tests/standin/standin_engine.cpp
+++ b/tests/standin/standin_engine.cpp
@@ -433,7 +433,8 @@
                 { "position", aOrder.mPosition },
                 { "first_layer", aOrder.mFirstLayer },
                 { "last_layer", aOrder.mLastLayer },
-                { "prefill", aOrder.mPrefill } });
+                { "prefill", aOrder.mPrefill },
+                { "time_us", Now().time_since_epoch().count() } });
 }
 
 /// Why the order's layers can't be run here; empty when they can.
