--- /dev/null
+++ b/tests/processes/judge.cpp
@@ -0,0 +1,212 @@
+#include "processes/judge.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "base/random.h"
+#include "standin/demo_model.h"
+
+namespace chervilpulley::processes {
+
+namespace {
+
+constexpr std::string_view kBookingPath = "/reserve";
+
+std::string Describe(const engine_run& aRun)
+{
+  return "request " + aRun.mRequest + " attempt " + std::to_string(aRun.mAttempt) + " position " +
+         std::to_string(aRun.mPosition) + " layers " + std::to_string(aRun.mFirstLayer) + "-" +
+         std::to_string(aRun.mLastLayer) + " on " + aRun.mEngine;
+}
+
+std::vector<engine_run> StepsOf(const std::vector<engine_run>& aRuns, std::string_view aRequest)
+{
+  std::vector<engine_run> steps;
+  for (const engine_run& run : aRuns) {
+    if (!run.mPrefill && run.mRequest == aRequest) {
+      steps.push_back(run);
+    }
+  }
+  std::stable_sort(steps.begin(), steps.end(), [](const engine_run& aLeft, const engine_run& aRight) {
+    return aLeft.mTimeUs < aRight.mTimeUs;
+  });
+  return steps;
+}
+
+void JudgeCoverage(const std::vector<engine_run>& aSteps,
+                   std::uint64_t aPositions,
+                   std::uint32_t aLayerCount,
+                   faults& aFaults)
+{
+  std::map<std::uint64_t, std::set<std::uint32_t>> ran;
+  for (const engine_run& step : aSteps) {
+    for (std::uint32_t layer = step.mFirstLayer; layer <= step.mLastLayer; ++layer) {
+      ran[step.mPosition].insert(layer);
+    }
+  }
+  for (std::uint64_t position = 0; position < aPositions; ++position) {
+    for (std::uint32_t layer = 0; layer < aLayerCount; ++layer) {
+      if (!ran[position].contains(layer)) {
+        aFaults.push_back("layer " + std::to_string(layer) + " did not run for position " + std::to_string(position));
+      }
+    }
+  }
+}
+
+void JudgeOrderInAttempt(const std::vector<engine_run>& aSteps, faults& aFaults)
+{
+  std::map<std::pair<std::uint64_t, std::uint64_t>, std::uint32_t> nextLayer;
+  for (const engine_run& step : aSteps) {
+    std::uint32_t& next = nextLayer[{ step.mAttempt, step.mPosition }];
+    if (step.mFirstLayer < next) {
+      aFaults.push_back("layers doubled or out of order: " + Describe(step));
+    }
+    next = std::max(next, step.mLastLayer + 1);
+  }
+}
+
+void JudgeEngineRepeats(const std::vector<engine_run>& aSteps, faults& aFaults)
+{
+  std::set<std::pair<std::string, std::uint64_t>> seen;
+  for (const engine_run& step : aSteps) {
+    if (!seen.insert({ step.mEngine, step.mPosition }).second) {
+      aFaults.push_back("the engine ran the position before: " + Describe(step));
+    }
+  }
+}
+
+void JudgeBooking(const booking& aBooking, std::size_t aRuns, faults& aFaults)
+{
+  if (aRuns > 1) {
+    aFaults.push_back("booking " + aBooking.mBody + " ran " + std::to_string(aRuns) + " times");
+  }
+  if (aBooking.mTold == told::Booked && aRuns == 0) {
+    aFaults.push_back("booking " + aBooking.mBody + " was confirmed and did not run");
+  }
+  if (aBooking.mTold == told::NotRun && aRuns > 0) {
+    aFaults.push_back("booking " + aBooking.mBody + " was told \"not run\" and ran");
+  }
+}
+
+} // namespace
+
+std::vector<engine_run> EngineRuns(std::string_view aEngine, const std::vector<boost::json::object>& aRecords)
+{
+  std::vector<engine_run> runs;
+  for (const boost::json::object& record : aRecords) {
+    if (!record.contains("request")) {
+      continue;
+    }
+    engine_run run;
+    run.mEngine = aEngine;
+    run.mRequest = record.at("request").as_string();
+    run.mAttempt = record.at("attempt").to_number<std::uint64_t>();
+    run.mPosition = record.at("position").to_number<std::uint64_t>();
+    run.mFirstLayer = record.at("first_layer").to_number<std::uint32_t>();
+    run.mLastLayer = record.at("last_layer").to_number<std::uint32_t>();
+    run.mPrefill = record.at("prefill").as_bool();
+    run.mTimeUs = record.at("time_us").to_number<std::uint64_t>();
+    runs.push_back(std::move(run));
+  }
+  return runs;
+}
+
+std::vector<service_run> ServiceRuns(const std::vector<boost::json::object>& aRecords)
+{
+  std::vector<service_run> runs;
+  for (const boost::json::object& record : aRecords) {
+    service_run run;
+    run.mKey = record.at("key").as_string();
+    run.mPath = record.at("path").as_string();
+    run.mBodyDigest = record.at("body_sha256").as_string();
+    runs.push_back(std::move(run));
+  }
+  return runs;
+}
+
+faults JudgeLayers(const std::vector<engine_run>& aRuns,
+                   std::string_view aRequest,
+                   std::uint64_t aPositions,
+                   std::uint32_t aLayerCount)
+{
+  faults found;
+  const std::vector<engine_run> steps = StepsOf(aRuns, aRequest);
+  JudgeCoverage(steps, aPositions, aLayerCount, found);
+  JudgeOrderInAttempt(steps, found);
+  JudgeEngineRepeats(steps, found);
+  return found;
+}
+
+faults JudgeStream(const seen_stream& aStream,
+                   std::string_view aPrompt,
+                   std::uint64_t aMaxTokens,
+                   std::uint32_t aLayerCount)
+{
+  faults found;
+  const std::string expected = standin::ExpectedAnswer(aPrompt, aMaxTokens, aLayerCount);
+  if (aStream.mText != expected) {
+    found.push_back("the answer is \"" + aStream.mText + "\" in place of \"" + expected + "\"");
+  }
+  if (aStream.mFinishReason != "length") {
+    found.push_back("the finish reason is \"" + aStream.mFinishReason + "\"");
+  }
+  if (!aStream.mDone) {
+    found.push_back("the stream was cut before [DONE]");
+  }
+  return found;
+}
+
+faults JudgeBookings(const std::vector<service_run>& aRuns, const std::vector<booking>& aBookings)
+{
+  std::map<std::string, std::size_t> runsOf;
+  for (const service_run& run : aRuns) {
+    if (run.mPath == kBookingPath) {
+      ++runsOf[run.mBodyDigest];
+    }
+  }
+  faults found;
+  for (const booking& each : aBookings) {
+    JudgeBooking(each, runsOf[Sha256Hex(each.mBody)], found);
+  }
+  return found;
+}
+
+faults JudgeRevisions(const std::vector<std::uint64_t>& aRevisions)
+{
+  faults found;
+  for (std::size_t i = 1; i < aRevisions.size(); ++i) {
+    if (aRevisions[i] < aRevisions[i - 1]) {
+      found.push_back("revision " + std::to_string(aRevisions[i]) + " came after " + std::to_string(aRevisions[i - 1]));
+    }
+  }
+  return found;
+}
+
+faults JudgeNoNewWork(const std::vector<engine_run>& aRuns, std::uint64_t aTimeUs)
+{
+  std::map<std::string, std::uint64_t> firstSeen;
+  for (const engine_run& run : aRuns) {
+    const auto [at, isNew] = firstSeen.try_emplace(run.mRequest, run.mTimeUs);
+    at->second = std::min(at->second, run.mTimeUs);
+  }
+  faults found;
+  for (const auto& [request, time] : firstSeen) {
+    if (time > aTimeUs) {
+      found.push_back("request " + request + " started " + std::to_string(time - aTimeUs) + " us too late");
+    }
+  }
+  return found;
+}
+
+std::string Text(const faults& aFaults)
+{
+  std::string text;
+  for (const std::string& fault : aFaults) {
+    text += fault + "\n";
+  }
+  return text;
+}
+
+} // namespace chervilpulley::processes
--- /dev/null
+++ b/tests/processes/standin_engine_test.cpp
@@ -0,0 +1,230 @@
+#include <catch2/catch.hpp>
+
+#include <boost/json/serialize.hpp>
+
+#include "processes/http_call.h"
+#include "processes/judge.h"
+#include "processes/process.h"
+#include "standin/demo_model.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::processes;
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::uint32_t kLayers = 8;
+constexpr std::uint64_t kTokens = 4;
+const std::string kPrompt = "Reserve a winch for Bala";
+
+struct engines_fixture
+{
+  temporary_folder mFolder;
+  process mFront{ { StandinPath(), "engine", "--last_layer", "3", "--step_us", "10" }, mFolder.File("front.log") };
+  process mBack{ { StandinPath(), "engine", "--first_layer", "4", "--step_us", "10" }, mFolder.File("back.log") };
+
+  static net::http_reply Post(const process& aEngine, std::string_view aPath, const json::object& aBody)
+  {
+    return Call(aEngine.Address("http"), "POST", aPath, json::serialize(aBody));
+  }
+
+  /// A run over all layers of an engine.
+  static json::object Order(const process& aEngine, std::uint64_t aPosition, bool aPrefill)
+  {
+    const json::object state = JsonOf(Call(aEngine.Address("http"), "GET", "/v1/state"));
+    return { { "request", "r" },
+             { "attempt", 1 },
+             { "position", aPosition },
+             { "first_layer", state.at("first_layer") },
+             { "last_layer", state.at("last_layer") },
+             { "prefill", aPrefill },
+             { "max_tokens", kTokens } };
+  }
+
+  static std::string Output(const net::http_reply& aReply)
+  {
+    REQUIRE(aReply.mStatus == 200);
+    return std::string(JsonOf(aReply).at("output").as_string());
+  }
+
+  void Prefill(const std::vector<std::string>& aDelivered) { PrefillOn(mFront, mBack, aDelivered); }
+
+  static void PrefillOn(const process& aFront, const process& aBack, const std::vector<std::string>& aDelivered)
+  {
+    json::object front = Order(aFront, aDelivered.size(), true);
+    front["prompt"] = kPrompt;
+    front["delivered"] = json::array(aDelivered.begin(), aDelivered.end());
+    json::object back = Order(aBack, aDelivered.size(), true);
+    back["input"] = Output(Post(aFront, "/v1/run", front));
+    CHECK(Output(Post(aBack, "/v1/run", back)).empty());
+  }
+
+  json::object Step(std::uint64_t aPosition, const std::string& aPrevious)
+  {
+    json::object front = Order(mFront, aPosition, false);
+    front["input"] = aPrevious;
+    json::object back = Order(mBack, aPosition, false);
+    back["input"] = Output(Post(mFront, "/v1/run", front));
+    const net::http_reply reply = Post(mBack, "/v1/run", back);
+    REQUIRE(reply.mStatus == 200);
+    return JsonOf(reply);
+  }
+
+  std::string Generate(std::uint64_t aFrom, std::string aPrevious)
+  {
+    std::string text;
+    for (std::uint64_t position = aFrom; position < kTokens; ++position) {
+      const json::object reply = Step(position, aPrevious);
+      aPrevious = reply.at("token").as_string();
+      CHECK(reply.at("last").as_bool() == (position + 1 == kTokens));
+      text += aPrevious;
+    }
+    return text;
+  }
+
+  std::vector<engine_run> Runs() const
+  {
+    std::vector<engine_run> runs = EngineRuns("front", RecordsOf(mFront));
+    for (engine_run& run : EngineRuns("back", RecordsOf(mBack))) {
+      runs.push_back(std::move(run));
+    }
+    return runs;
+  }
+};
+
+struct refused_order
+{
+  const char* mName;
+  json::object mChanges;
+  unsigned mStatus;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_two_stages_give_the_expected_answer")
+{
+  Prefill({});
+  CHECK(Generate(0, "") == standin::ExpectedAnswer(kPrompt, kTokens, kLayers));
+  CHECK(Text(JudgeLayers(Runs(), "r", kTokens, kLayers)).empty());
+}
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_prefill_with_delivered_tokens_goes_on_as_undisturbed")
+{
+  Prefill({});
+  const std::string first(Step(0, "").at("token").as_string());
+  Prefill({ first });
+  CHECK(first + Generate(1, first) == standin::ExpectedAnswer(kPrompt, kTokens, kLayers));
+}
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_lower_position_cuts_the_cache_back")
+{
+  Prefill({});
+  const std::string first(Step(0, "").at("token").as_string());
+  Step(1, first);
+  CHECK(first + Generate(1, first) == standin::ExpectedAnswer(kPrompt, kTokens, kLayers));
+}
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_wrong_previous_token_changes_the_answer")
+{
+  Prefill({});
+  const std::string first(Step(0, "").at("token").as_string());
+  CHECK(first + Generate(1, "another ") != standin::ExpectedAnswer(kPrompt, kTokens, kLayers));
+}
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_imported_cache_goes_on_as_undisturbed")
+{
+  Prefill({});
+  const std::string first(Step(0, "").at("token").as_string());
+  const json::object exported = JsonOf(Post(mBack, "/v1/kv/export", { { "request", "r" } }));
+  CHECK(exported.at("position").to_number<int>() == 1);
+  json::object import = exported;
+  import["request"] = "r";
+  Control(mBack, { { "kv_import", false } });
+  CHECK(Post(mBack, "/v1/kv/import", import).mStatus == 501);
+  Control(mBack, { { "kv_import", true } });
+  Post(mBack, "/v1/cancel", { { "request", "r" } });
+  CHECK(Post(mBack, "/v1/kv/export", { { "request", "r" } }).mStatus == 404);
+  CHECK(Post(mBack, "/v1/kv/import", import).mStatus == 200);
+  CHECK(first + Generate(1, first) == standin::ExpectedAnswer(kPrompt, kTokens, kLayers));
+}
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_bad_order_is_refused")
+{
+  Prefill({});
+  const std::vector<refused_order> cases = {
+    { "position without cache", { { "position", 1 }, { "input", "x " } }, 409 },
+    { "unknown request", { { "request", "other" } }, 409 },
+    { "layers of another engine", { { "last_layer", 7 } }, 409 },
+    { "layers in reverse", { { "first_layer", 3 }, { "last_layer", 0 } }, 409 },
+    { "layers other than those of the cache", { { "last_layer", 2 } }, 409 },
+    { "token before the first", { { "input", "x " } }, 400 },
+    { "negative position", { { "position", -1 } }, 400 },
+    { "position as text", { { "position", "0" } }, 400 },
+    { "request as a number", { { "request", 7 } }, 400 },
+    { "prefill without prompt", { { "prefill", true } }, 400 },
+    { "prefill with too few tokens", { { "prefill", true }, { "prompt", "p" }, { "position", 2 } }, 400 },
+  };
+  for (const refused_order& each : cases) {
+    INFO(each.mName);
+    json::object order = Order(mFront, 0, false);
+    for (const auto& change : each.mChanges) {
+      order[change.key()] = change.value();
+    }
+    const net::http_reply reply = Post(mFront, "/v1/run", order);
+    CHECK(reply.mStatus == each.mStatus);
+    CHECK(JsonOf(reply).contains("error"));
+  }
+  CHECK(Call(mFront.Address("http"), "POST", "/v1/run", "{").mStatus == 400);
+  CHECK(Call(mFront.Address("http"), "GET", "/v1/run").mStatus == 404);
+}
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_old_fence_is_refused_where_fences_are_checked")
+{
+  const auto load = [&](std::uint64_t aFence) {
+    return Post(mFront,
+                "/v1/load",
+                { { "model", "demo" }, { "first_layer", 0 }, { "last_layer", 3 }, { "fence", aFence } })
+      .mStatus;
+  };
+  CHECK(load(5) == 200);
+  CHECK(load(4) == 409);
+  CHECK(load(5) == 200);
+  Control(mFront, { { "check_fence", false } });
+  CHECK(load(4) == 200);
+}
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_crashing_prompt_ends_the_process")
+{
+  json::object order = Order(mFront, 0, true);
+  order["prompt"] = "please CRASH-ENGINE now";
+  const auto reply =
+    net::FetchBlocking(mFront.Address("http"), { "POST", "/v1/run", {}, json::serialize(order) }, kAmple);
+  CHECK_FALSE(reply.has_value());
+  CHECK(mFront.WaitForEnd().has_value());
+}
+
+TEST_CASE_METHOD(engines_fixture, "standin_engine_stalled_run_waits_for_the_end_of_the_stall")
+{
+  json::object order = Order(mFront, 0, true);
+  order["prompt"] = kPrompt;
+  const net::http_request request{ "POST", "/v1/run", {}, json::serialize(order) };
+  Control(mFront, { { "stall", true } });
+  CHECK_FALSE(net::FetchBlocking(mFront.Address("http"), request, std::chrono::milliseconds(100)).has_value());
+  CHECK(Call(mFront.Address("http"), "GET", "/v1/state").mStatus == 200);
+  Control(mFront, { { "stall", false } });
+  CHECK(net::FetchBlocking(mFront.Address("http"), request, kAmple).has_value());
+}
+
+TEST_CASE("standin_engine_records_file_outlives_a_kill")
+{
+  const temporary_folder folder;
+  const std::vector<std::string> words{ StandinPath(), "engine", "--records_file", folder.File("records") };
+  const json::object order{ { "request", "r" },  { "position", 0 },   { "first_layer", 0 },
+                            { "last_layer", 7 }, { "prefill", true }, { "prompt", kPrompt } };
+  process before(words, folder.File("log"));
+  CHECK(engines_fixture::Post(before, "/v1/run", order).mStatus == 200);
+  before.Kill();
+  const process after(words, folder.File("log"));
+  CHECK(EngineRuns("e", RecordsOf(after)).size() == 1);
+}
