HTTP client: result freed twice under GCC 12

co_await inside a conditional expression; standin_engine_two_stages_give_the_expected_answer failed with a double free of the reply's body before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -104,12 +104,17 @@
     }
     BOOST_OUTCOME_CO_TRY(co_await SendRequest(*aConnection, aEndpoint, std::move(aRequest), aTimeout));
     bool keepAlive = false;
-    auto reply = aSink ? co_await ReadPieces(*aConnection, aTimeout, aSink, keepAlive)
-                       : co_await ReadWhole(*aConnection, aTimeout, keepAlive);
-    if (reply.has_value() && keepAlive) {
+    // GCC 12 frees the result twice when co_await stands in a conditional expression.
+    std::optional<net_result<http_reply>> reply;
+    if (aSink) {
+      reply.emplace(co_await ReadPieces(*aConnection, aTimeout, aSink, keepAlive));
+    } else {
+      reply.emplace(co_await ReadWhole(*aConnection, aTimeout, keepAlive));
+    }
+    if (reply->has_value() && keepAlive) {
       GiveIdle(aEndpoint, aConnection);
     }
-    co_return reply;
+    co_return std::move(*reply);
   }
 
   asio::awaitable<net_result<void>> Connect(client_connection& aConnection,
--- a/tests/processes/process.cpp
+++ b/tests/processes/process.cpp
@@ -48,6 +48,7 @@
 pid_t Spawn(std::vector<std::string> aWords, const file_actions& aActions)
 {
   std::vector<char*> arguments;
+  arguments.reserve(aWords.size() + 1);
   for (std::string& word : aWords) {
     arguments.push_back(word.data());
   }
