--- a/tests/processes/standin_engine_test.cpp
+++ b/tests/processes/standin_engine_test.cpp
@@ -125,6 +125,16 @@
   CHECK(first + Generate(1, first) == standin::ExpectedAnswer(kPrompt, kTokens, kLayers));
 }
 
+TEST_CASE_METHOD(engines_fixture, "standin_engine_prefill_leaves_a_longer_cache_as_it_is")
+{
+  Prefill({});
+  const std::string first(Step(0, "").at("token").as_string());
+  Step(1, first);
+  Prefill({ first });
+  CHECK(JsonOf(Post(mFront, "/v1/kv/export", { { "request", "r" } })).at("position").to_number<int>() == 2);
+  CHECK(first + Generate(1, first) == standin::ExpectedAnswer(kPrompt, kTokens, kLayers));
+}
+
 TEST_CASE_METHOD(engines_fixture, "standin_engine_wrong_previous_token_changes_the_answer")
 {
   Prefill({});
--- a/tests/standin/standin_engine.cpp
+++ b/tests/standin/standin_engine.cpp
@@ -195,16 +195,13 @@
     cache.mPrompt = input.mPrompt;
     cache.mPromptTokens = input.mState;
   }
-  const std::uint64_t generation = ++mGenerations;
-  cache.mGeneration = generation;
-  mCaches.erase(aOrder.mRequest);
   Record(aOrder);
   if (aOrder.mPrompt.find(kCrashMark) != std::string::npos) {
     _exit(kCrashStatus);
   }
   const std::string output = Format({ cache.mPrompt, cache.mPosition, cache.mPromptTokens });
   const std::uint64_t tokens = cache.mPromptTokens + cache.mPosition;
-  mCaches[aOrder.mRequest] = std::move(cache);
+  const std::uint64_t generation = Keep(aOrder.mRequest, std::move(cache));
   co_await Work(mOptions.mPrefillPerToken * tokens);
   if (!IsCurrent(aOrder.mRequest, generation)) {
     co_return ErrorReply(409, "request " + aOrder.mRequest + " was cancelled");
@@ -213,6 +210,29 @@
   co_return OutputReply(isLast ? "" : output);
 }
 
+/// Puts a cache in place, unless a longer one of the same tokens is there. Gives the generation of what is there.
+std::uint64_t engine::Keep(const std::string& aRequest, kv_cache aCache)
+{
+  const auto found = mCaches.find(aRequest);
+  if (found != mCaches.end() && Covers(found->second, aCache)) {
+    return found->second.mGeneration;
+  }
+  aCache.mGeneration = ++mGenerations;
+  mCaches[aRequest] = std::move(aCache);
+  return mGenerations;
+}
+
+/// Whether a cache holds all that another holds.
+bool engine::Covers(const kv_cache& aLonger, const kv_cache& aShorter)
+{
+  const std::size_t known = std::min(aLonger.mContexts.size(), aShorter.mContexts.size());
+  return aLonger.mPrompt == aShorter.mPrompt && aLonger.mFirstLayer == aShorter.mFirstLayer &&
+         aLonger.mLastLayer == aShorter.mLastLayer && aLonger.mPosition >= aShorter.mPosition &&
+         std::equal(aShorter.mContexts.begin(),
+                    aShorter.mContexts.begin() + static_cast<std::ptrdiff_t>(known),
+                    aLonger.mContexts.begin());
+}
+
 asio::awaitable<net::http_reply> engine::Step(const run_order& aOrder)
 {
   const auto found = mCaches.find(aOrder.mRequest);
--- a/tests/standin/standin_engine.h
+++ b/tests/standin/standin_engine.h
@@ -73,6 +73,8 @@
   boost::asio::awaitable<net::http_reply> Answer(const net::http_request& aRequest);
   boost::asio::awaitable<net::http_reply> Run(run_order aOrder);
   boost::asio::awaitable<net::http_reply> Prefill(const run_order& aOrder);
+  std::uint64_t Keep(const std::string& aRequest, kv_cache aCache);
+  static bool Covers(const kv_cache& aLonger, const kv_cache& aShorter);
   boost::asio::awaitable<net::http_reply> Step(const run_order& aOrder);
   boost::asio::awaitable<bool> TakeSlot(std::uint64_t aPriority);
   void FreeSlot();
--- a/tests/standin/standin_service.cpp
+++ b/tests/standin/standin_service.cpp
@@ -41,7 +41,7 @@
     co_await aExchange.Reply(LinesReply(mLog.Text()));
   } else if (path == "/control") {
     co_await aExchange.Reply(Control(request));
-  } else if (path == "/healthz") {
+  } else if (path == "/healthz" || request.mMethod == "OPTIONS") {
     co_await aExchange.Reply(ObjectReply(200, {}));
   } else {
     net::http_reply reply = co_await Run(request);
