--- a/src/admin/admin_calls.cpp
+++ b/src/admin/admin_calls.cpp
@@ -5,7 +5,7 @@
 #include "admin/key_hashes.h"
 #include "admin/listing.h"
 #include "base/log.h"
-#include "policy/config_objects.h"
+#include "policy/config_rules.h"
 
 namespace chervilpulley::admin {
 
@@ -118,9 +118,7 @@
   const auto view = mBackend.View();
   const object* found = view->Find(aRequest.ref());
   if (found == nullptr) {
-    return admin_error{ admin_errc::NotFound,
-                        fmt::format(
-                          "{} \"{}\" does not exist", policy::KindText(aRequest.ref().kind()), aRequest.ref().name()) };
+    return admin_error{ admin_errc::NotFound, policy::Describe(aRequest.ref()) + " does not exist" };
   }
   get_reply reply;
   reply.set_revision(view->Revision().Value());
--- a/src/admin/principal.cpp
+++ b/src/admin/principal.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 #include "base/random.h"
-#include "policy/config_objects.h"
+#include "policy/config_rules.h"
 
 namespace chervilpulley::admin {
 
@@ -70,11 +70,6 @@
   return aOperation.object().has_route() && aOperation.object().route().workspace() == aCaller.mWorkspace.Str();
 }
 
-std::string RefText(const object_ref& aRef)
-{
-  return fmt::format("{} \"{}\"", policy::KindText(aRef.kind()), aRef.name());
-}
-
 admin_result<void> Allowed()
 {
   return outcome::success();
@@ -109,7 +104,7 @@
   }
   for (const operation& each : aChange.operations()) {
     if (!IsOwnRoute(aCaller, each)) {
-      return ForbiddenToClerk(aCaller, "change " + RefText(each.ref()), ROLE_OPERATOR);
+      return ForbiddenToClerk(aCaller, "change " + policy::Describe(each.ref()), ROLE_OPERATOR);
     }
   }
   return Allowed();
@@ -123,7 +118,7 @@
   if (aCaller.mRole == ROLE_CLERK && IsOwnRoute(aCaller, aRef)) {
     return Allowed();
   }
-  return ForbiddenToClerk(aCaller, "read " + RefText(aRef), ROLE_READER);
+  return ForbiddenToClerk(aCaller, "read " + policy::Describe(aRef), ROLE_READER);
 }
 
 admin_result<void> CheckList(const principal& aCaller, const list_request& aRequest)
--- a/src/cli/key.cpp
+++ b/src/cli/key.cpp
@@ -5,13 +5,13 @@
 #include <algorithm>
 
 #include "base/random.h"
+#include "config/api_key.h"
 
 namespace chervilpulley::cli {
 
 namespace {
 
 constexpr std::size_t kSecretBytes = 24;
-constexpr std::size_t kSaltBytes = 8;
 constexpr std::size_t kMaxNameChars = 63;
 
 bool IsNameChar(char aChar)
@@ -30,8 +30,7 @@
       "name \"{}\" must be 1 to {} letters, digits, \"-\" or \"_\"", aName, kMaxNameChars) };
   }
   const std::string secret = RandomHex(kSecretBytes);
-  const std::string salt = RandomHex(kSaltBytes);
-  return new_key{ std::string(aName) + "." + secret, salt + "$" + Sha256Hex(salt + secret) };
+  return new_key{ std::string(aName) + "." + secret, config::HashKey(secret) };
 }
 
 } // namespace chervilpulley::cli
