--- /dev/null
+++ b/src/policy/rate_share.cpp
@@ -0,0 +1,152 @@
+#include "policy/rate_share.h"
+
+#include <algorithm>
+
+#include "base/random.h"
+
+namespace chervilpulley::policy {
+
+namespace {
+
+/// Time of its rate that a bucket may save up.
+constexpr double kBurstSeconds = 1.0;
+/// Weight of the newest demand report.
+constexpr double kDemandGain = 0.5;
+
+std::uint64_t Score(member_key aEntry, std::uint64_t aWorkspace)
+{
+  std::uint64_t value = (aEntry.Value() ^ aWorkspace) * 0xff51afd7ed558ccdULL;
+  value ^= value >> 33U;
+  value *= 0xc4ceb9fe1a85ec53ULL;
+  return value ^ (value >> 33U);
+}
+
+double Seconds(duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+std::size_t RateHome(std::span<const subset_member> aEntries, const workspace_id& aWorkspace)
+{
+  const std::uint64_t workspace = StableHash(aWorkspace.Str());
+  auto best = std::max_element(aEntries.begin(), aEntries.end(), [&](const auto& aLeft, const auto& aRight) {
+    return Score(aLeft.mInstance, workspace) < Score(aRight.mInstance, workspace);
+  });
+  return static_cast<std::size_t>(best - aEntries.begin());
+}
+
+double rate_bucket::Rate(request_rate aLimit, std::size_t aEntries, instant aNow) const
+{
+  const double fallback = aLimit.mPerSecond / static_cast<double>(std::max<std::size_t>(1, aEntries));
+  return aNow < mGrantedUntil ? std::min<double>(mGrant, aLimit.mPerSecond) : fallback;
+}
+
+std::optional<duration> rate_bucket::Take(request_rate aLimit, std::size_t aEntries, instant aNow)
+{
+  ++mAsked;
+  const double rate = Rate(aLimit, aEntries, aNow);
+  if (mLast != instant() && aNow > mLast) {
+    mTokens += rate * Seconds(aNow - mLast);
+  }
+  mLast = std::max(mLast, aNow);
+  mTokens = std::min(mTokens, std::max(1.0, rate * kBurstSeconds));
+  if (mTokens >= 1.0) {
+    mTokens -= 1.0;
+    return std::nullopt;
+  }
+  const double wait = (1.0 - mTokens) / std::max(rate, 1e-3);
+  return std::chrono::ceil<duration>(std::chrono::duration<double>(wait));
+}
+
+void rate_bucket::Granted(request_rate aPart, instant aNow)
+{
+  mGrant = static_cast<float>(aPart.mPerSecond);
+  mGrantedUntil = aNow + kRateGrantTime;
+}
+
+std::optional<request_rate> rate_bucket::DueReport(instant aNow)
+{
+  if (mAsked == 0 || aNow - mReported < kRateReportInterval) {
+    return std::nullopt;
+  }
+  const bool first = mReported == instant();
+  const double time = first ? Seconds(kRateReportInterval) : Seconds(aNow - mReported);
+  const request_rate demand{ mAsked / time };
+  mAsked = 0;
+  mReported = aNow;
+  return demand;
+}
+
+rate_home::~rate_home()
+{
+  mByTime.clear();
+  for (auto& entry : mWorkspaces) {
+    entry.second.mByTime.clear();
+  }
+}
+
+void rate_home::ExpireWorkspaces(instant aNow)
+{
+  while (!mByTime.empty() && mByTime.front().mUntil <= aNow) {
+    shared_limit& limit = mByTime.front();
+    limit.mByTime.clear();
+    mByTime.pop_front();
+    mWorkspaces.erase(workspace_id(limit.mWorkspace));
+  }
+}
+
+void rate_home::ExpireParts(shared_limit& aLimit, instant aNow)
+{
+  while (!aLimit.mByTime.empty() && aLimit.mByTime.front().mUntil <= aNow) {
+    part& oldest = aLimit.mByTime.front();
+    aLimit.mDemand -= oldest.mDemand;
+    aLimit.mGranted -= oldest.mGranted;
+    aLimit.mByTime.pop_front();
+    aLimit.mParts.erase(member_key(oldest.mEntry));
+  }
+}
+
+rate_home::shared_limit& rate_home::Renew(const workspace_id& aWorkspace, instant aNow)
+{
+  ExpireWorkspaces(aNow);
+  auto [found, opened] = mWorkspaces.try_emplace(aWorkspace);
+  shared_limit& limit = found->second;
+  if (opened) {
+    limit.mWorkspace = aWorkspace;
+  } else {
+    mByTime.erase(mByTime.iterator_to(limit));
+  }
+  limit.mUntil = aNow + kRateGrantTime;
+  mByTime.push_back(limit);
+  ExpireParts(limit, aNow);
+  return limit;
+}
+
+request_rate rate_home::Report(member_key aEntry,
+                               const workspace_id& aWorkspace,
+                               request_rate aDemand,
+                               request_rate aLimit,
+                               instant aNow)
+{
+  shared_limit& limit = Renew(aWorkspace, aNow);
+  auto [found, opened] = limit.mParts.try_emplace(aEntry);
+  part& own = found->second;
+  if (!opened) {
+    limit.mByTime.erase(limit.mByTime.iterator_to(own));
+    limit.mDemand -= own.mDemand;
+    limit.mGranted -= own.mGranted;
+  }
+  own.mEntry = aEntry;
+  own.mDemand = opened ? aDemand.mPerSecond : own.mDemand + kDemandGain * (aDemand.mPerSecond - own.mDemand);
+  limit.mDemand += own.mDemand;
+  const double wanted = aLimit.mPerSecond * own.mDemand / std::max(limit.mDemand, 1e-9);
+  own.mGranted = std::clamp(wanted, 0.0, std::max(0.0, aLimit.mPerSecond - limit.mGranted));
+  limit.mGranted += own.mGranted;
+  own.mUntil = aNow + kRateGrantTime;
+  limit.mByTime.push_back(own);
+  return { own.mGranted };
+}
+
+} // namespace chervilpulley::policy
--- /dev/null
+++ b/src/policy/subset.cpp
@@ -0,0 +1,179 @@
+#include "policy/subset.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/random.h"
+
+namespace chervilpulley::policy {
+
+namespace {
+
+constexpr double kHashRange = 18446744073709551616.0; // 2^64
+/// Least number of servers that a chooser links to, where there are as many.
+constexpr std::size_t kLeastSubset = 4;
+/// Better placed choosers that are looked at before a chooser is taken for not drawn, per chooser that is drawn.
+constexpr std::size_t kLookAhead = 4;
+
+std::uint64_t Score(member_key aServer, member_key aChooser)
+{
+  std::uint64_t value = aServer.Value() ^ (aChooser.Value() * 0x9e3779b97f4a7c15ULL);
+  value ^= value >> 32U;
+  value *= 0xd6e8feb86659fd93ULL;
+  value ^= value >> 32U;
+  value *= 0xd6e8feb86659fd93ULL;
+  return value ^ (value >> 32U);
+}
+
+/// Choosers that a server draws. The fraction of aMean is rounded up for that fraction of the servers, so that a small
+/// change of the membership changes few of them.
+std::size_t ChoosersOf(member_key aServer, double aMean)
+{
+  const double point = static_cast<double>(Score(aServer, member_key(1))) / kHashRange;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::floor(aMean + point)));
+}
+
+struct scored_chooser
+{
+  std::uint64_t mScore;
+  member_key mFailureDomain;
+};
+
+/// Whether one server draws aSelf.
+class server_draw
+{
+public:
+  server_draw(member_key aServer, std::span<const subset_member> aChoosers, std::size_t aDrawn, bool aSeveralDomains)
+    : mServer(aServer)
+    , mChoosers(aChoosers)
+    , mDrawn(aDrawn)
+    , mMostOfDomain(aSeveralDomains ? (aDrawn + 1) / 2 : aDrawn)
+  {
+  }
+
+  bool Draws(const subset_member& aSelf)
+  {
+    const std::uint64_t own = Score(mServer, aSelf.mInstance);
+    if (!CollectBetter(own)) {
+      return false;
+    }
+    std::sort(mBetter.begin(), mBetter.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mScore > aRight.mScore;
+    });
+    mBetter.push_back({ own, aSelf.mFailureDomain });
+    return TakesLast();
+  }
+
+private:
+  /// False when so many are better that aSelf can't be drawn.
+  bool CollectBetter(std::uint64_t aOwn)
+  {
+    mBetter.clear();
+    for (const subset_member& chooser : mChoosers) {
+      const std::uint64_t score = Score(mServer, chooser.mInstance);
+      if (score > aOwn) {
+        mBetter.push_back({ score, chooser.mFailureDomain });
+        if (mBetter.size() >= kLookAhead * mDrawn) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  /// Draws in order, passing over those whose failure domain has its part already.
+  bool TakesLast() const
+  {
+    std::vector<std::pair<member_key, std::size_t>> perDomain;
+    std::size_t taken = 0;
+    for (std::size_t i = 0; i < mBetter.size() && taken < mDrawn; ++i) {
+      const member_key domain = mBetter[i].mFailureDomain;
+      auto count =
+        std::find_if(perDomain.begin(), perDomain.end(), [&](const auto& aEntry) { return aEntry.first == domain; });
+      if (count == perDomain.end()) {
+        count = perDomain.emplace(perDomain.end(), domain, 0);
+      }
+      if (count->second == mMostOfDomain) {
+        continue;
+      }
+      ++count->second;
+      ++taken;
+      if (i + 1 == mBetter.size()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  member_key mServer;
+  std::span<const subset_member> mChoosers;
+  std::size_t mDrawn;
+  std::size_t mMostOfDomain;
+  std::vector<scored_chooser> mBetter;
+};
+
+bool HasSeveralDomains(std::span<const subset_member> aMembers)
+{
+  return std::any_of(aMembers.begin(), aMembers.end(), [&](const subset_member& aMember) {
+    return aMember.mFailureDomain != aMembers.front().mFailureDomain;
+  });
+}
+
+/// Adds the servers that aSelf would choose by itself, until it has kLeastSubset.
+void FillUp(std::span<const subset_member> aServers, const subset_member& aSelf, std::vector<std::size_t>& aChosen)
+{
+  const std::size_t least = std::min(kLeastSubset, aServers.size());
+  if (aChosen.size() >= least) {
+    return;
+  }
+  std::vector<std::size_t> order(aServers.size());
+  for (std::size_t i = 0; i < order.size(); ++i) {
+    order[i] = i;
+  }
+  std::sort(order.begin(), order.end(), [&](std::size_t aLeft, std::size_t aRight) {
+    return Score(aServers[aLeft].mInstance, aSelf.mInstance) > Score(aServers[aRight].mInstance, aSelf.mInstance);
+  });
+  for (std::size_t i = 0; i < order.size() && aChosen.size() < least; ++i) {
+    if (std::find(aChosen.begin(), aChosen.end(), order[i]) == aChosen.end()) {
+      aChosen.push_back(order[i]);
+    }
+  }
+  std::sort(aChosen.begin(), aChosen.end());
+}
+
+} // namespace
+
+member_key KeyOf(const instance_id& aInstance)
+{
+  return member_key(StableHash(aInstance.Str()));
+}
+
+member_key KeyOf(const failure_domain_id& aDomain)
+{
+  return member_key(StableHash(aDomain.Str()));
+}
+
+std::vector<std::size_t> ChooseSubset(std::span<const subset_member> aServers,
+                                      std::span<const subset_member> aChoosers,
+                                      const subset_member& aSelf,
+                                      std::size_t aTarget)
+{
+  std::vector<std::size_t> chosen;
+  if (aServers.empty() || aChoosers.empty()) {
+    return chosen;
+  }
+  const double links = static_cast<double>(aTarget) * static_cast<double>(aChoosers.size());
+  const double mean = links / static_cast<double>(aServers.size());
+  const bool severalDomains = HasSeveralDomains(aChoosers);
+  for (std::size_t i = 0; i < aServers.size(); ++i) {
+    const std::size_t drawn = std::max<std::size_t>(severalDomains ? 2 : 1, ChoosersOf(aServers[i].mInstance, mean));
+    const bool all = drawn >= aChoosers.size();
+    if (all || server_draw(aServers[i].mInstance, aChoosers, drawn, severalDomains).Draws(aSelf)) {
+      chosen.push_back(i);
+    }
+  }
+  FillUp(aServers, aSelf, chosen);
+  return chosen;
+}
+
+} // namespace chervilpulley::policy
