Thin whole path: entry, sidecars, admission, health, metrics

The entry answered with a closed connection at first: GCC 12 writes over a coroutine's frame when a conditional expression of temporaries stands inside co_await (seen as SIGILL in the resumed coroutine; threads and the library's macros were ruled out by running one thread and comparing the compile lines). Health is answered by a plain function now.

--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -92,8 +92,11 @@
   const net::http_request& request = aExchange.Request();
   const admin::workspace* workspace = view->WorkspaceOfKey(ApiKeyOf(request));
   if (workspace == nullptr) {
-    co_await aExchange.Reply(ErrorReply(
-      { 401, "authentication_error", "the API key is missing or not valid", link::OUTCOME_NOT_RUN, std::nullopt }));
+    // GCC 12 frees braced temporaries of a co_await expression twice: they get names in this file.
+    const api_error error{
+      401, "authentication_error", "the API key is missing or not valid", link::OUTCOME_NOT_RUN, std::nullopt
+    };
+    co_await aExchange.Reply(ErrorReply(error));
     co_return;
   }
   const std::string_view path = net::PathOf(request.mTarget);
@@ -234,7 +237,8 @@
 {
   sink_whole sink;
   for (std::size_t i = 0; i < aOrder.mTokens.size(); ++i) {
-    co_await sink.Deliver({ token_position(i), aOrder.mTokens[i], aOrder.mFinishReason, instance_id() });
+    const answer_token token{ token_position(i), aOrder.mTokens[i], aOrder.mFinishReason, instance_id() };
+    co_await sink.Deliver(token);
   }
   const std::uint32_t promptTokens = aOrder.mPromptTokens;
   completion_run run(mRouter, aMailbox, std::move(aOrder));
@@ -261,13 +265,15 @@
   const instance_id head(aOrder.mHolders.empty() ? "" : aOrder.mHolders.front());
   for (std::size_t i = 0; i < aOrder.mTokens.size(); ++i) {
     const bool isLast = i + 1 == aOrder.mTokens.size();
-    co_await sink.Deliver({ token_position(i), aOrder.mTokens[i], isLast ? aOrder.mFinishReason : "", head });
+    const answer_token token{ token_position(i), aOrder.mTokens[i], isLast ? aOrder.mFinishReason : "", head };
+    co_await sink.Deliver(token);
   }
   const std::uint32_t promptTokens = aOrder.mPromptTokens;
   completion_run run(mRouter, aMailbox, std::move(aOrder));
   const completion_end end = co_await run.Run(sink);
   if (end.mIsComplete) {
-    co_await sink.Finish(aIncludeUsage, { promptTokens, run.TokenCount() });
+    const token_usage usage{ promptTokens, run.TokenCount() };
+    co_await sink.Finish(aIncludeUsage, usage);
   } else if (end.mError && sink.HasBegun()) {
     co_await sink.Fail(*end.mError);
   } else if (end.mError) {
--- /dev/null
+++ b/src/entry/entry_server.cpp
@@ -0,0 +1,161 @@
+#include "entry/entry_server.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+namespace chervilpulley::entry {
+
+namespace {
+
+constexpr part_log kLog("entry");
+constexpr duration kTick = std::chrono::milliseconds(50);
+
+caller_options CallerOptions(const settings::settings& aSettings)
+{
+  caller_options options;
+  options.mClusterKey = aSettings.security().cluster_key();
+  options.mDefaultDeadline = std::chrono::milliseconds(aSettings.limits().default_deadline_ms());
+  options.mStallFloor = std::chrono::milliseconds(aSettings.limits().stall_floor_ms());
+  return options;
+}
+
+net::http_limits HttpLimits(const settings::settings& aSettings)
+{
+  net::http_limits limits;
+  limits.mMaxBodyBytes = aSettings.limits().max_body_bytes();
+  limits.mMaxConnections = 2 * aSettings.limits().max_streams();
+  return limits;
+}
+
+} // namespace
+
+entry_server::entry_server(runtime::instance_core& aCore)
+  : mCore(aCore)
+  , mRouter(MakeRef<request_router>())
+{
+  link::provider_events events;
+  events.mOnFrame = [this](const ref<link::provider>& aProvider, link::frame aFrame) {
+    mRouter->OnFrame(aProvider, std::move(aFrame));
+  };
+  events.mOnLost = [this](const ref<link::provider>& aProvider) { mRouter->OnProviderLost(aProvider); };
+  events.mOnRevision = [this](const auto& aInstance, const auto& aDomain, revision_number aRevision) {
+    mCore.Config().NoteRevision(aInstance, aDomain, aRevision);
+  };
+  mLinks = MakeRef<link::provider_links>(
+    mCore.Context(), mCore.LinkOptions(), mCore.Hello("entry"), mCore.Board(), std::move(events));
+  mRouter->SetLinks(mLinks);
+  mApi = MakeRef<caller_api>(
+    *mRouter, [this] { return mCore.Config().Current(); }, CallerOptions(mCore.Settings()));
+}
+
+result<void, std::string> entry_server::Start()
+{
+  BOOST_OUTCOME_TRY(StartHttp());
+  BOOST_OUTCOME_TRY(mCore.StartPeers(*this));
+  BOOST_OUTCOME_TRY(StartAdmin());
+  mCore.FollowLiveList([this](const auto& aLive) { OnLiveList(aLive); });
+  runtime::Every(mCore.Context(), kTick, [this] { OnTick(); });
+  runtime::OnTerminate(mCore.Context(), [this] { Leave(); });
+  runtime::PrintListening(
+    mCore.Settings(),
+    "entry",
+    { mHttpServer->LocalEndpoint().Str(), "", mCore.PeerEndpoint().Str(), mAdminServer->LocalEndpoint().Str() });
+  return outcome::success();
+}
+
+result<void, std::string> entry_server::StartHttp()
+{
+  auto started = net::http_server::Start(
+    mCore.Context(),
+    mCore.Addresses().mHttp,
+    [this](net::http_exchange& aExchange) { return AnswerHttp(aExchange); },
+    HttpLimits(mCore.Settings()));
+  if (started.has_error()) {
+    return started.error().mMessage;
+  }
+  mHttpServer = started.value();
+  return outcome::success();
+}
+
+result<void, std::string> entry_server::StartAdmin()
+{
+  mOperators = std::make_unique<runtime::operator_backend>(mCore, mCore.ConfigRef(), mCore.Peers());
+  auto started = admin::admin_server::Start(
+    { mCore.Addresses().mAdmin, mCore.Settings().security().bootstrap_operator_key() }, *mOperators);
+  if (started.has_error()) {
+    return started.error().mMessage;
+  }
+  mAdminServer = started.value();
+  return outcome::success();
+}
+
+boost::asio::awaitable<void> entry_server::AnswerHttp(net::http_exchange& aExchange)
+{
+  if (auto reply = runtime::HealthReply(aExchange.Request(), mCore.Health())) {
+    co_await aExchange.Reply(std::move(*reply));
+    co_return;
+  }
+  co_await mApi->Answer(aExchange);
+}
+
+void entry_server::OnLiveList(const runtime::instance_core::live_instances& aLive)
+{
+  std::vector<platform::live_instance> sidecars;
+  for (const auto& listed : aLive) {
+    if (listed.mRole == platform::instance_role::Sidecar) {
+      sidecars.push_back(listed);
+    } else if (listed.mInstance == mCore.Instance() && listed.mLeaving) {
+      mCore.Health().mLeaving = true;
+    }
+  }
+  mLinks->SetWanted(sidecars, Now());
+}
+
+void entry_server::OnTick()
+{
+  const instant now = Now();
+  mLinks->Tick(now);
+  mCore.Health().mReady = mCore.Config().Ready();
+  if (!mLeaving) {
+    return;
+  }
+  const duration drain = std::chrono::milliseconds(mCore.Settings().limits().drain_ms());
+  if (!mHasStoppedAccepting && now - mLeavingSince > drain) {
+    kLog.Info("No more connections are taken.");
+    mHttpServer->StopAccepting();
+    mHasStoppedAccepting = true;
+  }
+  if (mHasStoppedAccepting && mHttpServer->OpenExchanges() == 0) {
+    kLog.Info("Nothing is in progress; the process ends.");
+    mCore.Context().stop();
+  }
+}
+
+void entry_server::Leave()
+{
+  kLog.Info("Leaving: /readyz fails from now on.");
+  mLeavingSince = Now();
+  mCore.Health().mLeaving = true;
+  mLeaving = true;
+}
+
+rpc::drain_reply entry_server::Drain(const rpc::drain_request& aRequest)
+{
+  mCore.Health().mLeaving = !aRequest.mUndo;
+  return { static_cast<std::uint32_t>(mHttpServer->OpenExchanges()) };
+}
+
+rpc::report_suspect_reply entry_server::ReportSuspect(const rpc::report_suspect_request&)
+{
+  return { 0 };
+}
+
+std::string entry_server::Status()
+{
+  admin::instance_status status = mCore.StatusBase("entry");
+  status.set_running(static_cast<std::uint32_t>(mHttpServer->OpenExchanges()));
+  status.set_backend_up(true);
+  return status.SerializeAsString();
+}
+
+} // namespace chervilpulley::entry
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,8 +1,13 @@
 #include "cli/cli.h"
+#include "entry/entry.h"
+#include "sidecar/sidecar.h"
 
 int main(int aCount, char** aWords)
 {
   using namespace chervilpulley;
-  const std::vector<cli::role_command> roles{};
+  const std::vector<cli::role_command> roles{
+    { "entry", "serves callers and operators", entry::Run },
+    { "sidecar", "serves beside one backend server", sidecar::Run },
+  };
   return cli::Main(aCount, aWords, roles);
 }
--- /dev/null
+++ b/src/runtime/instance_core.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "config/config_store.h"
+#include "config/peer_client.h"
+#include "config/peer_server.h"
+#include "generated/settings.pb.h"
+#include "link/frames.h"
+#include "link/provider_links.h"
+#include "net/http_client.h"
+#include "platform/http_object_store.h"
+#include "platform/live_list.h"
+#include "runtime/process.h"
+
+/// What both roles hold: the event loop, the HTTP client, the live list, the revision that they have.
+namespace chervilpulley::runtime {
+
+/// Addresses of the settings, parsed. Faults name the key.
+struct parsed_addresses
+{
+  net::endpoint mHttp;
+  net::endpoint mLink;
+  net::endpoint mPeer;
+  net::endpoint mAdmin;
+  net::endpoint mPlatform;
+  net::endpoint mBackend; ///< of a sidecar
+};
+result<parsed_addresses, std::string> ParseAddresses(const settings::settings& aSettings, bool aHasBackend);
+
+/// Thread-safe.
+class instance_core
+{
+public:
+  using live_instances = std::vector<platform::live_instance>;
+
+  instance_core(const settings::settings& aSettings, parsed_addresses aAddresses);
+
+  boost::asio::io_context& Context() { return mContext; }
+  const settings::settings& Settings() const { return mSettings; }
+  const parsed_addresses& Addresses() const { return mAddresses; }
+  const instance_id& Instance() const { return mInstance; }
+  const ref<net::http_client>& Http() const { return mHttp; }
+  const ref<link::revision_board>& Board() const { return mBoard; }
+  health& Health() { return mHealth; }
+
+  /// Reads the live list again and again; aOnList gets each one that could be read.
+  void FollowLiveList(std::function<void(const live_instances&)> aOnList);
+  /// The last live list that could be read.
+  live_instances Live() const;
+  /// Whether the last reading of the live list succeeded.
+  bool IsPlatformUp() const { return mPlatformUp; }
+
+  config::config_store& Config() { return *mConfig; }
+  const ref<config::config_store>& ConfigRef() const { return mConfig; }
+  const ref<config::peer_client>& Peers() const { return mPeers; }
+  /// Serves control calls of other processes, and starts to follow the configuration.
+  result<void, std::string> StartPeers(config::control_handler& aHandler);
+  /// Where control calls are served; valid after StartPeers().
+  net::endpoint PeerEndpoint() const { return mPeerServer->LocalEndpoint(); }
+  /// A status with what every role says of itself.
+  admin::instance_status StatusBase(const std::string& aRole) const;
+
+  link::link_options LinkOptions() const;
+  link::hello Hello(const std::string& aRole) const;
+
+private:
+  boost::asio::awaitable<void> ReadLists(std::function<void(const live_instances&)> aOnList);
+
+  const settings::settings mSettings;
+  const parsed_addresses mAddresses;
+  const instance_id mInstance;
+  boost::asio::io_context mContext;
+  ref<net::http_client> mHttp;
+  ref<link::revision_board> mBoard;
+  health mHealth;
+  platform::http_object_store mStore;
+  ref<config::peer_client> mPeers;
+  ref<config::config_store> mConfig;
+  ref<net::http_server> mPeerServer;
+  mutable std::mutex mLiveMutex;
+  live_instances mLive;
+  std::atomic<bool> mPlatformUp{ false };
+};
+
+} // namespace chervilpulley::runtime
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -92,20 +92,19 @@
   aContext.run();
 }
 
-boost::asio::awaitable<bool> AnswerHealth(net::http_exchange& aExchange, const health& aHealth)
+std::optional<net::http_reply> HealthReply(const net::http_request& aRequest, const health& aHealth)
 {
-  const std::string_view path = net::PathOf(aExchange.Request().mTarget);
+  const std::string_view path = net::PathOf(aRequest.mTarget);
   if (path == "/healthz") {
-    co_await aExchange.Reply(net::JsonReply(200, R"({"status":"ok"})"));
-    co_return true;
+    return net::JsonReply(200, R"({"status":"ok"})");
   }
-  if (path == "/readyz") {
-    const bool isReady = aHealth.mReady && !aHealth.mLeaving;
-    co_await aExchange.Reply(isReady ? net::JsonReply(200, R"({"status":"ready"})")
-                                     : net::JsonReply(503, R"({"status":"not ready"})"));
-    co_return true;
+  if (path != "/readyz") {
+    return std::nullopt;
   }
-  co_return false;
+  if (aHealth.mReady && !aHealth.mLeaving) {
+    return net::JsonReply(200, R"({"status":"ready"})");
+  }
+  return net::JsonReply(503, R"({"status":"not ready"})");
 }
 
 } // namespace chervilpulley::runtime
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,7 @@
   std::atomic<bool> mLeaving{ false };
 };
 
-/// Answers /healthz and /readyz; false when the target is neither.
-boost::asio::awaitable<bool> AnswerHealth(net::http_exchange& aExchange, const health& aHealth);
+/// The reply to /healthz and /readyz; nothing when the target is neither.
+std::optional<net::http_reply> HealthReply(const net::http_request& aRequest, const health& aHealth);
 
 } // namespace chervilpulley::runtime
--- /dev/null
+++ b/src/sidecar/admission_gate.cpp
@@ -0,0 +1,88 @@
+#include "sidecar/admission_gate.h"
+
+#include <boost/asio/post.hpp>
+
+#include "base/clock.h"
+
+namespace chervilpulley::sidecar {
+
+namespace {
+
+constexpr duration kRetryWhenFull = std::chrono::milliseconds(500);
+
+} // namespace
+
+admission_gate::admission_gate(boost::asio::io_context& aContext, gate_limits aLimits)
+  : mContext(aContext)
+  , mMaxRunning(aLimits.mMaxRunning)
+  , mQueue(aLimits.mMaxQueued)
+{
+}
+
+gate_answer admission_gate::Enter(const policy::admission_request& aRequest, bool aMayWait, start_callback aOnStart)
+{
+  std::lock_guard lock(mMutex);
+  if (mRunning < mMaxRunning && mQueue.Size() == 0) {
+    ++mRunning;
+    return gate_started{};
+  }
+  if (!aMayWait) {
+    return policy::admission_error{ policy::admission_refusal::QueueFull, kRetryWhenFull };
+  }
+  auto offered = mQueue.Offer(aRequest, Now());
+  if (offered.has_error()) {
+    return offered.error();
+  }
+  mCallbacks.emplace(offered.value(), std::move(aOnStart));
+  return gate_waiting{ offered.value() };
+}
+
+void admission_gate::Leave()
+{
+  std::lock_guard lock(mMutex);
+  --mRunning;
+  StartWaiting();
+}
+
+void admission_gate::StartWaiting()
+{
+  while (mRunning < mMaxRunning) {
+    const auto granted = mQueue.Next(Now());
+    if (!granted) {
+      return;
+    }
+    auto callback = mCallbacks.extract(granted->mTicket);
+    mRunning += granted->mExpired ? 0 : 1;
+    // Posted, as the caller may hold the lock of a request.
+    boost::asio::post(mContext,
+                      [start = std::move(callback.mapped()), isExpired = granted->mExpired] { start(isExpired); });
+  }
+}
+
+bool admission_gate::CancelWaiting(policy::admission_ticket aTicket)
+{
+  std::lock_guard lock(mMutex);
+  mCallbacks.erase(aTicket);
+  return mQueue.Cancel(aTicket);
+}
+
+void admission_gate::SetMaxRunning(std::uint32_t aMaxRunning)
+{
+  std::lock_guard lock(mMutex);
+  mMaxRunning = aMaxRunning;
+  StartWaiting();
+}
+
+std::uint32_t admission_gate::Running() const
+{
+  std::lock_guard lock(mMutex);
+  return mRunning;
+}
+
+std::uint32_t admission_gate::Waiting() const
+{
+  std::lock_guard lock(mMutex);
+  return static_cast<std::uint32_t>(mQueue.Size());
+}
+
+} // namespace chervilpulley::sidecar
--- a/src/sidecar/pipeline_stage.cpp
+++ b/src/sidecar/pipeline_stage.cpp
@@ -21,12 +21,16 @@
                                stage_options aOptions,
                                ref<engine::engine_client> aEngine,
                                ref<backend_monitor> aMonitor,
+                               ref<admission_gate> aGate,
+                               std::function<ref<const config::config_view>()> aView,
                                ref<link::revision_board> aBoard)
   : mContext(aContext)
   , mOptions(std::move(aOptions))
   , mEngine(std::move(aEngine))
   , mMonitor(std::move(aMonitor))
   , mBoard(std::move(aBoard))
+  , mGate(std::move(aGate))
+  , mView(std::move(aView))
 {
 }
 
@@ -101,16 +105,49 @@
   }
 }
 
-bool pipeline_stage::TryAdmit()
+gate_answer pipeline_stage::Enter(const ref<stage_stream>& aStream, const link::open_attempt& aOpen)
 {
-  const std::uint32_t limit = mMaxRunning;
-  std::uint32_t running = mRunning;
-  while (limit == 0 || running < limit) {
-    if (mRunning.compare_exchange_weak(running, running + 1)) {
-      return true;
-    }
+  policy::admission_request request;
+  request.mWorkspace = workspace_id(aOpen.workspace());
+  const admin::workspace* workspace = mView()->FindWorkspace(request.mWorkspace);
+  request.mWeight = workspace != nullptr && workspace->weight() > 0 ? workspace->weight() : 1.0;
+  request.mPromptTokens = token_count(aOpen.prompt_tokens());
+  request.mAnswerTokens = token_count(aOpen.max_tokens());
+  request.mPriority = aOpen.priority();
+  if (const auto state = Engine()) {
+    request.mFirstTokenAfterStart = state->mPrefillTimePerToken * aOpen.prompt_tokens() + state->mStepTime;
+  }
+  if (aOpen.deadline_ms() > 0) {
+    request.mFirstTokenDeadline = Now() + std::chrono::milliseconds(aOpen.deadline_ms());
   }
-  return false;
+  // Only the first stage lets a request wait; for the others the stage before chooses another sidecar.
+  const bool mayWait = aOpen.first_layer() == 0;
+  return mGate->Enter(request, mayWait, [aStream](bool aIsExpired) { aStream->OnAdmitted(aIsExpired); });
+}
+
+policy::start_verdict pipeline_stage::CheckSuspect(const link::open_attempt& aOpen)
+{
+  std::lock_guard lock(mSuspectMutex);
+  return mSuspects.Check(request_digest(aOpen.digest()), aOpen.suspect(), Now());
+}
+
+void pipeline_stage::Started(request_digest aDigest)
+{
+  std::lock_guard lock(mSuspectMutex);
+  mSuspects.Started(aDigest, Now());
+}
+
+void pipeline_stage::Finished(request_digest aDigest, bool aIsComplete)
+{
+  std::lock_guard lock(mSuspectMutex);
+  mSuspects.Finished(aDigest, aIsComplete);
+}
+
+void pipeline_stage::EngineFailed()
+{
+  mMonitor->MarkDown();
+  std::lock_guard lock(mSuspectMutex);
+  mSuspects.BackendCrashed(Now());
 }
 
 std::vector<policy::route_candidate> pipeline_stage::SuccessorCandidates(
@@ -186,14 +223,14 @@
 void pipeline_stage::FillReport(link::load_report& aReport) const
 {
   const auto state = Engine();
-  aReport.set_running(mRunning);
+  aReport.set_running(mGate->Running());
   if (!state) {
     return;
   }
   aReport.set_model(state->mModel.Str());
   aReport.set_first_layer(state->mFirstLayer);
   aReport.set_last_layer(state->mLastLayer);
-  aReport.set_queued(state->mQueued);
+  aReport.set_queued(state->mQueued + mGate->Waiting());
   aReport.set_step_us(static_cast<std::uint32_t>(state->mStepTime.count()));
   aReport.set_prefill_us_per_token(static_cast<std::uint32_t>(state->mPrefillTimePerToken.count()));
   aReport.set_accelerator(state->mAccelerator);
@@ -205,7 +242,7 @@
     successors.push_back(std::move(candidate));
   }
   const policy::stage_load own{
-    layer_index(state->mLastLayer), state->mLayerCount, state->mQueued, mRunning, state->mStepTime
+    layer_index(state->mLastLayer), state->mLayerCount, aReport.queued(), aReport.running(), state->mStepTime
   };
   if (const auto cost = policy::CostToGo(own, successors)) {
     aReport.set_cost_to_go_us(static_cast<std::uint32_t>(cost->count()));
--- a/src/sidecar/pipeline_stage.h
+++ b/src/sidecar/pipeline_stage.h
@@ -5,6 +5,7 @@
 #include <atomic>
 
 #include "base/sharded_map.h"
+#include "config/config_view.h"
 #include "sidecar/backend_monitor.h"
 #include "sidecar/stage_stream.h"
 
@@ -29,6 +30,8 @@
                  stage_options aOptions,
                  ref<engine::engine_client> aEngine,
                  ref<backend_monitor> aMonitor,
+                 ref<admission_gate> aGate,
+                 std::function<ref<const config::config_view>()> aView,
                  ref<link::revision_board> aBoard);
 
   /// Sets the links to successors; before the first frame.
@@ -40,9 +43,6 @@
   void OnSuccessorLost(const ref<link::provider>& aSuccessor);
   void OnTick(instant aNow);
   void Leave(bool aIsLeaving) { mLeaving = aIsLeaving; }
-  /// Sets how many requests may run here at once; 0 is no limit.
-  void SetMaxRunning(std::uint32_t aMax) { mMaxRunning = aMax; }
-  std::uint32_t RunningCount() const { return mRunning; }
   /// Fills in the engine's part of a load report.
   void FillReport(link::load_report& aReport) const;
 
@@ -50,14 +50,18 @@
   const link::revision_board& Board() const override { return *mBoard; }
   bool IsLeaving() const override { return mLeaving; }
   std::optional<engine::engine_state> Engine() const override { return mMonitor->Engine(); }
-  bool TryAdmit() override;
-  void GiveBackPlace() override { mRunning.fetch_sub(1); }
+  gate_answer Enter(const ref<stage_stream>& aStream, const link::open_attempt& aOpen) override;
+  void GiveBackPlace() override { mGate->Leave(); }
+  bool CancelWaiting(policy::admission_ticket aTicket) override { return mGate->CancelWaiting(aTicket); }
+  policy::start_verdict CheckSuspect(const link::open_attempt& aOpen) override;
+  void Started(request_digest aDigest) override;
+  void Finished(request_digest aDigest, bool aIsComplete) override;
   ref<link::provider> ChooseSuccessor(const link::open_attempt& aOpen, const std::set<std::string>& aExcluded) override;
   bool SendTo(const ref<link::provider>& aProvider, link::frame aFrame) override;
   void Probe(const ref<link::provider>& aProvider) override { mSuccessors->Probe(aProvider); }
   void StartRun(ref<stage_stream> aStream, engine::run_request aRequest) override;
   void CancelAtEngine(const request_id& aRequest) override;
-  void EngineFailed() override { mMonitor->MarkDown(); }
+  void EngineFailed() override;
   duration StallAllowance(bool aIsPrefill, std::uint32_t aPromptTokens) const override;
   duration StreamGrace() const override { return mOptions.mStreamGrace; }
   duration StallFloor() const override { return mOptions.mStallFloor; }
@@ -76,8 +80,10 @@
   ref<link::provider_links> mSuccessors;
   sharded_map<request_id, ref<stage_stream>> mStreams;
   std::atomic<bool> mLeaving{ false };
-  std::atomic<std::uint32_t> mRunning{ 0 };
-  std::atomic<std::uint32_t> mMaxRunning{ 64 };
+  ref<admission_gate> mGate;
+  std::function<ref<const config::config_view>()> mView;
+  std::mutex mSuspectMutex;
+  policy::crash_suspects mSuspects;
 };
 
 } // namespace chervilpulley::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_server.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <memory>
+
+#include "base/sharded_map.h"
+#include "config/peer_server.h"
+#include "link/provider_links.h"
+#include "runtime/instance_core.h"
+#include "sidecar/pipeline_stage.h"
+
+/// The sidecar's shell: links, reports, signals.
+namespace chervilpulley::sidecar {
+
+/// One sidecar. Start() once, then run the core's context.
+class sidecar_server : public config::control_handler
+{
+public:
+  explicit sidecar_server(runtime::instance_core& aCore);
+
+  /// Binds all listeners and starts; an error names what could not be bound.
+  result<void, std::string> Start();
+  /// Takes no new work from now on; the process ends once nothing is in progress.
+  void Leave();
+  /// Takes no new work, or takes it again, without ending the process.
+  void SetLeaving(bool aIsLeaving);
+  std::uint32_t InProgress() const;
+
+  rpc::drain_reply Drain(const rpc::drain_request& aRequest) override;
+  rpc::report_suspect_reply ReportSuspect(const rpc::report_suspect_request& aRequest) override;
+  std::string Status() override;
+
+private:
+  struct requester
+  {
+    ref<link::connection> mLink;
+    instance_id mInstance;
+    failure_domain_id mFailureDomain;
+  };
+
+  result<void, std::string> StartLinks();
+  result<void, std::string> StartHttp();
+  boost::asio::awaitable<void> AnswerHttp(net::http_exchange& aExchange);
+  link::events Welcome(const ref<link::connection>& aLink);
+  void OnMessage(const ref<link::connection>& aLink, const std::string& aMessage);
+  void OnHello(const ref<link::connection>& aLink, const link::frame& aFrame);
+  link::frame Report() const;
+  void ReportToAll();
+  void OnLiveList(const runtime::instance_core::live_instances& aLive);
+  void OnTick();
+  bool IsEngine() const { return mKind == backend_kind::Engine; }
+
+  runtime::instance_core& mCore;
+  backend_kind mKind;
+  pool_name mPool;
+  ref<backend_monitor> mMonitor;
+  ref<admission_gate> mGate;
+  ref<pipeline_stage> mStage;
+  ref<link::provider_links> mSuccessors;
+  ref<link::server> mLinkServer;
+  ref<net::http_server> mHttpServer;
+  sharded_map<const link::connection*, requester> mRequesters;
+  std::atomic<bool> mDraining{ false };
+  std::atomic<bool> mEnding{ false };
+  std::atomic<std::uint32_t> mCalls{ 0 };
+  std::uint32_t mIdleTicks = 0; ///< of the tick's coroutine only
+};
+
+} // namespace chervilpulley::sidecar
--- a/src/sidecar/stage_stream.cpp
+++ b/src/sidecar/stage_stream.cpp
@@ -28,62 +28,69 @@
 {
 }
 
+link::refusal stage_stream::Refusal(link::refusal_reason aReason, const std::string& aMessage) const
+{
+  link::refusal refusal;
+  refusal.set_reason(aReason);
+  refusal.set_outcome(link::OUTCOME_NOT_RUN);
+  refusal.set_message(aMessage);
+  refusal.set_retry_after_ms(kRetryAfterMs);
+  refusal.set_instance(mHost.Instance().Str());
+  return refusal;
+}
+
 void stage_stream::RefuseTo(const ref<link::connection>& aUpstream,
                             const policy::attempt_key& aAttempt,
-                            link::refusal_reason aReason,
-                            const std::string& aMessage)
+                            const link::refusal& aRefusal)
 {
   link::frame answer = link::AttemptFrame(mRequest, aAttempt);
-  answer.mutable_refused()->set_reason(aReason);
-  answer.mutable_refused()->set_outcome(link::OUTCOME_NOT_RUN);
-  answer.mutable_refused()->set_message(aMessage);
-  answer.mutable_refused()->set_retry_after_ms(kRetryAfterMs);
-  answer.mutable_refused()->set_instance(mHost.Instance().Str());
+  *answer.mutable_refused() = aRefusal;
   link::SendFrame(aUpstream.get(), mHost.Board(), std::move(answer));
 }
 
-void stage_stream::Refuse(link::refusal_reason aReason, const std::string& aMessage)
+void stage_stream::Refuse(const link::refusal& aRefusal)
 {
-  RefuseTo(mUpstream, mProgress.Current(), aReason, aMessage);
+  RefuseTo(mUpstream, mProgress.Current(), aRefusal);
   mPhase = phase::Lost;
 }
 
-bool stage_stream::CheckOpen(const ref<link::connection>& aUpstream,
-                             const policy::attempt_key& aAttempt,
-                             const link::open_attempt& aOpen)
+std::optional<link::refusal> stage_stream::CheckOpen(const policy::attempt_key& aAttempt,
+                                                     const link::open_attempt& aOpen) const
 {
-  const bool isNew = mPhase == phase::Idle || mPhase == phase::Ended;
   const std::string self = "sidecar \"" + mHost.Instance().Str() + "\" ";
   if (aAttempt <= mProgress.Current()) {
-    RefuseTo(aUpstream, aAttempt, link::REFUSAL_FENCED, self + "has a newer attempt of this request");
-    return false;
+    return Refusal(link::REFUSAL_FENCED, self + "has a newer attempt of this request");
   }
-  if (isNew && mHost.IsLeaving()) {
-    RefuseTo(aUpstream, aAttempt, link::REFUSAL_LEAVING, self + "is leaving");
-    return false;
+  if (!mHasPlace && mHost.IsLeaving()) {
+    return Refusal(link::REFUSAL_LEAVING, self + "is leaving");
   }
   const auto state = mHost.Engine();
   if (!state) {
-    RefuseTo(aUpstream, aAttempt, link::REFUSAL_BACKEND_DOWN, "the engine of " + self + "can't be reached");
-    return false;
+    return Refusal(link::REFUSAL_BACKEND_DOWN, "the engine of " + self + "can't be reached");
   }
   const bool isHeld = state->mModel.Str() == aOpen.model() && state->mFirstLayer <= aOpen.first_layer() &&
                       aOpen.first_layer() <= state->mLastLayer && state->mLayerCount == aOpen.layer_count();
   if (!isHeld) {
-    RefuseTo(aUpstream,
-             aAttempt,
-             link::REFUSAL_WRONG_MODEL,
-             self + "does not hold layer " + std::to_string(aOpen.first_layer()) + " of model \"" + aOpen.model() +
-               "\"");
-    return false;
-  }
-  if (!mHasPlace && !mHost.TryAdmit()) {
-    RefuseTo(aUpstream, aAttempt, link::REFUSAL_OVERLOADED, self + "runs as many requests as it may");
-    return false;
+    return Refusal(link::REFUSAL_WRONG_MODEL,
+                   self + "does not hold layer " + std::to_string(aOpen.first_layer()) + " of model \"" +
+                     aOpen.model() + "\"");
+  }
+  if (mHasPlace) {
+    return std::nullopt;
+  }
+  switch (mHost.CheckSuspect(aOpen)) {
+    case policy::start_verdict::NotHereNow:
+      return Refusal(link::REFUSAL_SUSPECT, self + "runs another request that may end its engine");
+    case policy::start_verdict::Refused: {
+      link::refusal refusal = Refusal(link::REFUSAL_SUSPECT, "the request ended engines and is not run again");
+      refusal.set_outcome(link::OUTCOME_FAILED);
+      refusal.clear_retry_after_ms();
+      return refusal;
+    }
+    case policy::start_verdict::Start:
+      return std::nullopt;
   }
-  mHasPlace = true;
-  mLastLayer = state->mLastLayer;
-  return true;
+  return std::nullopt;
 }
 
 void stage_stream::OnOpen(ref<link::connection> aUpstream,
@@ -91,11 +98,13 @@
                           const link::open_attempt& aOpen)
 {
   std::lock_guard lock(mMutex);
-  if (!CheckOpen(aUpstream, aAttempt, aOpen)) {
+  if (const auto refusal = CheckOpen(aAttempt, aOpen)) {
+    RefuseTo(aUpstream, aAttempt, *refusal);
     return;
   }
   const token_position start(static_cast<std::uint64_t>(aOpen.delivered_size()));
   mProgress.Open(aAttempt, start);
+  mLastLayer = mHost.Engine()->mLastLayer;
   mOpen = aOpen;
   mUpstream = std::move(aUpstream);
   mUpstreamLostAt = {};
@@ -104,6 +113,58 @@
   mBlockedAt.reset();
   mDelivered = start;
   mTokens.assign(aOpen.delivered().begin(), aOpen.delivered().end());
+  if (mHasPlace) {
+    Proceed();
+  } else if (!mTicket) {
+    AskForPlace();
+  }
+}
+
+void stage_stream::AskForPlace()
+{
+  const gate_answer answer = mHost.Enter(ref<stage_stream>(this), mOpen);
+  if (const auto* waiting = std::get_if<gate_waiting>(&answer)) {
+    mTicket = waiting->mTicket;
+    mPhase = phase::Waiting;
+  } else if (const auto* error = std::get_if<policy::admission_error>(&answer)) {
+    link::refusal refusal =
+      Refusal(link::REFUSAL_OVERLOADED, "sidecar \"" + mHost.Instance().Str() + "\" has no room for the request");
+    refusal.clear_retry_after_ms();
+    if (error->mRetryAfter) {
+      refusal.set_retry_after_ms(
+        static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(*error->mRetryAfter).count()));
+    }
+    Refuse(refusal);
+  } else {
+    mHasPlace = true;
+    mHost.Started(request_digest(mOpen.digest()));
+    Proceed();
+  }
+}
+
+void stage_stream::OnAdmitted(bool aIsExpired)
+{
+  std::lock_guard lock(mMutex);
+  const bool wasWaiting = mTicket.has_value() && mPhase == phase::Waiting;
+  mTicket.reset();
+  if (aIsExpired && wasWaiting) {
+    Refuse(Refusal(link::REFUSAL_OVERLOADED, "the request waited until its deadline"));
+    return;
+  }
+  if (aIsExpired) {
+    return;
+  }
+  mHasPlace = true;
+  mHost.Started(request_digest(mOpen.digest()));
+  if (!wasWaiting) {
+    GiveBackPlace();
+    return;
+  }
+  Proceed();
+}
+
+void stage_stream::Proceed()
+{
   mPhase = phase::Opening;
   if (IsLast()) {
     LeaveSuccessor("another chain was chosen");
@@ -122,9 +183,9 @@
     LeaveSuccessor("another chain was chosen");
   }
   if (!chosen) {
-    Refuse(link::REFUSAL_NO_ROUTE,
-           "no sidecar that takes work holds layer " + std::to_string(mLastLayer + 1) + " of model \"" + mOpen.model() +
-             "\"");
+    Refuse(Refusal(link::REFUSAL_NO_ROUTE,
+                   "no sidecar that takes work holds layer " + std::to_string(mLastLayer + 1) + " of model \"" +
+                     mOpen.model() + "\""));
     return;
   }
   mTried.insert(chosen->Instance().Str());
@@ -344,6 +405,7 @@
 void stage_stream::TakeToken(const link::token& aToken)
 {
   mWaitingSince = {};
+  mIsComplete |= aToken.last();
   link::frame up = Frame();
   *up.mutable_token() = aToken;
   if (IsHead()) {
@@ -500,7 +562,11 @@
 
 void stage_stream::GiveBackPlace()
 {
+  if (mTicket && mHost.CancelWaiting(*mTicket)) {
+    mTicket.reset();
+  }
   if (std::exchange(mHasPlace, false)) {
+    mHost.Finished(request_digest(mOpen.digest()), mIsComplete);
     mHost.GiveBackPlace();
   }
 }
--- a/src/sidecar/stage_stream.h
+++ b/src/sidecar/stage_stream.h
@@ -11,7 +11,9 @@
 #include "engine/engine_client.h"
 #include "link/frames.h"
 #include "link/provider_links.h"
+#include "policy/crash_suspects.h"
 #include "policy/stage_progress.h"
+#include "sidecar/admission_gate.h"
 
 /// One request at one stage of a pipeline.
 namespace chervilpulley::sidecar {
@@ -26,9 +28,16 @@
   virtual bool IsLeaving() const = 0;
   /// The engine's state; nothing while it can't be reached.
   virtual std::optional<engine::engine_state> Engine() const = 0;
-  /// Whether one more request may run here; takes the place if so.
-  virtual bool TryAdmit() = 0;
+  /// Asks for a place at the engine. A stream that has to wait is told by its OnAdmitted().
+  virtual gate_answer Enter(const ref<class stage_stream>& aStream, const link::open_attempt& aOpen) = 0;
   virtual void GiveBackPlace() = 0;
+  virtual bool CancelWaiting(policy::admission_ticket aTicket) = 0;
+  /// Whether the request may start here, as far as it is suspected of ending engines.
+  virtual policy::start_verdict CheckSuspect(const link::open_attempt& aOpen) = 0;
+  /// It runs here from now on.
+  virtual void Started(request_digest aDigest) = 0;
+  /// It runs here no longer.
+  virtual void Finished(request_digest aDigest, bool aIsComplete) = 0;
   /// Chooses a successor that holds the first layer, other than those excluded.
   virtual ref<link::provider> ChooseSuccessor(const link::open_attempt& aOpen,
                                               const std::set<std::string>& aExcluded) = 0;
@@ -52,6 +61,8 @@
   stage_stream(stage_host& aHost, request_id aRequest);
 
   void OnOpen(ref<link::connection> aUpstream, policy::attempt_key aAttempt, const link::open_attempt& aOpen);
+  /// A place at the engine was given to it, or its time to wait has passed.
+  void OnAdmitted(bool aIsExpired);
   void OnActivation(const policy::attempt_key& aAttempt, const link::activation& aActivation);
   void OnDelivered(const policy::attempt_key& aAttempt, token_position aNext);
   void OnCancel(const policy::attempt_key& aAttempt);
@@ -75,6 +86,7 @@
   enum class phase
   {
     Idle,    ///< no attempt is open
+    Waiting, ///< for a place at the engine
     Opening, ///< waiting for the successor
     Running,
     Lost, ///< the attempt can't go on; state is kept for the next one
@@ -90,14 +102,14 @@
 
   bool IsHead() const { return mOpen.first_layer() == 0; }
   bool IsLast() const { return mLastLayer + 1 == mOpen.layer_count(); }
-  bool CheckOpen(const ref<link::connection>& aUpstream,
-                 const policy::attempt_key& aAttempt,
-                 const link::open_attempt& aOpen);
+  std::optional<link::refusal> CheckOpen(const policy::attempt_key& aAttempt, const link::open_attempt& aOpen) const;
+  link::refusal Refusal(link::refusal_reason aReason, const std::string& aMessage) const;
   void RefuseTo(const ref<link::connection>& aUpstream,
                 const policy::attempt_key& aAttempt,
-                link::refusal_reason aReason,
-                const std::string& aMessage);
-  void Refuse(link::refusal_reason aReason, const std::string& aMessage);
+                const link::refusal& aRefusal);
+  void Refuse(const link::refusal& aRefusal);
+  void AskForPlace();
+  void Proceed();
   void SendUp(link::frame aFrame);
   void SendDown(link::frame aFrame);
   link::frame Frame() const { return link::AttemptFrame(mRequest, mProgress.Current()); }
@@ -131,6 +143,8 @@
   std::set<std::string> mTried;
   std::deque<work_item> mWork;
   bool mHasPlace = false;
+  std::optional<policy::admission_ticket> mTicket;
+  bool mIsComplete = false; ///< the last token has passed
   bool mIsRunning = false;
   std::uint32_t mRunPrefillStages = 0;
   instant mRunSince{};
@@ -138,7 +152,7 @@
   instant mUpstreamLostAt{};
   instant mEndedAt{};
   std::vector<std::string> mTokens; ///< at the head: all tokens so far
-  std::string mFinishReason; ///< at the head: of the last token, once the answer is whole
+  std::string mFinishReason;        ///< at the head: of the last token, once the answer is whole
   token_position mDelivered;
   std::optional<token_position> mBlockedAt;
 };
