--- /dev/null
+++ b/src/config/config_replica.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "base/ref_counted.h"
+#include "chervilpulley/units.h"
+#include "config/config_view.h"
+#include "net/mailbox.h"
+#include "policy/config_log.h"
+
+namespace chervilpulley::config {
+
+/// Called with the newest view after a change; revisions only rise. Must not block.
+using change_callback = std::function<void(const ref<const config_view>&)>;
+
+/// The configuration as this process holds it, shared by its threads. Its revision never falls.
+class config_replica : public ref_counted
+{
+public:
+  config_replica();
+
+  ref<const config_view> Current() const;
+  revision_number Revision() const;
+  /// Takes an entry of the log.
+  policy::accept_outcome Accept(const admin::log_entry& aEntry);
+  /// Takes a whole state, if its revision is higher; tells whether it did.
+  bool Install(const admin::config_state& aState);
+  /// Calls aFunction(log) under the lock. It must not change the log.
+  template<class Function>
+  auto WithLog(Function&& aFunction)
+  {
+    std::lock_guard lock(mMutex);
+    return aFunction(mLog);
+  }
+  /// Entries after a revision, at most aLimit; nothing when some of them are no longer at hand.
+  std::optional<std::vector<admin::log_entry>> EntriesAfter(revision_number aAfter, std::size_t aLimit) const;
+  void OnChange(change_callback aCallback);
+  /// Waits until the revision is above aAfter, or aTime has passed. Runs on the caller's strand.
+  boost::asio::awaitable<revision_number> WaitAbove(revision_number aAfter, duration aTime);
+
+private:
+  using waiter = net::mailbox<revision_number>;
+
+  void Publish();
+  void KeepEntry(const admin::log_entry& aEntry);
+  void RemoveWaiter(const ref<waiter>& aWaiter);
+
+  mutable std::mutex mMutex;
+  policy::config_log mLog;
+  ref<const config_view> mView;
+  std::deque<admin::log_entry> mEntries; ///< the last ones, without a gap, up to the log's revision
+  std::size_t mEntryBytes = 0;
+  std::vector<ref<waiter>> mWaiters;
+
+  std::mutex mCallbackMutex;
+  std::vector<change_callback> mCallbacks;
+  revision_number mPublished;
+};
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/config_store.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+#include <vector>
+
+#include "base/ref_counted.h"
+#include "chervilpulley/units.h"
+#include "config/config_error.h"
+#include "config/config_replica.h"
+#include "config/config_view.h"
+#include "platform/live_list.h"
+#include "rpc/peer_messages.h"
+
+namespace chervilpulley::config {
+
+/// A change that was accepted.
+struct apply_outcome
+{
+  revision_number mRevision;
+  bool mSpreadPending = false; ///< not yet known to be held in two other failure domains
+  bool mRepeated = false;      ///< this change id was accepted before
+};
+
+/// Who this process is, and how long it waits.
+struct config_store_options
+{
+  instance_id mInstance;
+  failure_domain_id mFailureDomain;
+  duration mPullWait = std::chrono::milliseconds(2000);   ///< time that a source holds a pull without news
+  duration mWatchTime = std::chrono::milliseconds(3000);  ///< time that the platform holds a watch without news
+  duration mPeerTimeout = std::chrono::milliseconds(600); ///< longest wait for a peer's answer, without mPullWait
+  duration mRetryPause = std::chrono::milliseconds(300);  ///< pause after nobody could be reached
+  duration mBehindPause =
+    std::chrono::milliseconds(150); ///< time that the usual way gets when traffic shows a newer one
+  duration mSpreadTimeout = std::chrono::milliseconds(1500); ///< longest wait for other failure domains after a write
+  std::uint64_t mSnapshotInterval = 256;                     ///< revisions between two snapshots
+};
+
+/// The configuration of a process: what is in force, changes to it, and its spread. Thread-safe.
+class config_store : public ref_counted
+{
+public:
+  /// The configuration in force here; never null, and its revision never falls.
+  virtual ref<const config_view> Current() const = 0;
+  /// True once it is known what was last accepted; a process serves nobody before.
+  virtual bool Ready() const = 0;
+  /// Starts to follow the configuration.
+  virtual void Run() = 0;
+  /// Stops to follow it; calls in progress end within their timeouts.
+  virtual void Stop() = 0;
+
+  /// Checks a change and writes it to the log; gives an answer within about the platform's timeouts.
+  /// @param aActor name of the key that asked for it.
+  virtual boost::asio::awaitable<config_result<apply_outcome>> Apply(admin::change aChange, std::string aActor) = 0;
+  /// Checks a change against the configuration in force; gives the revision that it would have.
+  virtual config_result<revision_number> Validate(const admin::change& aChange) = 0;
+  /// Entries of the log after a revision, at most aLimit.
+  virtual boost::asio::awaitable<config_result<std::vector<admin::log_entry>>> Log(revision_number aAfter,
+                                                                                   std::size_t aLimit) = 0;
+  /// Which instances have reported a revision, asked of all failure domains; 0 is the revision in force here.
+  virtual boost::asio::awaitable<admin::rollout_reply> Rollout(revision_number aRevision) = 0;
+
+  /// Sets what is called with the newest view after each change. It must not block.
+  virtual void OnChange(change_callback aCallback) = 0;
+  /// Waits until the revision in force is above aAfter or aTime has passed. Runs on the caller's strand.
+  virtual boost::asio::awaitable<revision_number> WaitAbove(revision_number aAfter, duration aTime) = 0;
+
+  /// The live list, whenever it was read.
+  virtual void NoteInstances(std::vector<platform::live_instance> aInstances) = 0;
+  /// A revision that came with another process's message; a higher one is fetched.
+  virtual void NoteRevision(const instance_id& aInstance,
+                            const failure_domain_id& aDomain,
+                            revision_number aRevision) = 0;
+
+  /// Answers a peer's pull with what is there now.
+  virtual rpc::pull_config_reply AnswerPull(const rpc::pull_config_request& aRequest) = 0;
+  /// What this process has heard of other instances, itself included.
+  virtual std::vector<rpc::instance_report> Reports() const = 0;
+};
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/config_store_over.h
@@ -0,0 +1,331 @@
+#pragma once
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "config/config_answers.h"
+#include "config/config_store.h"
+#include "config/on_strand.h"
+#include "config/peer_sync.h"
+#include "config/platform_log.h"
+#include "policy/config_writer.h"
+
+namespace chervilpulley::config {
+
+/// The configuration of a process over one kind of object store.
+template<platform::object_store Store>
+class config_store_over : public config_store
+{
+public:
+  config_store_over(boost::asio::io_context& aContext,
+                    Store& aStore,
+                    ref<peer_client> aPeers,
+                    config_store_options aOptions)
+    : mContext(aContext)
+    , mStore(aStore)
+    , mOptions(std::move(aOptions))
+    , mReplica(MakeRef<config_replica>())
+    , mSync(MakeRef<peer_sync>(std::move(aPeers), mReplica, mOptions))
+  {
+  }
+
+  ref<const config_view> Current() const override { return mReplica->Current(); }
+  bool Ready() const override { return mReady; }
+  void Run() override { Spawn(Follow()); }
+  void Stop() override { mStopped = true; }
+
+  boost::asio::awaitable<config_result<apply_outcome>> Apply(admin::change aChange, std::string aActor) override
+  {
+    return OnStrand(mContext, ApplyHere(std::move(aChange), std::move(aActor)));
+  }
+
+  config_result<revision_number> Validate(const admin::change& aChange) override
+  {
+    return mReplica->WithLog([&](const policy::config_log& aLog) -> config_result<revision_number> {
+      auto entry = aLog.Propose(aChange, {});
+      if (!entry) {
+        return TurnError(entry.error());
+      }
+      return aLog.Revision().Next();
+    });
+  }
+
+  boost::asio::awaitable<config_result<std::vector<admin::log_entry>>> Log(revision_number aAfter,
+                                                                           std::size_t aLimit) override
+  {
+    const ref<config_store_over> self(this);
+    if (auto kept = mReplica->EntriesAfter(aAfter, aLimit)) {
+      co_return std::move(*kept);
+    }
+    platform_log log(mStore);
+    std::vector<admin::log_entry> entries;
+    for (auto revision = aAfter.Next(); entries.size() < aLimit; revision = revision.Next()) {
+      auto entry = co_await log.Read(revision);
+      if (!entry) {
+        co_return entry.error();
+      }
+      if (!entry.value()) {
+        break;
+      }
+      entries.push_back(std::move(*entry.value()));
+    }
+    co_return entries;
+  }
+
+  boost::asio::awaitable<admin::rollout_reply> Rollout(revision_number aRevision) override
+  {
+    return OnStrand(mContext, RolloutHere(aRevision));
+  }
+
+  void OnChange(change_callback aCallback) override { mReplica->OnChange(std::move(aCallback)); }
+
+  boost::asio::awaitable<revision_number> WaitAbove(revision_number aAfter, duration aTime) override
+  {
+    return mReplica->WaitAbove(aAfter, aTime);
+  }
+
+  void NoteInstances(std::vector<platform::live_instance> aInstances) override { mSync->Directory().Set(aInstances); }
+
+  void NoteRevision(const instance_id& aInstance, const failure_domain_id& aDomain, revision_number aRevision) override
+  {
+    if (aInstance == mOptions.mInstance) {
+      return;
+    }
+    mSync->Rollout().Note(aInstance, aDomain, aRevision, Now());
+    CatchUpTo(aInstance, aRevision);
+  }
+
+  rpc::pull_config_reply AnswerPull(const rpc::pull_config_request& aRequest) override
+  {
+    TakeReport({ aRequest.mInstance, aRequest.mFailureDomain, aRequest.mAfterRevision, 0 });
+    for (const auto& report : aRequest.mReports) {
+      TakeReport(report);
+    }
+    return EncodeDelta(*mReplica, revision_number(aRequest.mAfterRevision));
+  }
+
+  std::vector<rpc::instance_report> Reports() const override
+  {
+    auto reports = mSync->Rollout().All(Now());
+    reports.push_back({ mOptions.mInstance.Str(), mOptions.mFailureDomain.Str(), mReplica->Revision().Value(), 0 });
+    return reports;
+  }
+
+private:
+  static constexpr part_log kLog{ "config" };
+
+  void Spawn(boost::asio::awaitable<void> aTask)
+  {
+    boost::asio::co_spawn(boost::asio::make_strand(mContext), std::move(aTask), boost::asio::detached);
+  }
+
+  boost::asio::awaitable<void> Pause(duration aTime)
+  {
+    boost::asio::steady_timer timer(mContext, aTime);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+
+  boost::asio::awaitable<config_result<apply_outcome>> ApplyHere(admin::change aChange, std::string aActor)
+  {
+    const ref<config_store_over> self(this);
+    platform_log log(mStore);
+    policy::config_writer writer(std::move(aChange), { std::move(aActor), CalendarNow(), RandomNumber() });
+    auto step = mReplica->WithLog([&](policy::config_log& aLog) { return writer.Start(aLog); });
+    while (step.mAction != policy::write_step::action::Done) {
+      if (step.mAction == policy::write_step::action::Create) {
+        step = co_await CreateEntry(log, writer, std::move(step.mEntry));
+      } else {
+        step = co_await ReadEntry(log, writer, step.mRevision);
+      }
+    }
+    if (!step.mResult) {
+      co_return TurnError(step.mResult.error());
+    }
+    const auto accepted = step.mResult.value();
+    const bool isSpread = co_await mSync->ConfirmSpread(accepted.mRevision);
+    if (accepted.mRevision.Value() >= mSnapshotRevision + mOptions.mSnapshotInterval &&
+        !mSavingSnapshot.exchange(true)) {
+      Spawn(SaveSnapshot());
+    }
+    co_return apply_outcome{ accepted.mRevision, !isSpread, accepted.mRepeated };
+  }
+
+  boost::asio::awaitable<policy::write_step> CreateEntry(platform_log<Store>& aLog,
+                                                         policy::config_writer& aWriter,
+                                                         admin::log_entry aEntry)
+  {
+    const auto created = co_await aLog.Create(aEntry);
+    switch (created.mOutcome) {
+      case creation::Created:
+        mReplica->Accept(aEntry);
+        co_return mReplica->WithLog([&](policy::config_log& aState) { return aWriter.OnCreated(aState); });
+      case creation::Taken:
+        co_return aWriter.OnTaken();
+      case creation::Lost:
+        co_return aWriter.OnLost();
+      case creation::NotCreated:
+        break;
+    }
+    co_return aWriter.OnNotCreated(created.mMessage);
+  }
+
+  boost::asio::awaitable<policy::write_step> ReadEntry(platform_log<Store>& aLog,
+                                                       policy::config_writer& aWriter,
+                                                       revision_number aRevision)
+  {
+    const auto entry = co_await aLog.Read(aRevision);
+    if (!entry) {
+      co_return aWriter.OnReadFailed(entry.error().mMessage);
+    }
+    if (entry.value()) {
+      mReplica->Accept(*entry.value());
+    }
+    co_return mReplica->WithLog([&](policy::config_log& aState) { return aWriter.OnRead(aState, entry.value()); });
+  }
+
+  boost::asio::awaitable<void> SaveSnapshot()
+  {
+    const ref<config_store_over> self(this);
+    platform_log log(mStore);
+    const auto newest = co_await log.SnapshotRevision();
+    if (newest) {
+      mSnapshotRevision = newest.value().Value();
+    }
+    auto state = mReplica->WithLog([](const policy::config_log& aLog) { return aLog.State(); });
+    const auto revision = state.revision();
+    if (newest && revision >= mSnapshotRevision + mOptions.mSnapshotInterval) {
+      const auto saved = co_await log.SaveSnapshot(std::move(state));
+      if (saved) {
+        mSnapshotRevision = revision;
+        kLog.Info("Snapshot of revision {} is written.", revision);
+      } else {
+        kLog.Warning("Snapshot of revision {} failed: {}.", revision, saved.error().mMessage);
+      }
+    }
+    mSavingSnapshot = false;
+  }
+
+  boost::asio::awaitable<admin::rollout_reply> RolloutHere(revision_number aRevision)
+  {
+    const ref<config_store_over> self(this);
+    const auto reports = co_await mSync->GatherReports();
+    const auto head = mReplica->Revision();
+    co_return MakeRollout(head, aRevision.Value() == 0 ? head : aRevision, mSync->Directory().Members(), reports);
+  }
+
+  /// Takes a report that came with a pull.
+  void TakeReport(const rpc::instance_report& aReport)
+  {
+    if (aReport.mInstance == mOptions.mInstance.Str()) {
+      return;
+    }
+    mSync->Rollout().NotePulled(aReport, Now());
+    CatchUpTo(instance_id(aReport.mInstance), revision_number(aReport.mRevision));
+  }
+
+  void CatchUpTo(const instance_id& aInstance, revision_number aRevision)
+  {
+    if (aRevision.Value() > mReplica->Revision().Value() && !mCatchingUp.exchange(true)) {
+      Spawn(CatchUp(aInstance, aRevision));
+    }
+  }
+
+  /// Fetches a revision that another process has shown, if it does not come the usual way.
+  boost::asio::awaitable<void> CatchUp(instance_id aInstance, revision_number aRevision)
+  {
+    const ref<config_store_over> self(this);
+    const revision_number below(aRevision.Value() - 1);
+    auto reached = co_await mReplica->WaitAbove(below, mOptions.mBehindPause);
+    if (reached.Value() < aRevision.Value()) {
+      co_await mSync->Pull(aInstance, duration(0));
+    }
+    if (mReplica->Revision().Value() < aRevision.Value()) {
+      platform_log log(mStore);
+      co_await log.Load(*mReplica);
+    }
+    mCatchingUp = false;
+  }
+
+  boost::asio::awaitable<void> Follow()
+  {
+    const ref<config_store_over> self(this);
+    platform_log log(mStore);
+    while (!mReady && !mStopped) {
+      mReady = co_await Begin(log);
+    }
+    kLog.Info("Configuration is at revision {}.", mReplica->Revision().Value());
+    while (!mStopped) {
+      const bool isRelay = mSync->Directory().Plan().IsRelay();
+      if (!isRelay && co_await mSync->PullFromDomain(mOptions.mPullWait)) {
+        continue;
+      }
+      co_await FollowPlatform(log);
+    }
+  }
+
+  /// Learns what was last accepted; false when that can't be known now.
+  boost::asio::awaitable<bool> Begin(platform_log<Store>& aLog)
+  {
+    const auto loaded = co_await aLog.Load(*mReplica);
+    if (loaded) {
+      co_return true;
+    }
+    kLog.Warning("Configuration can't be read: {}.", loaded.error().mMessage);
+    if (co_await mSync->LearnHighest()) {
+      co_return true;
+    }
+    co_await Pause(mOptions.mRetryPause);
+    co_return false;
+  }
+
+  /// Waits once for news from the platform, or from another failure domain while the platform can't be reached.
+  boost::asio::awaitable<void> FollowPlatform(platform_log<Store>& aLog)
+  {
+    auto news = co_await aLog.WaitForNews(*mReplica, mOptions.mWatchTime);
+    if (news) {
+      news = co_await aLog.ReadForward(*mReplica);
+    }
+    if (mPlatformUp != news.has_value()) {
+      mPlatformUp = news.has_value();
+      kLog.Warning("Platform {} be reached for the configuration.", mPlatformUp ? "can" : "can't");
+    }
+    if (!news && !co_await mSync->PullFromOtherDomain(mOptions.mPullWait)) {
+      co_await Pause(mOptions.mRetryPause);
+    }
+  }
+
+  boost::asio::io_context& mContext;
+  Store& mStore;
+  const config_store_options mOptions;
+  const ref<config_replica> mReplica;
+  const ref<peer_sync> mSync;
+  std::atomic<bool> mReady{ false };
+  std::atomic<bool> mStopped{ false };
+  std::atomic<bool> mCatchingUp{ false };
+  std::atomic<bool> mSavingSnapshot{ false };
+  std::atomic<std::uint64_t> mSnapshotRevision{ 0 };
+  bool mPlatformUp = true; ///< only the coroutine of Follow uses it
+};
+
+/// @param aStore must outlive the configuration.
+template<platform::object_store Store>
+ref<config_store> MakeConfigStore(boost::asio::io_context& aContext,
+                                  Store& aStore,
+                                  ref<peer_client> aPeers,
+                                  config_store_options aOptions)
+{
+  return MakeRef<config_store_over<Store>>(aContext, aStore, std::move(aPeers), std::move(aOptions));
+}
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/peer_directory.cpp
@@ -0,0 +1,54 @@
+#include "config/peer_directory.h"
+
+#include <utility>
+
+namespace chervilpulley::config {
+
+peer_directory::peer_directory(policy::spread_member aSelf)
+  : mSelf(std::move(aSelf))
+  , mPlan(mSelf, {})
+{
+}
+
+void peer_directory::Set(const std::vector<platform::live_instance>& aInstances)
+{
+  std::vector<policy::spread_member> all;
+  std::vector<policy::spread_member> staying;
+  std::unordered_map<instance_id, net::endpoint> endpoints;
+  for (const auto& instance : aInstances) {
+    all.push_back({ instance.mInstance, instance.mFailureDomain });
+    if (instance.mPeer.mPort == 0) {
+      continue;
+    }
+    endpoints[instance.mInstance] = instance.mPeer;
+    if (!instance.mLeaving) {
+      staying.push_back(all.back());
+    }
+  }
+  policy::spread_plan plan(mSelf, std::move(staying));
+  std::lock_guard lock(mMutex);
+  mPlan = std::move(plan);
+  mMembers = std::move(all);
+  mEndpoints = std::move(endpoints);
+}
+
+policy::spread_plan peer_directory::Plan() const
+{
+  std::lock_guard lock(mMutex);
+  return mPlan;
+}
+
+std::optional<net::endpoint> peer_directory::EndpointOf(const instance_id& aInstance) const
+{
+  std::lock_guard lock(mMutex);
+  auto found = mEndpoints.find(aInstance);
+  return found == mEndpoints.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<policy::spread_member> peer_directory::Members() const
+{
+  std::lock_guard lock(mMutex);
+  return mMembers;
+}
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/peer_directory.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <mutex>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "platform/live_list.h"
+#include "policy/config_spread.h"
+
+namespace chervilpulley::config {
+
+/// The instances of the live list, and who takes the configuration from whom among them. Thread-safe.
+class peer_directory
+{
+public:
+  explicit peer_directory(policy::spread_member aSelf);
+
+  void Set(const std::vector<platform::live_instance>& aInstances);
+  policy::spread_plan Plan() const;
+  /// Address for control calls; nothing when the instance is not known.
+  std::optional<net::endpoint> EndpointOf(const instance_id& aInstance) const;
+  /// All instances of the list, leaving ones too.
+  std::vector<policy::spread_member> Members() const;
+
+private:
+  const policy::spread_member mSelf;
+  mutable std::mutex mMutex;
+  policy::spread_plan mPlan;
+  std::vector<policy::spread_member> mMembers;
+  std::unordered_map<instance_id, net::endpoint> mEndpoints;
+};
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/peer_server.cpp
@@ -0,0 +1,108 @@
+#include "config/peer_server.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "base/random.h"
+#include "config/peer_client.h"
+#include "rpc/peer_calls.h"
+
+namespace chervilpulley::config {
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kUnauthorized = 401;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kMethodNotAllowed = 405;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr std::uint32_t kMaxWaitMs = 10'000;
+
+/// Answers one call; remembers a pull that found nothing new, so that it can wait and be answered again.
+class call_handler : public rpc::peer_handler
+{
+public:
+  call_handler(config_store& aStore, control_handler& aHandler)
+    : mStore(aStore)
+    , mHandler(aHandler)
+  {
+  }
+  rpc::pull_config_reply PullConfig(const rpc::pull_config_request& aRequest) override
+  {
+    mIsPull = true;
+    auto reply = mStore.AnswerPull(aRequest);
+    if (reply.mRevision <= aRequest.mAfterRevision) {
+      mWaiting = aRequest;
+    }
+    return reply;
+  }
+  rpc::drain_reply Drain(const rpc::drain_request& aRequest) override { return mHandler.Drain(aRequest); }
+  rpc::report_suspect_reply ReportSuspect(const rpc::report_suspect_request& aRequest) override
+  {
+    return mHandler.ReportSuspect(aRequest);
+  }
+  rpc::get_status_reply GetStatus() override
+  {
+    return { mStore.Current()->Revision().Value(), mStore.Reports(), mHandler.Status() };
+  }
+  bool IsPull() const { return mIsPull; }
+  const std::optional<rpc::pull_config_request>& Waiting() const { return mWaiting; }
+
+private:
+  config_store& mStore;
+  control_handler& mHandler;
+  bool mIsPull = false;
+  std::optional<rpc::pull_config_request> mWaiting;
+};
+
+net::http_reply ErrorReply(unsigned aStatus, const char* aText)
+{
+  return net::JsonReply(aStatus, std::string(R"({"error":")") + aText + "\"}");
+}
+
+boost::asio::awaitable<net::http_reply> AnswerCall(config_store& aStore, control_handler& aHandler, std::string aBody)
+{
+  call_handler handler(aStore, aHandler);
+  std::string answer = rpc::HandlePeerCall(handler, aBody);
+  if (handler.IsPull() && !aStore.Ready()) {
+    co_return ErrorReply(kServiceUnavailable, "the configuration is not known here yet");
+  }
+  const auto waiting = handler.Waiting();
+  if (!waiting || waiting->mWaitMs == 0) {
+    co_return net::JsonReply(kOk, std::move(answer));
+  }
+  const auto time = std::chrono::milliseconds(std::min(waiting->mWaitMs, kMaxWaitMs));
+  const revision_number after(waiting->mAfterRevision);
+  const auto revision = co_await aStore.WaitAbove(after, time);
+  if (revision.Value() > after.Value()) {
+    answer = rpc::HandlePeerCall(handler, aBody);
+  }
+  co_return net::JsonReply(kOk, std::move(answer));
+}
+
+} // namespace
+
+net::http_handler MakePeerHandler(ref<config_store> aStore, control_handler& aHandler, std::string aClusterKey)
+{
+  return [store = std::move(aStore), &aHandler, key = std::move(aClusterKey)](
+           net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+    auto& request = aExchange.Request();
+    if (net::PathOf(request.mTarget) != kPeerTarget) {
+      co_await aExchange.Reply(ErrorReply(kNotFound, "no such target"));
+      co_return;
+    }
+    if (request.mMethod != "POST") {
+      co_await aExchange.Reply(ErrorReply(kMethodNotAllowed, "control calls use POST"));
+      co_return;
+    }
+    if (!EqualConstantTime(request.mHeaders.Get(kClusterKeyHeader), key)) {
+      co_await aExchange.Reply(ErrorReply(kUnauthorized, "cluster key is missing or wrong"));
+      co_return;
+    }
+    auto reply = co_await AnswerCall(*store, aHandler, std::move(request.mBody));
+    co_await aExchange.Reply(std::move(reply));
+  };
+}
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/peer_sync.cpp
@@ -0,0 +1,290 @@
+#include "config/peer_sync.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/clock.h"
+#include "config/config_encoding.h"
+
+namespace chervilpulley::config {
+
+namespace {
+
+/// Failure domains that must hold a change besides the writer's, and that must answer a process that starts in an
+/// outage.
+constexpr std::size_t kDomainQuorum = 2;
+/// A source that failed is asked last for this time.
+constexpr duration kAvoidTime = std::chrono::seconds(10);
+
+std::uint32_t Milliseconds(duration aTime)
+{
+  return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
+} // namespace
+
+peer_sync::peer_sync(ref<peer_client> aClient, ref<config_replica> aReplica, const config_store_options& aOptions)
+  : mClient(std::move(aClient))
+  , mReplica(std::move(aReplica))
+  , mOptions(aOptions)
+  , mDirectory({ aOptions.mInstance, aOptions.mFailureDomain })
+{
+}
+
+boost::asio::awaitable<bool> peer_sync::Pull(instance_id aSource, duration aWait)
+{
+  const ref<peer_sync> self(this);
+  const auto endpoint = mDirectory.EndpointOf(aSource);
+  if (!endpoint) {
+    co_return false;
+  }
+  duration wait = aWait;
+  while (true) {
+    rpc::pull_config_request request;
+    request.mAfterRevision = mReplica->Revision().Value();
+    request.mInstance = mOptions.mInstance.Str();
+    request.mFailureDomain = mOptions.mFailureDomain.Str();
+    request.mWaitMs = Milliseconds(wait);
+    request.mReports = mRollout.TakeForSource(aSource, Now());
+    auto reply = co_await mClient->PullConfig(*endpoint, request, mOptions.mPeerTimeout);
+    NoteHealth(aSource, reply.has_value());
+    if (!reply) {
+      mRollout.NotArrived();
+      co_return false;
+    }
+    const bool progressed = Take(reply.value());
+    if (!progressed || reply.value().mRevision <= mReplica->Revision().Value()) {
+      co_return true;
+    }
+    wait = duration(0);
+  }
+}
+
+boost::asio::awaitable<bool> peer_sync::PullFromDomain(duration aWait)
+{
+  const ref<peer_sync> self(this);
+  for (const auto& source : SourcesByHealth()) {
+    if (co_await Pull(source, aWait)) {
+      co_return true;
+    }
+  }
+  co_return false;
+}
+
+boost::asio::awaitable<bool> peer_sync::PullFromOtherDomain(duration aWait)
+{
+  const ref<peer_sync> self(this);
+  const auto plan = mDirectory.Plan();
+  std::vector<instance_id> relays;
+  for (const auto& domain : plan.OtherDomains()) {
+    for (const auto& relay : plan.RelaysOf(domain)) {
+      relays.push_back(relay);
+    }
+  }
+  if (relays.empty()) {
+    co_return false;
+  }
+  const auto chosen = relays[mTurn.fetch_add(1) % relays.size()];
+  co_return co_await Pull(chosen, aWait);
+}
+
+boost::asio::awaitable<bool> peer_sync::LearnHighest()
+{
+  const ref<peer_sync> self(this);
+  const auto executor = co_await boost::asio::this_coro::executor;
+  const auto plan = mDirectory.Plan();
+  auto box = MakeRef<net::mailbox<failure_domain_id>>(executor);
+  auto domains = plan.OtherDomains();
+  domains.push_back(mOptions.mFailureDomain);
+  std::set<std::string> asked;
+  std::size_t calls = 0;
+  for (const auto& domain : domains) {
+    for (const auto& relay : plan.RelaysOf(domain)) {
+      if (relay != mOptions.mInstance) {
+        boost::asio::co_spawn(executor, PullAndTell(relay, domain, box), boost::asio::detached);
+        asked.insert(domain.Str());
+        ++calls;
+      }
+    }
+  }
+  std::set<std::string> answered;
+  const auto deadline = Now() + 2 * mOptions.mPeerTimeout;
+  for (std::size_t i = 0; i < calls; ++i) {
+    const auto domain = co_await box->Pop(deadline);
+    if (!domain) {
+      break;
+    }
+    if (domain->IsValid()) {
+      answered.insert(domain->Str());
+    }
+  }
+  co_return !asked.empty() && answered.size() >= std::min(kDomainQuorum, asked.size());
+}
+
+boost::asio::awaitable<bool> peer_sync::ConfirmSpread(revision_number aRevision)
+{
+  const ref<peer_sync> self(this);
+  const auto executor = co_await boost::asio::this_coro::executor;
+  const auto plan = mDirectory.Plan();
+  const auto domains = plan.OtherDomains();
+  if (domains.size() < kDomainQuorum) {
+    co_return false;
+  }
+  auto box = MakeRef<net::mailbox<failure_domain_id>>(executor);
+  for (const auto& domain : domains) {
+    for (const auto& relay : plan.RelaysOf(domain)) {
+      boost::asio::co_spawn(executor, Confirm(relay, domain, aRevision, box), boost::asio::detached);
+    }
+  }
+  std::set<std::string> holders;
+  const auto deadline = Now() + mOptions.mSpreadTimeout;
+  while (holders.size() < kDomainQuorum) {
+    const auto domain = co_await box->Pop(deadline);
+    if (!domain) {
+      co_return false;
+    }
+    holders.insert(domain->Str());
+  }
+  co_return true;
+}
+
+boost::asio::awaitable<std::vector<rpc::instance_report>> peer_sync::GatherReports()
+{
+  const ref<peer_sync> self(this);
+  const auto executor = co_await boost::asio::this_coro::executor;
+  const auto plan = mDirectory.Plan();
+  auto box = MakeRef<net::mailbox<std::vector<rpc::instance_report>>>(executor);
+  auto domains = plan.OtherDomains();
+  domains.push_back(mOptions.mFailureDomain);
+  std::size_t calls = 0;
+  for (const auto& domain : domains) {
+    for (const auto& relay : plan.RelaysOf(domain)) {
+      if (relay != mOptions.mInstance) {
+        boost::asio::co_spawn(executor, AskReports(relay, box), boost::asio::detached);
+        ++calls;
+      }
+    }
+  }
+  std::unordered_map<std::string, rpc::instance_report> newest;
+  const auto merge = [&](const std::vector<rpc::instance_report>& aReports) {
+    for (const auto& report : aReports) {
+      auto [place, inserted] = newest.emplace(report.mInstance, report);
+      if (!inserted && report.mAgeMs < place->second.mAgeMs) {
+        place->second = report;
+      }
+    }
+  };
+  merge(mRollout.All(Now()));
+  merge({ OwnReport() });
+  const auto deadline = Now() + 2 * mOptions.mPeerTimeout;
+  for (std::size_t i = 0; i < calls; ++i) {
+    const auto reports = co_await box->Pop(deadline);
+    if (!reports) {
+      break;
+    }
+    merge(*reports);
+  }
+  std::vector<rpc::instance_report> all;
+  all.reserve(newest.size());
+  for (auto& entry : newest) {
+    all.push_back(std::move(entry.second));
+  }
+  co_return all;
+}
+
+rpc::instance_report peer_sync::OwnReport() const
+{
+  return { mOptions.mInstance.Str(), mOptions.mFailureDomain.Str(), mReplica->Revision().Value(), 0 };
+}
+
+bool peer_sync::Take(const rpc::pull_config_reply& aReply)
+{
+  const auto before = mReplica->Revision();
+  if (!aReply.mSnapshot.empty()) {
+    admin::config_state state;
+    const auto bytes = FromBase64(aReply.mSnapshot);
+    if (bytes && state.ParseFromString(*bytes)) {
+      mReplica->Install(state);
+    }
+  }
+  for (const auto& text : aReply.mEntries) {
+    admin::log_entry entry;
+    const auto bytes = FromBase64(text);
+    if (!bytes || !entry.ParseFromString(*bytes)) {
+      break;
+    }
+    mReplica->Accept(entry);
+  }
+  return mReplica->Revision() != before;
+}
+
+std::vector<instance_id> peer_sync::SourcesByHealth()
+{
+  auto sources = mDirectory.Plan().Sources();
+  const auto now = Now();
+  std::lock_guard lock(mHealthMutex);
+  std::erase_if(mFailedAt, [&](const auto& aFailed) { return now - aFailed.second > kAvoidTime; });
+  std::stable_partition(sources.begin(), sources.end(), [&](const instance_id& aSource) {
+    return mFailedAt.find(aSource) == mFailedAt.end();
+  });
+  return sources;
+}
+
+void peer_sync::NoteHealth(const instance_id& aSource, bool aAnswered)
+{
+  std::lock_guard lock(mHealthMutex);
+  if (aAnswered) {
+    mFailedAt.erase(aSource);
+  } else {
+    mFailedAt[aSource] = Now();
+  }
+}
+
+boost::asio::awaitable<void> peer_sync::PullAndTell(instance_id aSource, failure_domain_id aDomain, domain_box aBox)
+{
+  const ref<peer_sync> self(this);
+  const bool answered = co_await Pull(std::move(aSource), duration(0));
+  aBox->Push(answered ? aDomain : failure_domain_id());
+}
+
+boost::asio::awaitable<void> peer_sync::Confirm(instance_id aRelay,
+                                                failure_domain_id aDomain,
+                                                revision_number aRevision,
+                                                domain_box aBox)
+{
+  const ref<peer_sync> self(this);
+  const auto endpoint = mDirectory.EndpointOf(aRelay);
+  if (!endpoint) {
+    co_return;
+  }
+  rpc::pull_config_request request;
+  request.mAfterRevision = aRevision.Value() - 1;
+  request.mInstance = mOptions.mInstance.Str();
+  request.mFailureDomain = mOptions.mFailureDomain.Str();
+  request.mWaitMs = Milliseconds(mOptions.mSpreadTimeout);
+  request.mReports = { OwnReport() };
+  auto reply = co_await mClient->PullConfig(*endpoint, request, mOptions.mPeerTimeout);
+  if (reply && reply.value().mRevision >= aRevision.Value()) {
+    aBox->Push(aDomain);
+  }
+}
+
+boost::asio::awaitable<void> peer_sync::AskReports(instance_id aRelay, report_box aBox)
+{
+  const ref<peer_sync> self(this);
+  std::vector<rpc::instance_report> reports;
+  if (const auto endpoint = mDirectory.EndpointOf(aRelay)) {
+    auto status = co_await mClient->GetStatus(*endpoint, mOptions.mPeerTimeout);
+    if (status) {
+      reports = std::move(status.value().mInstances);
+    }
+  }
+  aBox->Push(std::move(reports));
+}
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/peer_sync.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+#include "base/ref_counted.h"
+#include "config/config_replica.h"
+#include "config/config_store.h"
+#include "config/peer_client.h"
+#include "config/peer_directory.h"
+#include "config/rollout_table.h"
+
+namespace chervilpulley::config {
+
+/// Exchanges the configuration with other processes. Each call runs on the caller's strand.
+class peer_sync : public ref_counted
+{
+public:
+  peer_sync(ref<peer_client> aClient, ref<config_replica> aReplica, const config_store_options& aOptions);
+
+  peer_directory& Directory() { return mDirectory; }
+  rollout_table& Rollout() { return mRollout; }
+
+  /// Pulls what one instance has; tells whether it answered.
+  boost::asio::awaitable<bool> Pull(instance_id aSource, duration aWait);
+  /// Pulls from the first source of the own failure domain that answers; false when none does.
+  boost::asio::awaitable<bool> PullFromDomain(duration aWait);
+  /// Pulls from a relay of another failure domain, another one at each call; false when it does not answer.
+  boost::asio::awaitable<bool> PullFromOtherDomain(duration aWait);
+  /// Takes the highest revision that the relays of all failure domains have.
+  /// @return false when too few failure domains have answered to know what was last accepted.
+  boost::asio::awaitable<bool> LearnHighest();
+  /// Waits until relays in two other failure domains hold a revision; false when the time is up.
+  boost::asio::awaitable<bool> ConfirmSpread(revision_number aRevision);
+  /// The newest report of each instance, asked of the relays of all failure domains.
+  boost::asio::awaitable<std::vector<rpc::instance_report>> GatherReports();
+
+private:
+  using domain_box = ref<net::mailbox<failure_domain_id>>;
+  using report_box = ref<net::mailbox<std::vector<rpc::instance_report>>>;
+
+  rpc::instance_report OwnReport() const;
+  bool Take(const rpc::pull_config_reply& aReply);
+  std::vector<instance_id> SourcesByHealth();
+  void NoteHealth(const instance_id& aSource, bool aAnswered);
+  boost::asio::awaitable<void> PullAndTell(instance_id aSource, failure_domain_id aDomain, domain_box aBox);
+  boost::asio::awaitable<void> Confirm(instance_id aRelay,
+                                       failure_domain_id aDomain,
+                                       revision_number aRevision,
+                                       domain_box aBox);
+  boost::asio::awaitable<void> AskReports(instance_id aRelay, report_box aBox);
+
+  const ref<peer_client> mClient;
+  const ref<config_replica> mReplica;
+  const config_store_options mOptions;
+  peer_directory mDirectory;
+  rollout_table mRollout;
+  std::atomic<std::size_t> mTurn{ 0 };
+  std::mutex mHealthMutex;
+  std::unordered_map<instance_id, instant> mFailedAt;
+};
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/platform_log.h
@@ -0,0 +1,271 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "config/config_encoding.h"
+#include "config/config_error.h"
+#include "config/config_replica.h"
+#include "platform/object_store.h"
+
+namespace chervilpulley::config {
+
+/// What the platform said to the creation of a log entry.
+enum class creation
+{
+  Created,
+  Taken,     ///< the revision exists
+  Lost,      ///< it may have been created
+  NotCreated ///< it surely was not
+};
+
+struct creation_outcome
+{
+  creation mOutcome = creation::NotCreated;
+  std::string mMessage;
+};
+
+/// The log and the snapshots in the platform's object API.
+template<platform::object_store Store>
+class platform_log
+{
+public:
+  template<class T>
+  using call = boost::asio::awaitable<config_result<T>>;
+
+  explicit platform_log(Store& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  /// The entry of a revision; nothing when there is none.
+  call<std::optional<admin::log_entry>> Read(revision_number aRevision)
+  {
+    auto object = co_await mStore.Get(LogKey(aRevision));
+    if (!object) {
+      if (object.error().mCode == platform::platform_errc::NotFound) {
+        co_return std::optional<admin::log_entry>();
+      }
+      co_return Turn(object.error());
+    }
+    auto entry = DecodeEntry(object.value().mBody, aRevision);
+    if (!entry) {
+      co_return entry.error();
+    }
+    NoteSeen(object.value().mVersion);
+    co_return std::optional<admin::log_entry>(std::move(entry.value()));
+  }
+
+  boost::asio::awaitable<creation_outcome> Create(admin::log_entry aEntry)
+  {
+    const auto key = LogKey(revision_number(aEntry.revision()));
+    auto created = co_await mStore.Create(key, aEntry.SerializeAsString());
+    if (created) {
+      co_return creation_outcome{ creation::Created, {} };
+    }
+    switch (created.error().mCode) {
+      case platform::platform_errc::Conflict:
+        co_return creation_outcome{ creation::Taken, created.error().mMessage };
+      case platform::platform_errc::Unknown:
+      case platform::platform_errc::BadReply:
+        co_return creation_outcome{ creation::Lost, created.error().mMessage };
+      default:
+        co_return creation_outcome{ creation::NotCreated, created.error().mMessage };
+    }
+  }
+
+  /// Reads all entries above the replica's revision into it.
+  call<void> ReadForward(config_replica& aReplica)
+  {
+    while (true) {
+      auto entry = co_await Read(aReplica.Revision().Next());
+      if (!entry) {
+        co_return entry.error();
+      }
+      if (!entry.value()) {
+        co_return outcome::success();
+      }
+      aReplica.Accept(*entry.value());
+    }
+  }
+
+  /// Brings a replica up to the head from the newest snapshot onward.
+  call<void> Load(config_replica& aReplica)
+  {
+    auto head = co_await ReadHead();
+    if (!head) {
+      co_return head.error();
+    }
+    if (head.value().first.mNewest.mRevision.Value() > aReplica.Revision().Value()) {
+      auto state = co_await ReadSnapshot(head.value().first.mNewest);
+      if (!state) {
+        co_return state.error();
+      }
+      aReplica.Install(state.value());
+    }
+    co_return co_await ReadForward(aReplica);
+  }
+
+  /// Waits until the log has changed since the last call, or aTime has passed. Only one coroutine may wait.
+  call<void> WaitForNews(const config_replica& aReplica, duration aTime)
+  {
+    if (mSeen.Value() == 0 && aReplica.Revision().Value() != 0) {
+      auto newest = co_await Read(aReplica.Revision());
+      if (!newest) {
+        co_return newest.error();
+      }
+    }
+    auto reply = co_await mStore.Watch(kLogPrefix, mSeen, aTime);
+    if (!reply) {
+      co_return Turn(reply.error());
+    }
+    NoteSeen(reply.value().mSequence);
+    co_return outcome::success();
+  }
+
+  /// Revision of the newest snapshot; 0 when there is none.
+  call<revision_number> SnapshotRevision()
+  {
+    auto head = co_await ReadHead();
+    if (!head) {
+      co_return head.error();
+    }
+    co_return head.value().first.mNewest.mRevision;
+  }
+
+  /// Writes a snapshot and names it as the newest one, unless there is one as new.
+  call<void> SaveSnapshot(admin::config_state aState)
+  {
+    const auto parts = EncodeParts(aState, kPartBytes);
+    const revision_number revision(aState.revision());
+    const snapshot_ref snapshot{ revision,
+                                 std::to_string(revision.Value()) + "-" + RandomHex(kNonceBytes),
+                                 static_cast<std::uint32_t>(parts.size()) };
+    for (std::uint32_t i = 0; i < snapshot.mParts; ++i) {
+      auto written = co_await CreateSurely(SnapshotPartKey(snapshot.mName, i), parts[i]);
+      if (!written) {
+        co_return written.error();
+      }
+    }
+    co_return co_await PublishSnapshot(snapshot);
+  }
+
+private:
+  static constexpr std::size_t kPartBytes = 700'000;
+  static constexpr std::size_t kNonceBytes = 8;
+  static constexpr unsigned kMaxTries = 4;
+
+  using head_object = std::pair<snapshot_head, platform::object_version>;
+
+  static config_error Turn(const platform::platform_error& aError)
+  {
+    const bool unreadable = aError.mCode == platform::platform_errc::BadReply;
+    return config_error{ unreadable ? config_errc::BadData : config_errc::Unavailable, aError.mMessage, {} };
+  }
+
+  void NoteSeen(platform::object_version aVersion)
+  {
+    if (aVersion.Value() > mSeen.Value()) {
+      mSeen = aVersion;
+    }
+  }
+
+  /// The head object and its version; version 0 when there is none.
+  call<head_object> ReadHead()
+  {
+    auto object = co_await mStore.Get(kSnapshotHeadKey);
+    if (!object) {
+      if (object.error().mCode == platform::platform_errc::NotFound) {
+        co_return head_object();
+      }
+      co_return Turn(object.error());
+    }
+    auto head = DecodeHead(object.value().mBody);
+    if (!head) {
+      co_return head.error();
+    }
+    co_return head_object(head.value(), object.value().mVersion);
+  }
+
+  call<admin::config_state> ReadSnapshot(snapshot_ref aSnapshot)
+  {
+    std::vector<std::string> parts;
+    for (std::uint32_t i = 0; i < aSnapshot.mParts; ++i) {
+      auto part = co_await mStore.Get(SnapshotPartKey(aSnapshot.mName, i));
+      if (!part) {
+        co_return Turn(part.error());
+      }
+      parts.push_back(std::move(part.value().mBody));
+    }
+    co_return DecodeParts(parts);
+  }
+
+  /// Creates an object under a key that nobody else uses; so one that exists is our own.
+  call<void> CreateSurely(std::string aKey, std::string aBody)
+  {
+    for (unsigned i = 0;; ++i) {
+      auto created = co_await mStore.Create(aKey, aBody);
+      if (created || created.error().mCode == platform::platform_errc::Conflict) {
+        co_return outcome::success();
+      }
+      if (i + 1 == kMaxTries) {
+        co_return Turn(created.error());
+      }
+    }
+  }
+
+  call<void> PublishSnapshot(snapshot_ref aSnapshot)
+  {
+    for (unsigned i = 0; i < kMaxTries; ++i) {
+      auto read = co_await ReadHead();
+      if (!read) {
+        co_return read.error();
+      }
+      const auto [head, version] = read.value();
+      if (head.mNewest.mName == aSnapshot.mName) {
+        co_return outcome::success();
+      }
+      if (head.mNewest.mRevision.Value() >= aSnapshot.mRevision.Value()) {
+        co_await DeleteParts(aSnapshot);
+        co_return outcome::success();
+      }
+      const auto body = EncodeHead({ aSnapshot, head.mNewest });
+      if (co_await WriteHead(body, version)) {
+        co_await DeleteParts(head.mPrevious);
+        co_return outcome::success();
+      }
+    }
+    co_return config_error{ config_errc::Unavailable, "snapshot head was not written", {} };
+  }
+
+  /// @param aVersion of the head object that is to be replaced; 0 when there is none.
+  boost::asio::awaitable<bool> WriteHead(std::string aBody, platform::object_version aVersion)
+  {
+    if (aVersion.Value() == 0) {
+      auto created = co_await mStore.Create(kSnapshotHeadKey, aBody);
+      co_return created.has_value();
+    }
+    auto updated = co_await mStore.Update(kSnapshotHeadKey, aBody, aVersion);
+    co_return updated.has_value();
+  }
+
+  /// Deletes what nothing refers to any longer; what a fault leaves behind does no harm.
+  boost::asio::awaitable<void> DeleteParts(snapshot_ref aSnapshot)
+  {
+    for (std::uint32_t i = 0; i < aSnapshot.mParts; ++i) {
+      const auto key = SnapshotPartKey(aSnapshot.mName, i);
+      auto part = co_await mStore.Get(key);
+      if (part) {
+        co_await mStore.Delete(key, part.value().mVersion);
+      }
+    }
+  }
+
+  Store& mStore;
+  platform::object_version mSeen; ///< the log is known up to this version
+};
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/config/rollout_table.cpp
@@ -0,0 +1,98 @@
+#include "config/rollout_table.h"
+
+namespace chervilpulley::config {
+
+namespace {
+
+/// All reports are passed on again after this time, in case the source was replaced.
+constexpr duration kRefreshInterval = std::chrono::seconds(30);
+constexpr duration kForgetAfter = std::chrono::minutes(5);
+
+rpc::instance_report ReportOf(const instance_id& aInstance,
+                              const failure_domain_id& aDomain,
+                              revision_number aRevision,
+                              duration aAge)
+{
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aAge).count();
+  return { aInstance.Str(), aDomain.Str(), aRevision.Value(), static_cast<std::uint64_t>(age < 0 ? 0 : age) };
+}
+
+} // namespace
+
+void rollout_table::Note(const instance_id& aInstance,
+                         const failure_domain_id& aDomain,
+                         revision_number aRevision,
+                         instant aNow)
+{
+  std::lock_guard lock(mMutex);
+  Update(aInstance, aDomain, aRevision, aNow);
+}
+
+void rollout_table::NotePulled(const rpc::instance_report& aReport, instant aNow)
+{
+  std::lock_guard lock(mMutex);
+  auto& row = Update(instance_id(aReport.mInstance),
+                     failure_domain_id(aReport.mFailureDomain),
+                     revision_number(aReport.mRevision),
+                     aNow - std::chrono::milliseconds(aReport.mAgeMs));
+  row.mPassOn = true;
+}
+
+std::vector<rpc::instance_report> rollout_table::TakeForSource(const instance_id& aSource, instant aNow)
+{
+  std::lock_guard lock(mMutex);
+  const bool all = aSource != mSource || aNow - mAllPassed > kRefreshInterval;
+  if (all) {
+    Forget(aNow);
+    mSource = aSource;
+    mAllPassed = aNow;
+  }
+  std::vector<rpc::instance_report> reports;
+  for (auto& [instance, row] : mRows) {
+    if (row.mPassOn && (all || !row.mPassed) && instance != aSource) {
+      reports.push_back(ReportOf(instance, row.mDomain, row.mRevision, aNow - row.mHeard));
+      row.mPassed = true;
+    }
+  }
+  return reports;
+}
+
+void rollout_table::NotArrived()
+{
+  std::lock_guard lock(mMutex);
+  mSource = instance_id();
+}
+
+std::vector<rpc::instance_report> rollout_table::All(instant aNow) const
+{
+  std::lock_guard lock(mMutex);
+  std::vector<rpc::instance_report> reports;
+  reports.reserve(mRows.size());
+  for (const auto& [instance, row] : mRows) {
+    reports.push_back(ReportOf(instance, row.mDomain, row.mRevision, aNow - row.mHeard));
+  }
+  return reports;
+}
+
+rollout_table::row& rollout_table::Update(const instance_id& aInstance,
+                                          const failure_domain_id& aDomain,
+                                          revision_number aRevision,
+                                          instant aHeard)
+{
+  auto& row = mRows[aInstance];
+  row.mDomain = aDomain;
+  if (aHeard >= row.mHeard) {
+    // An instance that was replaced starts again below; so the newer report goes before the higher one.
+    row.mPassed = row.mPassed && row.mRevision == aRevision;
+    row.mRevision = aRevision;
+    row.mHeard = aHeard;
+  }
+  return row;
+}
+
+void rollout_table::Forget(instant aNow)
+{
+  std::erase_if(mRows, [&](const auto& aRow) { return aNow - aRow.second.mHeard > kForgetAfter; });
+}
+
+} // namespace chervilpulley::config
--- /dev/null
+++ b/src/policy/config_spread.cpp
@@ -0,0 +1,90 @@
+#include "policy/config_spread.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/random.h"
+
+namespace chervilpulley::policy {
+
+namespace {
+
+std::uint64_t RankOf(const spread_member& aMember)
+{
+  return StableHash(aMember.mFailureDomain.Str() + "/" + aMember.mInstance.Str());
+}
+
+bool Earlier(const spread_member& aLeft, const spread_member& aRight)
+{
+  if (aLeft.mFailureDomain.Str() != aRight.mFailureDomain.Str()) {
+    return aLeft.mFailureDomain.Str() < aRight.mFailureDomain.Str();
+  }
+  const auto left = RankOf(aLeft);
+  const auto right = RankOf(aRight);
+  return left != right ? left < right : aLeft.mInstance.Str() < aRight.mInstance.Str();
+}
+
+} // namespace
+
+spread_plan::spread_plan(spread_member aSelf, std::vector<spread_member> aMembers)
+  : mSelf(std::move(aSelf))
+  , mOrder(std::move(aMembers))
+{
+  std::erase_if(mOrder, [&](const spread_member& aMember) { return aMember.mInstance == mSelf.mInstance; });
+  mOrder.push_back(mSelf);
+  std::sort(mOrder.begin(), mOrder.end(), Earlier);
+}
+
+bool spread_plan::IsRelay() const
+{
+  const auto relays = RelaysOf(mSelf.mFailureDomain);
+  return std::find(relays.begin(), relays.end(), mSelf.mInstance) != relays.end();
+}
+
+std::vector<instance_id> spread_plan::Sources() const
+{
+  std::vector<instance_id> domain;
+  for (const auto& member : mOrder) {
+    if (member.mFailureDomain == mSelf.mFailureDomain) {
+      domain.push_back(member.mInstance);
+    }
+  }
+  const auto self = std::find(domain.begin(), domain.end(), mSelf.mInstance);
+  const auto rank = static_cast<std::size_t>(self - domain.begin());
+  std::vector<instance_id> sources;
+  if (rank >= kRelaysPerDomain && rank < domain.size()) {
+    sources.push_back(domain[(rank - kRelaysPerDomain) / kSpreadFanOut]);
+  }
+  for (std::size_t i = 0; i < std::min(kRelaysPerDomain, domain.size()); ++i) {
+    const bool known = domain[i] == mSelf.mInstance || (!sources.empty() && domain[i] == sources.front());
+    if (!known) {
+      sources.push_back(domain[i]);
+    }
+  }
+  return sources;
+}
+
+std::vector<instance_id> spread_plan::RelaysOf(const failure_domain_id& aDomain) const
+{
+  std::vector<instance_id> relays;
+  for (const auto& member : mOrder) {
+    if (member.mFailureDomain == aDomain && relays.size() < kRelaysPerDomain) {
+      relays.push_back(member.mInstance);
+    }
+  }
+  return relays;
+}
+
+std::vector<failure_domain_id> spread_plan::OtherDomains() const
+{
+  std::vector<failure_domain_id> domains;
+  for (const auto& member : mOrder) {
+    const bool known = !domains.empty() && domains.back() == member.mFailureDomain;
+    if (!known && member.mFailureDomain != mSelf.mFailureDomain) {
+      domains.push_back(member.mFailureDomain);
+    }
+  }
+  return domains;
+}
+
+} // namespace chervilpulley::policy
--- /dev/null
+++ b/src/policy/config_spread.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "chervilpulley/ids.h"
+
+/// Who takes the configuration from whom. In each failure domain the live instances are ordered by rendezvous hashing:
+/// the first two are relays that watch the platform, the others form a tree below them.
+namespace chervilpulley::policy {
+
+inline constexpr std::size_t kRelaysPerDomain = 2;
+inline constexpr std::size_t kSpreadFanOut = 16;
+
+struct spread_member
+{
+  instance_id mInstance;
+  failure_domain_id mFailureDomain;
+};
+
+/// The order of each failure domain's instances; the same wherever the same list is known.
+class spread_plan
+{
+public:
+  spread_plan() = default;
+  /// @param aSelf is placed even if the list does not have it yet.
+  spread_plan(spread_member aSelf, std::vector<spread_member> aMembers);
+
+  bool IsRelay() const;
+  /// Instances of the own failure domain to take the configuration from, the best one first.
+  std::vector<instance_id> Sources() const;
+  std::vector<instance_id> RelaysOf(const failure_domain_id& aDomain) const;
+  /// Failure domains that have instances, without the own one.
+  std::vector<failure_domain_id> OtherDomains() const;
+
+private:
+  spread_member mSelf;
+  std::vector<spread_member> mOrder; ///< by failure domain, then by rank
+};
+
+} // namespace chervilpulley::policy
--- /dev/null
+++ b/tests/contract/config_fakes.h
@@ -0,0 +1,237 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "config/config_store.h"
+#include "config/peer_client.h"
+#include "platform/object_store.h"
+
+/// A platform and control calls in memory, with faults.
+namespace chervilpulley::test {
+
+/// What happens to the next write below "config/".
+enum class write_fault
+{
+  LostAfterEffect,
+  LostBeforeEffect,
+  LostThenOutage, ///< takes effect; the answer is lost, and the platform is down from then on
+  Refused         ///< as if rate-limited
+};
+
+/// The objects, shared by all nodes of a test.
+struct fake_platform
+{
+  struct entry
+  {
+    std::string mBody;
+    platform::object_version mVersion;
+  };
+
+  std::map<std::string, entry> mObjects;
+  platform::object_version mSequence;
+  std::deque<write_fault> mFaults;
+  bool mDown = false;
+  bool mIgnoreConditions = false; ///< mutation
+  bool mDropWrites = false;       ///< mutation
+  std::size_t mLargest = 0;
+};
+
+/// One node's way to the platform.
+class fake_object_store
+{
+public:
+  fake_object_store(boost::asio::io_context& aContext, fake_platform& aPlatform)
+    : mContext(aContext)
+    , mPlatform(aPlatform)
+  {
+  }
+
+  platform::platform_call<platform::stored_object> Get(std::string aKey)
+  {
+    co_await Turn();
+    if (IsDown()) {
+      co_return Down();
+    }
+    auto found = mPlatform.mObjects.find(aKey);
+    if (found == mPlatform.mObjects.end()) {
+      co_return Error(platform::platform_errc::NotFound);
+    }
+    co_return platform::stored_object{ found->second.mBody, found->second.mVersion };
+  }
+
+  platform::platform_call<platform::object_version> Create(std::string aKey, std::string aBody)
+  {
+    co_await Turn();
+    const bool holds = mPlatform.mIgnoreConditions || mPlatform.mObjects.count(aKey) == 0;
+    co_return Write(aKey, aBody, holds);
+  }
+
+  platform::platform_call<platform::object_version> Update(std::string aKey,
+                                                           std::string aBody,
+                                                           platform::object_version aVersion)
+  {
+    co_await Turn();
+    auto found = mPlatform.mObjects.find(aKey);
+    co_return Write(aKey, aBody, found != mPlatform.mObjects.end() && found->second.mVersion == aVersion);
+  }
+
+  platform::platform_call<void> Delete(std::string aKey, platform::object_version)
+  {
+    co_await Turn();
+    if (IsDown()) {
+      co_return Down();
+    }
+    mPlatform.mObjects.erase(aKey);
+    co_return outcome::success();
+  }
+
+  platform::platform_call<std::vector<platform::object_summary>> List(std::string, std::string, std::size_t)
+  {
+    co_await Turn();
+    co_return Down();
+  }
+
+  platform::platform_call<platform::watch_reply> Watch(std::string aPrefix,
+                                                       platform::object_version aAfter,
+                                                       duration aTime)
+  {
+    const auto deadline = Now() + aTime;
+    while (true) {
+      co_await Turn();
+      if (IsDown()) {
+        co_return Down();
+      }
+      platform::watch_reply reply{ mPlatform.mSequence, {} };
+      for (const auto& [key, entry] : mPlatform.mObjects) {
+        if (key.rfind(aPrefix, 0) == 0 && entry.mVersion.Value() > aAfter.Value()) {
+          reply.mEvents.push_back({ key, entry.mVersion });
+        }
+      }
+      if (!reply.mEvents.empty() || Now() >= deadline) {
+        co_return reply;
+      }
+    }
+  }
+
+  bool mCutOff = false;
+
+private:
+  static platform::platform_error Error(platform::platform_errc aCode) { return { aCode, "fault of the test" }; }
+  static platform::platform_error Down() { return Error(platform::platform_errc::Unavailable); }
+  bool IsDown() const { return mCutOff || mPlatform.mDown; }
+
+  boost::asio::awaitable<void> Turn()
+  {
+    boost::asio::steady_timer timer(mContext, std::chrono::milliseconds(1));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+
+  platform::platform_result<platform::object_version> Write(const std::string& aKey,
+                                                            const std::string& aBody,
+                                                            bool aHolds)
+  {
+    if (IsDown()) {
+      return Down();
+    }
+    std::optional<write_fault> fault;
+    if (!mPlatform.mFaults.empty()) {
+      fault = mPlatform.mFaults.front();
+      mPlatform.mFaults.pop_front();
+    }
+    if (fault == write_fault::Refused) {
+      return Error(platform::platform_errc::RateLimited);
+    }
+    if (fault == write_fault::LostBeforeEffect) {
+      return Error(platform::platform_errc::Unknown);
+    }
+    if (!aHolds) {
+      return Error(fault ? platform::platform_errc::Unknown : platform::platform_errc::Conflict);
+    }
+    mPlatform.mSequence = mPlatform.mSequence.Next();
+    mPlatform.mLargest = std::max(mPlatform.mLargest, aBody.size());
+    if (!mPlatform.mDropWrites) {
+      mPlatform.mObjects[aKey] = { aBody, mPlatform.mSequence };
+    }
+    mPlatform.mDown = mPlatform.mDown || fault == write_fault::LostThenOutage;
+    if (fault) {
+      return Error(platform::platform_errc::Unknown);
+    }
+    return mPlatform.mSequence;
+  }
+
+  boost::asio::io_context& mContext;
+  fake_platform& mPlatform;
+};
+
+/// Control calls between the stores of one test; a node is addressed by its port.
+class fake_peers : public config::peer_client
+{
+public:
+  explicit fake_peers(boost::asio::io_context& aContext)
+    : mContext(aContext)
+  {
+  }
+
+  config::peer_call<rpc::pull_config_reply> PullConfig(net::endpoint aPeer,
+                                                       rpc::pull_config_request aRequest,
+                                                       duration aTimeout) override
+  {
+    boost::asio::steady_timer timer(mContext, std::chrono::milliseconds(1));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    auto found = mStores.find(aPeer.mPort);
+    if (found == mStores.end() || !found->second->Ready() || IsCut(aPeer, aRequest.mInstance)) {
+      timer.expires_after(aTimeout);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+      co_return rpc::peer_error{ rpc::peer_errc::Unreachable, "cut" };
+    }
+    const auto store = found->second;
+    ++mPulls[aPeer.mPort];
+    auto reply = store->AnswerPull(aRequest);
+    if (reply.mRevision <= aRequest.mAfterRevision && aRequest.mWaitMs > 0) {
+      co_await store->WaitAbove(revision_number(aRequest.mAfterRevision), std::chrono::milliseconds(aRequest.mWaitMs));
+      reply = store->AnswerPull(aRequest);
+    }
+    co_return reply;
+  }
+  config::peer_call<rpc::drain_reply> Drain(net::endpoint, rpc::drain_request, duration) override
+  {
+    co_return rpc::drain_reply{};
+  }
+  config::peer_call<rpc::report_suspect_reply> ReportSuspect(net::endpoint,
+                                                             rpc::report_suspect_request,
+                                                             duration) override
+  {
+    co_return rpc::report_suspect_reply{};
+  }
+  config::peer_call<rpc::get_status_reply> GetStatus(net::endpoint aPeer, duration) override
+  {
+    auto found = mStores.find(aPeer.mPort);
+    if (found == mStores.end() || mCut.count(aPeer.mPort) > 0) {
+      co_return rpc::peer_error{ rpc::peer_errc::Unreachable, "cut" };
+    }
+    co_return rpc::get_status_reply{ found->second->Current()->Revision().Value(), found->second->Reports(), "" };
+  }
+
+  std::map<std::uint16_t, ref<config::config_store>> mStores;
+  std::set<std::uint16_t> mCut;        ///< nodes that nobody reaches
+  std::set<std::string> mCutInstances; ///< nodes that reach nobody
+  std::map<std::uint16_t, int> mPulls;
+
+private:
+  bool IsCut(const net::endpoint& aPeer, const std::string& aAsker) const
+  {
+    return mCut.count(aPeer.mPort) > 0 || mCutInstances.count(aAsker) > 0;
+  }
+
+  boost::asio::io_context& mContext;
+};
+
+} // namespace chervilpulley::test
