--- a/src/admin/admin_calls.cpp
+++ b/src/admin/admin_calls.cpp
@@ -143,7 +143,7 @@
   audit_reply reply;
   reply.set_head_revision(page.mHead.Value());
   for (log_entry& each : page.mEntries) {
-    RemoveKeyHashes(each);
+    MaskKeyHashes(each);
     *reply.add_entries() = std::move(each);
   }
   return reply;
@@ -193,7 +193,7 @@
     BOOST_OUTCOME_TRY(log_page page, mBackend.Log(after, kDefaultPageSize));
     for (log_entry& each : page.mEntries) {
       after = revision_number(each.revision());
-      RemoveKeyHashes(each);
+      MaskKeyHashes(each);
       if (!aSink(each)) {
         return outcome::success();
       }
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 
 #include "admin/admin_calls.h"
+#include "admin/grpc_logs.h"
 #include "admin/outcome_metadata.h"
 #include "base/log.h"
 #include "generated/admin.grpc.pb.h"
@@ -231,6 +232,7 @@
 
 admin_result<ref<admin_server>> admin_server::Start(const admin_options& aOptions, admin_backend& aBackend)
 {
+  SilenceGrpcLogs();
   auto server = MakeRef<grpc_admin_server>(aOptions, aBackend);
   BOOST_OUTCOME_TRYV(server->Listen());
   return ref<admin_server>(std::move(server));
--- a/src/admin/key_hashes.cpp
+++ b/src/admin/key_hashes.cpp
@@ -1,9 +1,13 @@
 #include "admin/key_hashes.h"
 
+#include "base/random.h"
+
 namespace chervilpulley::admin {
 
 namespace {
 
+constexpr std::size_t kFingerprintChars = 12;
+
 bool BringsNoHash(const object& aObject)
 {
   if (aObject.has_workspace()) {
@@ -26,6 +30,23 @@
   return false;
 }
 
+std::string Fingerprint(const std::string& aHash)
+{
+  return "fingerprint:" + Sha256Hex(aHash).substr(0, kFingerprintChars);
+}
+
+void MaskHashes(object& aObject)
+{
+  if (aObject.has_workspace()) {
+    for (std::string& hash : *aObject.mutable_workspace()->mutable_api_key_hashes()) {
+      hash = Fingerprint(hash);
+    }
+  }
+  if (aObject.has_operator_key() && !aObject.operator_key().key_hash().empty()) {
+    aObject.mutable_operator_key()->set_key_hash(Fingerprint(aObject.operator_key().key_hash()));
+  }
+}
+
 bool KeepHashes(operation& aOperation, const config::config_view& aView)
 {
   const bool mayReplace = aOperation.op() == CHANGE_OP_PUT || aOperation.op() == CHANGE_OP_UPDATE;
@@ -54,15 +75,15 @@
   }
 }
 
-void RemoveKeyHashes(log_entry& aEntry)
+void MaskKeyHashes(log_entry& aEntry)
 {
   for (operation& each : *aEntry.mutable_change()->mutable_operations()) {
     if (each.has_object()) {
-      RemoveKeyHashes(*each.mutable_object());
+      MaskHashes(*each.mutable_object());
     }
   }
   for (object& each : *aEntry.mutable_previous()) {
-    RemoveKeyHashes(each);
+    MaskHashes(each);
   }
 }
 
--- a/src/admin/key_hashes.h
+++ b/src/admin/key_hashes.h
@@ -8,8 +8,8 @@
 
 /// Removes the hashes from an object.
 void RemoveKeyHashes(object& aObject);
-/// Removes the hashes from an entry of the log.
-void RemoveKeyHashes(log_entry& aEntry);
+/// Puts a fingerprint in the place of each hash in an entry of the log, so that a change of a key can be seen.
+void MaskKeyHashes(log_entry& aEntry);
 
 /// Fills in the hashes that are in force where an update or put brings none, and then expects the version that they
 /// were read at. So an operator can read an object, change it and write it back.
--- a/src/cli/admin_client.cpp
+++ b/src/cli/admin_client.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "admin/grpc_logs.h"
 #include "admin/outcome_metadata.h"
 #include "generated/admin.grpc.pb.h"
 
@@ -15,6 +16,18 @@
 
 /// Longest wait for a connection.
 constexpr std::chrono::milliseconds kConnectTimeout(3000);
+/// Time between two attempts to connect, at first and at most.
+constexpr std::chrono::milliseconds kReconnectPause(100);
+constexpr std::chrono::milliseconds kMaxReconnectPause(1000);
+
+std::shared_ptr<grpc::Channel> OpenChannel(const net::endpoint& aAddress)
+{
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, static_cast<int>(kReconnectPause.count()));
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, static_cast<int>(kConnectTimeout.count()));
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, static_cast<int>(kMaxReconnectPause.count()));
+  return grpc::CreateCustomChannel(aAddress.Str(), grpc::InsecureChannelCredentials(), arguments);
+}
 
 /// Tells whether the server said that the call had no effect.
 bool SurelyHadNoEffect(const grpc::ClientContext& aContext)
@@ -47,7 +60,7 @@
 public:
   explicit grpc_admin_client(const client_options& aOptions)
     : mOptions(aOptions)
-    , mChannel(grpc::CreateChannel(aOptions.mAddress.Str(), grpc::InsecureChannelCredentials()))
+    , mChannel(OpenChannel(aOptions.mAddress))
     , mStub(admin::admin::NewStub(mChannel))
   {
   }
@@ -124,7 +137,19 @@
     return aError;
   }
 
-  bool Connect() { return mChannel->WaitForConnected(std::chrono::system_clock::now() + ConnectTimeout()); }
+  /// Waits for a connection; gives up at once when it is refused.
+  bool Connect()
+  {
+    const auto deadline = std::chrono::system_clock::now() + ConnectTimeout();
+    grpc_connectivity_state state = mChannel->GetState(true);
+    while (state != GRPC_CHANNEL_READY) {
+      if (state == GRPC_CHANNEL_TRANSIENT_FAILURE || !mChannel->WaitForStateChange(state, deadline)) {
+        return false;
+      }
+      state = mChannel->GetState(true);
+    }
+    return true;
+  }
 
   std::chrono::microseconds ConnectTimeout() const
   {
@@ -174,6 +199,7 @@
 
 ref<admin_client> admin_client::Create(const client_options& aOptions)
 {
+  admin::SilenceGrpcLogs();
   return MakeRef<grpc_admin_client>(aOptions);
 }
 
--- a/src/cli/object_text.cpp
+++ b/src/cli/object_text.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/message.h>
+#include <google/protobuf/reflection.h>
 #include <google/protobuf/util/json_util.h>
 
 #include <algorithm>
@@ -22,14 +23,24 @@
 constexpr std::size_t kColumnGap = 2;
 constexpr std::int64_t kMsPerSecond = 1000;
 
-/// Fields that hold hashes; they never come out of the server.
+/// Fields that hold hashes; the server gives none, and fingerprints of them in the log.
 bool IsHash(const FieldDescriptor& aField)
 {
   return aField.name() == "api_key_hashes" || aField.name() == "key_hash";
 }
 
+std::string RepeatedText(const Message& aMessage, const FieldDescriptor& aField)
+{
+  const auto* reflection = aMessage.GetReflection();
+  const auto& texts = reflection->GetRepeatedFieldRef<std::string>(aMessage, &aField);
+  return texts.empty() ? std::string(kNoValue) : fmt::format("{}", fmt::join(texts.begin(), texts.end(), ","));
+}
+
 std::string FieldText(const Message& aMessage, const FieldDescriptor& aField)
 {
+  if (aField.is_repeated()) {
+    return RepeatedText(aMessage, aField);
+  }
   const auto* reflection = aMessage.GetReflection();
   std::string text;
   switch (aField.cpp_type()) {
@@ -47,13 +58,13 @@
   }
 }
 
-std::vector<const FieldDescriptor*> ShownFields(const Message& aMessage)
+std::vector<const FieldDescriptor*> FieldsOf(const Message& aMessage, bool aWithHashes)
 {
   std::vector<const FieldDescriptor*> fields;
   const auto* descriptor = aMessage.GetDescriptor();
   fields.reserve(static_cast<std::size_t>(descriptor->field_count()));
   for (int i = 0; i < descriptor->field_count(); ++i) {
-    if (!IsHash(*descriptor->field(i))) {
+    if (aWithHashes || !IsHash(*descriptor->field(i))) {
       fields.push_back(descriptor->field(i));
     }
   }
@@ -85,7 +96,7 @@
 std::string Differences(const Message* aBefore, const Message& aAfter, admin::object_kind aKind)
 {
   std::string text;
-  for (const FieldDescriptor* field : ShownFields(aAfter)) {
+  for (const FieldDescriptor* field : FieldsOf(aAfter, true)) {
     if (IsNameField(aKind, field->name())) {
       continue;
     }
@@ -162,7 +173,7 @@
     }
     std::vector<std::string> head;
     std::vector<std::string> row;
-    for (const FieldDescriptor* field : ShownFields(*value)) {
+    for (const FieldDescriptor* field : FieldsOf(*value, false)) {
       head.push_back(Upper(field->name()));
       row.push_back(FieldText(*value, *field));
     }
