--- a/src/policy/claim_journal.cpp
+++ b/src/policy/claim_journal.cpp
@@ -179,6 +179,11 @@
     Decide(aClaim, claim_verdict::TooOld);
     return std::nullopt;
   }
+  if (!MayHandOver(aClaim.mRequest.mLifetime, aNow)) {
+    Abandon(aClaim, aNow);
+    Decide(aClaim, claim_verdict::Unavailable);
+    return std::nullopt;
+  }
   if (const auto unchecked = UncheckedSegment(aClaim, aNow)) {
     journal_step step;
     step.mAction = journal_action::ReadSealed;
--- a/src/policy/claim_key.cpp
+++ b/src/policy/claim_key.cpp
@@ -106,6 +106,11 @@
   return calendar_time(std::chrono::milliseconds(milliseconds));
 }
 
+bool MayHandOver(const claim_lifetime& aLifetime, calendar_time aNow)
+{
+  return aNow <= aLifetime.mExpires;
+}
+
 std::optional<claim_lifetime> LifetimeOfKey(std::string_view aKey,
                                             calendar_time aNow,
                                             std::chrono::milliseconds aRetention)
--- /dev/null
+++ b/tests/unit/claim_model.cpp
@@ -0,0 +1,362 @@
+#include "unit/claim_model.h"
+
+#include <algorithm>
+
+namespace chervilpulley::policy::model {
+
+namespace {
+
+constexpr std::chrono::milliseconds kRetention = std::chrono::hours(4);
+constexpr std::chrono::milliseconds kJump = std::chrono::hours(2);
+constexpr std::size_t kSmallSegment = 220;
+constexpr std::size_t kSmallBatch = 160;
+constexpr std::uint8_t kKeys = 5;
+constexpr int kFinishRounds = 2000;
+
+std::string KeyOf(const journal_step& aStep)
+{
+  switch (aStep.mAction) {
+    case journal_action::ReadOpen:
+    case journal_action::CreateOpen:
+    case journal_action::UpdateOpen:
+      return "open";
+    default:
+      return std::to_string(aStep.mSealed.Value());
+  }
+}
+
+bool IsWrite(const journal_step& aStep)
+{
+  return aStep.mAction != journal_action::ReadOpen && aStep.mAction != journal_action::ReadSealed;
+}
+
+bool IsOpenUpdate(const journal_step& aStep)
+{
+  return aStep.mAction == journal_action::CreateOpen || aStep.mAction == journal_action::UpdateOpen;
+}
+
+std::string DropUnanswered(const std::string& aBody)
+{
+  journal::segment segment;
+  segment.ParseFromString(aBody);
+  std::set<std::uint64_t> answered;
+  for (const auto& entry : segment.entries()) {
+    if (entry.kind() == journal::ENTRY_RESULT) {
+      answered.insert(entry.claim_id());
+    }
+  }
+  journal::segment kept;
+  *kept.mutable_sealed() = segment.sealed();
+  for (const auto& entry : segment.entries()) {
+    if (answered.contains(entry.claim_id())) {
+      *kept.add_entries() = entry;
+    }
+  }
+  return kept.SerializeAsString();
+}
+
+std::string AnswerText(std::uint64_t aClaim)
+{
+  return "answer to " + std::to_string(aClaim);
+}
+
+} // namespace
+
+journal_reply store::Read(const std::string& aKey) const
+{
+  const auto found = mObjects.find(aKey);
+  if (found == mObjects.end()) {
+    return { store_answer::NotFound, {}, {} };
+  }
+  return { store_answer::Ok, segment_version(found->second.mVersion), found->second.mBody };
+}
+
+journal_reply store::Write(const std::string& aKey, const std::string& aBody, std::uint64_t aCondition)
+{
+  const auto found = mObjects.find(aKey);
+  const std::uint64_t version = found == mObjects.end() ? 0 : found->second.mVersion;
+  if (version != aCondition) {
+    return { store_answer::Conflict, {}, {} };
+  }
+  mObjects[aKey] = { aBody, ++mSequence };
+  return { store_answer::Ok, segment_version(mSequence), {} };
+}
+
+journal_reply store::Apply(const journal_step& aStep)
+{
+  const std::string key = KeyOf(aStep);
+  switch (aStep.mAction) {
+    case journal_action::ReadOpen:
+    case journal_action::ReadSealed:
+      return Read(key);
+    case journal_action::CreateOpen:
+    case journal_action::CreateSealed:
+      return Write(key, aStep.mBody, 0);
+    case journal_action::UpdateOpen:
+    case journal_action::UpdateSealed:
+      return Write(key, aStep.mBody, aStep.mVersion.Value());
+    case journal_action::DeleteSealed:
+      mObjects.erase(key);
+      return { store_answer::Ok, {}, {} };
+    default:
+      return {};
+  }
+}
+
+claim_journal world::MakeJournal()
+{
+  claim_limits limits;
+  limits.mSegmentBytes = kSmallSegment;
+  limits.mBatchBytes = kSmallBatch;
+  return claim_journal(limits);
+}
+
+world::world(mutation aMutation)
+  : mMutation(aMutation)
+{
+  for (std::size_t i = 0; i < kClaimants; ++i) {
+    mClaimants.push_back({ MakeJournal(), {}, false, {} });
+  }
+}
+
+bool world::Run(const std::vector<std::uint8_t>& aScript)
+{
+  for (std::size_t i = 0; i + 2 < aScript.size() && mFault.empty(); i += 3) {
+    Do(aScript[i], mClaimants[aScript[i + 1] % kClaimants], aScript[i + 2]);
+  }
+  Finish();
+  return mFault.empty();
+}
+
+void world::Do(std::uint8_t aAction, claimant& aClaimant, std::uint8_t aValue)
+{
+  switch (aAction % 20) {
+    case 0:
+    case 1:
+    case 2:
+      return Ask(aClaimant, aValue);
+    case 3:
+    case 4:
+    case 5:
+    case 6:
+    case 7:
+      return Advance(aClaimant);
+    case 8:
+    case 9:
+    case 10:
+    case 11:
+      return Deliver(aClaimant);
+    case 12:
+      return LoseAnswer(aClaimant, false);
+    case 13:
+      return LoseAnswer(aClaimant, true);
+    case 14:
+      return LandLate();
+    case 15:
+      return aValue % 2 == 0 ? Crash(aClaimant) : Answer(aClaimant, { store_answer::Unavailable, {}, {} });
+    case 16:
+    case 17:
+      return RunOne(aClaimant);
+    case 18:
+      return ReleaseOne(aClaimant);
+    default:
+      mNow += aValue % 4 == 0 ? kJump : std::chrono::milliseconds(kPlatformHold / 2);
+  }
+}
+
+void world::Ask(claimant& aClaimant, std::uint8_t aValue)
+{
+  const std::uint8_t number = aValue % kKeys;
+  claim_request request;
+  request.mKey = claim_key("key " + std::to_string(number));
+  request.mId = claim_id(mNextClaim++);
+  request.mBody = body_digest(aValue >= 240 ? 2 : 1);
+  request.mLifetime = { mNow + kRetention, std::nullopt };
+  if (number % 2 == 0) {
+    const calendar_time keyTime(std::chrono::hours(24 * 365 * 56));
+    request.mLifetime = { std::max(mNow, keyTime) + kRetention, keyTime + kRetention };
+  }
+  aClaimant.mJournal.Claim(request);
+  mCalls[request.mId.Value()] = { request, std::nullopt, false };
+}
+
+void world::Advance(claimant& aClaimant)
+{
+  if (aClaimant.mInFlight) {
+    return;
+  }
+  journal_step step = aClaimant.mJournal.Next(mNow);
+  TakeDecisions(aClaimant);
+  aClaimant.mRests = step.mAction == journal_action::Idle && aClaimant.mToRun.empty();
+  if (step.mAction != journal_action::Idle && step.mAction != journal_action::Wait) {
+    aClaimant.mInFlight = std::move(step);
+  }
+}
+
+void world::Answer(claimant& aClaimant, journal_reply aReply)
+{
+  if (!aClaimant.mInFlight) {
+    return;
+  }
+  const journal_step step = *std::exchange(aClaimant.mInFlight, std::nullopt);
+  const bool isUpdate = IsOpenUpdate(step);
+  const bool counts = (mMutation == mutation::LostAnswerIsSuccess && aReply.mAnswer == store_answer::Unknown) ||
+                      (mMutation == mutation::ConflictIsSuccess && aReply.mAnswer == store_answer::Conflict);
+  if (isUpdate && counts) {
+    aReply = { store_answer::Ok, step.mVersion.Next(), {} };
+  }
+  if (mMutation == mutation::ClaimLapses && aReply.mAnswer == store_answer::Ok && !IsWrite(step)) {
+    aReply.mBody = DropUnanswered(aReply.mBody);
+  }
+  if (mMutation == mutation::SealedCopyForgotten && step.mAction == journal_action::ReadSealed) {
+    aReply = { store_answer::Ok, segment_version(1), {} };
+  }
+  aClaimant.mJournal.Take(std::move(aReply), mNow);
+  TakeDecisions(aClaimant);
+}
+
+void world::Deliver(claimant& aClaimant)
+{
+  if (aClaimant.mInFlight) {
+    Answer(aClaimant, mStore.Apply(*aClaimant.mInFlight));
+  }
+}
+
+void world::LoseAnswer(claimant& aClaimant, bool aIsLate)
+{
+  if (!aClaimant.mInFlight) {
+    return;
+  }
+  const journal_step step = *aClaimant.mInFlight;
+  if (aIsLate) {
+    mLate.push_back(step);
+  } else {
+    mStore.Apply(step);
+  }
+  Answer(aClaimant, { IsWrite(step) ? store_answer::Unknown : store_answer::Unavailable, {}, {} });
+}
+
+void world::LandLate()
+{
+  if (!mLate.empty()) {
+    mStore.Apply(mLate.front());
+    mLate.pop_front();
+  }
+}
+
+void world::Crash(claimant& aClaimant)
+{
+  if (aClaimant.mInFlight && IsWrite(*aClaimant.mInFlight)) {
+    mLate.push_back(*aClaimant.mInFlight);
+  }
+  aClaimant = { MakeJournal(), {}, false, {} };
+}
+
+void world::RunOne(claimant& aClaimant)
+{
+  if (aClaimant.mToRun.empty()) {
+    return;
+  }
+  call& won = mCalls.at(aClaimant.mToRun.front());
+  aClaimant.mToRun.erase(aClaimant.mToRun.begin());
+  const bool mayRun = MayHandOver(won.mRequest.mLifetime, mNow);
+  if (mayRun || mMutation == mutation::HandedOverAfterPause) {
+    RunCall(aClaimant, won);
+  } else {
+    aClaimant.mJournal.Release(won.mRequest, mNow);
+  }
+}
+
+void world::RunCall(claimant& aClaimant, call& aCall)
+{
+  const claim_request& request = aCall.mRequest;
+  const auto before = mRuns.equal_range(request.mKey.Str());
+  for (auto other = before.first; other != before.second; ++other) {
+    if (other->second.mNeverAgain || mNow <= other->second.mKeptUntil) {
+      Break(request.mKey.Str() + " " + std::string(kRanTwice));
+    }
+  }
+  aCall.mRan = true;
+  const bool neverAgain = request.mLifetime.mRefusedAfter.has_value();
+  mRuns.insert({ request.mKey.Str(), { request.mId.Value(), request.mLifetime.mExpires, neverAgain } });
+  if (mMutation == mutation::ReleasedAfterHandOver) {
+    aClaimant.mJournal.Release(request, mNow);
+    return;
+  }
+  journal::answer answer;
+  answer.set_body(AnswerText(request.mId.Value()));
+  aClaimant.mJournal.WriteResult(request, answer, mNow);
+}
+
+void world::ReleaseOne(claimant& aClaimant)
+{
+  if (aClaimant.mToRun.empty()) {
+    return;
+  }
+  aClaimant.mJournal.Release(mCalls.at(aClaimant.mToRun.back()).mRequest, mNow);
+  aClaimant.mToRun.pop_back();
+}
+
+void world::TakeDecisions(claimant& aClaimant)
+{
+  for (const auto& decision : aClaimant.mJournal.TakeDecisions()) {
+    Judge(aClaimant, mCalls.at(decision.mId.Value()), decision);
+  }
+}
+
+void world::Judge(claimant& aClaimant, call& aCall, const claim_decision& aDecision)
+{
+  if (aCall.mVerdict) {
+    Break("a claim was decided twice");
+  }
+  aCall.mVerdict = aDecision.mVerdict;
+  const bool runsAgain =
+    (mMutation == mutation::UnansweredRunsAgain && aDecision.mVerdict == claim_verdict::Unanswered) ||
+    (mMutation == mutation::AnswerIgnored && aDecision.mVerdict == claim_verdict::Answered);
+  if (aDecision.mVerdict == claim_verdict::Won || runsAgain) {
+    aClaimant.mToRun.push_back(aCall.mRequest.mId.Value());
+  } else if (aDecision.mVerdict == claim_verdict::Answered) {
+    JudgeAnswer(aCall, *aDecision.mAnswer);
+  }
+}
+
+void world::JudgeAnswer(const call& aCall, const journal::answer& aAnswer)
+{
+  const auto runs = mRuns.equal_range(aCall.mRequest.mKey.Str());
+  const bool isOfRun = std::any_of(
+    runs.first, runs.second, [&](const auto& aRun) { return AnswerText(aRun.second.mClaim) == aAnswer.body(); });
+  if (!isOfRun) {
+    Break("a repeat got an answer that no run of its key gave");
+  }
+}
+
+void world::Finish()
+{
+  for (int round = 0; round < kFinishRounds && mFault.empty(); ++round) {
+    LandLate();
+    for (auto& claimant : mClaimants) {
+      Advance(claimant);
+      Deliver(claimant);
+      RunOne(claimant);
+    }
+    mNow += std::chrono::milliseconds(10);
+    if (mLate.empty() && AllRest()) {
+      return;
+    }
+  }
+  Break("a claimant never comes to rest");
+}
+
+bool world::AllRest() const
+{
+  return std::all_of(mClaimants.begin(), mClaimants.end(), [](const claimant& aClaimant) { return aClaimant.mRests; });
+}
+
+void world::Break(const std::string& aFault)
+{
+  if (mFault.empty()) {
+    mFault = aFault;
+  }
+}
+
+} // namespace chervilpulley::policy::model
