--- a/tests/processes/judge_test.cpp
+++ b/tests/processes/judge_test.cpp
@@ -139,6 +139,14 @@
   }
 }
 
+TEST_CASE("bookings_judge_repeated_calls_are_judged_together")
+{
+  const std::vector<booking> calls = { { "winch 3", told::NotRun }, { "winch 3", told::Booked } };
+  CHECK(JudgeBookings(RunsOfBooking(1), calls).empty());
+  CHECK_FALSE(JudgeBookings(RunsOfBooking(0), calls).empty());
+  CHECK_FALSE(JudgeBookings(RunsOfBooking(2), calls).empty());
+}
+
 TEST_CASE("revisions_judge_lower_revision_is_rejected")
 {
   CHECK(JudgeRevisions({ 1, 1, 2, 5 }).empty());
