Entry: retry budget, rate limits, requests that end engines, metrics

A request that ended an engine runs again only where no other suspect runs; a second end refuses it at once, here and at the other entries, which are told of each end. Retries of requests without a token draw from a budget.

--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -63,6 +63,14 @@
   return mailbox;
 }
 
+request_digest DigestOf(const completion_order& aOrder)
+{
+  const char separator = '\0';
+  const std::string text = aOrder.mWorkspace.Str() + separator + aOrder.mModel + separator +
+                           std::to_string(aOrder.mMaxTokens) + separator + aOrder.mPrompt;
+  return request_digest(StableHash(text));
+}
+
 /// Headers that belong to one connection, or that only this system may see.
 bool IsForwarded(std::string_view aName)
 {
@@ -78,8 +86,9 @@
 
 } // namespace
 
-caller_api::caller_api(request_router& aRouter, view_source aView, caller_options aOptions)
-  : mRouter(aRouter)
+caller_api::caller_api(const completion_tools& aTools, view_source aView, caller_options aOptions)
+  : mTools(aTools)
+  , mRouter(aTools.mRouter)
   , mView(std::move(aView))
   , mOptions(std::move(aOptions))
 {
@@ -99,6 +108,10 @@
     co_await aExchange.Reply(ErrorReply(error));
     co_return;
   }
+  if (const auto limited = CheckRate(*workspace)) {
+    co_await aExchange.Reply(ErrorReply(*limited));
+    co_return;
+  }
   const std::string_view path = net::PathOf(request.mTarget);
   const bool isPost = request.mMethod == "POST";
   if (path == "/v1/models" && request.mMethod == "GET") {
@@ -127,6 +140,21 @@
   co_await aExchange.Reply(net::JsonReply(200, boost::json::serialize(body)));
 }
 
+std::optional<api_error> caller_api::CheckRate(const admin::workspace& aWorkspace)
+{
+  const auto wait = mTools.mGuard.TakeRate(workspace_id(aWorkspace.name()), aWorkspace.requests_per_second(), Now());
+  if (!wait) {
+    return std::nullopt;
+  }
+  mTools.mMetrics.Refusal(metrics::refusal_cause::RateLimited);
+  return api_error{ 429,
+                    "rate_limit_error",
+                    "workspace \"" + aWorkspace.name() + "\" has used its " +
+                      std::to_string(aWorkspace.requests_per_second()) + " requests a second",
+                    link::OUTCOME_NOT_RUN,
+                    *wait };
+}
+
 duration caller_api::DeadlineOf(const net::http_request& aRequest, duration aDefault) const
 {
   const std::string_view text = aRequest.mHeaders.Get("X-Deadline-Ms");
@@ -163,7 +191,9 @@
   order.mPromptTokens = CountTokens(request.value().mPrompt);
   order.mMaxTokens = request.value().mMaxTokens;
   order.mPriority = aWorkspace.priority();
-  order.mDeadline = Now() + DeadlineOf(aExchange.Request(), mOptions.mDefaultDeadline);
+  order.mDigest = DigestOf(order);
+  order.mArrived = Now();
+  order.mDeadline = order.mArrived + DeadlineOf(aExchange.Request(), mOptions.mDefaultDeadline);
   order.mStallFloor = mOptions.mStallFloor;
   co_await RunCompletion(aExchange, std::move(order), request.value());
 }
@@ -241,7 +271,7 @@
     co_await sink.Deliver(token);
   }
   const std::uint32_t promptTokens = aOrder.mPromptTokens;
-  completion_run run(mRouter, aMailbox, std::move(aOrder));
+  completion_run run(mTools, aMailbox, std::move(aOrder));
   const completion_end end = co_await run.Run(sink);
   if (end.mError) {
     co_await aExchange.Reply(ErrorReply(*end.mError));
@@ -269,7 +299,7 @@
     co_await sink.Deliver(token);
   }
   const std::uint32_t promptTokens = aOrder.mPromptTokens;
-  completion_run run(mRouter, aMailbox, std::move(aOrder));
+  completion_run run(mTools, aMailbox, std::move(aOrder));
   const completion_end end = co_await run.Run(sink);
   if (end.mIsComplete) {
     const token_usage usage{ promptTokens, run.TokenCount() };
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -29,7 +29,7 @@
 {
 public:
   using view_source = std::function<ref<const config::config_view>()>;
-  caller_api(request_router& aRouter, view_source aView, caller_options aOptions);
+  caller_api(const completion_tools& aTools, view_source aView, caller_options aOptions);
   /// Answers one request; runs on the connection's strand.
   boost::asio::awaitable<void> Answer(net::http_exchange& aExchange);
 
@@ -64,8 +64,10 @@
                         const admin::route& aRoute,
                         std::string_view aPath) const;
   net::http_reply ReplyOf(const service_result& aResult) const;
+  std::optional<api_error> CheckRate(const admin::workspace& aWorkspace);
   duration DeadlineOf(const net::http_request& aRequest, duration aDefault) const;
 
+  completion_tools mTools;
   request_router& mRouter;
   view_source mView;
   caller_options mOptions;
--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -10,18 +10,19 @@
 namespace {
 
 constexpr part_log kLog("entry");
-constexpr duration kOpenTimeout = std::chrono::milliseconds(2500);
 constexpr duration kQuietCheck = std::chrono::milliseconds(100);
 constexpr duration kRouteRetry = std::chrono::milliseconds(100);
 constexpr duration kLongestRouteWait = std::chrono::seconds(10);
 constexpr duration kRetryAfter = std::chrono::seconds(1);
-constexpr std::uint32_t kMostCrashes = 2;
+constexpr duration kRetryAfterPeerTrial = std::chrono::seconds(2);
 constexpr std::uint32_t kMostOpens = 64;
 
 } // namespace
 
-completion_run::completion_run(request_router& aRouter, ref<request_mailbox> aMailbox, completion_order aOrder)
-  : mRouter(aRouter)
+completion_run::completion_run(const completion_tools& aTools, ref<request_mailbox> aMailbox, completion_order aOrder)
+  : mRouter(aTools.mRouter)
+  , mGuard(aTools.mGuard)
+  , mMetrics(aTools.mMetrics)
   , mMailbox(std::move(aMailbox))
   , mOrder(std::move(aOrder))
 {
@@ -33,31 +34,75 @@
 {
   instant waitingSince = Now();
   mEnd.mIsComplete = !mOrder.mFinishReason.empty();
-  while (!mEnd.mIsComplete) {
-    if (!StartAttempt()) {
-      const bool mayWait = !mOrder.mTokens.empty() && Now() - waitingSince < kLongestRouteWait;
-      if (!mayWait) {
-        api_error none{ 503, "server_error", "", link::OUTCOME_NOT_RUN, kRetryAfter };
-        none.mMessage = "no chain of backend servers takes model \"" + mOrder.mModel + "\" now";
-        Fail(mLastRefusal ? FromRefusal(*mLastRefusal) : none);
-        break;
-      }
+  mGuard.RequestArrived(waitingSince);
+  bool goesOn = !mEnd.mIsComplete && CheckGuard();
+  while (goesOn) {
+    if (StartAttempt()) {
+      goesOn = co_await RunAttempt(aSink) != step::Ended;
+      waitingSince = mIsOpened ? Now() : waitingSince;
+    } else if (MayWait(waitingSince)) {
       co_await WaitForRoute();
-      continue;
-    }
-    const step next = co_await RunAttempt(aSink);
-    if (mIsOpened) {
-      waitingSince = Now();
-    }
-    if (next == step::Ended) {
-      break;
+    } else {
+      FailWithoutRoute();
+      goesOn = false;
     }
   }
   Cancel(mEnd.mIsComplete ? "finished" : "given up");
   CancelFormerHeads();
+  if (mEnd.mIsComplete && mIsSuspect) {
+    mGuard.Cleared(mOrder.mDigest, Now());
+  }
   co_return mEnd;
 }
 
+bool completion_run::CheckGuard()
+{
+  switch (mGuard.Check(mOrder.mDigest, Now())) {
+    case guard_verdict::Run:
+      return true;
+    case guard_verdict::RunAsSuspect:
+      mIsSuspect = true;
+      return true;
+    case guard_verdict::TriedElsewhere:
+      mMetrics.Refusal(metrics::refusal_cause::Suspect);
+      Fail({ 503,
+             "server_error",
+             "an engine ended while it ran this request; another entry is finding out why",
+             link::OUTCOME_NOT_RUN,
+             kRetryAfterPeerTrial });
+      return false;
+    case guard_verdict::Refused:
+      mMetrics.Refusal(metrics::refusal_cause::Suspect);
+      Fail({ 422,
+             "invalid_request_error",
+             "the request ended two engines and is not run again",
+             link::OUTCOME_NOT_RUN,
+             std::nullopt });
+      return false;
+  }
+  return false;
+}
+
+bool completion_run::MayWait(instant aWaitingSince) const
+{
+  const bool hasBegun = mMayHaveRun || !mOrder.mTokens.empty();
+  return hasBegun && mOpens < kMostOpens && Now() - aWaitingSince < kLongestRouteWait;
+}
+
+void completion_run::FailWithoutRoute()
+{
+  mMetrics.Refusal(metrics::refusal_cause::NoRoute);
+  if (mLastRefusal) {
+    Fail(FromRefusal(*mLastRefusal));
+    return;
+  }
+  Fail({ 503,
+         "server_error",
+         "no chain of backend servers takes model \"" + mOrder.mModel + "\" now",
+         link::OUTCOME_NOT_RUN,
+         kRetryAfter });
+}
+
 boost::asio::awaitable<void> completion_run::WaitForRoute()
 {
   mRefused.clear();
@@ -78,6 +123,8 @@
   open.mutable_delivered()->Assign(mOrder.mTokens.begin(), mOrder.mTokens.end());
   open.set_max_tokens(mOrder.mMaxTokens);
   open.set_priority(mOrder.mPriority);
+  open.set_digest(mOrder.mDigest.Value());
+  open.set_suspect(mIsSuspect);
   open.set_deadline_ms(static_cast<std::uint64_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(mOrder.mDeadline - Now()).count()));
   open.mutable_avoid()->Assign(mAvoid.begin(), mAvoid.end());
@@ -167,6 +214,13 @@
     kLog.Request(mOrder.mRequest.Str(), "Position {} came before {}.", aToken.position(), mOrder.mTokens.size());
     co_return step::NextAttempt;
   }
+  const instant now = Now();
+  if (mOrder.mTokens.empty()) {
+    mMetrics.FirstToken(now - mOrder.mArrived);
+  } else if (mLastToken != instant{}) {
+    mMetrics.TokenGap(now - mLastToken);
+  }
+  mLastToken = now;
   mOrder.mTokens.push_back(aToken.text());
   const answer_token token{
     token_position(aToken.position()), aToken.text(), aToken.finish_reason(), mHead->Instance()
@@ -191,6 +245,15 @@
   kLog.Request(mOrder.mRequest.Str(), "{} refused: {}.", mHead->Instance().Str(), aRefusal.message());
   mLastRefusal = aRefusal;
   mRefused.insert(mHead->Instance().Str());
+  if (aRefusal.outcome() == link::OUTCOME_FAILED) {
+    return Fail(FromRefusal(aRefusal));
+  }
+  const bool isOverloaded = aRefusal.reason() == link::REFUSAL_OVERLOADED;
+  if (isOverloaded && !mGuard.TryRetry(Now())) {
+    mMetrics.Refusal(metrics::refusal_cause::Overloaded);
+    return Fail(FromRefusal(aRefusal));
+  }
+  mMetrics.Retry(metrics::retry_cause::Refused);
   return step::NextAttempt;
 }
 
@@ -198,15 +261,23 @@
 {
   mAvoid.insert(aLost.instance());
   std::erase(mChain, aLost.instance());
-  mCrashes += aLost.crashed() ? 1 : 0;
-  if (mCrashes >= kMostCrashes) {
+  if (aLost.crashed()) {
+    return OnCrashed();
+  }
+  return Retry(aLost.stalled() ? metrics::retry_cause::Stalled : metrics::retry_cause::StageLost);
+}
+
+completion_run::step completion_run::OnCrashed()
+{
+  mIsSuspect = true;
+  if (mGuard.Crashed(mOrder.mDigest, Now()) == guard_verdict::Refused) {
     return Fail({ 422,
                   "invalid_request_error",
                   "the request ended two engines and is not run again",
                   link::OUTCOME_FAILED,
                   std::nullopt });
   }
-  return step::NextAttempt;
+  return Retry(metrics::retry_cause::EngineCrashed);
 }
 
 completion_run::step completion_run::OnHeadLost(bool aStalled)
@@ -215,16 +286,29 @@
   mMayHaveRun = true;
   mAvoid.insert(mHead->Instance().Str());
   std::erase(mChain, mHead->Instance().Str());
-  return step::NextAttempt;
+  return Retry(aStalled ? metrics::retry_cause::Stalled : metrics::retry_cause::StageLost);
+}
+
+completion_run::step completion_run::Retry(metrics::retry_cause aCause)
+{
+  mMetrics.Retry(aCause);
+  if (!mOrder.mTokens.empty()) {
+    mGuard.Recovered(Now());
+    return step::NextAttempt;
+  }
+  if (mGuard.TryRetry(Now())) {
+    return step::NextAttempt;
+  }
+  return Fail({ 503,
+                "server_error",
+                "a backend server was lost, and too many requests are being sent again now",
+                link::OUTCOME_FAILED,
+                kRetryAfter });
 }
 
 completion_run::step completion_run::OnQuiet()
 {
   const duration quiet = Now() - mLastProgress;
-  if (!mIsOpened && quiet > kOpenTimeout) {
-    Cancel("it did not answer in time");
-    return OnHeadLost(true);
-  }
   if (quiet < mOrder.mStallFloor / 2) {
     return step::Continue;
   }
--- a/src/entry/completion_run.h
+++ b/src/entry/completion_run.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "entry/api_error.h"
+#include "entry/request_guard.h"
 #include "entry/request_router.h"
+#include "metrics/metrics.h"
 #include "policy/stage_progress.h"
 
 /// One completion: attempts over chains of stages until the caller has the whole answer.
@@ -26,6 +28,8 @@
   std::uint32_t mPromptTokens = 0;
   std::uint32_t mMaxTokens = 0;
   std::uint32_t mPriority = 0;
+  request_digest mDigest; ///< of workspace, model, prompt and length
+  instant mArrived{};
   instant mDeadline{};
   duration mStallFloor = std::chrono::seconds(1);
   /// When a stream is taken up: tokens known so far, the last attempt, and the sidecars that hold its state.
@@ -60,11 +64,19 @@
   virtual boost::asio::awaitable<bool> Deliver(const answer_token& aToken) = 0;
 };
 
+/// What completions share.
+struct completion_tools
+{
+  request_router& mRouter;
+  request_guard& mGuard;
+  metrics::process_metrics& mMetrics;
+};
+
 /// Runs one completion. All its work is on the strand of the caller's connection.
 class completion_run
 {
 public:
-  completion_run(request_router& aRouter, ref<request_mailbox> aMailbox, completion_order aOrder);
+  completion_run(const completion_tools& aTools, ref<request_mailbox> aMailbox, completion_order aOrder);
   boost::asio::awaitable<completion_end> Run(token_sink& aSink);
   /// Tokens of the answer so far.
   std::uint32_t TokenCount() const { return static_cast<std::uint32_t>(mOrder.mTokens.size()); }
@@ -79,7 +91,12 @@
     Ended
   };
 
+  bool CheckGuard();
   bool StartAttempt();
+  bool MayWait(instant aWaitingSince) const;
+  void FailWithoutRoute();
+  step OnCrashed();
+  step Retry(metrics::retry_cause aCause);
   boost::asio::awaitable<void> WaitForRoute();
   boost::asio::awaitable<step> RunAttempt(token_sink& aSink);
   boost::asio::awaitable<step> OnFrame(const link::frame& aFrame, token_sink& aSink);
@@ -95,12 +112,14 @@
   link::frame Frame() const;
 
   request_router& mRouter;
+  request_guard& mGuard;
+  metrics::process_metrics& mMetrics;
   ref<request_mailbox> mMailbox;
   completion_order mOrder;
   completion_end mEnd;
   policy::attempt_key mAttempt;
   std::uint32_t mOpens = 0;
-  std::uint32_t mCrashes = 0;
+  bool mIsSuspect = false;
   bool mMayHaveRun = false;
   ref<link::provider> mHead;
   std::vector<ref<link::provider>> mFormerHeads; ///< not told yet that the request has left them
@@ -110,6 +129,7 @@
   std::set<std::string> mRefused; ///< refused since the last attempt that was opened
   std::optional<link::refusal> mLastRefusal;
   instant mLastProgress{};
+  instant mLastToken{};
 };
 
 } // namespace chervilpulley::entry
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -1,5 +1,11 @@
 #include "entry/entry_server.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <charconv>
+
 #include "base/clock.h"
 #include "base/log.h"
 
@@ -9,6 +15,7 @@
 
 constexpr part_log kLog("entry");
 constexpr duration kTick = std::chrono::milliseconds(50);
+constexpr duration kPeerTimeout = std::chrono::seconds(1);
 
 caller_options CallerOptions(const settings::settings& aSettings)
 {
@@ -44,8 +51,13 @@
   mLinks = MakeRef<link::provider_links>(
     mCore.Context(), mCore.LinkOptions(), mCore.Hello("entry"), mCore.Board(), std::move(events));
   mRouter->SetLinks(mLinks);
+  mMetrics = metrics::process_metrics::Create();
+  mGuard =
+    MakeRef<request_guard>([this](request_digest aDigest, std::uint32_t aCrashes) { TellOfCrash(aDigest, aCrashes); });
   mApi = MakeRef<caller_api>(
-    *mRouter, [this] { return mCore.Config().Current(); }, CallerOptions(mCore.Settings()));
+    completion_tools{ *mRouter, *mGuard, *mMetrics },
+    [this] { return mCore.Config().Current(); },
+    CallerOptions(mCore.Settings()));
 }
 
 result<void, std::string> entry_server::Start()
@@ -95,19 +107,29 @@
     co_await aExchange.Reply(std::move(*reply));
     co_return;
   }
+  if (net::PathOf(aExchange.Request().mTarget) == "/metrics") {
+    net::http_reply reply;
+    reply.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
+    reply.mBody = mMetrics->Text();
+    co_await aExchange.Reply(std::move(reply));
+    co_return;
+  }
   co_await mApi->Answer(aExchange);
 }
 
 void entry_server::OnLiveList(const runtime::instance_core::live_instances& aLive)
 {
   std::vector<platform::live_instance> sidecars;
+  std::size_t entries = 0;
   for (const auto& listed : aLive) {
+    entries += listed.mRole == platform::instance_role::Entry ? 1 : 0;
     if (listed.mRole == platform::instance_role::Sidecar) {
       sidecars.push_back(listed);
     } else if (listed.mInstance == mCore.Instance() && listed.mLeaving) {
       mCore.Health().mLeaving = true;
     }
   }
+  mGuard->SetEntryCount(std::max<std::size_t>(entries, 1));
   mLinks->SetWanted(sidecars, Now());
 }
 
@@ -116,6 +138,9 @@
   const instant now = Now();
   mLinks->Tick(now);
   mCore.Health().mReady = mCore.Config().Ready();
+  mMetrics->Revision(mCore.Config().Current()->Revision().Value());
+  mMetrics->InProgress(mHttpServer->OpenExchanges());
+  mMetrics->PlatformUp(mCore.IsPlatformUp());
   if (!mLeaving) {
     return;
   }
@@ -145,9 +170,32 @@
   return { static_cast<std::uint32_t>(mHttpServer->OpenExchanges()) };
 }
 
-rpc::report_suspect_reply entry_server::ReportSuspect(const rpc::report_suspect_request&)
+rpc::report_suspect_reply entry_server::ReportSuspect(const rpc::report_suspect_request& aRequest)
+{
+  std::uint64_t digest = 0;
+  const char* end = aRequest.mDigest.data() + aRequest.mDigest.size();
+  const auto parsed = std::from_chars(aRequest.mDigest.data(), end, digest);
+  if (parsed.ec == std::errc() && parsed.ptr == end) {
+    mGuard->CrashedAtPeer(request_digest(digest), aRequest.mCrashes, Now());
+  }
+  return { aRequest.mCrashes };
+}
+
+void entry_server::TellOfCrash(request_digest aDigest, std::uint32_t aCrashes)
 {
-  return { 0 };
+  rpc::report_suspect_request report;
+  report.mDigest = std::to_string(aDigest.Value());
+  report.mCrashes = aCrashes;
+  for (const auto& listed : mCore.Live()) {
+    if (listed.mRole == platform::instance_role::Entry && listed.mInstance != mCore.Instance()) {
+      boost::asio::co_spawn(
+        mCore.Context(),
+        [peers = mCore.Peers(), address = listed.mPeer, report]() -> boost::asio::awaitable<void> {
+          co_await peers->ReportSuspect(address, report, kPeerTimeout);
+        },
+        boost::asio::detached);
+    }
+  }
 }
 
 std::string entry_server::Status()
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -33,10 +33,13 @@
   boost::asio::awaitable<void> AnswerHttp(net::http_exchange& aExchange);
   void OnLiveList(const runtime::instance_core::live_instances& aLive);
   void OnTick();
+  void TellOfCrash(request_digest aDigest, std::uint32_t aCrashes);
 
   runtime::instance_core& mCore;
   ref<request_router> mRouter;
   ref<link::provider_links> mLinks;
+  ref<metrics::process_metrics> mMetrics;
+  ref<request_guard> mGuard;
   ref<caller_api> mApi;
   ref<net::http_server> mHttpServer;
   std::unique_ptr<runtime::operator_backend> mOperators;
--- /dev/null
+++ b/src/entry/request_guard.cpp
@@ -0,0 +1,108 @@
+#include "entry/request_guard.h"
+
+namespace chervilpulley::entry {
+
+namespace {
+
+/// Time that the entry which saw a crash gets to find out whether the request does so again.
+constexpr duration kPeerTrialTime = std::chrono::seconds(5);
+constexpr std::uint32_t kCrashesThatCondemn = 2;
+
+} // namespace
+
+request_guard::request_guard(crash_callback aOnCrash)
+  : mOnCrash(std::move(aOnCrash))
+{
+}
+
+std::optional<duration> request_guard::TakeRate(const workspace_id& aWorkspace, std::uint32_t aPerSecond, instant aNow)
+{
+  if (aPerSecond == 0) {
+    return std::nullopt;
+  }
+  const ref<guarded_bucket> bucket = mBuckets.WithShard(aWorkspace, [&](auto& aBuckets) {
+    auto& slot = aBuckets[aWorkspace];
+    if (!slot) {
+      slot = MakeRef<guarded_bucket>();
+    }
+    return slot;
+  });
+  std::lock_guard lock(bucket->mMutex);
+  return bucket->mBucket.Take({ static_cast<double>(aPerSecond) }, mEntryCount, aNow);
+}
+
+void request_guard::RequestArrived(instant aNow)
+{
+  std::lock_guard lock(mRetryMutex);
+  mRetries.RequestArrived(aNow);
+}
+
+bool request_guard::TryRetry(instant aNow)
+{
+  std::lock_guard lock(mRetryMutex);
+  return mRetries.TryRetry(aNow);
+}
+
+void request_guard::Recovered(instant aNow)
+{
+  std::lock_guard lock(mRetryMutex);
+  mRetries.Recovered(aNow);
+}
+
+guard_verdict request_guard::VerdictOf(policy::suspicion aLevel) const
+{
+  switch (aLevel) {
+    case policy::suspicion::None:
+      return guard_verdict::Run;
+    case policy::suspicion::Refused:
+      return guard_verdict::Refused;
+    default:
+      return guard_verdict::RunAsSuspect;
+  }
+}
+
+guard_verdict request_guard::Check(request_digest aDigest, instant aNow)
+{
+  std::lock_guard lock(mSuspectMutex);
+  const guard_verdict verdict = VerdictOf(mSuspects.Level(aDigest, aNow));
+  const auto tried = mTriedElsewhere.find(aDigest);
+  if (verdict == guard_verdict::Refused || tried == mTriedElsewhere.end()) {
+    return verdict;
+  }
+  if (aNow < tried->second) {
+    return guard_verdict::TriedElsewhere;
+  }
+  mTriedElsewhere.erase(tried);
+  return verdict;
+}
+
+guard_verdict request_guard::Crashed(request_digest aDigest, instant aNow)
+{
+  guard_verdict verdict = guard_verdict::Run;
+  {
+    std::lock_guard lock(mSuspectMutex);
+    // A suspect runs where no other suspect does, so a second crash names this request.
+    const bool wasSuspect = mSuspects.Level(aDigest, aNow) != policy::suspicion::None;
+    verdict = VerdictOf(mSuspects.CrashedElsewhere(aDigest, wasSuspect, aNow));
+  }
+  mOnCrash(aDigest, verdict == guard_verdict::Refused ? kCrashesThatCondemn : 1);
+  return verdict;
+}
+
+void request_guard::Cleared(request_digest aDigest, instant aNow)
+{
+  std::lock_guard lock(mSuspectMutex);
+  mSuspects.Started(aDigest, aNow);
+  mSuspects.Finished(aDigest, true);
+}
+
+void request_guard::CrashedAtPeer(request_digest aDigest, std::uint32_t aCrashes, instant aNow)
+{
+  std::lock_guard lock(mSuspectMutex);
+  const bool isCondemned = aCrashes >= kCrashesThatCondemn || mSuspects.Level(aDigest, aNow) != policy::suspicion::None;
+  const auto level = isCondemned ? policy::suspicion::Refused : policy::suspicion::Suspect;
+  mSuspects.Merge({ aDigest, level, policy::kSuspicionTime }, aNow);
+  mTriedElsewhere[aDigest] = aNow + kPeerTrialTime;
+}
+
+} // namespace chervilpulley::entry
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -99,11 +99,10 @@
 
 result<void, std::string> sidecar_server::StartHttp()
 {
-  auto started = net::http_server::Start(
-    mCore.Context(),
-    mCore.Addresses().mHttp,
-    [this](net::http_exchange& aExchange) { return AnswerHttp(aExchange); },
-    {});
+  auto started = net::http_server::Start(mCore.Context(),
+                                         mCore.Addresses().mHttp,
+                                         [this](net::http_exchange& aExchange) { return AnswerHttp(aExchange); },
+                                         {});
   if (started.has_error()) {
     return started.error().mMessage;
   }
