--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -110,6 +110,7 @@
   for (auto group : { OperatorCommands(), LocalCommands() }) {
     all.insert(all.end(), group.begin(), group.end());
   }
+  all.push_back(LoadCommand());
   return all;
 }
 
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -10,6 +10,8 @@
 std::vector<command> LocalCommands();
 /// apply, get, delete, watch, audit, status, rollout, drain.
 std::vector<command> OperatorCommands();
+/// load.
+command LoadCommand();
 /// A process in a role.
 command RoleCommand(const role_command& aRole);
 
--- /dev/null
+++ b/src/cli/load_report.cpp
@@ -0,0 +1,203 @@
+#include "cli/load_report.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervilpulley::cli {
+
+namespace {
+
+constexpr double kUsPerMs = 1000;
+constexpr std::array<const char*, kCallKinds> kKindNames{ "stream", "plain", "booking", "lookup" };
+
+double Ms(duration aTime)
+{
+  return static_cast<double>(aTime.count()) / kUsPerMs;
+}
+
+duration AtRank(const std::vector<duration>& aSorted, double aShare)
+{
+  const auto rank = static_cast<std::size_t>(std::ceil(aShare * static_cast<double>(aSorted.size())));
+  return aSorted[std::max<std::size_t>(rank, 1) - 1];
+}
+
+bool HasFirstToken(const call_record& aRecord)
+{
+  return aRecord.mKind == call_kind::Stream && aRecord.mTokens > 0;
+}
+
+/// Times to the first token of those records that the function chooses.
+template<class Choose>
+percentiles FirstTokens(const std::vector<call_record>& aRecords, Choose&& aChoose)
+{
+  std::vector<duration> times;
+  for (const call_record& record : aRecords) {
+    if (HasFirstToken(record) && aChoose(record)) {
+      times.push_back(record.mFirstToken);
+    }
+  }
+  return PercentilesOf(std::move(times));
+}
+
+void CountWorkspaces(load_summary& aSummary, const std::vector<call_record>& aRecords)
+{
+  for (const call_record& record : aRecords) {
+    workspace_share& share = aSummary.mWorkspaces[record.mWorkspace];
+    ++share.mSent;
+    share.mWhole += record.mEnd == call_end::Whole ? 1 : 0;
+    share.mTokens += record.mTokens;
+    share.mTokensAsked += record.mTokensAsked;
+  }
+  for (std::size_t i = 0; i < aSummary.mWorkspaces.size(); ++i) {
+    aSummary.mWorkspaces[i].mFirstToken =
+      FirstTokens(aRecords, [i](const call_record& aRecord) { return aRecord.mWorkspace == i; });
+  }
+}
+
+void CountSeconds(load_summary& aSummary, const std::vector<call_record>& aRecords)
+{
+  constexpr duration kSecond = std::chrono::seconds(1);
+  for (const call_record& record : aRecords) {
+    const auto index = static_cast<std::size_t>(record.mStart / kSecond);
+    aSummary.mSeconds.resize(std::max(aSummary.mSeconds.size(), index + 1));
+    load_second& second = aSummary.mSeconds[index];
+    ++second.mSent;
+    second.mWhole += record.mEnd == call_end::Whole ? 1 : 0;
+    second.mTokens += record.mTokens;
+  }
+  for (std::size_t i = 0; i < aSummary.mSeconds.size(); ++i) {
+    aSummary.mSeconds[i].mFirstToken = FirstTokens(aRecords, [i, kSecond](const call_record& aRecord) {
+      return static_cast<std::size_t>(aRecord.mStart / kSecond) == i;
+    });
+  }
+}
+
+/// Jain's index of the part that each workspace got of the tokens that it asked for.
+double Fairness(const std::vector<workspace_share>& aShares)
+{
+  double sum = 0;
+  double squares = 0;
+  double count = 0;
+  for (const workspace_share& share : aShares) {
+    if (share.mTokensAsked == 0) {
+      continue;
+    }
+    const double part = static_cast<double>(share.mTokens) / static_cast<double>(share.mTokensAsked);
+    sum += part;
+    squares += part * part;
+    ++count;
+  }
+  return squares == 0 ? 1 : sum * sum / (count * squares);
+}
+
+void SumUp(load_summary& aSummary, const std::vector<call_record>& aRecords)
+{
+  std::array<std::vector<duration>, kCallKinds> totals;
+  std::uint64_t tokens = 0;
+  for (const call_record& record : aRecords) {
+    ++aSummary.mEnds[static_cast<std::size_t>(record.mEnd)];
+    aSummary.mLength = std::max(aSummary.mLength, record.mStart + record.mTotal);
+    tokens += record.mTokens;
+    if (record.mEnd == call_end::Whole) {
+      totals[static_cast<std::size_t>(record.mKind)].push_back(record.mTotal);
+    }
+  }
+  for (std::size_t i = 0; i < kCallKinds; ++i) {
+    aSummary.mTotals[i] = PercentilesOf(std::move(totals[i]));
+  }
+  const double seconds = std::chrono::duration<double>(aSummary.mLength).count();
+  if (seconds > 0) {
+    const auto whole = aSummary.mEnds[static_cast<std::size_t>(call_end::Whole)];
+    aSummary.mWholePerSecond = static_cast<double>(whole) / seconds;
+    aSummary.mTokensPerSecond = static_cast<double>(tokens) / seconds;
+  }
+}
+
+std::string Line(std::string_view aName, const percentiles& aTimes)
+{
+  return fmt::format("  {:<22} {:>8} {:>10.1f} {:>10.1f} {:>10.1f} {:>10.1f}\n",
+                     aName,
+                     aTimes.mCount,
+                     Ms(aTimes.mP50),
+                     Ms(aTimes.mP90),
+                     Ms(aTimes.mP99),
+                     Ms(aTimes.mMax));
+}
+
+} // namespace
+
+percentiles PercentilesOf(std::vector<duration> aTimes)
+{
+  if (aTimes.empty()) {
+    return {};
+  }
+  std::sort(aTimes.begin(), aTimes.end());
+  return { aTimes.size(), AtRank(aTimes, 0.5), AtRank(aTimes, 0.9), AtRank(aTimes, 0.99), aTimes.back() };
+}
+
+load_summary Summarize(const load_ledger& aLedger, const std::vector<std::string>& aWorkspaces)
+{
+  load_summary summary;
+  const std::vector<call_record>& records = aLedger.Records();
+  summary.mSent = records.size();
+  summary.mResumed = aLedger.Resumed();
+  summary.mResent = aLedger.Resent();
+  SumUp(summary, records);
+  summary.mFirstToken = FirstTokens(records, [](const call_record&) { return true; });
+  summary.mGap = PercentilesOf(aLedger.Gaps());
+  for (const std::string& name : aWorkspaces) {
+    summary.mWorkspaces.push_back({ name });
+  }
+  CountWorkspaces(summary, records);
+  CountSeconds(summary, records);
+  summary.mFairness = Fairness(summary.mWorkspaces);
+  summary.mFaults = aLedger.Faults();
+  summary.mExamples = aLedger.Examples();
+  return summary;
+}
+
+std::string ReportText(const load_summary& aSummary)
+{
+  std::string text = fmt::format("{} calls in {:.1f} s: {:.1f} whole answers/s, {:.1f} tokens/s\n",
+                                 aSummary.mSent,
+                                 std::chrono::duration<double>(aSummary.mLength).count(),
+                                 aSummary.mWholePerSecond,
+                                 aSummary.mTokensPerSecond);
+  for (std::size_t i = 0; i < kCallEnds; ++i) {
+    text += fmt::format("  {:<22} {:>8}\n", TextOf(static_cast<call_end>(i)), aSummary.mEnds[i]);
+  }
+  text += fmt::format("  {:<22} {:>8}\n  {:<22} {:>8}\n", "resumed", aSummary.mResumed, "sent again", aSummary.mResent);
+  text +=
+    fmt::format("\n  {:<22} {:>8} {:>10} {:>10} {:>10} {:>10}\n", "times in ms", "count", "p50", "p90", "p99", "max");
+  text += Line("first token", aSummary.mFirstToken);
+  text += Line("between tokens", aSummary.mGap);
+  for (std::size_t i = 0; i < kCallKinds; ++i) {
+    text += Line(fmt::format("whole {}", kKindNames[i]), aSummary.mTotals[i]);
+  }
+  text += fmt::format(
+    "\n  {:<22} {:>8} {:>10} {:>10} {:>10} {:>10}\n", "workspace", "sent", "whole", "tokens", "first p50", "first p99");
+  for (const workspace_share& share : aSummary.mWorkspaces) {
+    text += fmt::format("  {:<22} {:>8} {:>10} {:>10} {:>10.1f} {:>10.1f}\n",
+                        share.mName,
+                        share.mSent,
+                        share.mWhole,
+                        share.mTokens,
+                        Ms(share.mFirstToken.mP50),
+                        Ms(share.mFirstToken.mP99));
+  }
+  text += fmt::format("  fairness (Jain's index) {:.3f}\n", aSummary.mFairness);
+  const promise_faults& faults = aSummary.mFaults;
+  text += fmt::format("\npromises: lost {}, doubled {}, mixed up {}, cut {}\n",
+                      faults.mLost,
+                      faults.mDoubled,
+                      faults.mMixedUp,
+                      faults.mCut);
+  for (const std::string& example : aSummary.mExamples) {
+    text += "  " + example + "\n";
+  }
+  return text;
+}
+
+} // namespace chervilpulley::cli
--- /dev/null
+++ b/src/cli/load_report_json.cpp
@@ -0,0 +1,91 @@
+#include "cli/load_report.h"
+
+#include <boost/json.hpp>
+
+namespace chervilpulley::cli {
+
+namespace {
+
+namespace json = boost::json;
+
+json::object Json(const percentiles& aTimes)
+{
+  return { { "count", aTimes.mCount },
+           { "p50_us", aTimes.mP50.count() },
+           { "p90_us", aTimes.mP90.count() },
+           { "p99_us", aTimes.mP99.count() },
+           { "max_us", aTimes.mMax.count() } };
+}
+
+json::object Json(const workspace_share& aShare)
+{
+  return { { "workspace", aShare.mName },
+           { "sent", aShare.mSent },
+           { "whole", aShare.mWhole },
+           { "tokens", aShare.mTokens },
+           { "tokens_asked", aShare.mTokensAsked },
+           { "first_token", Json(aShare.mFirstToken) } };
+}
+
+json::object Json(const load_second& aSecond)
+{
+  return { { "sent", aSecond.mSent },
+           { "whole", aSecond.mWhole },
+           { "tokens", aSecond.mTokens },
+           { "first_token", Json(aSecond.mFirstToken) } };
+}
+
+json::object Json(const promise_faults& aFaults)
+{
+  return { { "lost", aFaults.mLost },
+           { "doubled", aFaults.mDoubled },
+           { "mixed_up", aFaults.mMixedUp },
+           { "cut", aFaults.mCut } };
+}
+
+template<class Item>
+json::array JsonOfEach(const std::vector<Item>& aItems)
+{
+  json::array all;
+  for (const Item& item : aItems) {
+    all.push_back(Json(item));
+  }
+  return all;
+}
+
+json::object Ends(const load_summary& aSummary)
+{
+  json::object ends;
+  for (std::size_t i = 0; i < kCallEnds; ++i) {
+    ends[TextOf(static_cast<call_end>(i))] = aSummary.mEnds[i];
+  }
+  return ends;
+}
+
+} // namespace
+
+std::string ReportJson(const load_summary& aSummary)
+{
+  json::object report;
+  report["length_us"] = aSummary.mLength.count();
+  report["sent"] = aSummary.mSent;
+  report["ends"] = Ends(aSummary);
+  report["resumed"] = aSummary.mResumed;
+  report["sent_again"] = aSummary.mResent;
+  report["whole_per_second"] = aSummary.mWholePerSecond;
+  report["tokens_per_second"] = aSummary.mTokensPerSecond;
+  report["first_token"] = Json(aSummary.mFirstToken);
+  report["between_tokens"] = Json(aSummary.mGap);
+  report["whole_stream"] = Json(aSummary.mTotals[static_cast<std::size_t>(call_kind::Stream)]);
+  report["whole_plain"] = Json(aSummary.mTotals[static_cast<std::size_t>(call_kind::Plain)]);
+  report["whole_booking"] = Json(aSummary.mTotals[static_cast<std::size_t>(call_kind::Booking)]);
+  report["whole_lookup"] = Json(aSummary.mTotals[static_cast<std::size_t>(call_kind::Lookup)]);
+  report["workspaces"] = JsonOfEach(aSummary.mWorkspaces);
+  report["fairness"] = aSummary.mFairness;
+  report["seconds"] = JsonOfEach(aSummary.mSeconds);
+  report["promises"] = Json(aSummary.mFaults);
+  report["examples"] = json::value_from(aSummary.mExamples);
+  return json::serialize(report) + "\n";
+}
+
+} // namespace chervilpulley::cli
--- /dev/null
+++ b/src/cli/load_run.cpp
@@ -0,0 +1,382 @@
+#include "cli/load_run.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <ostream>
+
+#include "base/clock.h"
+#include "base/random.h"
+#include "cli/load_stream.h"
+#include "net/http_client.h"
+
+namespace chervilpulley::cli {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+/// Times that one call is sent, or its stream taken up, at most.
+constexpr int kMaxTries = 4;
+constexpr duration kRetryPause = std::chrono::milliseconds(200);
+constexpr std::size_t kRequestIdBytes = 8;
+/// Bytes of a body that are kept in case it is an error.
+constexpr std::size_t kMaxErrorBytes = 64U << 10U;
+constexpr unsigned kOk = 200;
+constexpr unsigned kFirstRedirect = 300;
+
+/// The outcome that an error body tells; empty when it tells none.
+std::string OutcomeOf(const std::string& aBody)
+{
+  json::error_code fault;
+  const json::value body = json::parse(aBody, fault);
+  if (fault || !body.is_object()) {
+    return "";
+  }
+  const json::value* error = body.get_object().if_contains("error");
+  if (error == nullptr || !error->is_object()) {
+    return "";
+  }
+  const json::value* told = error->get_object().if_contains("outcome");
+  return told != nullptr && told->is_string() ? std::string(told->get_string()) : "";
+}
+
+call_end EndOf(const std::string& aOutcome)
+{
+  if (aOutcome == "not_run") {
+    return call_end::NotRun;
+  }
+  return aOutcome == "unknown" ? call_end::Unknown : call_end::Failed;
+}
+
+/// The text of a whole completion, and how many tokens it has.
+struct whole_answer
+{
+  std::string mId;
+  std::string mText;
+  std::string mFinishReason;
+  std::uint32_t mTokens = 0;
+};
+
+std::optional<whole_answer> ReadAnswer(const std::string& aBody)
+{
+  try {
+    const json::value body = json::parse(aBody);
+    const json::value& choice = body.at("choices").at(0);
+    whole_answer answer;
+    answer.mId = json::value_to<std::string>(body.at("id"));
+    answer.mText = json::value_to<std::string>(choice.at("text"));
+    answer.mFinishReason = json::value_to<std::string>(choice.at("finish_reason"));
+    answer.mTokens = json::value_to<std::uint32_t>(body.at("usage").at("completion_tokens"));
+    return answer;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+/// One run of the load; all on the thread that calls Run().
+class load_run
+{
+public:
+  load_run(const load_options& aOptions, const load_target& aTarget, load_ledger& aLedger, std::ostream* aProgress)
+    : mOptions(aOptions)
+    , mTarget(aTarget)
+    , mLedger(aLedger)
+    , mProgress(aProgress)
+    , mClient(net::http_client::Create(mContext))
+  {
+  }
+
+  void Run()
+  {
+    mStart = Now();
+    asio::co_spawn(mContext, SendAll(), asio::detached);
+    if (mProgress != nullptr) {
+      asio::co_spawn(mContext, ShowProgress(), asio::detached);
+    }
+    mContext.run();
+  }
+
+private:
+  asio::awaitable<void> Pause(duration aTime)
+  {
+    asio::steady_timer timer(mContext, aTime);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
+  asio::awaitable<void> SendAll()
+  {
+    load_plan plan(mOptions);
+    while (auto call = plan.Next()) {
+      const duration wait = std::chrono::duration_cast<duration>(mStart + call->mAt - Now());
+      if (wait.count() > 0) {
+        co_await Pause(wait);
+      }
+      ++mOpen;
+      ++mSent;
+      asio::co_spawn(mContext, Send(std::move(*call)), asio::detached);
+    }
+    mIsSent = true;
+  }
+
+  asio::awaitable<void> Send(planned_call aCall)
+  {
+    call_record record;
+    record.mKind = aCall.mKind;
+    record.mWorkspace = aCall.mWorkspace;
+    record.mTokensAsked = aCall.mMaxTokens;
+    // Times count from the planned moment, so that a late send is not hidden.
+    const instant start = mStart + aCall.mAt;
+    record.mStart = aCall.mAt;
+    if (aCall.mKind == call_kind::Stream) {
+      co_await SendStream(aCall, record);
+    } else if (aCall.mKind == call_kind::Plain) {
+      co_await SendPlain(aCall, record);
+    } else {
+      co_await SendServiceCall(aCall, record);
+    }
+    record.mTotal = Now() - start;
+    mLedger.Add(record);
+    --mOpen;
+  }
+
+  const net::endpoint& EntryOf(const planned_call& aCall, int aTry) const
+  {
+    return mTarget.mEntries[(aCall.mEntry + static_cast<std::size_t>(aTry)) % mTarget.mEntries.size()];
+  }
+
+  net::http_request RequestOf(const planned_call& aCall, const std::string& aId) const
+  {
+    net::http_request request;
+    request.mMethod = aCall.mKind == call_kind::Lookup ? "GET" : "POST";
+    request.mHeaders.Set("Authorization", "Bearer " + mTarget.mKeys[aCall.mWorkspace]);
+    request.mHeaders.Set("X-Request-Id", aId);
+    const auto deadline = std::chrono::duration_cast<std::chrono::milliseconds>(mTarget.mTimeout);
+    request.mHeaders.Set("X-Deadline-Ms", std::to_string(deadline.count()));
+    if (request.mMethod == "POST") {
+      request.mHeaders.Set("Content-Type", "application/json");
+    }
+    return request;
+  }
+
+  net::http_request CompletionOf(const planned_call& aCall, const std::string& aId) const
+  {
+    net::http_request request = RequestOf(aCall, aId);
+    request.mTarget = "/v1/completions";
+    json::object body;
+    body["model"] = mTarget.mModel;
+    body["prompt"] = aCall.mPrompt;
+    body["max_tokens"] = aCall.mMaxTokens;
+    body["stream"] = aCall.mKind == call_kind::Stream;
+    request.mBody = json::serialize(body);
+    return request;
+  }
+
+  asio::awaitable<void> SendStream(const planned_call& aCall, call_record& aRecord)
+  {
+    const std::string id = RandomHex(kRequestIdBytes);
+    stream_check check(id, aCall.mMaxTokens);
+    const instant start = mStart + aCall.mAt;
+    instant last = start;
+    for (int tries = 0; tries < kMaxTries; ++tries) {
+      net::http_request request = CompletionOf(aCall, id);
+      if (!check.LastEventId().empty()) {
+        request.mHeaders.Set("Last-Event-ID", check.LastEventId());
+      }
+      sse_reader reader;
+      std::string raw;
+      const auto take = [&](const sse_event& aEvent) {
+        if (!check.Take(aEvent)) {
+          return;
+        }
+        const instant now = Now();
+        if (check.Tokens() == 1) {
+          aRecord.mFirstToken = now - start;
+        } else {
+          mLedger.AddGap(now - last);
+        }
+        last = now;
+      };
+      net::body_sink sink = [&](std::string_view aPiece) {
+        raw += aPiece.substr(0, kMaxErrorBytes - std::min(kMaxErrorBytes, raw.size()));
+        reader.Take(aPiece, take);
+        return true;
+      };
+      const auto reply =
+        co_await mClient->Stream(EntryOf(aCall, tries), std::move(request), mTarget.mTimeout, std::move(sink));
+      if (reply.has_value() && reply.value().mStatus != kOk) {
+        aRecord.mEnd = check.Tokens() > 0 ? call_end::Cut : EndOf(OutcomeOf(raw));
+        break;
+      }
+      if (check.IsDone() || !check.Error().empty()) {
+        aRecord.mEnd = check.IsWhole() ? call_end::Whole : call_end::Cut;
+        break;
+      }
+      // The connection broke: the stream is taken up, or the request sent again, elsewhere.
+      aRecord.mEnd = check.Tokens() > 0 ? call_end::Cut : call_end::Lost;
+      co_await CountBroken(check.Tokens() > 0);
+    }
+    Close(aCall, check, aRecord);
+  }
+
+  asio::awaitable<void> CountBroken(bool aIsResumed)
+  {
+    if (aIsResumed) {
+      mLedger.AddResumed();
+    } else {
+      mLedger.AddResent();
+    }
+    co_await Pause(kRetryPause);
+  }
+
+  void Close(const planned_call& aCall, const stream_check& aCheck, call_record& aRecord)
+  {
+    aRecord.mTokens = aCheck.Tokens();
+    if (aCheck.Doubled() > 0) {
+      mLedger.AddDoubled(aCheck.Doubled(), fmt::format("{} tokens came twice", aCheck.Doubled()));
+    }
+    if (!aCheck.MixedUp().empty()) {
+      mLedger.AddMixedUp(aCheck.MixedUp());
+    }
+    if (aRecord.mEnd == call_end::Cut) {
+      mLedger.AddExample(fmt::format("a stream ended after {} tokens: {}",
+                                     aCheck.Tokens(),
+                                     aCheck.Error().empty() ? "no [DONE], or tokens are missing" : aCheck.Error()));
+    }
+    mLedger.AddAnswer(aCall.mPrompt, aCheck.Text());
+  }
+
+  /// Sends a request whose answer comes whole; sends it again elsewhere when the connection breaks. Only for calls that
+  /// may be sent again: completions, lookups, and bookings with a key.
+  asio::awaitable<std::optional<net::http_reply>> Fetch(const planned_call& aCall, net::http_request aRequest)
+  {
+    for (int tries = 0; tries < kMaxTries; ++tries) {
+      net::http_request request = aRequest;
+      const auto reply = co_await mClient->Fetch(EntryOf(aCall, tries), std::move(request), mTarget.mTimeout);
+      if (reply.has_value()) {
+        co_return reply.value();
+      }
+      if (reply.error().mCode == net::net_errc::Timeout) {
+        mLedger.AddExample("a call was not answered in time");
+        break;
+      }
+      co_await CountBroken(false);
+    }
+    co_return std::nullopt;
+  }
+
+  void CheckEcho(const net::http_reply& aReply, const std::string& aId)
+  {
+    if (aReply.mHeaders.Has("X-Request-Id") && aReply.mHeaders.Get("X-Request-Id") != aId) {
+      mLedger.AddMixedUp(
+        fmt::format("request \"{}\" got the answer of \"{}\"", aId, aReply.mHeaders.Get("X-Request-Id")));
+    }
+  }
+
+  asio::awaitable<void> SendPlain(const planned_call& aCall, call_record& aRecord)
+  {
+    const std::string id = RandomHex(kRequestIdBytes);
+    net::http_request request = CompletionOf(aCall, id);
+    const auto reply = co_await Fetch(aCall, std::move(request));
+    if (!reply) {
+      aRecord.mEnd = call_end::Lost;
+      co_return;
+    }
+    if (reply->mStatus != kOk) {
+      aRecord.mEnd = EndOf(OutcomeOf(reply->mBody));
+      co_return;
+    }
+    CheckEcho(*reply, id);
+    CheckAnswer(aCall, id, reply->mBody, aRecord);
+  }
+
+  void CheckAnswer(const planned_call& aCall, const std::string& aId, const std::string& aBody, call_record& aRecord)
+  {
+    const auto answer = ReadAnswer(aBody);
+    if (!answer) {
+      aRecord.mEnd = call_end::Cut;
+      mLedger.AddExample("a whole answer is not what the interface says");
+      return;
+    }
+    aRecord.mTokens = answer->mTokens;
+    const bool isLong =
+      answer->mFinishReason == "length" ? answer->mTokens == aCall.mMaxTokens : answer->mTokens <= aCall.mMaxTokens;
+    aRecord.mEnd = isLong ? call_end::Whole : call_end::Cut;
+    if (!isLong) {
+      mLedger.AddExample(fmt::format("an answer has {} tokens of {}", answer->mTokens, aCall.mMaxTokens));
+    }
+    if (answer->mId != aId) {
+      mLedger.AddMixedUp(fmt::format("request \"{}\" got the answer of \"{}\"", aId, answer->mId));
+    }
+    mLedger.AddAnswer(aCall.mPrompt, answer->mText);
+  }
+
+  asio::awaitable<void> SendServiceCall(const planned_call& aCall, call_record& aRecord)
+  {
+    const std::string id = RandomHex(kRequestIdBytes);
+    net::http_request request = RequestOf(aCall, id);
+    const bool isBooking = aCall.mKind == call_kind::Booking;
+    request.mTarget = isBooking ? mTarget.mBookingPath : mTarget.mLookupPath;
+    if (isBooking) {
+      request.mHeaders.Set("Idempotency-Key", aCall.mKey);
+      request.mBody = json::serialize(json::object{ { "booking", aCall.mKey } });
+    }
+    const auto reply = co_await Fetch(aCall, std::move(request));
+    if (!reply) {
+      aRecord.mEnd = call_end::Lost;
+      co_return;
+    }
+    CheckEcho(*reply, id);
+    const bool isDone = reply->mStatus >= kOk && reply->mStatus < kFirstRedirect;
+    aRecord.mEnd = isDone ? call_end::Whole : EndOf(OutcomeOf(reply->mBody));
+    if (isDone && isBooking) {
+      mLedger.AddBooking(aCall.mKey, reply->mBody);
+    }
+  }
+
+  asio::awaitable<void> ShowProgress()
+  {
+    constexpr duration kInterval = std::chrono::seconds(1);
+    while (!mIsSent || mOpen > 0) {
+      co_await Pause(kInterval);
+      const auto passed = std::chrono::duration_cast<std::chrono::seconds>(Now() - mStart);
+      *mProgress << fmt::format(
+                      "load: {} s, sent {}, open {}, whole {}, not run {}, unknown {}, failed {}, broken {}\n",
+                      passed.count(),
+                      mSent,
+                      mOpen,
+                      mLedger.Count(call_end::Whole),
+                      mLedger.Count(call_end::NotRun),
+                      mLedger.Count(call_end::Unknown),
+                      mLedger.Count(call_end::Failed),
+                      mLedger.Faults().Total())
+                 << std::flush;
+    }
+  }
+
+  const load_options& mOptions;
+  const load_target& mTarget;
+  load_ledger& mLedger;
+  std::ostream* mProgress;
+  asio::io_context mContext{ 1 };
+  ref<net::http_client> mClient;
+  instant mStart{};
+  std::uint64_t mSent = 0;
+  std::uint64_t mOpen = 0;
+  bool mIsSent = false;
+};
+
+} // namespace
+
+void RunLoad(const load_options& aOptions, const load_target& aTarget, load_ledger& aLedger, std::ostream* aProgress)
+{
+  load_run(aOptions, aTarget, aLedger, aProgress).Run();
+}
+
+} // namespace chervilpulley::cli
--- a/tests/unit/cli_command_line_test.cpp
+++ b/tests/unit/cli_command_line_test.cpp
@@ -63,6 +63,25 @@
   CHECK(sRoleRuns == 0);
 }
 
+TEST_CASE_METHOD(command_line_fixture, "load_with_wrong_numbers_exits_2")
+{
+  setenv("CHERVILPULLEY_KEYS", "a.s", 1);
+  const std::vector<std::string> target{ "load", "--address", "127.0.0.1:0" };
+  for (const char* each : { "--rate=0",
+                            "--rate=inf",
+                            "--rate=nan",
+                            "--seconds=-1",
+                            "--seconds=nan",
+                            "--burst=0",
+                            "--streams=-1",
+                            "--max-tokens=0" }) {
+    std::vector<std::string> words = target;
+    words.emplace_back(each);
+    CHECK(Run(words) == ExitUsage);
+  }
+  unsetenv("CHERVILPULLEY_KEYS");
+}
+
 TEST_CASE_METHOD(command_line_fixture, "command_line_help_of_every_command_exits_0")
 {
   for (const command& each : mCommands) {
