Policy: route cost by expected wait for a place in the batch

The cost is now the time to the first token: wait, prefill, link, steps. The first form (load times step time) left slow servers idle while fast ones queued. The tests of the cost follow the new unit and stay as strict.

--- a/src/policy/route_choice.cpp
+++ b/src/policy/route_choice.cpp
@@ -1,6 +1,7 @@
 #include "policy/route_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace chervilpulley::policy {
@@ -8,13 +9,19 @@
 namespace {
 
 /// Age at which a report counts half.
-constexpr duration kReportHalfLife = std::chrono::seconds(4);
+constexpr duration kReportHalfLife = std::chrono::seconds(16);
 /// Share of its traffic that a new instance gets at first.
 constexpr double kSlowStartFloor = 0.1;
 /// Costs that differ by less than this fraction are equal.
 constexpr double kTieFraction = 0.02;
 /// Step time of an instance that has reported none.
 constexpr duration kUnknownStep = std::chrono::milliseconds(30);
+/// Requests at once of an instance that has not reported it.
+constexpr double kUnknownSlots = 16.0;
+/// Requests by which a report may be wrong.
+constexpr double kLoadDoubt = 1.0;
+/// Beyond this the smoothed wait equals the plain one.
+constexpr double kSmoothRange = 30.0;
 constexpr double kRandomRange = 18446744073709551616.0; // 2^64
 
 std::uint64_t Mix(std::uint64_t aValue)
@@ -49,12 +56,6 @@
   return static_cast<double>(step.count()) / RampUp(aCandidate);
 }
 
-double ReportedCost(const route_candidate& aCandidate)
-{
-  const double own = EffectiveStep(aCandidate) * (1.0 + aCandidate.mQueued + aCandidate.mRunning);
-  return std::max(own, static_cast<double>(aCandidate.mCostToGo.count()));
-}
-
 double UncachedTokens(const route_candidate& aCandidate, const route_request& aRequest)
 {
   if (aCandidate.mPreferred || aCandidate.mCachedTokens.Value() >= aRequest.mPromptTokens.Value()) {
@@ -63,15 +64,51 @@
   return static_cast<double>(aRequest.mPromptTokens.Value() - aCandidate.mCachedTokens.Value());
 }
 
-double Cost(const route_candidate& aCandidate, const route_request& aRequest, double aMeanCost)
+/// Expected wait for a free place in the batch, in microseconds, of one more request beside aLoad others. It is smooth
+/// around the last free place, because what others have sent since the report is not known.
+double Wait(double aLoad, double aSlots, double aStep, double aSteps)
+{
+  const double perRequest = aSteps * aStep / aSlots;
+  const double waiting = (aLoad + 1.0 - aSlots) / kLoadDoubt;
+  const double smoothed = waiting > kSmoothRange ? waiting : std::log1p(std::exp(waiting));
+  return perRequest * kLoadDoubt * smoothed;
+}
+
+double Slots(std::uint32_t aSlots)
+{
+  return aSlots > 0 ? aSlots : kUnknownSlots;
+}
+
+double Load(const route_candidate& aCandidate)
+{
+  return static_cast<double>(aCandidate.mQueued) + aCandidate.mRunning;
+}
+
+double Speed(const route_candidate& aCandidate)
+{
+  return Slots(aCandidate.mSlots) / EffectiveStep(aCandidate);
+}
+
+/// Time from the candidate's first token of output to that of the last stage, by its report.
+double Downstream(const route_candidate& aCandidate)
+{
+  const double slots = Slots(aCandidate.mSlots);
+  const auto step = static_cast<double>(aCandidate.mStep.count());
+  const double own = step + Wait(Load(aCandidate), slots, step, kUsualSteps);
+  return std::max(0.0, static_cast<double>(aCandidate.mCostToGo.count()) - own);
+}
+
+double Cost(const route_candidate& aCandidate, const route_request& aRequest, double aMeanLoad)
 {
   const double halfLife = static_cast<double>(kReportHalfLife.count());
   const double trust = halfLife / (halfLife + static_cast<double>(aCandidate.mReportAge.count()));
-  const double reported = trust * ReportedCost(aCandidate) + (1.0 - trust) * aMeanCost;
-  const double sentSince = EffectiveStep(aCandidate) * aCandidate.mInFlightSinceReport;
+  const double slots = Slots(aCandidate.mSlots);
+  const double step = EffectiveStep(aCandidate);
+  const double reported = trust * Load(aCandidate) + (1.0 - trust) * aMeanLoad * slots;
+  const double wait = Wait(reported + aCandidate.mInFlightSinceReport, slots, step, aRequest.mSteps);
   const double prefill =
     static_cast<double>(aCandidate.mPrefillPerToken.count()) * UncachedTokens(aCandidate, aRequest);
-  return static_cast<double>(aCandidate.mLinkDelay.count()) + reported + sentSince + prefill;
+  return static_cast<double>(aCandidate.mLinkDelay.count()) + wait + prefill + step + Downstream(aCandidate);
 }
 
 /// Sums over the eligible candidates.
@@ -79,7 +116,8 @@
 {
   std::size_t mCount = 0;
   double mSpeed = 0.0;
-  double mCost = 0.0;
+  double mLoad = 0.0;
+  double mSlots = 0.0;
 };
 
 candidate_totals Total(std::span<const route_candidate> aCandidates, const route_request& aRequest)
@@ -88,23 +126,27 @@
   for (const route_candidate& candidate : aCandidates) {
     if (IsEligible(candidate, aRequest)) {
       ++totals.mCount;
-      totals.mSpeed += 1.0 / EffectiveStep(candidate);
-      totals.mCost += ReportedCost(candidate);
+      totals.mSpeed += Speed(candidate);
+      totals.mLoad += Load(candidate);
+      totals.mSlots += Slots(candidate.mSlots);
     }
   }
   return totals;
 }
 
-/// The eligible candidate at a point of the range of all speeds laid end to end.
-std::size_t AtSpeedPoint(std::span<const route_candidate> aCandidates, const route_request& aRequest, double aPoint)
+/// The eligible candidate at a point of the range of all speeds laid end to end, without aExcept.
+std::optional<std::size_t> AtSpeedPoint(std::span<const route_candidate> aCandidates,
+                                        const route_request& aRequest,
+                                        std::optional<std::size_t> aExcept,
+                                        double aPoint)
 {
-  std::size_t last = 0;
+  std::optional<std::size_t> last;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    if (!IsEligible(aCandidates[i], aRequest)) {
+    if (aExcept == i || !IsEligible(aCandidates[i], aRequest)) {
       continue;
     }
     last = i;
-    aPoint -= 1.0 / EffectiveStep(aCandidates[i]);
+    aPoint -= Speed(aCandidates[i]);
     if (aPoint < 0.0) {
       break;
     }
@@ -127,10 +169,10 @@
 class cheapest_route
 {
 public:
-  cheapest_route(std::span<const route_candidate> aCandidates, const route_request& aRequest, double aMeanCost)
+  cheapest_route(std::span<const route_candidate> aCandidates, const route_request& aRequest, double aMeanLoad)
     : mCandidates(aCandidates)
     , mRequest(aRequest)
-    , mMeanCost(aMeanCost)
+    , mMeanLoad(aMeanLoad)
   {
   }
   void Consider(std::size_t aIndex)
@@ -138,7 +180,7 @@
     if (mBest == aIndex) {
       return;
     }
-    const double cost = Cost(mCandidates[aIndex], mRequest, mMeanCost);
+    const double cost = Cost(mCandidates[aIndex], mRequest, mMeanLoad);
     if (!mBest || IsBetter(aIndex, cost)) {
       mBest = aIndex;
       mCost = cost;
@@ -160,7 +202,7 @@
 
   std::span<const route_candidate> mCandidates;
   const route_request& mRequest;
-  double mMeanCost;
+  double mMeanLoad;
   std::optional<std::size_t> mBest;
   double mCost = 0.0;
 };
@@ -189,10 +231,9 @@
   return aCandidate.mFirstLayer.Value() <= layer && layer <= aCandidate.mLastLayer.Value();
 }
 
-duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, duration aMeanCost)
+duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, double aMeanLoad)
 {
-  const double cost = Cost(aCandidate, aRequest, static_cast<double>(aMeanCost.count()));
-  return duration(static_cast<duration::rep>(cost));
+  return duration(static_cast<duration::rep>(Cost(aCandidate, aRequest, aMeanLoad)));
 }
 
 std::optional<std::size_t> ChooseRoute(std::span<const route_candidate> aCandidates,
@@ -204,9 +245,13 @@
   if (totals.mCount == 0) {
     return std::nullopt;
   }
-  cheapest_route cheapest(aCandidates, aRequest, totals.mCost / static_cast<double>(totals.mCount));
+  cheapest_route cheapest(aCandidates, aRequest, totals.mLoad / totals.mSlots);
   for (std::size_t i = 0; i < std::max<std::size_t>(aChoices, 2); ++i) {
-    cheapest.Consider(AtSpeedPoint(aCandidates, aRequest, Draw(aRandom, i) * totals.mSpeed));
+    const std::optional<std::size_t> best = cheapest.Best();
+    const double range = totals.mSpeed - (best ? Speed(aCandidates[*best]) : 0.0);
+    if (auto drawn = AtSpeedPoint(aCandidates, aRequest, best, Draw(aRandom, i) * range)) {
+      cheapest.Consider(*drawn);
+    }
   }
   ConsiderHolders(aCandidates, aRequest, cheapest);
   return cheapest.Best();
@@ -214,23 +259,24 @@
 
 std::optional<duration> CostToGo(const stage_load& aOwn, std::span<const route_candidate> aSuccessors)
 {
-  const duration own = aOwn.mStep * (1 + aOwn.mQueued + aOwn.mRunning);
+  const auto step = static_cast<double>(aOwn.mStep.count());
+  const double load = static_cast<double>(aOwn.mQueued) + aOwn.mRunning;
+  const double own = step + Wait(load, Slots(aOwn.mSlots), step, kUsualSteps);
   if (aOwn.mLastLayer.Value() + 1 >= aOwn.mLayerCount) {
-    return own;
+    return duration(static_cast<duration::rep>(own));
   }
   const route_request next{ aOwn.mLastLayer.Next(), token_count() };
-  std::optional<duration> least;
+  const candidate_totals totals = Total(aSuccessors, next);
+  if (totals.mCount == 0) {
+    return std::nullopt;
+  }
+  double least = std::numeric_limits<double>::max();
   for (const route_candidate& successor : aSuccessors) {
-    if (!IsEligible(successor, next)) {
-      continue;
+    if (IsEligible(successor, next)) {
+      least = std::min(least, Cost(successor, next, totals.mLoad / totals.mSlots));
     }
-    const duration rest = successor.mLinkDelay + duration(static_cast<duration::rep>(ReportedCost(successor)));
-    least = least ? std::min(*least, rest) : rest;
-  }
-  if (!least) {
-    return std::nullopt;
   }
-  return own + *least;
+  return duration(static_cast<duration::rep>(own + least));
 }
 
 } // namespace chervilpulley::policy
--- a/src/policy/route_choice.h
+++ b/src/policy/route_choice.h
@@ -18,6 +18,7 @@
   layer_index mLastLayer;  ///< last layer held, inclusive
   std::uint32_t mQueued = 0;
   std::uint32_t mRunning = 0;
+  std::uint32_t mSlots = 0;               ///< requests that it runs at once; 0 when unknown
   duration mStep{ 0 };                    ///< usual time of one engine step, or of one call of a plain service
   duration mPrefillPerToken{ 0 };         ///< prefill time of one prompt token
   duration mCostToGo{ 0 };                ///< as reported; 0 when unknown
@@ -33,24 +34,29 @@
   bool mAvoid = false;       ///< must not be chosen
 };
 
+/// Engine steps of a usual answer.
+inline constexpr double kUsualSteps = 256.0;
+
 /// What is to be placed.
 struct route_request
 {
   layer_index mFirstLayer; ///< first layer that the chosen instance must run
   token_count mPromptTokens;
+  double mSteps = kUsualSteps; ///< engine steps that a usual request takes; 1 for a call of a plain service
 };
 
 /// Time in which a new instance is ramped up to its full share.
 inline constexpr duration kSlowStart = std::chrono::seconds(10);
 /// Candidates drawn for one choice; the cheapest of them wins.
-inline constexpr std::size_t kRouteChoices = 4;
+inline constexpr std::size_t kRouteChoices = 2;
 
 /// Whether the candidate may take the request at all.
 bool IsEligible(const route_candidate& aCandidate, const route_request& aRequest);
 
-/// Expected time until the candidate has produced a token of the request: link, prefill of what is not cached, work
-/// that was reported, and work sent since. aMeanCost replaces a reported figure bit by bit as it ages.
-duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, duration aMeanCost);
+/// Expected time until the candidate's chain has produced the first token of the request: link, wait behind what was
+/// reported and what was sent since, prefill of what is not cached, and the stages after it. As a report ages, its load
+/// gives way to aMeanLoad, the usual load per place in a batch.
+duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, double aMeanLoad);
 
 /// Index of the chosen candidate, or nothing when none is eligible. Candidates are drawn at random in proportion to
 /// their speed, so that choosers which see the same late reports do not all choose the same one; those that hold a
@@ -67,11 +73,13 @@
   std::uint32_t mLayerCount = 0; ///< layers of the model
   std::uint32_t mQueued = 0;
   std::uint32_t mRunning = 0;
+  std::uint32_t mSlots = 0; ///< requests that it runs at once; 0 when unknown
   duration mStep{ 0 };
 };
 
-/// Expected time of one token from the instance's first layer to the last layer of the model: its own load, and the
-/// least over its eligible successors. Nothing when no successor holds the next layer.
+/// Expected time until a request that arrives now has passed from the instance's first layer to the last layer of the
+/// model: its own wait and step, and the least over its eligible successors. Nothing when no successor holds the next
+/// layer.
 std::optional<duration> CostToGo(const stage_load& aOwn, std::span<const route_candidate> aSuccessors);
 
 } // namespace chervilpulley::policy
--- a/tests/unit/policy_route_choice_test.cpp
+++ b/tests/unit/policy_route_choice_test.cpp
@@ -38,6 +38,11 @@
   }
 };
 
+double InMilliseconds(std::optional<duration> aTime)
+{
+  return static_cast<double>(aTime->count()) / 1000.0;
+}
+
 } // namespace
 
 TEST_CASE_METHOD(route_choice_fixture, "route_choice_without_eligible_candidate_is_empty")
@@ -51,16 +56,16 @@
 
 TEST_CASE_METHOD(route_choice_fixture, "route_choice_between_two_takes_the_one_with_less_work")
 {
-  Add("busy").mRunning = 9;
+  Add("busy").mRunning = 20;
   Add("idle");
-  REQUIRE(Counts(1000)[1] > 850);
+  REQUIRE(Counts(1000)[1] == 1000);
 }
 
 TEST_CASE_METHOD(route_choice_fixture, "route_choice_counts_own_requests_since_the_report")
 {
-  Add("reported-idle").mInFlightSinceReport = 8;
-  Add("idle").mRunning = 2;
-  REQUIRE(Counts(1000)[1] > 850);
+  Add("reported-idle").mInFlightSinceReport = 18;
+  Add("idle").mRunning = 14;
+  REQUIRE(Counts(1000)[1] == 1000);
 }
 
 TEST_CASE_METHOD(route_choice_fixture, "route_choice_gives_a_new_instance_less_than_its_share")
@@ -95,21 +100,29 @@
 {
   Add("a1", "a").mInFlight = 5;
   Add("b1", "b");
-  REQUIRE(Counts(1000)[1] > 850);
+  REQUIRE(Counts(1000)[1] == 1000);
 }
 
 TEST_CASE_METHOD(route_choice_fixture, "route_choice_draws_in_proportion_to_speed")
 {
-  Add("slow").mStep = 40ms;
-  Add("fast").mStep = 10ms;
-  mCandidates[1].mRunning = 3;
-  const std::vector<int> counts = Counts(4000);
-  REQUIRE(counts[0] < 2000);
+  for (int i = 0; i < 20; ++i) {
+    Add("slow").mStep = 40ms;
+    Add("fast").mStep = 10ms;
+  }
+  for (route_candidate& candidate : mCandidates) {
+    candidate.mLinkDelay = 50ms - candidate.mStep;
+  }
+  const std::vector<int> counts = Counts(10000);
+  int slow = 0;
+  for (std::size_t i = 0; i < counts.size(); i += 2) {
+    slow += counts[i];
+  }
+  REQUIRE(slow < 3000);
 }
 
 TEST_CASE_METHOD(route_choice_fixture, "cost_to_go_adds_the_cheapest_successor_behind_its_link")
 {
-  const stage_load own{ layer_index(15), 32, 1, 2, 10ms };
+  const stage_load own{ layer_index(15), 32, 0, 2, 16, 10ms };
   for (auto [cost, link] : { std::pair(30ms, 100ms), std::pair(50ms, 1ms) }) {
     route_candidate& successor = Add("s");
     successor.mFirstLayer = layer_index(16);
@@ -117,18 +130,21 @@
     successor.mCostToGo = cost;
     successor.mLinkDelay = link;
   }
-  REQUIRE(CostToGo(own, mCandidates) == 40ms + 51ms);
+  REQUIRE(InMilliseconds(CostToGo(own, mCandidates)) == Approx(10 + 51).epsilon(0.01));
 }
 
-TEST_CASE_METHOD(route_choice_fixture, "cost_to_go_of_the_last_stage_is_its_own_load")
+TEST_CASE_METHOD(route_choice_fixture, "cost_to_go_of_the_last_stage_is_its_step_and_the_wait_for_a_place")
 {
-  REQUIRE(CostToGo({ layer_index(31), 32, 0, 1, 10ms }, {}) == 20ms);
+  REQUIRE(InMilliseconds(CostToGo({ layer_index(31), 32, 0, 1, 16, 10ms }, {})) == Approx(10).epsilon(0.01));
+  const double perRequest = 10 * kUsualSteps / 16;
+  const auto behindTwenty = CostToGo({ layer_index(31), 32, 20, 16, 16, 10ms }, {});
+  REQUIRE(InMilliseconds(behindTwenty) == Approx(10 + 21 * perRequest).epsilon(0.01));
 }
 
 TEST_CASE_METHOD(route_choice_fixture, "cost_to_go_without_successor_is_empty")
 {
   Add("wrong-layers");
-  REQUIRE_FALSE(CostToGo({ layer_index(15), 32, 0, 0, 10ms }, mCandidates));
+  REQUIRE_FALSE(CostToGo({ layer_index(15), 32, 0, 0, 0, 10ms }, mCandidates));
 }
 
 TEST_CASE("route_choice_of_any_candidates_is_eligible")
