--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -134,7 +134,8 @@
 
 bool completion_run::StartAttempt()
 {
-  provider_wish wish{ mOrder.mPool, mOrder.mModel, mOrder.mPromptTokens, mAvoid, { mChain.begin(), mChain.end() } };
+  provider_wish wish{ mOrder.mPool,      mOrder.mModel, mOrder.mPromptTokens,
+                      mOrder.mMaxTokens, mAvoid,        { mChain.begin(), mChain.end() } };
   wish.mExcluded.insert(mRefused.begin(), mRefused.end());
   if (mOpens >= kMostOpens) {
     return false;
--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -42,7 +42,9 @@
     candidate.mPreferred = aWish.mPreferred.contains(name);
     candidates.push_back(std::move(candidate));
   }
-  const policy::route_request request{ layer_index(0), token_count(aWish.mPromptTokens) };
+  const policy::route_request request{ layer_index(0),
+                                       token_count(aWish.mPromptTokens),
+                                       static_cast<double>(aWish.mSteps) };
   const auto chosen = policy::ChooseRoute(candidates, request, { RandomNumber(), RandomNumber() });
   return chosen ? providers[*chosen] : nullptr;
 }
--- a/src/entry/request_router.h
+++ b/src/entry/request_router.h
@@ -35,6 +35,7 @@
   pool_name mPool;
   std::string mModel; ///< empty for a plain service
   std::uint32_t mPromptTokens = 0;
+  std::uint32_t mSteps = 1; ///< engine steps, at most; 1 for a call of a plain service
   std::set<std::string> mExcluded;
   std::set<std::string> mPreferred;
 };
--- a/src/entry/service_run.cpp
+++ b/src/entry/service_run.cpp
@@ -45,7 +45,7 @@
 boost::asio::awaitable<service_result> service_run::Run()
 {
   for (std::uint32_t i = 0; i < kMaxAttempts; ++i) {
-    const provider_wish wish{ mOrder.mPool, "", 0, mExcluded, {} };
+    const provider_wish wish{ mOrder.mPool, "", 0, 1, mExcluded, {} };
     mProvider = mRouter.Choose(wish);
     if (!mProvider) {
       break;
--- a/src/link/provider_links.cpp
+++ b/src/link/provider_links.cpp
@@ -47,6 +47,7 @@
   candidate.mLastLayer = layer_index(mReport.last_layer());
   candidate.mQueued = mReport.queued();
   candidate.mRunning = mReport.running();
+  candidate.mSlots = mReport.slots();
   candidate.mStep = duration(mReport.step_us());
   candidate.mPrefillPerToken = duration(mReport.prefill_us_per_token());
   candidate.mCostToGo = duration(mReport.cost_to_go_us());
--- a/src/runtime/instance_core.h
+++ b/src/runtime/instance_core.h
@@ -58,6 +58,7 @@
 
   config::config_store& Config() { return *mConfig; }
   const ref<config::config_store>& ConfigRef() const { return mConfig; }
+  platform::http_object_store& Store() { return mStore; }
   const ref<config::peer_client>& Peers() const { return mPeers; }
   /// Serves control calls of other processes, and starts to follow the configuration.
   result<void, std::string> StartPeers(config::control_handler& aHandler);
--- a/src/sidecar/admission_gate.cpp
+++ b/src/sidecar/admission_gate.cpp
@@ -73,6 +73,12 @@
   StartWaiting();
 }
 
+std::uint32_t admission_gate::MaxRunning() const
+{
+  std::lock_guard lock(mMutex);
+  return mMaxRunning;
+}
+
 std::uint32_t admission_gate::Running() const
 {
   std::lock_guard lock(mMutex);
--- a/src/sidecar/admission_gate.h
+++ b/src/sidecar/admission_gate.h
@@ -45,6 +45,7 @@
   /// Removes a waiting request; false when it was started or has expired meanwhile.
   bool CancelWaiting(policy::admission_ticket aTicket);
   void SetMaxRunning(std::uint32_t aMaxRunning);
+  std::uint32_t MaxRunning() const;
   std::uint32_t Running() const;
   std::uint32_t Waiting() const;
 
--- a/src/sidecar/pipeline_stage.cpp
+++ b/src/sidecar/pipeline_stage.cpp
@@ -174,7 +174,9 @@
 {
   const auto providers = mSuccessors->OfPool(mOptions.mPool);
   const auto candidates = SuccessorCandidates(providers, aOpen, aExcluded);
-  const policy::route_request request{ layer_index(aOpen.first_layer()), token_count(aOpen.prompt_tokens()) };
+  const policy::route_request request{ layer_index(aOpen.first_layer()),
+                                       token_count(aOpen.prompt_tokens()),
+                                       static_cast<double>(aOpen.max_tokens()) };
   const auto chosen = policy::ChooseRoute(candidates, request, { RandomNumber(), RandomNumber() });
   return chosen ? providers[*chosen] : nullptr;
 }
@@ -223,14 +225,13 @@
 void pipeline_stage::FillReport(link::load_report& aReport) const
 {
   const auto state = Engine();
-  aReport.set_running(mGate->Running());
   if (!state) {
     return;
   }
   aReport.set_model(state->mModel.Str());
   aReport.set_first_layer(state->mFirstLayer);
   aReport.set_last_layer(state->mLastLayer);
-  aReport.set_queued(state->mQueued + mGate->Waiting());
+  aReport.set_queued(aReport.queued() + state->mQueued);
   aReport.set_step_us(static_cast<std::uint32_t>(state->mStepTime.count()));
   aReport.set_prefill_us_per_token(static_cast<std::uint32_t>(state->mPrefillTimePerToken.count()));
   aReport.set_accelerator(state->mAccelerator);
@@ -241,9 +242,12 @@
     candidate.mAvoid = known->Report().model() != state->mModel.Str();
     successors.push_back(std::move(candidate));
   }
-  const policy::stage_load own{
-    layer_index(state->mLastLayer), state->mLayerCount, aReport.queued(), aReport.running(), state->mStepTime
-  };
+  const policy::stage_load own{ layer_index(state->mLastLayer),
+                                state->mLayerCount,
+                                aReport.queued(),
+                                aReport.running(),
+                                aReport.slots(),
+                                state->mStepTime };
   if (const auto cost = policy::CostToGo(own, successors)) {
     aReport.set_cost_to_go_us(static_cast<std::uint32_t>(cost->count()));
   }
--- /dev/null
+++ b/src/sidecar/service_calls.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <functional>
+
+#include "config/config_view.h"
+#include "link/frames.h"
+#include "sidecar/admission_gate.h"
+#include "sidecar/backend_monitor.h"
+#include "sidecar/service_runner.h"
+
+/// Calls of the plain service beside this process, from the frame to the answer.
+namespace chervilpulley::sidecar {
+
+/// Thread-safe.
+class service_calls : public ref_counted
+{
+public:
+  using view_source = std::function<ref<const config::config_view>()>;
+  service_calls(boost::asio::io_context& aContext,
+                instance_id aInstance,
+                ref<service_runner> aRunner,
+                ref<backend_monitor> aMonitor,
+                ref<admission_gate> aGate,
+                view_source aView,
+                ref<link::revision_board> aBoard);
+
+  /// Takes a call; its answer goes back over the same link.
+  void OnCall(const ref<link::connection>& aLink, const link::frame& aFrame);
+  void Leave(bool aIsLeaving) { mLeaving = aIsLeaving; }
+  void SetHonoursKey(bool aHonoursKey) { mRunner->SetHonoursKey(aHonoursKey); }
+  std::uint32_t OpenBookings() const { return static_cast<std::uint32_t>(mRunner->OpenBookings()); }
+
+private:
+  policy::admission_request AdmissionOf(const link::service_call& aCall) const;
+  void Refuse(const ref<link::connection>& aLink,
+              const link::frame& aFrame,
+              link::refusal_reason aReason,
+              const std::string& aMessage,
+              std::optional<duration> aRetryAfter);
+  void Start(const ref<link::connection>& aLink, const link::frame& aFrame);
+  boost::asio::awaitable<void> Run(ref<link::connection> aLink, link::frame aFrame);
+
+  boost::asio::io_context& mContext;
+  instance_id mInstance;
+  ref<service_runner> mRunner;
+  ref<backend_monitor> mMonitor;
+  ref<admission_gate> mGate;
+  view_source mView;
+  ref<link::revision_board> mBoard;
+  std::atomic<bool> mLeaving{ false };
+};
+
+} // namespace chervilpulley::sidecar
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "chervilpulley/config.h"
+#include "sidecar/booking_runner.h"
 
 namespace chervilpulley::sidecar {
 
@@ -36,6 +37,14 @@
   return options;
 }
 
+service_runner_options RunnerOptions(const settings::settings& aSettings)
+{
+  service_runner_options options;
+  options.mInstance = instance_id(aSettings.instance().id());
+  options.mCallTimeout = std::chrono::milliseconds(aSettings.backend().call_timeout_ms());
+  return options;
+}
+
 } // namespace
 
 sidecar_server::sidecar_server(runtime::instance_core& aCore)
@@ -56,6 +65,17 @@
     mGate,
     [this] { return mCore.Config().Current(); },
     mCore.Board());
+  mCalls = MakeRef<service_calls>(
+    mCore.Context(),
+    mCore.Instance(),
+    MakeServiceRunner(mCore.Context(),
+                      mCore.Store(),
+                      engine::service_client::Create(mCore.Http(), mCore.Addresses().mBackend),
+                      RunnerOptions(mCore.Settings())),
+    mMonitor,
+    mGate,
+    [this] { return mCore.Config().Current(); },
+    mCore.Board());
   link::provider_events events;
   events.mOnFrame = [this](const ref<link::provider>& aProvider, const link::frame& aFrame) {
     mStage->OnSuccessorFrame(aProvider, aFrame);
@@ -73,6 +93,7 @@
 {
   BOOST_OUTCOME_TRY(StartLinks());
   BOOST_OUTCOME_TRY(StartHttp());
+  mCore.Config().OnChange([this](const auto& aView) { OnConfig(*aView); });
   BOOST_OUTCOME_TRY(mCore.StartPeers(*this));
   boost::asio::co_spawn(mCore.Context(), mMonitor->Run(), boost::asio::detached);
   mCore.FollowLiveList([this](const auto& aLive) { OnLiveList(aLive); });
@@ -144,6 +165,8 @@
     OnHello(aLink, frame);
   } else if (IsEngine()) {
     mStage->OnRequestFrame(aLink, frame);
+  } else if (frame.has_call()) {
+    mCalls->OnCall(aLink, frame);
   }
 }
 
@@ -172,6 +195,7 @@
   report.set_backend_up(mMonitor->IsUp());
   report.set_running(mGate->Running());
   report.set_queued(mGate->Waiting());
+  report.set_slots(mGate->MaxRunning());
   if (IsEngine()) {
     mStage->FillReport(report);
   }
@@ -201,6 +225,16 @@
   mSuccessors->SetWanted(others, Now());
 }
 
+void sidecar_server::OnConfig(const config::config_view& aView)
+{
+  const admin::backend_pool* pool = aView.FindPool(mPool);
+  if (pool == nullptr) {
+    return;
+  }
+  mGate->SetMaxRunning(pool->max_running() > 0 ? pool->max_running() : gate_limits{}.mMaxRunning);
+  mCalls->SetHonoursKey(pool->honours_idempotency_key());
+}
+
 void sidecar_server::OnTick()
 {
   const instant now = Now();
@@ -219,6 +253,7 @@
   kLog.Info("{}", aIsLeaving ? "Leaving: no new work is taken." : "New work is taken again.");
   mDraining = aIsLeaving;
   mStage->Leave(aIsLeaving);
+  mCalls->Leave(aIsLeaving);
   mCore.Health().mLeaving = aIsLeaving;
   ReportToAll();
 }
@@ -256,7 +291,7 @@
 
 std::uint32_t sidecar_server::InProgress() const
 {
-  return mGate->Running() + mGate->Waiting();
+  return mGate->Running() + mGate->Waiting() + mCalls->OpenBookings();
 }
 
 } // namespace chervilpulley::sidecar
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -7,6 +7,7 @@
 #include "link/provider_links.h"
 #include "runtime/instance_core.h"
 #include "sidecar/pipeline_stage.h"
+#include "sidecar/service_calls.h"
 
 /// The sidecar's shell: links, reports, signals.
 namespace chervilpulley::sidecar {
@@ -46,6 +47,7 @@
   link::frame Report() const;
   void ReportToAll();
   void OnLiveList(const runtime::instance_core::live_instances& aLive);
+  void OnConfig(const config::config_view& aView);
   void OnTick();
   bool IsEngine() const { return mKind == backend_kind::Engine; }
 
@@ -55,13 +57,13 @@
   ref<backend_monitor> mMonitor;
   ref<admission_gate> mGate;
   ref<pipeline_stage> mStage;
+  ref<service_calls> mCalls;
   ref<link::provider_links> mSuccessors;
   ref<link::server> mLinkServer;
   ref<net::http_server> mHttpServer;
   sharded_map<const link::connection*, requester> mRequesters;
   std::atomic<bool> mDraining{ false };
   std::atomic<bool> mEnding{ false };
-  std::atomic<std::uint32_t> mCalls{ 0 };
   std::uint32_t mIdleTicks = 0; ///< of the tick's coroutine only
 };
 
