--- a/src/config/config_replica.h
+++ b/src/config/config_replica.h
@@ -41,7 +41,7 @@
   /// Entries after a revision, at most aLimit; nothing when some of them are no longer at hand.
   std::optional<std::vector<admin::log_entry>> EntriesAfter(revision_number aAfter, std::size_t aLimit) const;
   void OnChange(change_callback aCallback);
-  /// Waits until the revision is above aAfter, or aTime has passed. Runs on the caller's strand.
+  /// Waits until the revision is above aAfter, or aTime has passed. The caller must run on a strand.
   boost::asio::awaitable<revision_number> WaitAbove(revision_number aAfter, duration aTime);
 
 private:
--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -35,7 +35,8 @@
   duration mBehindPause =
     std::chrono::milliseconds(150); ///< time that the usual way gets when traffic shows a newer one
   duration mSpreadTimeout = std::chrono::milliseconds(1500); ///< longest wait for other failure domains after a write
-  std::uint64_t mSnapshotInterval = 256;                     ///< revisions between two snapshots
+  duration mTurnTimeout = std::chrono::seconds(5); ///< longest wait of a change for those before it in this process
+  std::uint64_t mSnapshotInterval = 256;           ///< revisions between two snapshots
 };
 
 /// The configuration of a process: what is in force, changes to it, and its spread. Thread-safe.
@@ -64,7 +65,7 @@
 
   /// Sets what is called with the newest view after each change. It must not block.
   virtual void OnChange(change_callback aCallback) = 0;
-  /// Waits until the revision in force is above aAfter or aTime has passed. Runs on the caller's strand.
+  /// Waits until the revision in force is above aAfter or aTime has passed.
   virtual boost::asio::awaitable<revision_number> WaitAbove(revision_number aAfter, duration aTime) = 0;
 
   /// The live list, whenever it was read.
--- a/src/config/config_store_over.h
+++ b/src/config/config_store_over.h
@@ -19,6 +19,7 @@
 #include "config/on_strand.h"
 #include "config/peer_sync.h"
 #include "config/platform_log.h"
+#include "config/turn_queue.h"
 #include "policy/config_writer.h"
 
 namespace chervilpulley::config {
@@ -92,7 +93,7 @@
 
   boost::asio::awaitable<revision_number> WaitAbove(revision_number aAfter, duration aTime) override
   {
-    return mReplica->WaitAbove(aAfter, aTime);
+    return OnStrand(mContext, mReplica->WaitAbove(aAfter, aTime));
   }
 
   void NoteInstances(std::vector<platform::live_instance> aInstances) override { mSync->Directory().Set(aInstances); }
@@ -139,6 +140,24 @@
   boost::asio::awaitable<config_result<apply_outcome>> ApplyHere(admin::change aChange, std::string aActor)
   {
     const ref<config_store_over> self(this);
+    BOOST_OUTCOME_CO_TRY(const auto accepted, co_await Write(std::move(aChange), std::move(aActor)));
+    const bool isSpread = co_await mSync->ConfirmSpread(accepted.mRevision);
+    if (accepted.mRevision.Value() >= mSnapshotRevision + mOptions.mSnapshotInterval &&
+        !mSavingSnapshot.exchange(true)) {
+      Spawn(SaveSnapshot());
+    }
+    co_return apply_outcome{ accepted.mRevision, !isSpread, accepted.mRepeated };
+  }
+
+  /// Brings a change into the log. One at a time, so that changes of one process do not race each other.
+  boost::asio::awaitable<config_result<policy::accepted_change>> Write(admin::change aChange, std::string aActor)
+  {
+    const auto turn = co_await mTurns->Take(mOptions.mTurnTimeout);
+    if (!turn) {
+      co_return config_error{ config_errc::Unavailable,
+                              "change \"" + aChange.change_id() + "\" has no effect: too many changes wait here",
+                              {} };
+    }
     platform_log log(mStore);
     policy::config_writer writer(std::move(aChange), { std::move(aActor), CalendarNow(), RandomNumber() });
     auto step = mReplica->WithLog([&](policy::config_log& aLog) { return writer.Start(aLog); });
@@ -152,13 +171,7 @@
     if (!step.mResult) {
       co_return TurnError(step.mResult.error());
     }
-    const auto accepted = step.mResult.value();
-    const bool isSpread = co_await mSync->ConfirmSpread(accepted.mRevision);
-    if (accepted.mRevision.Value() >= mSnapshotRevision + mOptions.mSnapshotInterval &&
-        !mSavingSnapshot.exchange(true)) {
-      Spawn(SaveSnapshot());
-    }
-    co_return apply_outcome{ accepted.mRevision, !isSpread, accepted.mRepeated };
+    co_return step.mResult.value();
   }
 
   boost::asio::awaitable<policy::write_step> CreateEntry(platform_log<Store>& aLog,
@@ -310,6 +323,7 @@
   const config_store_options mOptions;
   const ref<config_replica> mReplica;
   const ref<peer_sync> mSync;
+  const ref<turn_queue> mTurns = MakeRef<turn_queue>();
   std::atomic<bool> mReady{ false };
   std::atomic<bool> mStopped{ false };
   std::atomic<bool> mCatchingUp{ false };
--- a/src/policy/config_writer.cpp
+++ b/src/policy/config_writer.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr unsigned kMaxCreations = 32;
+constexpr unsigned kMaxCreations = 256;
 
 } // namespace
 
--- a/tests/contract/config_fakes.h
+++ b/tests/contract/config_fakes.h
@@ -4,8 +4,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <atomic>
 #include <deque>
 #include <map>
+#include <mutex>
 #include <set>
 #include <string>
 
@@ -35,6 +37,7 @@
     platform::object_version mVersion;
   };
 
+  std::mutex mMutex; ///< guards all below while nodes run
   std::map<std::string, entry> mObjects;
   platform::object_version mSequence;
   std::deque<write_fault> mFaults;
@@ -57,6 +60,7 @@
   platform::platform_call<platform::stored_object> Get(std::string aKey)
   {
     co_await Turn();
+    std::lock_guard lock(mPlatform.mMutex);
     if (IsDown()) {
       co_return Down();
     }
@@ -70,6 +74,7 @@
   platform::platform_call<platform::object_version> Create(std::string aKey, std::string aBody)
   {
     co_await Turn();
+    std::lock_guard lock(mPlatform.mMutex);
     const bool holds = mPlatform.mIgnoreConditions || mPlatform.mObjects.count(aKey) == 0;
     co_return Write(aKey, aBody, holds);
   }
@@ -79,6 +84,7 @@
                                                            platform::object_version aVersion)
   {
     co_await Turn();
+    std::lock_guard lock(mPlatform.mMutex);
     auto found = mPlatform.mObjects.find(aKey);
     co_return Write(aKey, aBody, found != mPlatform.mObjects.end() && found->second.mVersion == aVersion);
   }
@@ -86,6 +92,7 @@
   platform::platform_call<void> Delete(std::string aKey, platform::object_version)
   {
     co_await Turn();
+    std::lock_guard lock(mPlatform.mMutex);
     if (IsDown()) {
       co_return Down();
     }
@@ -106,6 +113,7 @@
     const auto deadline = Now() + aTime;
     while (true) {
       co_await Turn();
+      std::lock_guard lock(mPlatform.mMutex);
       if (IsDown()) {
         co_return Down();
       }
@@ -121,7 +129,7 @@
     }
   }
 
-  bool mCutOff = false;
+  std::atomic<bool> mCutOff{ false };
 
 private:
   static platform::platform_error Error(platform::platform_errc aCode) { return { aCode, "fault of the test" }; }
@@ -193,7 +201,6 @@
       co_return rpc::peer_error{ rpc::peer_errc::Unreachable, "cut" };
     }
     const auto store = found->second;
-    ++mPulls[aPeer.mPort];
     auto reply = store->AnswerPull(aRequest);
     if (reply.mRevision <= aRequest.mAfterRevision && aRequest.mWaitMs > 0) {
       co_await store->WaitAbove(revision_number(aRequest.mAfterRevision), std::chrono::milliseconds(aRequest.mWaitMs));
@@ -223,7 +230,6 @@
   std::map<std::uint16_t, ref<config::config_store>> mStores;
   std::set<std::uint16_t> mCut;        ///< nodes that nobody reaches
   std::set<std::string> mCutInstances; ///< nodes that reach nobody
-  std::map<std::uint16_t, int> mPulls;
 
 private:
   bool IsCut(const net::endpoint& aPeer, const std::string& aAsker) const
--- a/tests/contract/config_store_test.cpp
+++ b/tests/contract/config_store_test.cpp
@@ -4,8 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <memory>
 #include <set>
+#include <thread>
 
 #include "contract/config_fakes.h"
 #include "unit/config_changes.h"
@@ -451,6 +453,44 @@
   REQUIRE(Apply(late, Put("c0", Workspace("x"))).value().mRepeated);
 }
 
+TEST_CASE_METHOD(config_store_fixture, "config_store_run_by_several_threads_takes_changes_from_all_of_them")
+{
+  constexpr std::size_t kThreads = 4;
+  constexpr std::size_t kChanges = 40;
+  AddNine();
+  std::atomic<std::size_t> accepted{ 0 };
+  std::atomic<std::uint64_t> last{ 0 };
+  std::atomic<bool> fell{ false };
+  mNodes[3].mStore->OnChange([&](const ref<const config_view>& aView) {
+    fell = fell || last.exchange(aView->Revision().Value()) >= aView->Revision().Value();
+  });
+  auto change = [&](ref<config_store> aStore, std::size_t aNumber) -> boost::asio::awaitable<void> {
+    const auto name = "w" + std::to_string(aNumber);
+    const auto answer = co_await aStore->Apply(Put("c" + name, Workspace(name)), "ann");
+    accepted += answer.has_value() ? 1 : 0;
+  };
+  for (std::size_t i = 0; i < kChanges; ++i) {
+    boost::asio::co_spawn(mContext, change(mNodes[i % 3].mStore, i), boost::asio::detached);
+  }
+  {
+    std::vector<std::jthread> threads;
+    for (std::size_t i = 0; i < kThreads; ++i) {
+      threads.emplace_back([&] { mContext.run_for(kPatience); });
+    }
+    const auto deadline = Now() + kPatience;
+    while (!(accepted == kChanges && AllAt(kChanges)) && Now() < deadline) {
+      mNodes[8].mStore->NoteRevision(instance_id("a0"), failure_domain_id("a"), revision_number(kChanges));
+      std::this_thread::yield();
+    }
+    mContext.stop();
+  }
+  mContext.restart();
+  REQUIRE(accepted == kChanges);
+  REQUIRE(AllAt(kChanges));
+  REQUIRE(last == kChanges);
+  REQUIRE_FALSE(fell);
+}
+
 TEST_CASE("config_store_judges_fail_on_each_mutation")
 {
   {
