--- a/tests/unit/settings_faults_test.cpp
+++ b/tests/unit/settings_faults_test.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
 using namespace chervilpulley;
 
 namespace {
@@ -81,3 +85,13 @@
     }
   }
 }
+
+TEST_CASE("settings_reference_page_in_docs_is_up_to_date")
+{
+  const char* source = std::getenv("CHERVILPULLEY_SOURCE");
+  std::ifstream in(std::string(source == nullptr ? "." : source) + "/docs/SETTINGS.md");
+  REQUIRE(in);
+  std::ostringstream page;
+  page << in.rdbuf();
+  REQUIRE(page.str() == SettingsReference());
+}
