--- /dev/null
+++ b/src/engine/service_client.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+
+#include "base/ref_counted.h"
+#include "base/result.h"
+#include "chervilpulley/units.h"
+#include "net/http_client.h"
+
+/// Client of a plain service.
+namespace chervilpulley::engine {
+
+/// What is known of a call that got no answer.
+enum class service_errc
+{
+  NotSent, ///< nothing of it was handed over: it surely did not run
+  MaybeRun ///< it may have run
+};
+
+struct service_error
+{
+  service_errc mCode = service_errc::MaybeRun;
+  std::string mMessage;
+};
+
+using service_result = result<net::http_reply, service_error>;
+
+/// A plain service at one address. Thread-safe.
+class service_client : public ref_counted
+{
+public:
+  static ref<service_client> Create(ref<net::http_client> aHttp, net::endpoint aEndpoint);
+  /// Sends a request once and reads the whole answer, whatever its status.
+  virtual boost::asio::awaitable<service_result> Call(net::http_request aRequest, duration aTimeout) = 0;
+};
+
+} // namespace chervilpulley::engine
--- a/src/policy/claim_journal.cpp
+++ b/src/policy/claim_journal.cpp
@@ -83,7 +83,7 @@
 {
   GiveUpWrites(aNow);
   journal_step step;
-  if (aNow < mHeldUntil) {
+  if (IsHeld(aNow)) {
     Fail(aNow);
     step = Held();
   } else if (HasWork() || mKnown) {
@@ -94,6 +94,12 @@
   return step;
 }
 
+bool claim_journal::IsHeld(calendar_time aNow) const
+{
+  const bool clockWentBack = mHeldUntil - aNow > kPlatformHold;
+  return aNow < mHeldUntil && !clockWentBack;
+}
+
 journal_step claim_journal::Held() const
 {
   journal_step step;
--- a/src/policy/claim_journal.h
+++ b/src/policy/claim_journal.h
@@ -139,8 +139,8 @@
 
   std::vector<claim_decision> TakeDecisions() { return std::exchange(mDecisions, {}); }
   std::vector<write_report> TakeReports() { return std::exchange(mReports, {}); }
-  /// Time until which claims are refused because the platform failed.
-  calendar_time HeldUntil() const { return mHeldUntil; }
+  /// Tells whether claims are refused at once because the platform has just failed.
+  bool IsHeld(calendar_time aNow) const;
 
 private:
   struct pending_claim
--- /dev/null
+++ b/src/sidecar/booking_partition.h
@@ -0,0 +1,294 @@
+#pragma once
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "platform/object_store.h"
+#include "policy/claim_journal.h"
+#include "sidecar/booking_promise.h"
+
+namespace chervilpulley::sidecar {
+
+/// The calendar clock, as claims use it.
+inline calendar_time CalendarNow()
+{
+  return std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+/// Carries out the steps of one partition's claim journal, one at a time, while there is work. Thread-safe.
+template<platform::object_store Store>
+class booking_partition : public ref_counted
+{
+public:
+  /// @param aStore must outlive this.
+  /// @param aPrefix of the partition's objects, with a slash at its end.
+  booking_partition(boost::asio::io_context& aContext, Store& aStore, std::string aPrefix)
+    : mContext(aContext)
+    , mStore(aStore)
+    , mPrefix(std::move(aPrefix))
+  {
+  }
+
+  /// Makes a claim, or tells why not.
+  boost::asio::awaitable<policy::claim_decision> Claim(policy::claim_request aRequest)
+  {
+    const auto promise = MakeRef<booking_promise<policy::claim_decision>>();
+    {
+      std::lock_guard lock(mMutex);
+      if (mJournal.IsHeld(CalendarNow())) {
+        co_return policy::claim_decision{ aRequest.mId, policy::claim_verdict::Unavailable, std::nullopt };
+      }
+      mClaims.emplace(aRequest.mId, promise);
+      mJournal.Claim(aRequest);
+    }
+    Wake();
+    co_return co_await promise->Wait();
+  }
+
+  /// Writes a result. Returns once it is written, or deferred to be tried again.
+  /// @param aOnEnd is called when it is written or given up; it must not call back.
+  boost::asio::awaitable<policy::write_state> WriteResult(policy::claim_request aClaim,
+                                                          journal::answer aAnswer,
+                                                          std::function<void()> aOnEnd)
+  {
+    return Write(aClaim.mId, std::move(aOnEnd), [this, aClaim, answer = std::move(aAnswer)] {
+      mJournal.WriteResult(aClaim, answer, CalendarNow());
+    });
+  }
+
+  /// Releases a claim whose call surely was not handed over. Returns once that is written or deferred.
+  boost::asio::awaitable<policy::write_state> Release(policy::claim_request aClaim)
+  {
+    return Write(aClaim.mId, nullptr, [this, aClaim] { mJournal.Release(aClaim, CalendarNow()); });
+  }
+
+private:
+  struct waiting_write
+  {
+    ref<booking_promise<policy::write_state>> mFirstReport;
+    std::function<void()> mOnEnd;
+  };
+  struct news
+  {
+    std::vector<policy::claim_decision> mDecisions;
+    std::vector<policy::write_report> mReports;
+  };
+
+  boost::asio::awaitable<policy::write_state> Write(policy::claim_id aId,
+                                                    std::function<void()> aOnEnd,
+                                                    std::function<void()> aAdd)
+  {
+    const auto promise = MakeRef<booking_promise<policy::write_state>>();
+    {
+      std::lock_guard lock(mMutex);
+      mWrites[aId] = { promise, std::move(aOnEnd) };
+      aAdd();
+    }
+    Wake();
+    co_return co_await promise->Wait();
+  }
+
+  void Wake()
+  {
+    {
+      std::lock_guard lock(mMutex);
+      if (mIsDriven) {
+        return;
+      }
+      mIsDriven = true;
+    }
+    const ref<booking_partition> self(this);
+    boost::asio::co_spawn(
+      mContext, [self] { return self->Drive(); }, boost::asio::detached);
+  }
+
+  boost::asio::awaitable<void> Drive()
+  {
+    while (true) {
+      const policy::journal_step step = NextStep();
+      if (step.mAction == policy::journal_action::Idle) {
+        co_return;
+      }
+      if (step.mAction == policy::journal_action::Wait) {
+        co_await Sleep(step.mUntil - CalendarNow());
+        continue;
+      }
+      policy::journal_reply reply = co_await Perform(step);
+      TakeReply(std::move(reply));
+    }
+  }
+
+  policy::journal_step NextStep()
+  {
+    policy::journal_step step;
+    news fresh;
+    {
+      std::lock_guard lock(mMutex);
+      step = mJournal.Next(CalendarNow());
+      mIsDriven = step.mAction != policy::journal_action::Idle;
+      fresh = TakeNews();
+    }
+    Deliver(fresh);
+    return step;
+  }
+
+  void TakeReply(policy::journal_reply aReply)
+  {
+    news fresh;
+    {
+      std::lock_guard lock(mMutex);
+      mJournal.Take(std::move(aReply), CalendarNow());
+      fresh = TakeNews();
+    }
+    Deliver(fresh);
+  }
+
+  news TakeNews() { return { mJournal.TakeDecisions(), mJournal.TakeReports() }; }
+
+  void Deliver(const news& aNews)
+  {
+    for (const auto& decision : aNews.mDecisions) {
+      if (const auto promise = TakeClaim(decision.mId)) {
+        promise->Set(decision);
+      }
+    }
+    for (const auto& report : aNews.mReports) {
+      Deliver(report);
+    }
+  }
+
+  void Deliver(const policy::write_report& aReport)
+  {
+    waiting_write write;
+    const bool isEnd = aReport.mState != policy::write_state::Deferred;
+    {
+      std::lock_guard lock(mMutex);
+      const auto found = mWrites.find(aReport.mId);
+      if (found == mWrites.end()) {
+        return;
+      }
+      write = found->second;
+      if (isEnd) {
+        mWrites.erase(found);
+      }
+    }
+    if (isEnd && write.mOnEnd) {
+      write.mOnEnd();
+    }
+    write.mFirstReport->Set(aReport.mState);
+  }
+
+  ref<booking_promise<policy::claim_decision>> TakeClaim(policy::claim_id aId)
+  {
+    std::lock_guard lock(mMutex);
+    const auto found = mClaims.find(aId);
+    if (found == mClaims.end()) {
+      return nullptr;
+    }
+    auto promise = found->second;
+    mClaims.erase(found);
+    return promise;
+  }
+
+  boost::asio::awaitable<void> Sleep(duration aTime)
+  {
+    boost::asio::steady_timer timer(mContext, aTime);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+
+  std::string OpenKey() const { return mPrefix + "open"; }
+  std::string SealedKey(policy::segment_version aSegment) const { return mPrefix + std::to_string(aSegment.Value()); }
+
+  boost::asio::awaitable<policy::journal_reply> Perform(policy::journal_step aStep)
+  {
+    using policy::journal_action;
+    const platform::object_version version(aStep.mVersion.Value());
+    switch (aStep.mAction) {
+      case journal_action::ReadOpen:
+        co_return OfRead(co_await mStore.Get(OpenKey()));
+      case journal_action::CreateOpen:
+        co_return OfWrite(co_await mStore.Create(OpenKey(), std::move(aStep.mBody)));
+      case journal_action::UpdateOpen:
+        co_return OfWrite(co_await mStore.Update(OpenKey(), std::move(aStep.mBody), version));
+      case journal_action::ReadSealed:
+        co_return OfRead(co_await mStore.Get(SealedKey(aStep.mSealed)));
+      case journal_action::CreateSealed:
+        co_return OfWrite(co_await mStore.Create(SealedKey(aStep.mSealed), std::move(aStep.mBody)));
+      case journal_action::UpdateSealed:
+        co_return OfWrite(co_await mStore.Update(SealedKey(aStep.mSealed), std::move(aStep.mBody), version));
+      case journal_action::DeleteSealed:
+        co_await Delete(SealedKey(aStep.mSealed));
+        co_return policy::journal_reply{ policy::store_answer::Ok, {}, {} };
+      case journal_action::Idle:
+      case journal_action::Wait:
+        break;
+    }
+    co_return policy::journal_reply{};
+  }
+
+  /// Deletes what no list names any more; what fails stays behind and does no harm.
+  boost::asio::awaitable<void> Delete(std::string aKey)
+  {
+    const auto object = co_await mStore.Get(aKey);
+    if (object.has_value()) {
+      co_await mStore.Delete(aKey, object.value().mVersion);
+    }
+  }
+
+  static policy::journal_reply OfRead(const platform::platform_result<platform::stored_object>& aResult)
+  {
+    using policy::store_answer;
+    if (aResult.has_value()) {
+      const auto& object = aResult.value();
+      return { store_answer::Ok, policy::segment_version(object.mVersion.Value()), object.mBody };
+    }
+    const bool isAbsent = aResult.error().mCode == platform::platform_errc::NotFound;
+    return { isAbsent ? store_answer::NotFound : store_answer::Unavailable, {}, {} };
+  }
+
+  static policy::journal_reply OfWrite(const platform::platform_result<platform::object_version>& aResult)
+  {
+    if (aResult.has_value()) {
+      return { policy::store_answer::Ok, policy::segment_version(aResult.value().Value()), {} };
+    }
+    return { AnswerOf(aResult.error().mCode), {}, {} };
+  }
+
+  static policy::store_answer AnswerOf(platform::platform_errc aCode)
+  {
+    switch (aCode) {
+      case platform::platform_errc::Conflict:
+        return policy::store_answer::Conflict;
+      case platform::platform_errc::NotFound:
+        return policy::store_answer::NotFound;
+      case platform::platform_errc::Unavailable:
+      case platform::platform_errc::RateLimited:
+      case platform::platform_errc::TooLarge:
+        return policy::store_answer::Unavailable;
+      case platform::platform_errc::Unknown:
+      case platform::platform_errc::BadReply:
+        break;
+    }
+    return policy::store_answer::Unknown;
+  }
+
+  boost::asio::io_context& mContext;
+  Store& mStore;
+  const std::string mPrefix;
+  std::mutex mMutex;
+  policy::claim_journal mJournal;
+  std::unordered_map<policy::claim_id, ref<booking_promise<policy::claim_decision>>> mClaims;
+  std::unordered_map<policy::claim_id, waiting_write> mWrites;
+  bool mIsDriven = false;
+};
+
+} // namespace chervilpulley::sidecar
--- a/src/sidecar/stage_stream.h
+++ b/src/sidecar/stage_stream.h
@@ -138,7 +138,7 @@
   instant mUpstreamLostAt{};
   instant mEndedAt{};
   std::vector<std::string> mTokens; ///< at the head: all tokens so far
-  std::string mFinishReason; ///< at the head: of the last token, once the answer is whole
+  std::string mFinishReason;        ///< at the head: of the last token, once the answer is whole
   token_position mDelivered;
   std::optional<token_position> mBlockedAt;
 };
--- /dev/null
+++ b/tests/contract/booking_runner_test.cpp
@@ -0,0 +1,364 @@
+#include "sidecar/booking_runner.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <thread>
+
+#include "contract/booking_fakes.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::fakes;
+using namespace chervilpulley::sidecar;
+
+namespace {
+
+/// What a caller learns, in short.
+enum class seen
+{
+  First,
+  Replay,
+  NotRun,
+  Unknown
+};
+
+struct booking_runner_fixture
+{
+  booking_runner_fixture()
+    : mService(MakeRef<memory_service>())
+    , mFirst(MakeRunner("sidecar-1"))
+    , mSecond(MakeRunner("sidecar-2"))
+  {
+  }
+
+  ref<service_runner> MakeRunner(const std::string& aInstance)
+  {
+    service_runner_options options;
+    options.mInstance = instance_id(aInstance);
+    return MakeServiceRunner(mContext, mStore, ref<engine::service_client>(mService), options);
+  }
+
+  static link::service_call MakeCall(const std::string& aKey, const std::string& aBody = "winch")
+  {
+    link::service_call call;
+    call.set_workspace("tegid");
+    call.set_route("winches");
+    call.set_method("POST");
+    call.set_path("/reserve");
+    call.set_body(aBody);
+    call.set_idempotency_key(aKey);
+    return call;
+  }
+
+  /// Starts a call; its outcome is put into aOut.
+  void Start(const ref<service_runner>& aRunner, link::service_call aCall, std::optional<service_outcome>& aOut)
+  {
+    boost::asio::co_spawn(
+      mContext,
+      [aRunner, aCall, &aOut]() -> boost::asio::awaitable<void> {
+        aOut = co_await aRunner->Run(aCall, request_id("r-1"));
+      },
+      boost::asio::detached);
+  }
+
+  /// Runs a call to its outcome; what goes on in the background is left where it is.
+  service_outcome Call(const ref<service_runner>& aRunner, const link::service_call& aCall)
+  {
+    std::optional<service_outcome> out;
+    Start(aRunner, aCall, out);
+    mContext.restart();
+    while (!out && mContext.run_one() > 0) {
+    }
+    REQUIRE(out);
+    return *out;
+  }
+
+  /// Runs what goes on in the background to its end.
+  void Settle()
+  {
+    mContext.restart();
+    mContext.run();
+  }
+
+  static seen See(const service_outcome& aOutcome)
+  {
+    if (const auto* reply = std::get_if<link::service_reply>(&aOutcome)) {
+      return reply->replayed() ? seen::Replay : seen::First;
+    }
+    const auto known = std::get<link::refusal>(aOutcome).outcome();
+    return known == link::OUTCOME_NOT_RUN ? seen::NotRun : seen::Unknown;
+  }
+
+  static link::refusal_reason Reason(const service_outcome& aOutcome)
+  {
+    REQUIRE(std::holds_alternative<link::refusal>(aOutcome));
+    return std::get<link::refusal>(aOutcome).reason();
+  }
+
+  static std::string Body(const service_outcome& aOutcome)
+  {
+    REQUIRE(std::holds_alternative<link::service_reply>(aOutcome));
+    return std::get<link::service_reply>(aOutcome).body();
+  }
+
+  boost::asio::io_context mContext;
+  memory_store mStore;
+  ref<memory_service> mService;
+  ref<service_runner> mFirst;
+  ref<service_runner> mSecond;
+};
+
+struct claim_case
+{
+  const char* mName;
+  store_faults mFaults;
+  seen mFirst;
+  seen mRepeat; ///< after the faults, at another sidecar
+};
+
+store_faults Faults(int aLostBefore, int aLostAfter, int aConflicts, int aOutageAfterLost, int aSlow = 0)
+{
+  store_faults faults;
+  faults.mLostBefore = aLostBefore;
+  faults.mLostAfter = aLostAfter;
+  faults.mConflicts = aConflicts;
+  faults.mOutageAfterLost = aOutageAfterLost;
+  faults.mSlowTurns = aSlow;
+  return faults;
+}
+
+store_faults Outage()
+{
+  store_faults faults;
+  faults.mOutage = true;
+  return faults;
+}
+
+store_faults RateLimit()
+{
+  store_faults faults;
+  faults.mRateLimited = true;
+  return faults;
+}
+
+const claim_case kClaimCases[] = {
+  { "no fault", {}, seen::First, seen::Replay },
+  { "slow store", Faults(0, 0, 0, 0, 50), seen::First, seen::Replay },
+  { "answer lost before the effect", Faults(1, 0, 0, 0), seen::First, seen::Replay },
+  { "answer lost after the effect", Faults(0, 1, 0, 0), seen::First, seen::Replay },
+  { "answers of claim and result lost after the effect", Faults(0, 2, 0, 0), seen::First, seen::Replay },
+  { "answers lost before and after", Faults(1, 1, 0, 0), seen::First, seen::Replay },
+  { "conflicts", Faults(0, 0, 3, 0), seen::First, seen::Replay },
+  { "conflicts and a lost answer", Faults(0, 1, 2, 0), seen::First, seen::Replay },
+  { "outage", Outage(), seen::NotRun, seen::First },
+  { "rate limit", RateLimit(), seen::NotRun, seen::First },
+  { "answer lost before the effect, then outage", Faults(1, 0, 0, 1), seen::NotRun, seen::First },
+  { "answer lost after the effect, then outage", Faults(0, 1, 0, 1), seen::NotRun, seen::First },
+};
+
+struct service_case
+{
+  const char* mName;
+  service_fault mFault;
+  seen mFirst;
+  seen mRepeat; ///< after the fault, at another sidecar
+  int mRuns;    ///< in all
+};
+
+const service_case kServiceCases[] = {
+  { "service can't be reached", service_fault::NotSent, seen::NotRun, seen::First, 1 },
+  { "answer lost", service_fault::LostAnswer, seen::Unknown, seen::Unknown, 1 },
+  { "request lost", service_fault::LostRequest, seen::Unknown, seen::Unknown, 0 },
+};
+
+} // namespace
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_under_store_faults_runs_at_most_once")
+{
+  const claim_case row = GENERATE(from_range(std::begin(kClaimCases), std::end(kClaimCases)));
+  CAPTURE(row.mName);
+  mStore.SetFaults(row.mFaults);
+  CHECK(See(Call(mFirst, MakeCall("key"))) == row.mFirst);
+  CHECK(mService->Runs("winch") == (row.mFirst == seen::First ? 1 : 0));
+  mStore.SetFaults({});
+  Settle();
+  CHECK(See(Call(mSecond, MakeCall("key"))) == row.mRepeat);
+  CHECK(mService->Runs("winch") == 1);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_under_service_faults_tells_what_is_known")
+{
+  const service_case row = GENERATE(from_range(std::begin(kServiceCases), std::end(kServiceCases)));
+  CAPTURE(row.mName);
+  mService->mFault = row.mFault;
+  CHECK(See(Call(mFirst, MakeCall("key"))) == row.mFirst);
+  mService->mFault = service_fault::None;
+  Settle();
+  CHECK(See(Call(mSecond, MakeCall("key"))) == row.mRepeat);
+  CHECK(mService->Runs("winch") == row.mRuns);
+  CHECK(mFirst->OpenBookings() == 0);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_repeat_gets_the_whole_first_answer")
+{
+  const auto first = Call(mFirst, MakeCall("key"));
+  const auto repeat = Call(mSecond, MakeCall("key"));
+  REQUIRE(See(repeat) == seen::Replay);
+  REQUIRE(Body(repeat) == Body(first));
+  const auto& reply = std::get<link::service_reply>(repeat);
+  REQUIRE(reply.status() == 201);
+  REQUIRE(reply.headers_size() == 1);
+  REQUIRE(reply.headers(0).value() == "application/json");
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_down_platform_is_told_at_once_with_a_time_to_retry")
+{
+  mStore.SetFaults(Outage());
+  const auto outcome = Call(mFirst, MakeCall("key"));
+  REQUIRE(Reason(outcome) == link::REFUSAL_PLATFORM_DOWN);
+  REQUIRE(std::get<link::refusal>(outcome).retry_after_ms() > 0);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_result_kept_back_by_outage_is_written_later")
+{
+  mService->mOnRun = [this] { mStore.SetFaults(Outage()); };
+  REQUIRE(See(Call(mFirst, MakeCall("key"))) == seen::First);
+  REQUIRE(mFirst->OpenBookings() == 1);
+  REQUIRE(See(Call(mFirst, MakeCall("key"))) == seen::Replay);
+  mStore.SetFaults({});
+  Settle();
+  REQUIRE(mFirst->OpenBookings() == 0);
+  REQUIRE(See(Call(mSecond, MakeCall("key"))) == seen::Replay);
+  REQUIRE(mService->Runs("winch") == 1);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_repeat_in_the_same_process_waits_for_the_run")
+{
+  std::optional<service_outcome> first;
+  std::optional<service_outcome> second;
+  std::optional<service_outcome> other;
+  mService->mSlowTurns = 50;
+  Start(mFirst, MakeCall("key"), first);
+  Start(mFirst, MakeCall("key"), second);
+  Start(mFirst, MakeCall("key", "another winch"), other);
+  Settle();
+  REQUIRE(See(*first) == seen::First);
+  REQUIRE(See(*second) == seen::Replay);
+  REQUIRE(Reason(*other) == link::REFUSAL_KEY_REUSED);
+  REQUIRE(mService->Runs("winch") == 1);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_repeat_at_another_sidecar_during_the_run_is_unknown")
+{
+  std::optional<service_outcome> first;
+  mService->mSlowTurns = 2000;
+  Start(mFirst, MakeCall("key"), first);
+  for (int turn = 0; turn < 500; ++turn) {
+    mContext.run_one();
+  }
+  REQUIRE_FALSE(first);
+  REQUIRE(See(Call(mSecond, MakeCall("key"))) == seen::Unknown);
+  Settle();
+  REQUIRE(See(*first) == seen::First);
+  REQUIRE(See(Call(mSecond, MakeCall("key"))) == seen::Replay);
+  REQUIRE(mService->Runs("winch") == 1);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_key_with_another_body_is_refused_by_any_sidecar")
+{
+  Call(mFirst, MakeCall("key"));
+  REQUIRE(Reason(Call(mSecond, MakeCall("key", "another winch"))) == link::REFUSAL_KEY_REUSED);
+  REQUIRE(mService->Runs("another winch") == 0);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_key_out_of_range_is_refused_unrun")
+{
+  auto [key, reason] = GENERATE(table<std::string, link::refusal_reason>({
+    { "0155b8f4-0000-7000-8000-000000000000", link::REFUSAL_KEY_TOO_OLD },
+    { "f55b8f40-0000-7000-8000-000000000000", link::REFUSAL_BAD_REQUEST },
+    { std::string(256, 'k'), link::REFUSAL_BAD_REQUEST },
+  }));
+  const auto outcome = Call(mFirst, MakeCall(key));
+  REQUIRE(Reason(outcome) == reason);
+  REQUIRE(See(outcome) == seen::NotRun);
+  REQUIRE(mService->Runs("winch") == 0);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_deadline_that_passes_before_the_hand_over_releases_the_claim")
+{
+  auto call = MakeCall("key");
+  call.set_deadline_ms(1);
+  mStore.SetFaults(Faults(0, 0, 0, 0, 20'000));
+  REQUIRE(See(Call(mFirst, call)) == seen::NotRun);
+  mStore.SetFaults({});
+  REQUIRE(See(Call(mSecond, MakeCall("key"))) == seen::First);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_call_without_claim_needs_no_platform")
+{
+  const bool isIdempotent = GENERATE(true, false);
+  auto call = MakeCall(isIdempotent ? "key" : "");
+  call.set_idempotent(isIdempotent);
+  mStore.SetFaults(Outage());
+  REQUIRE(See(Call(mFirst, call)) == seen::First);
+  mService->mFault = service_fault::LostAnswer;
+  REQUIRE(See(Call(mFirst, call)) == seen::Unknown);
+  mService->mFault = service_fault::NotSent;
+  REQUIRE(See(Call(mFirst, call)) == seen::NotRun);
+  REQUIRE(mStore.Writes() == 0);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_many_bookings_at_once_share_writes")
+{
+  constexpr int kCalls = 200;
+  std::vector<std::optional<service_outcome>> outcomes(kCalls);
+  mStore.SetFaults(Faults(0, 0, 0, 0, 500));
+  for (int i = 0; i < kCalls; ++i) {
+    Start(mFirst, MakeCall("key " + std::to_string(i), std::to_string(i)), outcomes[static_cast<std::size_t>(i)]);
+  }
+  Settle();
+  for (const auto& outcome : outcomes) {
+    REQUIRE(See(*outcome) == seen::First);
+  }
+  REQUIRE(mStore.Writes() < kCalls / 2);
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_racing_on_threads_runs_each_key_once")
+{
+  constexpr int kKeys = 30;
+  constexpr int kRepeats = 6;
+  std::vector<std::optional<service_outcome>> outcomes(kKeys * kRepeats);
+  mStore.SetFaults(Faults(3, 3, 3, 0, 2));
+  for (std::size_t i = 0; i < outcomes.size(); ++i) {
+    const std::string number = std::to_string(i % kKeys);
+    Start(i % 2 == 0 ? mFirst : mSecond, MakeCall("key " + number, number), outcomes[i]);
+  }
+  mContext.restart();
+  std::array<std::thread, 4> threads;
+  for (auto& thread : threads) {
+    thread = std::thread([this] { mContext.run(); });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  for (int key = 0; key < kKeys; ++key) {
+    REQUIRE(mService->Runs(std::to_string(key)) == 1);
+  }
+  for (const auto& outcome : outcomes) {
+    REQUIRE(See(*outcome) != seen::NotRun);
+  }
+}
+
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_over_a_store_that_ignores_conditions_is_caught_by_the_judge")
+{
+  std::optional<service_outcome> first;
+  std::optional<service_outcome> second;
+  store_faults faults;
+  faults.mIgnoresVersion = true;
+  faults.mSlowTurns = 2;
+  mStore.SetFaults(faults);
+  Start(mFirst, MakeCall("key"), first);
+  Start(mSecond, MakeCall("key"), second);
+  Settle();
+  REQUIRE(mService->Runs("winch") == 2);
+}
--- a/tests/unit/claim_journal_test.cpp
+++ b/tests/unit/claim_journal_test.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kScripts = 3000;
+constexpr int kScriptsForMutations = 30'000; ///< at most; the first that is caught ends the search
 constexpr std::size_t kScriptBytes = 600;
 
 bool Holds(model::mutation aMutation, int aScripts)
@@ -105,7 +106,7 @@
                                model::mutation::HandedOverAfterPause,
                                model::mutation::SealedCopyForgotten);
   CAPTURE(static_cast<int>(broken));
-  REQUIRE_FALSE(Holds(broken, kScripts));
+  REQUIRE_FALSE(Holds(broken, kScriptsForMutations));
 }
 
 TEST_CASE_METHOD(claim_journal_fixture, "claim_journal_with_many_claims_makes_them_in_one_write")
--- a/tests/unit/claim_model.cpp
+++ b/tests/unit/claim_model.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::chrono::milliseconds kRetention = std::chrono::hours(4);
 constexpr std::chrono::milliseconds kJump = std::chrono::hours(2);
+constexpr std::chrono::milliseconds kLongJump = std::chrono::hours(6); ///< past retention and clock margin
 constexpr std::size_t kSmallSegment = 220;
 constexpr std::size_t kSmallBatch = 160;
 constexpr std::uint8_t kKeys = 5;
@@ -160,7 +161,21 @@
     case 18:
       return ReleaseOne(aClaimant);
     default:
-      mNow += aValue % 4 == 0 ? kJump : std::chrono::milliseconds(kPlatformHold / 2);
+      return PassTime(aValue);
+  }
+}
+
+void world::PassTime(std::uint8_t aValue)
+{
+  switch (aValue % 8) {
+    case 0:
+      mNow += kLongJump;
+      return;
+    case 1:
+      mNow += kJump;
+      return;
+    default:
+      mNow += kPlatformHold / 2;
   }
 }
 
--- a/tests/unit/claim_model.h
+++ b/tests/unit/claim_model.h
@@ -86,6 +86,7 @@
   };
 
   void Do(std::uint8_t aAction, claimant& aClaimant, std::uint8_t aValue);
+  void PassTime(std::uint8_t aValue);
   void Ask(claimant& aClaimant, std::uint8_t aValue);
   void Advance(claimant& aClaimant);
   void Answer(claimant& aClaimant, journal_reply aReply);
