--- a/tests/contract/link_connection_test.cpp
+++ b/tests/contract/link_connection_test.cpp
@@ -155,8 +155,9 @@
 TEST_CASE_METHOD(link_fixture, "link_to_an_address_that_nobody_listens_on_is_refused")
 {
   std::optional<net::net_result<ref<link::connection>>> connected;
+  const net::endpoint nobody{ "127.0.0.1", 1 };
   auto task = [&]() -> boost::asio::awaitable<void> {
-    connected.emplace(co_await link::Connect(mContext, { "127.0.0.1", 1 }, mOptions, EventsOf(mAtClient)));
+    connected.emplace(co_await link::Connect(mContext, nobody, mOptions, EventsOf(mAtClient)));
   };
   boost::asio::co_spawn(mContext, task, boost::asio::use_future).get();
   REQUIRE(connected->has_error());
