Entry: a request that passed the position of a crash is no suspect; waits for a stage to come back

Found by the process tests: two stages killed under one stream ended it with "ended two engines"; a crash now condemns only if the request got no further than the one before. With every holder of a layer gone the entry gave up after 64 refused opens (3 s); it now asks again for 10 s, those at fault included. A process that ended with open connections aborted in the list of connections (exit status 134); a connection now leaves the list when it is destroyed.

--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -15,7 +15,7 @@
 constexpr duration kLongestRouteWait = std::chrono::seconds(10);
 constexpr duration kRetryAfter = std::chrono::seconds(1);
 constexpr duration kRetryAfterPeerTrial = std::chrono::seconds(2);
-constexpr std::uint32_t kMostOpens = 64;
+constexpr std::uint32_t kMostOpens = 1000;
 
 } // namespace
 
@@ -49,9 +49,6 @@
   }
   Cancel(mEnd.mIsComplete ? "finished" : "given up");
   CancelFormerHeads();
-  if (mEnd.mIsComplete && mIsSuspect) {
-    mGuard.Cleared(mOrder.mDigest, Now());
-  }
   co_return mEnd;
 }
 
@@ -105,7 +102,9 @@
 
 boost::asio::awaitable<void> completion_run::WaitForRoute()
 {
+  // Those at fault may have come back by then; there is nobody else to ask.
   mRefused.clear();
+  mAvoid.clear();
   const auto event = co_await mMailbox->Pop(Now() + kRouteRetry);
   if (event && event->mKind == request_event::kind::HungUp) {
     mEnd.mHungUp = true;
@@ -222,6 +221,10 @@
     mMetrics.TokenGap(now - mLastToken);
   }
   mLastToken = now;
+  if (std::exchange(mIsSuspect, false)) {
+    // It passed the position at which the engine ended, so it does not end every engine that runs it.
+    mGuard.Cleared(mOrder.mDigest, now);
+  }
   mOrder.mTokens.push_back(aToken.text());
   const answer_token token{
     token_position(aToken.position()), aToken.text(), aToken.finish_reason(), mHead->Instance()
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -27,6 +27,7 @@
 {
 public:
   server_connection(ref<server_impl> aServer, tcp::socket aSocket);
+  ~server_connection() override;
 
   asio::awaitable<void> Run();
   void CloseIfIdle();
@@ -106,6 +107,12 @@
 {
 }
 
+server_connection::~server_connection()
+{
+  // Still listed when the process ends while the connection is open.
+  mServer->Remove(*this);
+}
+
 asio::awaitable<void> server_connection::Run()
 {
   const ref<server_connection> self(this);
@@ -364,7 +371,9 @@
 void server_impl::Remove(server_connection& aConnection)
 {
   std::lock_guard lock(mMutex);
-  mConnections.erase(mConnections.iterator_to(aConnection));
+  if (aConnection.is_linked()) {
+    mConnections.erase(mConnections.iterator_to(aConnection));
+  }
 }
 
 } // namespace
