--- a/tests/contract/config_store_test.cpp
+++ b/tests/contract/config_store_test.cpp
@@ -38,6 +38,7 @@
       node.mStore->Stop();
     }
     mContext.run_for(std::chrono::milliseconds(20));
+    mPeers->mStores.clear(); // the stores refer to the peers as well
   }
 
   node& Add(const std::string& aName, const std::string& aDomain)
