--- a/src/policy/claim_journal.cpp
+++ b/src/policy/claim_journal.cpp
@@ -83,7 +83,7 @@
 {
   GiveUpWrites(aNow);
   journal_step step;
-  if (aNow < mHeldUntil) {
+  if (IsHeld(aNow)) {
     Fail(aNow);
     step = Held();
   } else if (HasWork() || mKnown) {
@@ -94,6 +94,12 @@
   return step;
 }
 
+bool claim_journal::IsHeld(calendar_time aNow) const
+{
+  const bool clockWentBack = mHeldUntil - aNow > kPlatformHold;
+  return aNow < mHeldUntil && !clockWentBack;
+}
+
 journal_step claim_journal::Held() const
 {
   journal_step step;
@@ -179,6 +185,11 @@
     Decide(aClaim, claim_verdict::TooOld);
     return std::nullopt;
   }
+  if (!MayHandOver(aClaim.mRequest.mLifetime, aNow)) {
+    Abandon(aClaim, aNow);
+    Decide(aClaim, claim_verdict::Unavailable);
+    return std::nullopt;
+  }
   if (const auto unchecked = UncheckedSegment(aClaim, aNow)) {
     journal_step step;
     step.mAction = journal_action::ReadSealed;
