--- /dev/null
+++ b/tests/unit/config_encoding_test.cpp
@@ -0,0 +1,92 @@
+#include "config/config_encoding.h"
+#include "config/rollout_table.h"
+
+#include <catch2/catch.hpp>
+
+#include "config_changes.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::config;
+using namespace chervilpulley::test;
+
+TEST_CASE("config_encoding_log_keys_sort_by_revision")
+{
+  REQUIRE(LogKey(revision_number(9)) == "config/log/00000000000000000009");
+  REQUIRE(LogKey(revision_number(9)) < LogKey(revision_number(10)));
+  REQUIRE(LogKey(revision_number(UINT64_MAX)) == "config/log/18446744073709551615");
+}
+
+TEST_CASE("config_encoding_entry_of_another_revision_is_bad_data")
+{
+  admin::log_entry entry;
+  entry.set_revision(3);
+  REQUIRE(DecodeEntry(entry.SerializeAsString(), revision_number(3)).has_value());
+  REQUIRE(DecodeEntry(entry.SerializeAsString(), revision_number(4)).error().mCode == config_errc::BadData);
+  REQUIRE(DecodeEntry("\xff", revision_number(4)).error().mCode == config_errc::BadData);
+}
+
+TEST_CASE("config_encoding_state_in_parts_comes_back_whole")
+{
+  admin::config_state state;
+  state.set_revision(5);
+  for (int i = 0; i < 50; ++i) {
+    *state.add_objects() = Workspace("w" + std::to_string(i));
+    state.add_recent_change_ids("c" + std::to_string(i));
+  }
+  const auto parts = EncodeParts(state, 200);
+  REQUIRE(parts.size() > 5);
+  REQUIRE(DecodeParts(parts).value().SerializeAsString() == state.SerializeAsString());
+  REQUIRE(DecodeParts({ parts[0], "\xff" }).error().mCode == config_errc::BadData);
+  state.set_revision(6);
+  REQUIRE(DecodeParts({ parts[0], EncodeParts(state, 200)[1] }).error().mCode == config_errc::BadData);
+}
+
+TEST_CASE("config_encoding_bad_snapshot_head_is_bad_data")
+{
+  const snapshot_head head{ { revision_number(4), "4-ab", 2 }, {} };
+  REQUIRE(DecodeHead(EncodeHead(head)).value().mNewest.mName == "4-ab");
+  for (const char* body : { "", "{}", "[]", R"({"newest":{},"previous":{}})", R"({"newest":1,"previous":2})" }) {
+    CAPTURE(body);
+    REQUIRE(DecodeHead(body).error().mCode == config_errc::BadData);
+  }
+}
+
+TEST_CASE("config_encoding_base64_of_any_length_comes_back")
+{
+  for (const std::string& bytes : { std::string(), std::string("a"), std::string("ab"), std::string("abc\0d", 5) }) {
+    REQUIRE(FromBase64(ToBase64(bytes)) == bytes);
+  }
+  for (const char* text : { "a", "ab=", "a!bc", "====", "ab=c" }) {
+    CAPTURE(text);
+    const auto bytes = FromBase64(text);
+    REQUIRE((!bytes || bytes->size() < 4));
+  }
+}
+
+TEST_CASE("rollout_table_report_is_passed_on_once_and_again_to_a_new_source")
+{
+  rollout_table table;
+  const instant start{ std::chrono::seconds(100) };
+  table.NotePulled({ "i", "d", 3, 0 }, start);
+  table.Note(instance_id("traffic"), failure_domain_id("d"), revision_number(3), start);
+  REQUIRE(table.TakeForSource(instance_id("s"), start).size() == 1);
+  REQUIRE(table.TakeForSource(instance_id("s"), start).empty());
+  table.NotePulled({ "i", "d", 4, 0 }, start);
+  REQUIRE(table.TakeForSource(instance_id("s"), start).at(0).mRevision == 4);
+  REQUIRE(table.TakeForSource(instance_id("t"), start).size() == 1);
+  table.NotArrived();
+  REQUIRE(table.TakeForSource(instance_id("t"), start).size() == 1);
+  REQUIRE(table.TakeForSource(instance_id("t"), start + std::chrono::seconds(31)).size() == 1);
+  REQUIRE(table.TakeForSource(instance_id("t"), start + std::chrono::minutes(6)).empty());
+}
+
+TEST_CASE("rollout_table_older_report_does_not_replace_a_newer_one")
+{
+  rollout_table table;
+  const instant start{ std::chrono::seconds(100) };
+  table.NotePulled({ "i", "d", 4, 0 }, start);
+  table.NotePulled({ "i", "d", 3, 500 }, start);
+  REQUIRE(table.All(start).at(0).mRevision == 4);
+  table.NotePulled({ "i", "d", 1, 0 }, start + std::chrono::seconds(1)); // the instance was replaced
+  REQUIRE(table.All(start).at(0).mRevision == 1);
+}
