--- /dev/null
+++ b/tests/processes/bookings_test.cpp
@@ -0,0 +1,146 @@
+#include <catch2/catch.hpp>
+
+#include <future>
+#include <set>
+
+#include "processes/cluster.h"
+#include "processes/http_call.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::processes;
+
+namespace {
+
+struct bookings_fixture
+{
+  cluster mCluster{ { {}, { "domain-a", "domain-b" }, { "domain-a", "domain-b" } } };
+
+  bool HasRun(const std::string& aBody) const
+  {
+    return !JudgeBookings(mCluster.ServiceRunsSoFar(), { { aBody, told::NotRun } }).empty();
+  }
+
+  /// Which of the services runs a booking now.
+  backend& Running(const std::string& aBody)
+  {
+    for (std::size_t i : { std::size_t(0), std::size_t(1) }) {
+      if (!JudgeBookings(ServiceRuns(RecordsOf(*mCluster.Service(i).mServer)), { { aBody, told::NotRun } }).empty()) {
+        return mCluster.Service(i);
+      }
+    }
+    throw std::runtime_error("no service runs " + aBody);
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(bookings_fixture, "booking_sent_to_two_entries_at_once_runs_once")
+{
+  std::vector<booking> bookings;
+  for (int round = 0; round < 20; ++round) {
+    const std::string body = "dressing slot " + std::to_string(round);
+    const std::string key = "race-" + std::to_string(round);
+    std::vector<std::future<answer>> calls;
+    for (const std::size_t entry : { std::size_t(0), std::size_t(1), std::size_t(0), std::size_t(1) }) {
+      calls.push_back(std::async(std::launch::async, [&, entry] { return mCluster.CallerAt(entry).Book(body, key); }));
+    }
+    std::set<std::string> confirmations;
+    for (std::future<answer>& call : calls) {
+      const answer got = call.get();
+      bookings.push_back({ body, ToldBy(got) });
+      if (ToldBy(got) == told::Booked) {
+        confirmations.insert(got.mBody);
+      }
+    }
+    CHECK(confirmations.size() == 1);
+  }
+  CHECK(Text(JudgeBookings(mCluster.ServiceRunsSoFar(), bookings)) == "");
+}
+
+TEST_CASE_METHOD(bookings_fixture, "booking_whose_sidecar_is_killed_during_the_run_never_runs_again")
+{
+  for (const std::size_t service : { std::size_t(0), std::size_t(1) }) {
+    Control(*mCluster.Service(service).mServer, { { "slow_ms", 400 } });
+  }
+  const std::string body = "winch 5 on the feast day";
+  std::future<answer> first = std::async(std::launch::async, [&] { return mCluster.CallerAt(0).Book(body, "killed"); });
+  REQUIRE(WaitUntil([&] { return HasRun(body); }));
+  Running(body).mSidecar->Kill();
+  const answer lost = first.get();
+  CHECK(ToldBy(lost) == told::Unknown);
+  const answer repeated = mCluster.CallerAt(1).Book(body, "killed");
+  CHECK(ToldBy(repeated) == told::Unknown);
+  CHECK(Text(JudgeBookings(mCluster.ServiceRunsSoFar(), { { body, ToldBy(lost) }, { body, ToldBy(repeated) } })) == "");
+}
+
+TEST_CASE_METHOD(bookings_fixture, "booking_whose_service_crashes_is_unknown_and_never_runs_again")
+{
+  for (const std::size_t service : { std::size_t(0), std::size_t(1) }) {
+    Control(*mCluster.Service(service).mServer, { { "slow_ms", 400 } });
+  }
+  const std::string body = "crew 4 at Yirgalem";
+  std::future<answer> first =
+    std::async(std::launch::async, [&] { return mCluster.CallerAt(0).Book(body, "crashed"); });
+  REQUIRE(WaitUntil([&] { return HasRun(body); }));
+  Running(body).mServer->Kill();
+  const answer lost = first.get();
+  CHECK(ToldBy(lost) == told::Unknown);
+  const answer repeated = mCluster.CallerAt(1).Book(body, "crashed");
+  CHECK(Text(JudgeBookings(mCluster.ServiceRunsSoFar(), { { body, ToldBy(lost) }, { body, ToldBy(repeated) } })) == "");
+}
+
+TEST_CASE_METHOD(bookings_fixture, "booking_whose_claim_answer_is_lost_runs_at_most_once_and_is_told_truly")
+{
+  std::vector<booking> bookings;
+  for (int round = 0; round < 6; ++round) {
+    const std::string body = "winch with lost answers " + std::to_string(round);
+    const std::string key = "lost-" + std::to_string(round);
+    Control(mCluster.Platform(), { { "lose_answers", 1 + round % 3 } });
+    for (const std::size_t entry : { std::size_t(0), std::size_t(1) }) {
+      bookings.push_back({ body, ToldBy(mCluster.CallerAt(entry).Book(body, key)) });
+      CHECK_FALSE((bookings.back().mTold == told::NotRun && HasRun(body)));
+    }
+  }
+  Control(mCluster.Platform(), { { "lose_answers", 0 } });
+  CHECK(Text(JudgeBookings(mCluster.ServiceRunsSoFar(), bookings)) == "");
+}
+
+TEST_CASE_METHOD(bookings_fixture, "booking_whose_sidecar_is_frozen_and_woken_runs_at_most_once")
+{
+  const std::string body = "winch held by a frozen process";
+  for (const std::size_t service : { std::size_t(0), std::size_t(1) }) {
+    Control(*mCluster.Service(service).mServer, { { "slow_ms", 400 } });
+  }
+  std::future<answer> first = std::async(std::launch::async, [&] { return mCluster.CallerAt(0).Book(body, "frozen"); });
+  REQUIRE(WaitUntil([&] { return HasRun(body); }));
+  process& frozen = *Running(body).mSidecar;
+  frozen.Freeze();
+  const answer lost = first.get();
+  const answer repeated = mCluster.CallerAt(1).Book(body, "frozen");
+  frozen.Wake();
+  CHECK(ToldBy(lost) != told::NotRun);
+  CHECK(ToldBy(repeated) != told::NotRun);
+  answer after;
+  CHECK(WaitUntil([&] {
+    after = mCluster.CallerAt(1).Book(body, "frozen");
+    return ToldBy(after) == told::Booked;
+  }));
+  CHECK(Text(JudgeBookings(mCluster.ServiceRunsSoFar(), { { body, told::Booked } })) == "");
+}
+
+TEST_CASE_METHOD(bookings_fixture, "booking_during_an_outage_is_not_run_at_once_and_stock_goes_on")
+{
+  Control(mCluster.Platform(), { { "outage", true } });
+  const answer refused = mCluster.CallerAt(0).Book("winch during the outage", "outage");
+  CHECK(refused.mStatus == 503);
+  CHECK(ToldBy(refused) == told::NotRun);
+  CHECK_FALSE(refused.mHeaders.Get("Retry-After").empty());
+  CHECK(mCluster.CallerAt(1).Stock().mStatus == 200);
+  Control(mCluster.Platform(), { { "outage", false } });
+  answer later;
+  CHECK(WaitUntil([&] {
+    later = mCluster.CallerAt(1).Book("winch during the outage", "outage");
+    return ToldBy(later) == told::Booked;
+  }));
+  CHECK(Text(JudgeBookings(mCluster.ServiceRunsSoFar(), { { "winch during the outage", told::Booked } })) == "");
+}
--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -3,6 +3,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -20,6 +21,7 @@
 
 constexpr std::string_view kEnginePool = "engines";
 constexpr std::string_view kServicePool = "services";
+constexpr std::size_t kShownBytes = 300;
 
 std::vector<json::object> ReadRecords(const std::string& aFile)
 {
@@ -30,6 +32,14 @@
   return ParseLines(std::string_view(lines).substr(0, lines.rfind('\n') + 1));
 }
 
+/// How an answer ended, for the message of a failed test.
+std::string EndOf(const answer& aAnswer)
+{
+  const std::size_t shown = std::min(aAnswer.mBody.size(), kShownBytes);
+  const std::string end = aAnswer.mBody.substr(aAnswer.mBody.size() - shown);
+  return aAnswer.mNetError ? aAnswer.mNetError->mMessage : end;
+}
+
 std::string InstanceOf(const process& aProcess)
 {
   return std::string(aProcess.Listening().at("instance").as_string());
@@ -218,6 +228,10 @@
 faults cluster::Judge(const answer& aAnswer, const std::string& aPrompt, std::uint64_t aMaxTokens) const
 {
   faults found = JudgeStream(aAnswer.mStream, aPrompt, aMaxTokens, mShape.mLayerCount);
+  if (!found.empty()) {
+    found.push_back("the answer has status " + std::to_string(aAnswer.mStatus) + " and ends with " + EndOf(aAnswer));
+    return found;
+  }
   for (std::string& fault : JudgeLayers(EngineRunsSoFar(), aAnswer.mRequest, aMaxTokens, mShape.mLayerCount)) {
     found.push_back(std::move(fault));
   }
--- a/tests/processes/judge.cpp
+++ b/tests/processes/judge.cpp
@@ -47,10 +47,12 @@
     }
   }
   for (std::uint64_t position = 0; position < aPositions; ++position) {
+    std::string missing;
     for (std::uint32_t layer = 0; layer < aLayerCount; ++layer) {
-      if (!ran[position].contains(layer)) {
-        aFaults.push_back("layer " + std::to_string(layer) + " did not run for position " + std::to_string(position));
-      }
+      missing += ran[position].contains(layer) ? "" : " " + std::to_string(layer);
+    }
+    if (!missing.empty()) {
+      aFaults.push_back("layers that did not run for position " + std::to_string(position) + ":" + missing);
     }
   }
 }
