--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,4 +8,4 @@
 else
   mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'tests/*.cpp' 'bench/*.cpp' | grep -v '^src/generated/')
 fi
-printf '%s\0' "${files[@]}" | xargs -0 -P "${LINT_JOBS:-8}" -n 1 clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option 2> >(grep -v -e 'warnings generated' -e 'Suppressed' -e 'Use -header-filter' >&2)
+printf '%s\0' "${files[@]}" | xargs -0 -P "${LINT_JOBS:-$(nproc)}" -n 1 clang-tidy -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option 2> >(grep -v -e 'warnings generated' -e 'Suppressed' -e 'Use -header-filter' >&2)
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -74,14 +74,15 @@
 /// Headers that belong to one connection, or that only this system may see.
 bool IsForwarded(std::string_view aName)
 {
-  static const std::set<std::string> sKept{ "authorization",      "connection", "content-length", "host", "keep-alive",
-                                            "transfer-encoding",  "upgrade",    "x-request-id",   "te",   "trailer",
-                                            "proxy-authorization" };
+  static const std::set<std::string> kKeptHeaders{ "authorization", "connection",         "content-length",
+                                                   "host",          "keep-alive",         "transfer-encoding",
+                                                   "upgrade",       "x-request-id",       "te",
+                                                   "trailer",       "proxy-authorization" };
   std::string lower;
   for (const char c : aName) {
     lower.push_back(static_cast<char>(std::tolower(static_cast<unsigned char>(c))));
   }
-  return !sKept.contains(lower);
+  return !kKeptHeaders.contains(lower);
 }
 
 } // namespace
