--- a/src/config/config_store_over.h
+++ b/src/config/config_store_over.h
@@ -279,7 +279,7 @@
     }
     kLog.Info("Configuration is at revision {}.", mReplica->Revision().Value());
     while (!mStopped) {
-      const bool isRelay = mSync->Directory().Plan().IsRelay();
+      const bool isRelay = mSync->Directory().Plan()->IsRelay();
       if (!isRelay && co_await mSync->PullFromDomain(mOptions.mPullWait)) {
         continue;
       }
--- a/src/config/config_view.cpp
+++ b/src/config/config_view.cpp
@@ -108,11 +108,7 @@
 
 ref<const config_view> MakeConfigView(const admin::config_state& aState)
 {
-  policy::config_objects objects;
-  for (const auto& object : aState.objects()) {
-    objects.Put(object);
-  }
-  return MakeConfigView(revision_number(aState.revision()), std::move(objects));
+  return MakeConfigView(revision_number(aState.revision()), policy::config_objects::Of(aState.objects()));
 }
 
 ref<const config_view> MakeConfigView(revision_number aRevision, policy::config_objects aObjects)
--- a/src/config/peer_directory.cpp
+++ b/src/config/peer_directory.cpp
@@ -6,7 +6,7 @@
 
 peer_directory::peer_directory(policy::spread_member aSelf)
   : mSelf(std::move(aSelf))
-  , mPlan(mSelf, {})
+  , mPlan(MakeRef<policy::spread_plan>(mSelf, std::vector<policy::spread_member>{}))
 {
 }
 
@@ -25,14 +25,16 @@
       staying.push_back(all.back());
     }
   }
-  policy::spread_plan plan(mSelf, std::move(staying));
   std::lock_guard lock(mMutex);
-  mPlan = std::move(plan);
+  if (staying != mStaying) {
+    mPlan = MakeRef<policy::spread_plan>(mSelf, staying);
+    mStaying = std::move(staying);
+  }
   mMembers = std::move(all);
   mEndpoints = std::move(endpoints);
 }
 
-policy::spread_plan peer_directory::Plan() const
+ref<const policy::spread_plan> peer_directory::Plan() const
 {
   std::lock_guard lock(mMutex);
   return mPlan;
--- a/src/config/peer_directory.h
+++ b/src/config/peer_directory.h
@@ -17,7 +17,7 @@
   explicit peer_directory(policy::spread_member aSelf);
 
   void Set(const std::vector<platform::live_instance>& aInstances);
-  policy::spread_plan Plan() const;
+  ref<const policy::spread_plan> Plan() const;
   /// Address for control calls; nothing when the instance is not known.
   std::optional<net::endpoint> EndpointOf(const instance_id& aInstance) const;
   /// All instances of the list, leaving ones too.
@@ -26,8 +26,9 @@
 private:
   const policy::spread_member mSelf;
   mutable std::mutex mMutex;
-  policy::spread_plan mPlan;
+  ref<const policy::spread_plan> mPlan;
   std::vector<policy::spread_member> mMembers;
+  std::vector<policy::spread_member> mStaying; ///< what mPlan was made of
   std::unordered_map<instance_id, net::endpoint> mEndpoints;
 };
 
--- a/src/config/peer_sync.cpp
+++ b/src/config/peer_sync.cpp
@@ -81,8 +81,8 @@
   const ref<peer_sync> self(this);
   const auto plan = mDirectory.Plan();
   std::vector<instance_id> relays;
-  for (const auto& domain : plan.OtherDomains()) {
-    for (const auto& relay : plan.RelaysOf(domain)) {
+  for (const auto& domain : plan->OtherDomains()) {
+    for (const auto& relay : plan->RelaysOf(domain)) {
       relays.push_back(relay);
     }
   }
@@ -99,12 +99,12 @@
   const auto executor = co_await boost::asio::this_coro::executor;
   const auto plan = mDirectory.Plan();
   auto box = MakeRef<net::mailbox<failure_domain_id>>(executor);
-  auto domains = plan.OtherDomains();
+  auto domains = plan->OtherDomains();
   domains.push_back(mOptions.mFailureDomain);
   std::set<std::string> asked;
   std::size_t calls = 0;
   for (const auto& domain : domains) {
-    for (const auto& relay : plan.RelaysOf(domain)) {
+    for (const auto& relay : plan->RelaysOf(domain)) {
       if (relay != mOptions.mInstance) {
         boost::asio::co_spawn(executor, PullAndTell(relay, domain, box), boost::asio::detached);
         asked.insert(domain.Str());
@@ -131,13 +131,13 @@
   const ref<peer_sync> self(this);
   const auto executor = co_await boost::asio::this_coro::executor;
   const auto plan = mDirectory.Plan();
-  const auto domains = plan.OtherDomains();
+  const auto domains = plan->OtherDomains();
   if (domains.size() < kDomainQuorum) {
     co_return false;
   }
   auto box = MakeRef<net::mailbox<failure_domain_id>>(executor);
   for (const auto& domain : domains) {
-    for (const auto& relay : plan.RelaysOf(domain)) {
+    for (const auto& relay : plan->RelaysOf(domain)) {
       boost::asio::co_spawn(executor, Confirm(relay, domain, aRevision, box), boost::asio::detached);
     }
   }
@@ -159,11 +159,11 @@
   const auto executor = co_await boost::asio::this_coro::executor;
   const auto plan = mDirectory.Plan();
   auto box = MakeRef<net::mailbox<std::vector<rpc::instance_report>>>(executor);
-  auto domains = plan.OtherDomains();
+  auto domains = plan->OtherDomains();
   domains.push_back(mOptions.mFailureDomain);
   std::size_t calls = 0;
   for (const auto& domain : domains) {
-    for (const auto& relay : plan.RelaysOf(domain)) {
+    for (const auto& relay : plan->RelaysOf(domain)) {
       if (relay != mOptions.mInstance) {
         boost::asio::co_spawn(executor, AskReports(relay, box), boost::asio::detached);
         ++calls;
@@ -225,7 +225,7 @@
 
 std::vector<instance_id> peer_sync::SourcesByHealth()
 {
-  auto sources = mDirectory.Plan().Sources();
+  auto sources = mDirectory.Plan()->Sources();
   const auto now = Now();
   std::lock_guard lock(mHealthMutex);
   std::erase_if(mFailedAt, [&](const auto& aFailed) { return now - aFailed.second > kAvoidTime; });
--- a/src/policy/config_log.cpp
+++ b/src/policy/config_log.cpp
@@ -76,9 +76,7 @@
   }
   config_log installed;
   installed.mRevision = revision_number(aState.revision());
-  for (const auto& object : aState.objects()) {
-    installed.mObjects.Put(object);
-  }
+  installed.mObjects = config_objects::Of(aState.objects());
   const auto count = static_cast<std::uint64_t>(aState.recent_change_ids_size());
   std::uint64_t revision = aState.revision() < count ? 0 : aState.revision() - count;
   for (const auto& id : aState.recent_change_ids()) {
--- a/src/policy/config_objects.cpp
+++ b/src/policy/config_objects.cpp
@@ -94,6 +94,17 @@
     return table;
   }
 
+  /// Adds or replaces in place; for a table that nobody else has yet.
+  void Put(const std::string& aName, const ref<const shared_object>& aObject)
+  {
+    auto& slot = mBuckets[BucketOf(aName)];
+    if (!slot) {
+      slot = MakeRef<bucket>();
+    }
+    const auto added = const_cast<bucket&>(*slot).mObjects.insert_or_assign(aName, aObject).second;
+    mCount += added ? 1 : 0;
+  }
+
 private:
   std::array<ref<const bucket>, kBucketCount> mBuckets;
   std::size_t mCount = 0;
@@ -216,4 +227,18 @@
   return const_cast<ref<const object_table>*>(std::as_const(*this).TableOf(aKind));
 }
 
+void config_objects::Detach()
+{
+  for (auto& table : mTables) {
+    table = MakeRef<object_table>();
+  }
+}
+
+void config_objects::PutDetached(const admin::object& aObject)
+{
+  if (auto* table = TableOf(KindOf(aObject)); table != nullptr) {
+    const_cast<object_table&>(**table).Put(NameOf(aObject), MakeRef<shared_object>(aObject));
+  }
+}
+
 } // namespace chervilpulley::policy
--- a/src/policy/config_objects.h
+++ b/src/policy/config_objects.h
@@ -42,6 +42,17 @@
   /// All objects of a kind, by name.
   std::vector<const admin::object*> List(admin::object_kind aKind) const;
   std::size_t Count(admin::object_kind aKind) const;
+  /// The same as a Put of each object, but without a copy for each.
+  template<class Objects>
+  static config_objects Of(const Objects& aObjects)
+  {
+    config_objects all;
+    all.Detach();
+    for (const auto& object : aObjects) {
+      all.PutDetached(object);
+    }
+    return all;
+  }
   /// Adds an object, or replaces the one of its kind and name.
   void Put(const admin::object& aObject);
   /// Removes an object; does nothing when there is none.
@@ -50,6 +61,9 @@
 private:
   const ref<const object_table>* TableOf(admin::object_kind aKind) const;
   ref<const object_table>* TableOf(admin::object_kind aKind);
+  /// Gives this copy tables of its own, which PutDetached may write to until another copy is made.
+  void Detach();
+  void PutDetached(const admin::object& aObject);
 
   std::array<ref<const object_table>, kObjectKinds.size()> mTables;
 };
--- a/src/policy/config_spread.cpp
+++ b/src/policy/config_spread.cpp
@@ -14,25 +14,41 @@
   return StableHash(aMember.mFailureDomain.Str() + "/" + aMember.mInstance.Str());
 }
 
-bool Earlier(const spread_member& aLeft, const spread_member& aRight)
+struct ranked_member
 {
-  if (aLeft.mFailureDomain.Str() != aRight.mFailureDomain.Str()) {
-    return aLeft.mFailureDomain.Str() < aRight.mFailureDomain.Str();
+  std::uint64_t mRank = 0;
+  spread_member mMember;
+};
+
+bool Earlier(const ranked_member& aLeft, const ranked_member& aRight)
+{
+  const auto& left = aLeft.mMember;
+  const auto& right = aRight.mMember;
+  if (left.mFailureDomain != right.mFailureDomain) {
+    return left.mFailureDomain.Str() < right.mFailureDomain.Str();
   }
-  const auto left = RankOf(aLeft);
-  const auto right = RankOf(aRight);
-  return left != right ? left < right : aLeft.mInstance.Str() < aRight.mInstance.Str();
+  return aLeft.mRank != aRight.mRank ? aLeft.mRank < aRight.mRank : left.mInstance.Str() < right.mInstance.Str();
 }
 
 } // namespace
 
 spread_plan::spread_plan(spread_member aSelf, std::vector<spread_member> aMembers)
   : mSelf(std::move(aSelf))
-  , mOrder(std::move(aMembers))
 {
-  std::erase_if(mOrder, [&](const spread_member& aMember) { return aMember.mInstance == mSelf.mInstance; });
-  mOrder.push_back(mSelf);
-  std::sort(mOrder.begin(), mOrder.end(), Earlier);
+  std::vector<ranked_member> ranked;
+  ranked.reserve(aMembers.size() + 1);
+  for (auto& member : aMembers) {
+    if (member.mInstance != mSelf.mInstance) {
+      const auto rank = RankOf(member);
+      ranked.push_back({ rank, std::move(member) });
+    }
+  }
+  ranked.push_back({ RankOf(mSelf), mSelf });
+  std::sort(ranked.begin(), ranked.end(), Earlier);
+  mOrder.reserve(ranked.size());
+  for (auto& member : ranked) {
+    mOrder.push_back(std::move(member.mMember));
+  }
 }
 
 bool spread_plan::IsRelay() const
--- a/src/policy/config_spread.h
+++ b/src/policy/config_spread.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "base/ref_counted.h"
 #include "chervilpulley/ids.h"
 
 /// Who takes the configuration from whom. In each failure domain the live instances are ordered by rendezvous hashing:
@@ -17,13 +18,13 @@
 {
   instance_id mInstance;
   failure_domain_id mFailureDomain;
+  bool operator==(const spread_member&) const = default;
 };
 
 /// The order of each failure domain's instances; the same wherever the same list is known.
-class spread_plan
+class spread_plan : public ref_counted
 {
 public:
-  spread_plan() = default;
   /// @param aSelf is placed even if the list does not have it yet.
   spread_plan(spread_member aSelf, std::vector<spread_member> aMembers);
 
