--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
   bool mRepeated = false;      ///< this change id was accepted before
 };
 
+/// Called with a live list that came from a peer. Must not block.
+using instances_callback = std::function<void(const std::vector<platform::live_instance>&)>;
+
 /// Who this process is, and how long it waits.
 struct config_store_options
 {
@@ -35,6 +39,7 @@
   duration mBehindPause =
     std::chrono::milliseconds(150); ///< time that the usual way gets when traffic shows a newer one
   duration mSpreadTimeout = std::chrono::milliseconds(1500); ///< longest wait for other failure domains after a write
+  duration mListTimeout = std::chrono::seconds(6); ///< a live list that no peer confirms for this long is read again
   duration mTurnTimeout = std::chrono::seconds(5); ///< longest wait of a change for those before it in this process
   std::uint64_t mSnapshotInterval = 256;           ///< revisions between two snapshots
 };
@@ -68,6 +73,10 @@
   /// Waits until the revision in force is above aAfter or aTime has passed.
   virtual boost::asio::awaitable<revision_number> WaitAbove(revision_number aAfter, duration aTime) = 0;
 
+  /// Whether this process is to read the live list from the platform: it is a relay, or no other process tells it.
+  virtual bool ReadsLiveList() const = 0;
+  /// Sets what is called with a live list that came from a peer, in place of one from the platform.
+  virtual void OnInstances(instances_callback aCallback) = 0;
   /// The live list, whenever it was read.
   virtual void NoteInstances(std::vector<platform::live_instance> aInstances) = 0;
   /// A revision that came with another process's message; a higher one is fetched.
--- a/src/config/config_store_over.h
+++ b/src/config/config_store_over.h
@@ -96,7 +96,14 @@
     return OnStrand(mContext, mReplica->WaitAbove(aAfter, aTime));
   }
 
-  void NoteInstances(std::vector<platform::live_instance> aInstances) override { mSync->Directory().Set(aInstances); }
+  void NoteInstances(std::vector<platform::live_instance> aInstances) override { mSync->SetInstances(aInstances); }
+
+  bool ReadsLiveList() const override
+  {
+    return mSync->Directory().Plan()->IsRelay() || mSync->ListAge() > mOptions.mListTimeout;
+  }
+
+  void OnInstances(instances_callback aCallback) override { mSync->OnInstances(std::move(aCallback)); }
 
   void NoteRevision(const instance_id& aInstance, const failure_domain_id& aDomain, revision_number aRevision) override
   {
@@ -113,7 +120,11 @@
     for (const auto& report : aRequest.mReports) {
       TakeReport(report);
     }
-    return EncodeDelta(*mReplica, revision_number(aRequest.mAfterRevision));
+    auto reply = EncodeDelta(*mReplica, revision_number(aRequest.mAfterRevision));
+    if (aRequest.mWantsList) {
+      reply.mList = mSync->Instances().DifferenceSince(aRequest.mListDigest);
+    }
+    return reply;
   }
 
   std::vector<rpc::instance_report> Reports() const override
@@ -261,7 +272,7 @@
     const revision_number below(aRevision.Value() - 1);
     auto reached = co_await mReplica->WaitAbove(below, mOptions.mBehindPause);
     if (reached.Value() < aRevision.Value()) {
-      co_await mSync->Pull(aInstance, duration(0));
+      co_await mSync->Pull(aInstance, duration(0), false);
     }
     if (mReplica->Revision().Value() < aRevision.Value()) {
       platform_log log(mStore);
--- /dev/null
+++ b/src/config/instance_table.cpp
@@ -0,0 +1,143 @@
+#include "config/instance_table.h"
+
+#include <algorithm>
+#include <set>
+#include <unordered_set>
+#include <utility>
+
+#include "base/random.h"
+
+namespace chervilpulley::config {
+
+namespace {
+
+constexpr std::size_t kKeptSteps = 64;
+
+/// The digest of a list is the exclusive or of these, so that a change costs only what has changed.
+std::uint64_t DigestOf(const platform::live_instance& aInstance)
+{
+  return StableHash(platform::FormatLiveList({ aInstance }));
+}
+
+} // namespace
+
+bool instance_table::Set(const std::vector<platform::live_instance>& aInstances)
+{
+  std::lock_guard lock(mMutex);
+  return Change(aInstances, MissingIn(aInstances));
+}
+
+bool instance_table::Apply(const rpc::list_difference& aDifference)
+{
+  if (aDifference.mDigest == 0 || aDifference.mChanged.empty()) {
+    return false;
+  }
+  const auto changed = platform::ParseLiveList(aDifference.mChanged);
+  if (!changed) {
+    return false;
+  }
+  std::lock_guard lock(mMutex);
+  return Change(changed.value(), aDifference.mFull ? MissingIn(changed.value()) : aDifference.mRemoved);
+}
+
+rpc::list_difference instance_table::DifferenceSince(std::uint64_t aDigest) const
+{
+  std::lock_guard lock(mMutex);
+  rpc::list_difference difference;
+  difference.mDigest = mDigest;
+  if (aDigest == mDigest) {
+    return difference;
+  }
+  const auto known =
+    std::find_if(mSteps.rbegin(), mSteps.rend(), [&](const step& aStep) { return aStep.mDigestBefore == aDigest; });
+  std::vector<platform::live_instance> changed;
+  if (known == mSteps.rend()) {
+    difference.mFull = true;
+    for (const auto& entry : mInstances) {
+      changed.push_back(entry.second);
+    }
+  } else {
+    std::set<std::string> names;
+    for (auto step = mSteps.rbegin(); step != known + 1; ++step) {
+      names.insert(step->mInstances.begin(), step->mInstances.end());
+    }
+    for (const auto& name : names) {
+      auto found = mInstances.find(name);
+      if (found == mInstances.end()) {
+        difference.mRemoved.push_back(name);
+      } else {
+        changed.push_back(found->second);
+      }
+    }
+  }
+  difference.mChanged = platform::FormatLiveList(changed);
+  return difference;
+}
+
+std::vector<platform::live_instance> instance_table::List() const
+{
+  std::lock_guard lock(mMutex);
+  std::vector<platform::live_instance> list;
+  list.reserve(mInstances.size());
+  for (const auto& entry : mInstances) {
+    list.push_back(entry.second);
+  }
+  return list;
+}
+
+std::uint64_t instance_table::Digest() const
+{
+  std::lock_guard lock(mMutex);
+  return mDigest;
+}
+
+bool instance_table::Change(const std::vector<platform::live_instance>& aChanged,
+                            const std::vector<std::string>& aRemoved)
+{
+  step done{ mDigest, {} };
+  for (const auto& instance : aChanged) {
+    auto [place, inserted] = mInstances.try_emplace(instance.mInstance.Str());
+    if (!inserted && place->second == instance) {
+      continue;
+    }
+    if (!inserted) {
+      mDigest ^= DigestOf(place->second);
+    }
+    place->second = instance;
+    mDigest ^= DigestOf(instance);
+    done.mInstances.push_back(place->first);
+  }
+  for (const auto& name : aRemoved) {
+    auto found = mInstances.find(name);
+    if (found != mInstances.end()) {
+      mDigest ^= DigestOf(found->second);
+      mInstances.erase(found);
+      done.mInstances.push_back(name);
+    }
+  }
+  if (done.mInstances.empty()) {
+    return false;
+  }
+  mSteps.push_back(std::move(done));
+  if (mSteps.size() > kKeptSteps) {
+    mSteps.pop_front();
+  }
+  return true;
+}
+
+std::vector<std::string> instance_table::MissingIn(const std::vector<platform::live_instance>& aInstances) const
+{
+  std::unordered_set<std::string> present;
+  for (const auto& instance : aInstances) {
+    present.insert(instance.mInstance.Str());
+  }
+  std::vector<std::string> missing;
+  for (const auto& entry : mInstances) {
+    if (present.count(entry.first) == 0) {
+      missing.push_back(entry.first);
+    }
+  }
+  return missing;
+}
+
+} // namespace chervilpulley::config
--- a/src/config/peer_sync.cpp
+++ b/src/config/peer_sync.cpp
@@ -36,7 +36,25 @@
 {
 }
 
-boost::asio::awaitable<bool> peer_sync::Pull(instance_id aSource, duration aWait)
+void peer_sync::SetInstances(const std::vector<platform::live_instance>& aInstances)
+{
+  if (mInstances.Set(aInstances)) {
+    mDirectory.Set(aInstances);
+  }
+}
+
+void peer_sync::OnInstances(instances_callback aCallback)
+{
+  std::lock_guard lock(mCallbackMutex);
+  mOnInstances = std::move(aCallback);
+}
+
+duration peer_sync::ListAge() const
+{
+  return Now() - mListHeard.load();
+}
+
+boost::asio::awaitable<bool> peer_sync::Pull(instance_id aSource, duration aWait, bool aWithList)
 {
   const ref<peer_sync> self(this);
   const auto endpoint = mDirectory.EndpointOf(aSource);
@@ -51,12 +69,17 @@
     request.mFailureDomain = mOptions.mFailureDomain.Str();
     request.mWaitMs = Milliseconds(wait);
     request.mReports = mRollout.TakeForSource(aSource, Now());
+    request.mWantsList = aWithList;
+    request.mListDigest = mInstances.Digest();
     auto reply = co_await mClient->PullConfig(*endpoint, request, mOptions.mPeerTimeout);
     NoteHealth(aSource, reply.has_value());
     if (!reply) {
       mRollout.NotArrived();
       co_return false;
     }
+    if (aWithList) {
+      TakeList(reply.value().mList);
+    }
     const bool progressed = Take(reply.value());
     if (!progressed || reply.value().mRevision <= mReplica->Revision().Value()) {
       co_return true;
@@ -69,7 +92,7 @@
 {
   const ref<peer_sync> self(this);
   for (const auto& source : SourcesByHealth()) {
-    if (co_await Pull(source, aWait)) {
+    if (co_await Pull(source, aWait, true)) {
       co_return true;
     }
   }
@@ -90,7 +113,7 @@
     co_return false;
   }
   const auto chosen = relays[mTurn.fetch_add(1) % relays.size()];
-  co_return co_await Pull(chosen, aWait);
+  co_return co_await Pull(chosen, aWait, false);
 }
 
 boost::asio::awaitable<bool> peer_sync::LearnHighest()
@@ -223,6 +246,23 @@
   return mReplica->Revision() != before;
 }
 
+void peer_sync::TakeList(const rpc::list_difference& aDifference)
+{
+  if (aDifference.mDigest == 0) {
+    return; // the source has no list itself
+  }
+  mListHeard = Now();
+  if (!mInstances.Apply(aDifference)) {
+    return;
+  }
+  const auto list = mInstances.List();
+  mDirectory.Set(list);
+  std::lock_guard lock(mCallbackMutex);
+  if (mOnInstances) {
+    mOnInstances(list);
+  }
+}
+
 std::vector<instance_id> peer_sync::SourcesByHealth()
 {
   auto sources = mDirectory.Plan()->Sources();
@@ -248,7 +288,7 @@
 boost::asio::awaitable<void> peer_sync::PullAndTell(instance_id aSource, failure_domain_id aDomain, domain_box aBox)
 {
   const ref<peer_sync> self(this);
-  const bool answered = co_await Pull(std::move(aSource), duration(0));
+  const bool answered = co_await Pull(std::move(aSource), duration(0), false);
   aBox->Push(answered ? aDomain : failure_domain_id());
 }
 
--- a/src/config/peer_sync.h
+++ b/src/config/peer_sync.h
@@ -10,6 +10,7 @@
 #include "base/ref_counted.h"
 #include "config/config_replica.h"
 #include "config/config_store.h"
+#include "config/instance_table.h"
 #include "config/peer_client.h"
 #include "config/peer_directory.h"
 #include "config/rollout_table.h"
@@ -24,9 +25,17 @@
 
   peer_directory& Directory() { return mDirectory; }
   rollout_table& Rollout() { return mRollout; }
+  instance_table& Instances() { return mInstances; }
+  /// Takes a whole live list that was read from the platform.
+  void SetInstances(const std::vector<platform::live_instance>& aInstances);
+  /// Sets what is called when a live list came from a peer.
+  void OnInstances(instances_callback aCallback);
+  /// Time since a source has last confirmed or changed the live list.
+  duration ListAge() const;
 
   /// Pulls what one instance has; tells whether it answered.
-  boost::asio::awaitable<bool> Pull(instance_id aSource, duration aWait);
+  /// @param aWithList also takes the live list from it.
+  boost::asio::awaitable<bool> Pull(instance_id aSource, duration aWait, bool aWithList);
   /// Pulls from the first source of the own failure domain that answers; false when none does.
   boost::asio::awaitable<bool> PullFromDomain(duration aWait);
   /// Pulls from a relay of another failure domain, another one at each call; false when it does not answer.
@@ -45,6 +54,7 @@
 
   rpc::instance_report OwnReport() const;
   bool Take(const rpc::pull_config_reply& aReply);
+  void TakeList(const rpc::list_difference& aDifference);
   std::vector<instance_id> SourcesByHealth();
   void NoteHealth(const instance_id& aSource, bool aAnswered);
   boost::asio::awaitable<void> PullAndTell(instance_id aSource, failure_domain_id aDomain, domain_box aBox);
@@ -59,6 +69,10 @@
   const config_store_options mOptions;
   peer_directory mDirectory;
   rollout_table mRollout;
+  instance_table mInstances;
+  std::atomic<instant> mListHeard{ instant{} };
+  std::mutex mCallbackMutex;
+  instances_callback mOnInstances;
   std::atomic<std::size_t> mTurn{ 0 };
   std::mutex mHealthMutex;
   std::unordered_map<instance_id, instant> mFailedAt;
--- a/src/platform/live_list.cpp
+++ b/src/platform/live_list.cpp
@@ -1,5 +1,7 @@
 #include "platform/live_list.h"
 
+#include <boost/json/serialize.hpp>
+
 #include <optional>
 
 #include "platform/json_fields.h"
@@ -59,6 +61,28 @@
   return read ? std::optional(std::move(instance)) : std::nullopt;
 }
 
+void WriteAddress(boost::json::object& aLine, std::string_view aName, const net::endpoint& aEndpoint)
+{
+  if (aEndpoint.mPort != 0) {
+    aLine[boost::json::string_view(aName.data(), aName.size())] = aEndpoint.Str();
+  }
+}
+
+boost::json::object ToJson(const live_instance& aInstance)
+{
+  boost::json::object line;
+  line["instance"] = aInstance.mInstance.Str();
+  line["role"] = aInstance.mRole == instance_role::Entry ? "entry" : "sidecar";
+  line["failure_domain"] = aInstance.mFailureDomain.Str();
+  line["pool"] = aInstance.mPool.Str();
+  line["state"] = aInstance.mLeaving ? "leaving" : "live";
+  WriteAddress(line, "http", aInstance.mHttp);
+  WriteAddress(line, "link", aInstance.mLink);
+  WriteAddress(line, "peer", aInstance.mPeer);
+  WriteAddress(line, "admin", aInstance.mAdmin);
+  return line;
+}
+
 } // namespace
 
 platform_result<std::vector<live_instance>> ParseLiveList(const std::string& aBody)
@@ -78,6 +102,16 @@
   return instances;
 }
 
+std::string FormatLiveList(const std::vector<live_instance>& aInstances)
+{
+  boost::json::array lines;
+  lines.reserve(aInstances.size());
+  for (const auto& instance : aInstances) {
+    lines.push_back(ToJson(instance));
+  }
+  return boost::json::serialize(boost::json::object{ { "instances", std::move(lines) } });
+}
+
 platform_call<std::vector<live_instance>> ReadLiveList(ref<net::http_client> aClient,
                                                        net::endpoint aPlatform,
                                                        duration aTimeout)
--- a/src/platform/live_list.h
+++ b/src/platform/live_list.h
@@ -28,10 +28,14 @@
   net::endpoint mLink;
   net::endpoint mPeer;
   net::endpoint mAdmin;
+
+  bool operator==(const live_instance&) const = default;
 };
 
 /// Parses the body of GET /live; lines that can't be read are left out.
 platform_result<std::vector<live_instance>> ParseLiveList(const std::string& aBody);
+/// The body that ParseLiveList reads.
+std::string FormatLiveList(const std::vector<live_instance>& aInstances);
 /// Reads the live list from the platform.
 platform_call<std::vector<live_instance>> ReadLiveList(ref<net::http_client> aClient,
                                                        net::endpoint aPlatform,
--- a/src/rpc/peer_calls_client.cpp
+++ b/src/rpc/peer_calls_client.cpp
@@ -96,6 +96,7 @@
   return aClient.PullConfig(std::to_string(aRequest.mAfterRevision),
                             aRequest.mFailureDomain,
                             aRequest.mInstance,
+                            aRequest.mWantsList ? std::to_string(aRequest.mListDigest) : std::string(),
                             ReportsToJson(aRequest.mReports),
                             ToInt(aRequest.mWaitMs));
 }
@@ -137,6 +138,10 @@
       reply.mRevision = ParseNumber(ReadText(aResult, "revision"), "revision");
       reply.mEntries = ReadTexts(aResult, "entries");
       reply.mSnapshot = ReadText(aResult, "snapshot");
+      reply.mList.mDigest = ParseNumber(ReadText(aResult, "list_digest"), "list_digest");
+      reply.mList.mFull = ReadFlag(aResult, "list_full");
+      reply.mList.mChanged = ReadText(aResult, "list_changed");
+      reply.mList.mRemoved = ReadTexts(aResult, "list_removed");
       return reply;
     });
 }
--- a/src/rpc/peer_calls_server.cpp
+++ b/src/rpc/peer_calls_server.cpp
@@ -54,6 +54,7 @@
   Json::Value PullConfig(const std::string& aAfterRevision,
                          const std::string& aFailureDomain,
                          const std::string& aInstance,
+                         const std::string& aListDigest,
                          const Json::Value& aReports,
                          int aWaitMs) override
   {
@@ -62,15 +63,18 @@
     request.mFailureDomain = aFailureDomain;
     request.mInstance = aInstance;
     request.mReports = ParseReports(aReports, "reports");
+    request.mWantsList = !aListDigest.empty();
+    request.mListDigest = request.mWantsList ? ParseNumber(aListDigest, "list_digest") : 0;
     request.mWaitMs = Natural(aWaitMs, "wait_ms");
     const pull_config_reply reply = mHandler.PullConfig(request);
     Json::Value value(Json::objectValue);
     value["revision"] = std::to_string(reply.mRevision);
-    value["entries"] = Json::Value(Json::arrayValue);
-    for (const std::string& entry : reply.mEntries) {
-      value["entries"].append(entry);
-    }
+    value["entries"] = TextsToJson(reply.mEntries);
     value["snapshot"] = reply.mSnapshot;
+    value["list_digest"] = std::to_string(reply.mList.mDigest);
+    value["list_full"] = reply.mList.mFull;
+    value["list_changed"] = reply.mList.mChanged;
+    value["list_removed"] = TextsToJson(reply.mList.mRemoved);
     return value;
   }
 
--- a/src/rpc/peer_json.cpp
+++ b/src/rpc/peer_json.cpp
@@ -79,6 +79,24 @@
   return texts;
 }
 
+bool ReadFlag(const Json::Value& aObject, const char* aName)
+{
+  const Json::Value& value = ReadField(aObject, aName);
+  if (!value.isBool()) {
+    throw bad_field(aName);
+  }
+  return value.asBool();
+}
+
+Json::Value TextsToJson(const std::vector<std::string>& aTexts)
+{
+  Json::Value array(Json::arrayValue);
+  for (const std::string& text : aTexts) {
+    array.append(text);
+  }
+  return array;
+}
+
 std::vector<instance_report> ParseReports(const Json::Value& aArray, const char* aName)
 {
   if (!aArray.isArray()) {
--- a/src/rpc/peer_json.h
+++ b/src/rpc/peer_json.h
@@ -27,6 +27,8 @@
 std::uint32_t ReadNumber(const Json::Value& aObject, const char* aName);
 std::uint64_t ParseNumber(const std::string& aText, const char* aName);
 std::vector<std::string> ReadTexts(const Json::Value& aObject, const char* aName);
+bool ReadFlag(const Json::Value& aObject, const char* aName);
+Json::Value TextsToJson(const std::vector<std::string>& aTexts);
 std::vector<instance_report> ParseReports(const Json::Value& aArray, const char* aName);
 Json::Value ReportsToJson(const std::vector<instance_report>& aReports);
 
--- a/src/rpc/peer_messages.h
+++ b/src/rpc/peer_messages.h
@@ -25,6 +25,17 @@
   std::string mFailureDomain;
   std::uint32_t mWaitMs = 0;             ///< longest wait for a revision above mAfterRevision
   std::vector<instance_report> mReports; ///< what the asker has heard since its last call
+  bool mWantsList = false;               ///< the asker takes its live list from the receiver
+  std::uint64_t mListDigest = 0;         ///< of the live list that the asker has
+};
+
+/// How the live list of the receiver differs from the one that the asker has.
+struct list_difference
+{
+  std::uint64_t mDigest = 0;         ///< of the receiver's list; 0 when there is nothing to tell
+  bool mFull = false;                ///< mChanged is the whole list
+  std::string mChanged;              ///< encoded instances that are new or have changed
+  std::vector<std::string> mRemoved; ///< instances that are gone
 };
 
 struct pull_config_reply
@@ -32,6 +43,7 @@
   std::uint64_t mRevision = 0;
   std::vector<std::string> mEntries; ///< encoded log entries after mAfterRevision, in order
   std::string mSnapshot;             ///< encoded whole state, in place of entries that are no longer at hand
+  list_difference mList;
 };
 
 /// Tells an instance to take no new work, or to take it again.
--- a/tests/contract/config_store_test.cpp
+++ b/tests/contract/config_store_test.cpp
@@ -422,6 +422,32 @@
   REQUIRE(JudgeSpread() == "");
 }
 
+TEST_CASE_METHOD(config_store_fixture, "config_store_live_list_comes_from_the_relays")
+{
+  AddNine();
+  std::size_t readers = 0;
+  std::size_t told = 0;
+  REQUIRE(RunUntil([&] {
+    readers =
+      std::count_if(mNodes.begin(), mNodes.end(), [](const node& aNode) { return aNode.mStore->ReadsLiveList(); });
+    return readers == 3 * policy::kRelaysPerDomain;
+  }));
+  std::vector<platform::live_instance> list(1);
+  list[0].mInstance = instance_id("new");
+  list[0].mFailureDomain = failure_domain_id("a");
+  for (auto& node : mNodes) {
+    node.mStore->OnInstances([&](const std::vector<platform::live_instance>& aList) {
+      told += aList.size() == 1 && aList[0].mInstance == instance_id("new") ? 1 : 0;
+    });
+  }
+  for (auto& node : mNodes) {
+    if (node.mStore->ReadsLiveList()) {
+      node.mStore->NoteInstances(list);
+    }
+  }
+  REQUIRE(RunUntil([&] { return told == mNodes.size() - readers; }));
+}
+
 TEST_CASE_METHOD(config_store_fixture, "config_store_new_node_reads_a_snapshot_in_parts_instead_of_the_log")
 {
   mSnapshotInterval = 4;
--- a/tests/unit/config_encoding_test.cpp
+++ b/tests/unit/config_encoding_test.cpp
@@ -1,4 +1,5 @@
 #include "config/config_encoding.h"
+#include "config/instance_table.h"
 #include "config/rollout_table.h"
 
 #include <catch2/catch.hpp>
@@ -90,3 +91,37 @@
   table.NotePulled({ "i", "d", 1, 0 }, start + std::chrono::seconds(1)); // the instance was replaced
   REQUIRE(table.All(start).at(0).mRevision == 1);
 }
+
+TEST_CASE("instance_table_difference_brings_another_table_to_the_same_list")
+{
+  const auto instance = [](int aNumber, bool aLeaving = false) {
+    platform::live_instance live;
+    live.mInstance = instance_id("i" + std::to_string(aNumber));
+    live.mFailureDomain = failure_domain_id("d");
+    live.mLeaving = aLeaving;
+    live.mPeer = { "127.0.0.1", static_cast<std::uint16_t>(aNumber) };
+    return live;
+  };
+  instance_table source;
+  instance_table other;
+  REQUIRE(source.Set({ instance(1), instance(2), instance(3) }));
+  REQUIRE_FALSE(source.Set({ instance(3), instance(2), instance(1) }));
+  REQUIRE(source.DifferenceSince(other.Digest()).mChanged.find("i3") != std::string::npos);
+  REQUIRE(other.Apply(source.DifferenceSince(other.Digest())));
+  REQUIRE(other.Digest() == source.Digest());
+  REQUIRE(source.DifferenceSince(other.Digest()).mChanged.empty());
+  REQUIRE(source.Set({ instance(1, true), instance(3), instance(4) }));
+  const auto difference = source.DifferenceSince(other.Digest());
+  REQUIRE_FALSE(difference.mFull);
+  REQUIRE(difference.mRemoved == std::vector<std::string>{ "i2" });
+  REQUIRE(difference.mChanged.find("i3") == std::string::npos);
+  REQUIRE(other.Apply(difference));
+  REQUIRE(other.List() == source.List());
+  instance_table third;
+  third.Set({ instance(9) });
+  REQUIRE(source.DifferenceSince(third.Digest()).mFull);
+  REQUIRE(third.Apply(source.DifferenceSince(third.Digest())));
+  REQUIRE(third.Digest() == source.Digest());
+  REQUIRE_FALSE(third.Apply({ 7, true, "{", {} }));
+  REQUIRE(third.List() == source.List());
+}
--- a/tests/unit/rpc_peer_calls_test.cpp
+++ b/tests/unit/rpc_peer_calls_test.cpp
@@ -13,7 +13,7 @@
   pull_config_reply PullConfig(const pull_config_request& aRequest) override
   {
     mPull = aRequest;
-    return { kBigRevision, { "e1", "e2" }, "s" };
+    return { kBigRevision, { "e1", "e2" }, "s", { 9, true, "changed", { "gone" } } };
   }
   drain_reply Drain(const drain_request& aRequest) override
   {
@@ -36,7 +36,7 @@
 
 TEST_CASE_METHOD(peer_calls_fixture, "peer_calls_each_call_reaches_the_handler_and_comes_back")
 {
-  const pull_config_request pull{ kBigRevision, "i-1", "d-1", 2500, { { "i-2", "d-1", 7, 10 } } };
+  const pull_config_request pull{ kBigRevision, "i-1", "d-1", 2500, { { "i-2", "d-1", 7, 10 } }, true, 8 };
   const auto pulled = ParsePullConfigReply(HandlePeerCall(*this, MakePullConfigCall(pull)));
   REQUIRE(mPull.mAfterRevision == kBigRevision);
   REQUIRE(mPull.mInstance == "i-1");
@@ -46,6 +46,12 @@
   REQUIRE(pulled.value().mRevision == kBigRevision);
   REQUIRE(pulled.value().mEntries == std::vector<std::string>{ "e1", "e2" });
   REQUIRE(pulled.value().mSnapshot == "s");
+  REQUIRE(mPull.mWantsList);
+  REQUIRE(mPull.mListDigest == 8);
+  REQUIRE(pulled.value().mList.mDigest == 9);
+  REQUIRE(pulled.value().mList.mFull);
+  REQUIRE(pulled.value().mList.mChanged == "changed");
+  REQUIRE(pulled.value().mList.mRemoved == std::vector<std::string>{ "gone" });
   REQUIRE(ParseDrainReply(HandlePeerCall(*this, MakeDrainCall({ true }))).value().mRunning == 3);
   REQUIRE(mUndo);
   const auto suspect = HandlePeerCall(*this, MakeReportSuspectCall({ "d", 1, 60000 }));
