--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -8,7 +8,9 @@
 
 /// check-settings, settings-reference, make-key, version.
 std::vector<command> LocalCommands();
-/// apply, get, delete, watch, audit, status, rollout, drain.
+/// apply, delete.
+std::vector<command> ChangeCommands();
+/// get, watch, audit, status, rollout, drain.
 std::vector<command> OperatorCommands();
 /// load.
 command LoadCommand();
--- a/src/cli/commands_operator.cpp
+++ b/src/cli/commands_operator.cpp
@@ -5,13 +5,8 @@
 
 #include <ostream>
 
-#include "base/random.h"
-#include "cli/apply_change.h"
-#include "cli/change_text.h"
-#include "cli/object_kinds.h"
 #include "cli/object_text.h"
 #include "cli/operator_session.h"
-#include "cli/suggest.h"
 
 namespace {
 
@@ -19,11 +14,6 @@
 
 } // namespace
 
-DEFINE_string(operator_file, "", "File of the change, INI or JSON; - is standard input.");
-DEFINE_bool(operator_validate, false, "Only validate the change.");
-DEFINE_string(operator_change_id, "", "Id of the change; random when absent. Sending the same id again is safe.");
-DEFINE_uint64(operator_expected_version, 0, "Version that the object must have; 0 is any.");
-DEFINE_string(operator_output, "table", "Form of the output, table or json.");
 DEFINE_string(operator_workspace, "", "Only objects of this workspace.");
 DEFINE_uint64(audit_after, 0, "Revision after which to start.");
 DEFINE_int64(watch_after, kFromHead, "Revision after which to start; -1 is the newest.");
@@ -37,111 +27,7 @@
 
 using words = std::vector<std::string>;
 
-constexpr std::size_t kChangeIdBytes = 12;
 constexpr std::uint32_t kPageSize = 200;
-constexpr duration kRetryPause = std::chrono::milliseconds(200);
-constexpr flag kOutput{ "output", "operator_output", 'o' };
-constexpr flag kChangeId{ "change-id", "operator_change_id" };
-
-bool IsJson()
-{
-  return FLAGS_operator_output == "json";
-}
-
-/// Tells whether --output has one of its values; prints a fault when not.
-bool CheckOutput(std::string_view aCommand, streams aStreams)
-{
-  if (IsJson() || FLAGS_operator_output == "table") {
-    return true;
-  }
-  aStreams.mErr << fmt::format(
-    "{}: value \"{}\" of flag \"--output\" must be table or json\n", aCommand, FLAGS_operator_output);
-  return false;
-}
-
-std::string ChosenChangeId(const std::string& aOfFile)
-{
-  if (!FLAGS_operator_change_id.empty()) {
-    return FLAGS_operator_change_id;
-  }
-  return aOfFile.empty() ? RandomHex(kChangeIdBytes) : aOfFile;
-}
-
-int SendChange(std::string_view aCommand, const admin::apply_request& aRequest, streams aStreams)
-{
-  const auto client = Connect(aCommand, aStreams);
-  if (!client) {
-    return ExitUsage;
-  }
-  const auto applied = ApplyChange(*client, aRequest, kRetryPause);
-  const std::string& id = aRequest.change().change_id();
-  if (!applied) {
-    if (applied.error().mCode == client_errc::Unknown) {
-      aStreams.mErr << fmt::format("{}: the outcome is unknown; send it again with --change-id {}\n", aCommand, id);
-    }
-    return Fail(aCommand, applied.error(), aStreams);
-  }
-  const admin::apply_reply& reply = applied.value();
-  if (aRequest.validate_only()) {
-    aStreams.mOut << "valid\n";
-    return ExitOk;
-  }
-  aStreams.mOut << fmt::format("change \"{}\" is revision {}{}{}\n",
-                               id,
-                               reply.revision(),
-                               reply.repeated() ? ", accepted before" : "",
-                               reply.spread_pending() ? ", spread pending" : "");
-  return ExitOk;
-}
-
-int Apply(const words&, streams aStreams)
-{
-  if (FLAGS_operator_file.empty()) {
-    aStreams.mErr << "apply: flag \"--file\" is needed\n";
-    return ExitUsage;
-  }
-  auto loaded = LoadChange(FLAGS_operator_file);
-  if (!loaded) {
-    for (const change_fault& fault : loaded.error()) {
-      aStreams.mErr << fault.mText << "\n";
-    }
-    return ExitRefused;
-  }
-  admin::apply_request request;
-  *request.mutable_change() = loaded.value();
-  request.mutable_change()->set_change_id(ChosenChangeId(loaded.value().change_id()));
-  request.set_validate_only(FLAGS_operator_validate);
-  return SendChange("apply", request, aStreams);
-}
-
-/// The kind that a word names; prints a fault when there is none.
-std::optional<admin::object_kind> ReadKind(std::string_view aCommand, const std::string& aWord, streams aStreams)
-{
-  const auto kind = KindOfText(aWord);
-  if (!kind) {
-    const std::string near = Suggest(aWord, KindTexts());
-    const std::string hint = near.empty() ? fmt::format("kinds are {}", fmt::join(KindTexts(), ", "))
-                                          : fmt::format("did you mean \"{}\"?", near);
-    aStreams.mErr << fmt::format("{}: kind \"{}\" does not exist; {}\n", aCommand, aWord, hint);
-  }
-  return kind;
-}
-
-int Delete(const words& aArguments, streams aStreams)
-{
-  const auto kind = ReadKind("delete", aArguments[0], aStreams);
-  if (!kind) {
-    return ExitUsage;
-  }
-  admin::apply_request request;
-  request.mutable_change()->set_change_id(ChosenChangeId(""));
-  admin::operation* operation = request.mutable_change()->add_operations();
-  operation->set_op(admin::CHANGE_OP_DELETE);
-  operation->mutable_ref()->set_kind(*kind);
-  operation->mutable_ref()->set_name(aArguments[1]);
-  operation->set_expected_version(FLAGS_operator_expected_version);
-  return SendChange("delete", request, aStreams);
-}
 
 int GetOne(admin_client& aClient, admin::object_kind aKind, const std::string& aName, streams aStreams)
 {
@@ -347,27 +233,12 @@
   return ExitOk;
 }
 
-std::vector<flag> WithClientFlags(std::vector<flag> aFlags)
-{
-  for (const flag& each : ClientFlags()) {
-    aFlags.push_back(each);
-  }
-  return aFlags;
-}
-
 } // namespace
 
 std::vector<command> OperatorCommands()
 {
   const flag count{ "count", "operator_count" };
   return {
-    { "apply",
-      "-f FILE",
-      "Applies a change from an INI or JSON file.",
-      WithClientFlags({ { "file", "operator_file", 'f' }, { "validate", "operator_validate" }, kChangeId }),
-      0,
-      0,
-      Apply },
     { "get",
       "KIND [NAME]",
       "Prints an object, or all of a kind: workspace, route, model, pool, placement, operator_key.",
@@ -375,13 +246,6 @@
       1,
       2,
       Get },
-    { "delete",
-      "KIND NAME",
-      "Deletes an object.",
-      WithClientFlags({ { "expected-version", "operator_expected_version" }, kChangeId }),
-      2,
-      2,
-      Delete },
     { "watch",
       "",
       "Prints changes as they are accepted.",
--- /dev/null
+++ b/src/cli/load_answer.cpp
@@ -0,0 +1,54 @@
+#include "cli/load_answer.h"
+
+#include <boost/json.hpp>
+
+namespace chervilpulley::cli {
+
+namespace {
+
+namespace json = boost::json;
+
+/// The outcome that an error body tells; empty when it tells none.
+std::string OutcomeOf(const std::string& aBody)
+{
+  json::error_code fault;
+  const json::value body = json::parse(aBody, fault);
+  if (fault || !body.is_object()) {
+    return "";
+  }
+  const json::value* error = body.get_object().if_contains("error");
+  if (error == nullptr || !error->is_object()) {
+    return "";
+  }
+  const json::value* told = error->get_object().if_contains("outcome");
+  return told != nullptr && told->is_string() ? std::string(told->get_string()) : "";
+}
+
+} // namespace
+
+std::optional<whole_answer> ReadAnswer(const std::string& aBody)
+{
+  try {
+    const json::value body = json::parse(aBody);
+    const json::value& choice = body.at("choices").at(0);
+    whole_answer answer;
+    answer.mId = json::value_to<std::string>(body.at("id"));
+    answer.mText = json::value_to<std::string>(choice.at("text"));
+    answer.mFinishReason = json::value_to<std::string>(choice.at("finish_reason"));
+    answer.mTokens = json::value_to<std::uint32_t>(body.at("usage").at("completion_tokens"));
+    return answer;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+call_end EndOfError(const std::string& aBody)
+{
+  const std::string outcome = OutcomeOf(aBody);
+  if (outcome == "not_run") {
+    return call_end::NotRun;
+  }
+  return outcome == "unknown" ? call_end::Unknown : call_end::Failed;
+}
+
+} // namespace chervilpulley::cli
--- /dev/null
+++ b/src/cli/load_answer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "cli/load_ledger.h"
+
+/// Answers that come whole, as a caller reads them.
+namespace chervilpulley::cli {
+
+/// The text of a whole completion, and how many tokens it has.
+struct whole_answer
+{
+  std::string mId;
+  std::string mText;
+  std::string mFinishReason;
+  std::uint32_t mTokens = 0;
+};
+
+/// Reads the body of a completion; nothing when it is not what the interface says.
+std::optional<whole_answer> ReadAnswer(const std::string& aBody);
+
+/// How a call ended whose answer is this error body.
+call_end EndOfError(const std::string& aBody);
+
+} // namespace chervilpulley::cli
--- a/src/cli/load_run.cpp
+++ b/src/cli/load_run.cpp
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "base/random.h"
+#include "cli/load_answer.h"
 #include "cli/load_stream.h"
 #include "net/http_client.h"
 
@@ -31,55 +32,6 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kFirstRedirect = 300;
 
-/// The outcome that an error body tells; empty when it tells none.
-std::string OutcomeOf(const std::string& aBody)
-{
-  json::error_code fault;
-  const json::value body = json::parse(aBody, fault);
-  if (fault || !body.is_object()) {
-    return "";
-  }
-  const json::value* error = body.get_object().if_contains("error");
-  if (error == nullptr || !error->is_object()) {
-    return "";
-  }
-  const json::value* told = error->get_object().if_contains("outcome");
-  return told != nullptr && told->is_string() ? std::string(told->get_string()) : "";
-}
-
-call_end EndOf(const std::string& aOutcome)
-{
-  if (aOutcome == "not_run") {
-    return call_end::NotRun;
-  }
-  return aOutcome == "unknown" ? call_end::Unknown : call_end::Failed;
-}
-
-/// The text of a whole completion, and how many tokens it has.
-struct whole_answer
-{
-  std::string mId;
-  std::string mText;
-  std::string mFinishReason;
-  std::uint32_t mTokens = 0;
-};
-
-std::optional<whole_answer> ReadAnswer(const std::string& aBody)
-{
-  try {
-    const json::value body = json::parse(aBody);
-    const json::value& choice = body.at("choices").at(0);
-    whole_answer answer;
-    answer.mId = json::value_to<std::string>(body.at("id"));
-    answer.mText = json::value_to<std::string>(choice.at("text"));
-    answer.mFinishReason = json::value_to<std::string>(choice.at("finish_reason"));
-    answer.mTokens = json::value_to<std::uint32_t>(body.at("usage").at("completion_tokens"));
-    return answer;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-}
-
 /// One run of the load; all on the thread that calls Run().
 class load_run
 {
@@ -211,7 +163,7 @@
       const auto reply =
         co_await mClient->Stream(EntryOf(aCall, tries), std::move(request), mTarget.mTimeout, std::move(sink));
       if (reply.has_value() && reply.value().mStatus != kOk) {
-        aRecord.mEnd = check.Tokens() > 0 ? call_end::Cut : EndOf(OutcomeOf(raw));
+        aRecord.mEnd = check.Tokens() > 0 ? call_end::Cut : EndOfError(raw);
         break;
       }
       if (check.IsDone() || !check.Error().empty()) {
@@ -289,7 +241,7 @@
       co_return;
     }
     if (reply->mStatus != kOk) {
-      aRecord.mEnd = EndOf(OutcomeOf(reply->mBody));
+      aRecord.mEnd = EndOfError(reply->mBody);
       co_return;
     }
     CheckEcho(*reply, id);
@@ -334,7 +286,7 @@
     }
     CheckEcho(*reply, id);
     const bool isDone = reply->mStatus >= kOk && reply->mStatus < kFirstRedirect;
-    aRecord.mEnd = isDone ? call_end::Whole : EndOf(OutcomeOf(reply->mBody));
+    aRecord.mEnd = isDone ? call_end::Whole : EndOfError(reply->mBody);
     if (isDone && isBooking) {
       mLedger.AddBooking(aCall.mKey, reply->mBody);
     }
--- a/src/cli/operator_session.cpp
+++ b/src/cli/operator_session.cpp
@@ -9,10 +9,15 @@
 #include <ostream>
 #include <sstream>
 
+#include "cli/object_kinds.h"
+#include "cli/suggest.h"
+
 DEFINE_string(client_address, "", "Operators' address of an entry, ip:port.");
 DEFINE_string(client_key_file, "", "File that holds the key; else the variable CHERVILPULLEY_KEY does.");
 DEFINE_uint32(client_timeout_ms, 10000, "Longest wait for one call, in ms.");
 
+DEFINE_string(operator_output, "table", "Form of the output, table or json.");
+
 namespace chervilpulley::cli {
 
 namespace {
@@ -42,9 +47,39 @@
 
 } // namespace
 
-std::vector<flag> ClientFlags()
+std::vector<flag> WithClientFlags(std::vector<flag> aFlags)
 {
-  return { { "address", "client_address" }, { "key-file", "client_key_file" }, { "timeout-ms", "client_timeout_ms" } };
+  aFlags.push_back({ "address", "client_address" });
+  aFlags.push_back({ "key-file", "client_key_file" });
+  aFlags.push_back({ "timeout-ms", "client_timeout_ms" });
+  return aFlags;
+}
+
+bool IsJson()
+{
+  return FLAGS_operator_output == "json";
+}
+
+bool CheckOutput(std::string_view aCommand, streams aStreams)
+{
+  if (IsJson() || FLAGS_operator_output == "table") {
+    return true;
+  }
+  aStreams.mErr << fmt::format(
+    "{}: value \"{}\" of flag \"--output\" must be table or json\n", aCommand, FLAGS_operator_output);
+  return false;
+}
+
+std::optional<admin::object_kind> ReadKind(std::string_view aCommand, const std::string& aWord, streams aStreams)
+{
+  const auto kind = KindOfText(aWord);
+  if (!kind) {
+    const std::string near = Suggest(aWord, KindTexts());
+    const std::string hint = near.empty() ? fmt::format("kinds are {}", fmt::join(KindTexts(), ", "))
+                                          : fmt::format("did you mean \"{}\"?", near);
+    aStreams.mErr << fmt::format("{}: kind \"{}\" does not exist; {}\n", aCommand, aWord, hint);
+  }
+  return kind;
 }
 
 ref<admin_client> Connect(std::string_view aCommand, streams aStreams)
