--- a/src/policy/rate_share.cpp
+++ b/src/policy/rate_share.cpp
@@ -57,7 +57,8 @@
   if (granted > duration(0)) {
     mTokens += mGrant * Seconds(granted);
   }
-  if (mUnansweredSince != instant() && aNow - mUnansweredSince >= kHomeTimeout) {
+  const bool neverGranted = mGrantedUntil == instant();
+  if (neverGranted || (mUnansweredSince != instant() && aNow - mUnansweredSince >= kHomeTimeout)) {
     mTokens += aFallback * Seconds(aNow - std::max(mLast, mUnansweredSince));
   }
   const double rate = std::max<double>(aFallback, aNow < mGrantedUntil ? mGrant : 0.0);
@@ -69,7 +70,10 @@
 {
   ++mAsked;
   const double fallback = aLimit.mPerSecond / static_cast<double>(std::max<std::size_t>(1, aEntries));
-  mLast = mLast == instant() ? aNow : mLast;
+  if (mLast == instant()) {
+    mTokens = std::max(1.0, fallback);
+    mLast = aNow;
+  }
   Refill(fallback, aNow);
   if (mTokens >= 1.0) {
     mTokens -= 1.0;
--- a/src/policy/rate_share.h
+++ b/src/policy/rate_share.h
@@ -33,8 +33,8 @@
 class rate_bucket
 {
 public:
-  /// A request asks to pass. While the home does not answer, the part is aLimit / aEntries. Returns nothing when it may
-  /// pass, and else the time after which one more may.
+  /// A request asks to pass. While the home does not answer, the part is aLimit / aEntries; so it works without one.
+  /// Returns nothing when it may pass, and else the time after which one more may.
   std::optional<duration> Take(request_rate aLimit, std::size_t aEntries, instant aNow);
   /// The home's answer.
   void Granted(request_rate aPart, instant aNow);
@@ -44,7 +44,7 @@
 private:
   void Refill(double aFallback, instant aNow);
 
-  double mTokens = 1.0;
+  double mTokens = 0.0;
   instant mLast;
   instant mGrantedUntil;
   instant mReported;
