--- a/bench/compare_routes.cpp
+++ b/bench/compare_routes.cpp
@@ -12,6 +12,8 @@
 
 using candidates = std::vector<route_candidate>;
 
+constexpr std::size_t kUsualSubset = 40;
+
 struct variant
 {
   std::string mName;
@@ -84,6 +86,9 @@
 
 std::vector<variant> Variants(const route_scenario& aScenario)
 {
+  if (aScenario.mSubset < kUsualSubset) {
+    return { { "chervilpulley", Ours } };
+  }
   std::vector<variant> variants{ { "chervilpulley", Ours },
                                  { "random", Random },
                                  { "round robin", RoundRobin },
@@ -122,11 +127,17 @@
                                    Scenario("tegid 1.2x load", 3, 40, 2),
                                    Scenario("390 entries, 40 servers", 390, 40, 1),
                                    Scenario("2 years, one model", 390, 340, 2),
-                                   Scenario("2 years", 390, 3400, 1) };
+                                   Scenario("2 years", 390, 3400, 1),
+                                   Scenario("one model, subset 20", 390, 340, 2),
+                                   Scenario("one model, subset 10", 390, 340, 2),
+                                   Scenario("one model, subset 4", 390, 340, 2) };
   all[2].mKinds = kGudumaleKinds;
   all[3].mSlowLink = 0.025;
   all[4].mLoad = 1.2;
   all[4].mDeadline = 5.0;
+  all[8].mSubset = 20;
+  all[9].mSubset = 10;
+  all[10].mSubset = 4;
   return all;
 }
 
--- a/bench/costs.cpp
+++ b/bench/costs.cpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <random>
 
+#include "generated/link.pb.h"
 #include "policy/admission_queue.h"
 #include "policy/crash_suspects.h"
 #include "policy/placement.h"
@@ -164,6 +165,33 @@
 }
 BENCHMARK(StallAllowance);
 
+/// Bytes of one load report as a frame of a link, without WebSocket, TCP and IP.
+void LoadReportBytes(benchmark::State& aState)
+{
+  link::frame frame;
+  frame.set_config_revision(4'000'000);
+  link::load_report& report = *frame.mutable_load();
+  report.set_instance("instance-0123");
+  report.set_pool("drafting-large");
+  report.set_backend_up(true);
+  report.set_model("model-0@12");
+  report.set_first_layer(16);
+  report.set_last_layer(31);
+  report.set_queued(12);
+  report.set_running(16);
+  report.set_slots(16);
+  report.set_step_us(20000);
+  report.set_prefill_us_per_token(40);
+  report.set_cost_to_go_us(90000);
+  report.set_accelerator("kind-a");
+  report.set_age_us(250000);
+  for (auto unused : aState) {
+    benchmark::DoNotOptimize(frame.SerializeAsString());
+  }
+  aState.counters["bytes"] = static_cast<double>(frame.ByteSizeLong());
+}
+BENCHMARK(LoadReportBytes)->Iterations(3);
+
 std::size_t HeapBytes()
 {
   return mallinfo2().uordblks;
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -21,8 +21,7 @@
 STREAMS = 54_000
 SUBSET = 40
 CHANGES_PER_DAY = 12_000
-BUDGET_CORE = 0.029
-BUDGET_BYTES = 128e6
+FRAME_OVERHEAD = 46  # bytes: WebSocket 6, TCP 20, IP 20
 
 PER_ENTRY_REQUESTS = REQUESTS_PER_SECOND / ENTRIES
 PER_ENTRY_TOKENS = TOKENS_PER_SECOND / ENTRIES
@@ -123,6 +122,15 @@
         memory_row("sidecar", "waiting workspaces", costs, "MemoryPerWaitingWorkspace", 512, "a full queue of 512"),
         memory_row("either", "crash suspects", costs, "MemoryPerSuspect", 4096, "its bound of 4,096"),
     ]
+    size = costs["LoadReportBytes"][1] + FRAME_OVERHEAD
+    for role, what, count, reason in [
+        ("entry", "load reports, subset of 40 in all", SUBSET, "40 reports/s"),
+        ("entry", "load reports, 40 for each of 10 models", 10 * SUBSET, "400 reports/s"),
+        ("sidecar", "load reports sent, one pool", SUBSET * ENTRIES / SERVERS, "4.6 choosers"),
+        ("sidecar", "load reports, middle stage", 2 * SUBSET, "40 choosers and 40 successors"),
+    ]:
+        slope = f"LoadReportBytes: {size:.0f} bytes with {FRAME_OVERHEAD} for WebSocket, TCP and IP"
+        rows.append([role, what, slope, reason, f"{size * count / 1e3:.1f} KB/s"])
     return table(["role", "what", "slope", "times", "at the two-year size"], rows)
 
 
