--- a/bench/compare_routes.cpp
+++ b/bench/compare_routes.cpp
@@ -66,16 +66,11 @@
 /// Our cost, but the cheapest of all candidates.
 std::size_t LeastCost(const candidates& aCandidates, const route_request& aRequest, std::size_t&, std::mt19937_64&)
 {
-  double load = 0.0;
-  double slots = 0.0;
-  for (const route_candidate& candidate : aCandidates) {
-    load += candidate.mQueued + candidate.mRunning;
-    slots += std::max(1U, candidate.mSlots);
-  }
+  const route_usual usual = UsualOf(aCandidates, aRequest);
   std::size_t best = 0;
   duration least = duration::max();
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
-    const duration cost = ExpectedCost(aCandidates[i], aRequest, load / slots);
+    const duration cost = ExpectedCost(aCandidates[i], aRequest, usual);
     if (cost < least) {
       best = i;
       least = cost;
--- a/src/policy/crash_suspects.cpp
+++ b/src/policy/crash_suspects.cpp
@@ -154,8 +154,15 @@
   if (mRunsAlone && mAlone == aDigest) {
     mRunsAlone = false;
   }
+  if (aCompleted) {
+    Cleared(aDigest);
+  }
+}
+
+void crash_suspects::Cleared(request_digest aDigest)
+{
   auto found = mFindings.find(aDigest);
-  if (aCompleted && found != mFindings.end() && found->second.mLevel != suspicion::Refused) {
+  if (found != mFindings.end() && found->second.mLevel != suspicion::Refused) {
     Forget(found->second);
   }
 }
--- a/src/policy/crash_suspects.h
+++ b/src/policy/crash_suspects.h
@@ -59,6 +59,8 @@
   void Started(request_digest aDigest, instant aNow);
   /// It runs no longer. aCompleted: its answer was whole, which clears it.
   void Finished(request_digest aDigest, bool aCompleted);
+  /// Its answer was whole, here or elsewhere: it is no suspect any more, unless it is refused.
+  void Cleared(request_digest aDigest);
   /// The backend server crashed: nothing runs on it now. Returns what others should know.
   std::vector<suspect_report> BackendCrashed(instant aNow);
   /// A request was running elsewhere when a backend server crashed (an entry learns it from its stream). Returns the
--- a/src/policy/route_choice.cpp
+++ b/src/policy/route_choice.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace chervilpulley::policy {
 
@@ -89,7 +88,7 @@
   return Slots(aCandidate.mSlots) / EffectiveStep(aCandidate);
 }
 
-/// Time from the candidate's first token of output to that of the last stage, by its report.
+/// Time from the candidate's first token of output to that of the last stage, by its report; 0 when unknown.
 double Downstream(const route_candidate& aCandidate)
 {
   const double slots = Slots(aCandidate.mSlots);
@@ -98,40 +97,28 @@
   return std::max(0.0, static_cast<double>(aCandidate.mCostToGo.count()) - own);
 }
 
-double Cost(const route_candidate& aCandidate, const route_request& aRequest, double aMeanLoad)
+double Cost(const route_candidate& aCandidate, const route_request& aRequest, const route_usual& aUsual)
 {
   const double halfLife = static_cast<double>(kReportHalfLife.count());
   const double trust = halfLife / (halfLife + static_cast<double>(aCandidate.mReportAge.count()));
   const double slots = Slots(aCandidate.mSlots);
   const double step = EffectiveStep(aCandidate);
-  const double reported = trust * Load(aCandidate) + (1.0 - trust) * aMeanLoad * slots;
+  const double reported = trust * Load(aCandidate) + (1.0 - trust) * aUsual.mLoadPerSlot * slots;
   const double wait = Wait(reported + aCandidate.mInFlightSinceReport, slots, step, aRequest.mSteps);
   const double prefill =
     static_cast<double>(aCandidate.mPrefillPerToken.count()) * UncachedTokens(aCandidate, aRequest);
-  return static_cast<double>(aCandidate.mLinkDelay.count()) + wait + prefill + step + Downstream(aCandidate);
+  const double downstream = aCandidate.mCostToGo.count() > 0 ? Downstream(aCandidate) : aUsual.mMostDownstream;
+  return static_cast<double>(aCandidate.mLinkDelay.count()) + wait + prefill + step + downstream;
 }
 
-/// Sums over the eligible candidates.
-struct candidate_totals
+/// Sum of the speeds of the eligible candidates; 0 when there is none.
+double TotalSpeed(std::span<const route_candidate> aCandidates, const route_request& aRequest)
 {
-  std::size_t mCount = 0;
-  double mSpeed = 0.0;
-  double mLoad = 0.0;
-  double mSlots = 0.0;
-};
-
-candidate_totals Total(std::span<const route_candidate> aCandidates, const route_request& aRequest)
-{
-  candidate_totals totals;
+  double speed = 0.0;
   for (const route_candidate& candidate : aCandidates) {
-    if (IsEligible(candidate, aRequest)) {
-      ++totals.mCount;
-      totals.mSpeed += Speed(candidate);
-      totals.mLoad += Load(candidate);
-      totals.mSlots += Slots(candidate.mSlots);
-    }
+    speed += IsEligible(candidate, aRequest) ? Speed(candidate) : 0.0;
   }
-  return totals;
+  return speed;
 }
 
 /// The eligible candidate at a point of the range of all speeds laid end to end, without aExcept.
@@ -169,10 +156,10 @@
 class cheapest_route
 {
 public:
-  cheapest_route(std::span<const route_candidate> aCandidates, const route_request& aRequest, double aMeanLoad)
+  cheapest_route(std::span<const route_candidate> aCandidates, const route_request& aRequest, const route_usual& aUsual)
     : mCandidates(aCandidates)
     , mRequest(aRequest)
-    , mMeanLoad(aMeanLoad)
+    , mUsual(aUsual)
   {
   }
   void Consider(std::size_t aIndex)
@@ -180,7 +167,7 @@
     if (mBest == aIndex) {
       return;
     }
-    const double cost = Cost(mCandidates[aIndex], mRequest, mMeanLoad);
+    const double cost = Cost(mCandidates[aIndex], mRequest, mUsual);
     if (!mBest || IsBetter(aIndex, cost)) {
       mBest = aIndex;
       mCost = cost;
@@ -202,7 +189,7 @@
 
   std::span<const route_candidate> mCandidates;
   const route_request& mRequest;
-  double mMeanLoad;
+  route_usual mUsual;
   std::optional<std::size_t> mBest;
   double mCost = 0.0;
 };
@@ -231,9 +218,25 @@
   return aCandidate.mFirstLayer.Value() <= layer && layer <= aCandidate.mLastLayer.Value();
 }
 
-duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, double aMeanLoad)
+route_usual UsualOf(std::span<const route_candidate> aCandidates, const route_request& aRequest)
+{
+  route_usual usual;
+  double load = 0.0;
+  double slots = 0.0;
+  for (const route_candidate& candidate : aCandidates) {
+    if (IsEligible(candidate, aRequest)) {
+      load += Load(candidate);
+      slots += Slots(candidate.mSlots);
+      usual.mMostDownstream = std::max(usual.mMostDownstream, Downstream(candidate));
+    }
+  }
+  usual.mLoadPerSlot = slots > 0.0 ? load / slots : 0.0;
+  return usual;
+}
+
+duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, const route_usual& aUsual)
 {
-  return duration(static_cast<duration::rep>(Cost(aCandidate, aRequest, aMeanLoad)));
+  return duration(static_cast<duration::rep>(Cost(aCandidate, aRequest, aUsual)));
 }
 
 std::optional<std::size_t> ChooseRoute(std::span<const route_candidate> aCandidates,
@@ -241,14 +244,14 @@
                                        random_pair aRandom,
                                        std::size_t aChoices)
 {
-  const candidate_totals totals = Total(aCandidates, aRequest);
-  if (totals.mCount == 0) {
+  const double speed = TotalSpeed(aCandidates, aRequest);
+  if (speed <= 0.0) {
     return std::nullopt;
   }
-  cheapest_route cheapest(aCandidates, aRequest, totals.mLoad / totals.mSlots);
+  cheapest_route cheapest(aCandidates, aRequest, UsualOf(aCandidates, aRequest));
   for (std::size_t i = 0; i < std::max<std::size_t>(aChoices, 2); ++i) {
     const std::optional<std::size_t> best = cheapest.Best();
-    const double range = totals.mSpeed - (best ? Speed(aCandidates[*best]) : 0.0);
+    const double range = speed - (best ? Speed(aCandidates[*best]) : 0.0);
     if (auto drawn = AtSpeedPoint(aCandidates, aRequest, best, Draw(aRandom, i) * range)) {
       cheapest.Consider(*drawn);
     }
@@ -266,17 +269,18 @@
     return duration(static_cast<duration::rep>(own));
   }
   const route_request next{ aOwn.mLastLayer.Next(), token_count() };
-  const candidate_totals totals = Total(aSuccessors, next);
-  if (totals.mCount == 0) {
-    return std::nullopt;
-  }
-  double least = std::numeric_limits<double>::max();
+  const route_usual usual = UsualOf(aSuccessors, next);
+  std::optional<double> least;
   for (const route_candidate& successor : aSuccessors) {
     if (IsEligible(successor, next)) {
-      least = std::min(least, Cost(successor, next, totals.mLoad / totals.mSlots));
+      const double cost = Cost(successor, next, usual);
+      least = least ? std::min(*least, cost) : cost;
     }
   }
-  return duration(static_cast<duration::rep>(own + least));
+  if (!least) {
+    return std::nullopt;
+  }
+  return duration(static_cast<duration::rep>(own + *least));
 }
 
 } // namespace chervilpulley::policy
--- a/src/policy/route_choice.h
+++ b/src/policy/route_choice.h
@@ -53,10 +53,20 @@
 /// Whether the candidate may take the request at all.
 bool IsEligible(const route_candidate& aCandidate, const route_request& aRequest);
 
+/// What is assumed where a candidate's own report is old or says nothing.
+struct route_usual
+{
+  double mLoadPerSlot = 0.0;    ///< requests per place in a batch, over all candidates
+  double mMostDownstream = 0.0; ///< longest time from a candidate's output to that of the last stage, in microseconds
+};
+
+/// The usual figures of the eligible candidates.
+route_usual UsualOf(std::span<const route_candidate> aCandidates, const route_request& aRequest);
+
 /// Expected time until the candidate's chain has produced the first token of the request: link, wait behind what was
 /// reported and what was sent since, prefill of what is not cached, and the stages after it. As a report ages, its load
-/// gives way to aMeanLoad, the usual load per place in a batch.
-duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, double aMeanLoad);
+/// gives way to the usual one. A candidate whose cost to go is unknown may have no way on, so it counts as the worst.
+duration ExpectedCost(const route_candidate& aCandidate, const route_request& aRequest, const route_usual& aUsual);
 
 /// Index of the chosen candidate, or nothing when none is eligible. Candidates are drawn at random in proportion to
 /// their speed, so that choosers which see the same late reports do not all choose the same one; those that hold a
--- a/tests/unit/policy_crash_suspects_test.cpp
+++ b/tests/unit/policy_crash_suspects_test.cpp
@@ -65,6 +65,16 @@
   REQUIRE(Check(request_digest(10)) == start_verdict::Start);
 }
 
+TEST_CASE_METHOD(crash_suspects_fixture, "crash_suspects_clear_whole_answers_but_not_refused_requests")
+{
+  mSuspects.Merge({ mInnocent, suspicion::Isolated, 5s }, mNow);
+  mSuspects.Merge({ mFaulty, suspicion::Refused, 5s }, mNow);
+  mSuspects.Cleared(mInnocent);
+  mSuspects.Cleared(mFaulty);
+  REQUIRE(mSuspects.Level(mInnocent, mNow) == suspicion::None);
+  REQUIRE(mSuspects.Level(mFaulty, mNow) == suspicion::Refused);
+}
+
 TEST_CASE_METHOD(crash_suspects_fixture, "crash_suspects_reservation_that_is_not_used_lapses")
 {
   CrashWith({ mInnocent, request_digest(7) });
--- a/tests/unit/policy_route_choice_test.cpp
+++ b/tests/unit/policy_route_choice_test.cpp
@@ -120,6 +120,14 @@
   REQUIRE(slow < 3000);
 }
 
+TEST_CASE_METHOD(route_choice_fixture, "route_choice_takes_a_known_way_on_before_an_unknown_one")
+{
+  Add("unknown");
+  Add("known").mCostToGo = 500ms;
+  mCandidates[0].mLinkDelay = 1us;
+  REQUIRE(Counts(1000)[1] == 1000);
+}
+
 TEST_CASE_METHOD(route_choice_fixture, "cost_to_go_adds_the_cheapest_successor_behind_its_link")
 {
   const stage_load own{ layer_index(15), 32, 0, 2, 16, 10ms };
