--- /dev/null
+++ b/tests/processes/shutdown_test.cpp
@@ -0,0 +1,135 @@
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "processes/cluster.h"
+#include "processes/http_call.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::processes;
+
+namespace {
+
+constexpr std::uint64_t kTokens = 40;
+constexpr std::uint32_t kStepUs = 2000;
+constexpr std::size_t kStreams = 6;
+constexpr int kStillRuns = -1;
+
+struct shutdown_fixture
+{
+  cluster mCluster{ { TwoChains(kStepUs), { "domain-a" }, { "domain-a", "domain-b" }, 8, { { "drain_ms", "300" } } } };
+
+  static std::string Prompt(std::size_t aIndex) { return "Long brief " + std::to_string(aIndex); }
+
+  /// Streams that all have begun when this returns.
+  std::vector<std::future<answer>> StartStreams(std::size_t aEntry)
+  {
+    auto begun = std::make_shared<std::atomic<std::size_t>>(0);
+    std::vector<std::future<answer>> streams;
+    for (std::size_t i = 0; i < kStreams; ++i) {
+      streams.push_back(std::async(std::launch::async, [=, this] {
+        completion_call call{ Prompt(i), kTokens };
+        call.mOnToken = [=](std::size_t aTokens) {
+          *begun += aTokens == 1 ? 1 : 0;
+          return true;
+        };
+        return mCluster.CallerAt(aEntry).Complete(call);
+      }));
+    }
+    WaitUntil([&] { return *begun == kStreams; });
+    return streams;
+  }
+
+  void CheckAll(std::vector<std::future<answer>>& aStreams)
+  {
+    for (std::size_t i = 0; i < aStreams.size(); ++i) {
+      const answer got = aStreams[i].get();
+      CHECK(Text(mCluster.Judge(got, Prompt(i), kTokens)) == "");
+    }
+  }
+
+  static std::uint64_t NowUs()
+  {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+  }
+
+  /// Sends short requests to an entry for a while; all must be answered.
+  void KeepAsking(std::size_t aEntry, duration aTime)
+  {
+    const auto end = std::chrono::steady_clock::now() + aTime;
+    while (std::chrono::steady_clock::now() < end) {
+      CHECK(mCluster.CallerAt(aEntry).Complete({ "Short note", 2 }).mStream.mDone);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(shutdown_fixture, "entry_terminated_with_streams_running_cuts_nothing")
+{
+  std::vector<std::future<answer>> streams = StartStreams(0);
+  mCluster.Entry(0).Terminate();
+  CheckAll(streams);
+  CHECK(mCluster.Entry(0).WaitForEnd().value_or(kStillRuns) == 0);
+}
+
+TEST_CASE_METHOD(shutdown_fixture, "entry_terminated_fails_its_readiness_while_it_serves")
+{
+  std::vector<std::future<answer>> streams = StartStreams(0);
+  const net::endpoint http = mCluster.Entry(0).Address("http");
+  CHECK(Call(http, "GET", "/readyz").mStatus == 200);
+  mCluster.Entry(0).Terminate();
+  CHECK(WaitUntil([&] {
+    const auto ready = net::FetchBlocking(http, { "GET", "/readyz", {}, "" }, kAmple);
+    return !ready || ready.value().mStatus == 503;
+  }));
+  CheckAll(streams);
+}
+
+TEST_CASE_METHOD(shutdown_fixture, "sidecar_terminated_with_streams_running_cuts_nothing")
+{
+  std::vector<std::future<answer>> streams = StartStreams(0);
+  const std::size_t leaving = mCluster.ServingEngine(4);
+  mCluster.Engine(leaving).mSidecar->Terminate();
+  CheckAll(streams);
+  CHECK(mCluster.Engine(leaving).mSidecar->WaitForEnd().value_or(kStillRuns) == 0);
+  CHECK(mCluster.CallerAt(0).Complete({ "After it has left", 4 }).mStream.mDone);
+}
+
+TEST_CASE_METHOD(shutdown_fixture, "entry_and_sidecar_terminated_together_cut_nothing")
+{
+  std::vector<std::future<answer>> streams = StartStreams(0);
+  const std::size_t leaving = mCluster.ServingEngine(0);
+  mCluster.Engine(leaving).mSidecar->Terminate();
+  mCluster.Entry(0).Terminate();
+  CheckAll(streams);
+  CHECK(mCluster.Entry(0).WaitForEnd().value_or(kStillRuns) == 0);
+  CHECK(mCluster.Engine(leaving).mSidecar->WaitForEnd().value_or(kStillRuns) == 0);
+}
+
+TEST_CASE_METHOD(shutdown_fixture, "sidecar_on_the_list_as_leaving_gets_no_new_work")
+{
+  const std::size_t leaving = 0;
+  KeepAsking(0, std::chrono::milliseconds(200));
+  mCluster.Register(*mCluster.Engine(leaving).mSidecar, "leaving");
+  const std::uint64_t left = NowUs();
+  KeepAsking(0, std::chrono::seconds(4));
+  const std::uint64_t limit = left + 3'000'000;
+  CHECK(Text(JudgeNoNewWork(mCluster.RunsOf(mCluster.Engine(leaving)), limit)) == "");
+}
+
+TEST_CASE_METHOD(shutdown_fixture, "sidecar_drained_by_an_operator_gets_no_new_work")
+{
+  const std::size_t leaving = 2;
+  KeepAsking(0, std::chrono::milliseconds(200));
+  const finished drained = mCluster.Operate(1, { "drain", "sidecar-engine-2" });
+  INFO(drained.mErr);
+  REQUIRE(drained.mStatus == 0);
+  const std::uint64_t left = NowUs();
+  KeepAsking(0, std::chrono::seconds(4));
+  const std::uint64_t limit = left + 3'000'000;
+  CHECK(Text(JudgeNoNewWork(mCluster.RunsOf(mCluster.Engine(leaving)), limit)) == "");
+}
