--- a/tests/processes/caller.cpp
+++ b/tests/processes/caller.cpp
@@ -66,9 +66,9 @@
 
 } // namespace
 
-event_reader::event_reader(answer& aAnswer, token_observer aOnToken)
+event_reader::event_reader(answer& aAnswer, const completion_call& aCall)
   : mAnswer(aAnswer)
-  , mOnToken(std::move(aOnToken))
+  , mCall(aCall)
 {
 }
 
@@ -128,7 +128,10 @@
   mAnswer.mStream.mText += text;
   mAnswer.mLastEventId = aId;
   ++mAnswer.mTokens;
-  return !mOnToken || mOnToken(mAnswer.mTokens);
+  if (mCall.mOnEventId) {
+    mCall.mOnEventId(aId);
+  }
+  return !mCall.mOnToken || mCall.mOnToken(mAnswer.mTokens);
 }
 
 caller::caller(net::endpoint aEntry, std::string aKey)
@@ -151,7 +154,7 @@
     return Send(std::move(request));
   }
   answer result;
-  event_reader reader(result, aCall.mOnToken);
+  event_reader reader(result, aCall);
   const auto reply = net::StreamBlocking(
     mEntry, Authorized(std::move(request)), kAnswerLimit, [&](std::string_view aPiece) { return reader.Take(aPiece); });
   TakeHead(reply, result);
--- a/tests/processes/caller.h
+++ b/tests/processes/caller.h
@@ -27,6 +27,7 @@
   bool mIsChat = false;
   std::string mLastEventId; ///< takes up a stream
   token_observer mOnToken;
+  std::function<void(const std::string&)> mOnEventId; ///< takes the id of a token's event, before mOnToken
 };
 
 /// What a caller got.
@@ -47,7 +48,7 @@
 class event_reader
 {
 public:
-  event_reader(answer& aAnswer, token_observer aOnToken);
+  event_reader(answer& aAnswer, const completion_call& aCall);
   /// Takes a piece of the body; false when the observer hangs up.
   bool Take(std::string_view aPiece);
 
@@ -56,7 +57,7 @@
   bool TakeData(std::string_view aData, const std::string& aId);
 
   answer& mAnswer;
-  token_observer mOnToken;
+  const completion_call& mCall;
   std::string mPending;
 };
 
--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -110,14 +110,36 @@
 
 std::size_t cluster::AddEntry(const std::string& aFailureDomain)
 {
-  const std::string name = "entry-" + std::to_string(mEntries.size());
-  const std::string file = mFolder.Write(name + ".ini", Settings(name, aFailureDomain, ""));
-  mEntries.push_back(std::make_unique<process>(std::vector<std::string>{ BinaryPath(), "entry", "--settings", file },
-                                               mFolder.File(name + ".log")));
+  mEntries.push_back(StartEntry("entry-" + std::to_string(mEntries.size()), aFailureDomain));
   Register(*mEntries.back());
   return mEntries.size() - 1;
 }
 
+std::unique_ptr<process> cluster::StartReplacement(std::size_t aIndex)
+{
+  const process& former = *mEntries.at(aIndex);
+  const std::string failureDomain(former.Listening().at("failure_domain").as_string());
+  std::unique_ptr<process> replacement = StartEntry(InstanceOf(former), failureDomain);
+  Register(*replacement);
+  const net::endpoint http = replacement->Address("http");
+  if (!WaitUntil([&] { return Call(http, "GET", "/readyz").mStatus == 200; })) {
+    throw std::runtime_error(InstanceOf(former) + " does not become ready: " + replacement->Log());
+  }
+  return replacement;
+}
+
+void cluster::ReplaceEntry(std::size_t aIndex, std::unique_ptr<process> aReplacement)
+{
+  mEntries.at(aIndex) = std::move(aReplacement);
+}
+
+std::unique_ptr<process> cluster::StartEntry(const std::string& aName, const std::string& aFailureDomain)
+{
+  const std::string file = mFolder.Write(aName + ".ini", Settings(aName, aFailureDomain, ""));
+  return std::make_unique<process>(std::vector<std::string>{ BinaryPath(), "entry", "--settings", file },
+                                   mFolder.File(aName + ".log"));
+}
+
 void cluster::RestartEngine(std::size_t aIndex)
 {
   backend& engine = mEngines.at(aIndex);
@@ -136,6 +158,14 @@
   Register(*engine.mSidecar);
 }
 
+void cluster::RestartServiceSidecar(std::size_t aIndex)
+{
+  backend& service = mServices.at(aIndex);
+  service.mSidecar->Kill();
+  service.mSidecar = StartSidecar(service, "service");
+  Register(*service.mSidecar);
+}
+
 std::size_t cluster::ServingEngine(std::uint32_t aFirstLayer) const
 {
   std::optional<std::size_t> newest;
--- a/tests/processes/cluster.h
+++ b/tests/processes/cluster.h
@@ -77,6 +77,11 @@
   void RestartEngine(std::size_t aIndex);
   /// Starts the process beside an engine again, under its old name and at new addresses.
   void RestartSidecar(std::size_t aIndex);
+  void RestartServiceSidecar(std::size_t aIndex);
+  /// Starts an entry that has ended again, under its old name and at new addresses, and waits until it is ready.
+  std::unique_ptr<process> StartReplacement(std::size_t aIndex);
+  /// Puts a replacement in the place of an entry, as a balancer does once it is ready.
+  void ReplaceEntry(std::size_t aIndex, std::unique_ptr<process> aReplacement);
   /// The engine that most recently ran a pass that starts at a layer.
   std::size_t ServingEngine(std::uint32_t aFirstLayer) const;
   /// Writes a process's line of the live list.
@@ -97,6 +102,7 @@
 private:
   void StartEngine(const engine_shape& aShape, std::size_t aIndex);
   void StartService(const std::string& aFailureDomain, std::size_t aIndex);
+  std::unique_ptr<process> StartEntry(const std::string& aName, const std::string& aFailureDomain);
   std::unique_ptr<process> StartSidecar(const backend& aBackend, const std::string& aKind);
   std::string Settings(const std::string& aInstance, const std::string& aFailureDomain, const std::string& aMore) const;
   std::vector<std::string> EngineWords(const engine_shape& aShape, const std::string& aRecordsFile) const;
--- a/tests/processes/judge.cpp
+++ b/tests/processes/judge.cpp
@@ -102,7 +102,7 @@
       continue;
     }
     engine_run run;
-    run.mEngine = aEngine;
+    run.mEngine = std::string(aEngine) + "/" + std::to_string(record.at("pid").to_number<std::int64_t>());
     run.mRequest = record.at("request").as_string();
     run.mAttempt = record.at("attempt").to_number<std::uint64_t>();
     run.mPosition = record.at("position").to_number<std::uint64_t>();
--- a/tests/processes/judge.h
+++ b/tests/processes/judge.h
@@ -16,7 +16,7 @@
 /// One pass through an engine's layers.
 struct engine_run
 {
-  std::string mEngine;
+  std::string mEngine; ///< name and process id, since an engine that was started again holds nothing of before
   std::string mRequest;
   std::uint64_t mAttempt = 0;
   std::uint64_t mPosition = 0;
--- a/tests/processes/shutdown_test.cpp
+++ b/tests/processes/shutdown_test.cpp
@@ -38,7 +38,7 @@
         return mCluster.CallerAt(aEntry).Complete(call);
       }));
     }
-    WaitUntil([&] { return *begun == kStreams; });
+    REQUIRE(WaitUntil([&] { return *begun == kStreams; }));
     return streams;
   }
 
--- a/tests/standin/standin_engine.cpp
+++ b/tests/standin/standin_engine.cpp
@@ -454,7 +454,8 @@
                 { "first_layer", aOrder.mFirstLayer },
                 { "last_layer", aOrder.mLastLayer },
                 { "prefill", aOrder.mPrefill },
-                { "time_us", Now().time_since_epoch().count() } });
+                { "time_us", Now().time_since_epoch().count() },
+                { "pid", getpid() } });
 }
 
 /// Why the order's layers can't be run here; empty when they can.
