Stream taken up elsewhere: the former entry is told and ends its answer at once

Before, its caller waited without end: stream_taken_up_while_the_first_entry_serves_it_is_whole_and_doubles_nothing ran into the caller's own limit of 60 s.

--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -249,6 +249,14 @@
   kLog.Request(mOrder.mRequest.Str(), "{} refused: {}.", mHead->Instance().Str(), aRefusal.message());
   mLastRefusal = aRefusal;
   mRefused.insert(mHead->Instance().Str());
+  if (aRefusal.reason() == link::REFUSAL_FENCED) {
+    // Only another entry can have opened a newer attempt: it serves the caller now.
+    return Fail({ 409,
+                  "invalid_request_error",
+                  "the stream was taken up through another entry",
+                  link::OUTCOME_FAILED,
+                  std::nullopt });
+  }
   if (aRefusal.outcome() == link::OUTCOME_FAILED) {
     return Fail(FromRefusal(aRefusal));
   }
--- a/src/sidecar/stage_stream.cpp
+++ b/src/sidecar/stage_stream.cpp
@@ -102,6 +102,9 @@
     RefuseTo(aUpstream, aAttempt, *refusal);
     return;
   }
+  if (IsHead() && mUpstream && mUpstream != aUpstream) {
+    RefuseTo(mUpstream, mProgress.Current(), Refusal(link::REFUSAL_FENCED, "the stream was taken up elsewhere"));
+  }
   const token_position start(static_cast<std::uint64_t>(aOpen.delivered_size()));
   mProgress.Open(aAttempt, start);
   mLastLayer = mHost.Engine()->mLastLayer;
