--- a/include/chervilpulley/ids.h
+++ b/include/chervilpulley/ids.h
@@ -21,7 +21,7 @@
   }
   const std::string& Str() const { return mValue; }
   bool IsValid() const { return !mValue.empty(); }
-  auto operator<=>(const strong_name&) const = default;
+  auto operator<=>(const strong_name&) const = default; // NOLINT(modernize-use-nullptr): taken wrongly by clang-tidy 14
 
 private:
   std::string mValue;
@@ -39,7 +39,8 @@
   }
   constexpr std::uint64_t Value() const { return mValue; }
   constexpr strong_number Next() const { return strong_number(mValue + 1); }
-  constexpr auto operator<=>(const strong_number&) const = default;
+  constexpr auto operator<=>(const strong_number&) const =
+    default; // NOLINT(modernize-use-nullptr): taken wrongly by clang-tidy 14
 
 private:
   std::uint64_t mValue = 0;
--- a/src/net/endpoint.h
+++ b/src/net/endpoint.h
@@ -17,7 +17,7 @@
 
   /// "ip:port", or "[ip6]:port".
   std::string Str() const;
-  auto operator<=>(const endpoint&) const = default;
+  auto operator<=>(const endpoint&) const = default; // NOLINT(modernize-use-nullptr): taken wrongly by clang-tidy 14
 };
 
 /// Parses "ip:port"; host names are refused.
--- a/src/policy/stage_progress.h
+++ b/src/policy/stage_progress.h
@@ -16,7 +16,7 @@
 {
   attempt_number mNumber;
   std::uint64_t mNonce = 0;
-  auto operator<=>(const attempt_key&) const = default;
+  auto operator<=>(const attempt_key&) const = default; // NOLINT(modernize-use-nullptr): taken wrongly by clang-tidy 14
 };
 
 /// What a stage does with an input.
