HTTP server: a waiting caller is never taken for gone; refusals of large bodies arrive

Cause of answers with no status in the process tests: the wait for a hang-up ends also for bytes that another thread has read already, and nothing to read was taken for the end of the stream. It now peeks. A refusal of a body over the limit was lost to a connection reset, as the caller was still sending; the server now reads on for 3 s at most.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/intrusive/list.hpp>
 
+#include <array>
 #include <mutex>
 #include <optional>
 
@@ -17,6 +18,10 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+constexpr std::size_t kLingerPieceBytes = 16U << 10U;
+constexpr std::size_t kMostLingerBytes = 64U << 20U;
+constexpr duration kLingerTime = std::chrono::seconds(3);
+
 class server_impl;
 
 /// One connection; runs on its own strand.
@@ -43,8 +48,10 @@
 private:
   asio::awaitable<bool> ReadRequest();
   asio::awaitable<void> RefuseRequest(const boost::system::error_code& aError);
+  asio::awaitable<void> Linger();
   asio::awaitable<void> Answer();
   void WatchForHangUp();
+  void CheckForHangUp();
   void HungUp();
   bool KeepAlive() const;
   template<class Message>
@@ -172,6 +179,24 @@
   }
   mRequestKeepAlive = false;
   co_await Reply(std::move(reply));
+  co_await Linger();
+}
+
+asio::awaitable<void> server_connection::Linger()
+{
+  // Closing while the caller still sends would reset the connection, and the answer would be lost.
+  boost::system::error_code ignored;
+  mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  std::array<char, kLingerPieceBytes> piece{};
+  std::size_t total = 0;
+  mStream.expires_after(kLingerTime);
+  while (total < kMostLingerBytes) {
+    const auto [error, size] = co_await mStream.async_read_some(asio::buffer(piece), kAwait);
+    if (error) {
+      break;
+    }
+    total += size;
+  }
 }
 
 asio::awaitable<void> server_connection::Answer()
@@ -194,18 +219,26 @@
   const std::uint64_t exchange = mExchange;
   mStream.socket().async_wait(tcp::socket::wait_read,
                               [self = ref<server_connection>(this), exchange](const boost::system::error_code& aError) {
-                                if (aError || exchange != self->mExchange || !self->mBusy) {
-                                  return;
-                                }
-                                boost::system::error_code error;
-                                // Readable with nothing to read is the end of the stream; pipelined bytes end the watch
-                                // instead.
-                                if (self->mStream.socket().available(error) == 0 || error) {
-                                  self->HungUp();
+                                if (!aError && exchange == self->mExchange && self->mBusy && !self->mAnswered) {
+                                  self->CheckForHangUp();
                                 }
                               });
 }
 
+void server_connection::CheckForHangUp()
+{
+  boost::system::error_code error;
+  char byte = 0;
+  mStream.socket().non_blocking(true, error);
+  const std::size_t size = mStream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (error == asio::error::would_block) {
+    // The wait also ends for bytes that were read meanwhile by another thread's attempt.
+    WatchForHangUp();
+  } else if (size == 0) {
+    HungUp();
+  }
+}
+
 void server_connection::HungUp()
 {
   mHungUp = true;
--- /dev/null
+++ b/tests/contract/net_http_server_test.cpp
@@ -0,0 +1,121 @@
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+using namespace chervilpulley;
+
+namespace {
+
+constexpr auto kLimit = std::chrono::seconds(20);
+
+/// A server whose handler counts hang-ups and answers once the loop has turned a few times.
+struct http_server_fixture
+{
+  http_server_fixture()
+  {
+    net::http_limits limits;
+    limits.mMaxBodyBytes = 100;
+    auto started = net::http_server::Start(
+      mContext, { "127.0.0.1", 0 }, [this](net::http_exchange& aExchange) { return Handle(aExchange); }, limits);
+    mServer = started.value();
+    for (int i = 0; i < 3; ++i) {
+      mThreads.emplace_back([this] { mContext.run(); });
+    }
+  }
+  ~http_server_fixture()
+  {
+    mContext.stop();
+    for (auto& thread : mThreads) {
+      thread.join();
+    }
+  }
+
+  boost::asio::awaitable<void> Handle(net::http_exchange& aExchange)
+  {
+    aExchange.OnHangUp([this] {
+      if (mHangUps.fetch_add(1) == 0) {
+        mFirstHangUp.set_value();
+      }
+    });
+    boost::asio::steady_timer timer(aExchange.Executor());
+    timer.expires_after(aExchange.Request().mTarget == "/slow" ? std::chrono::milliseconds(200)
+                                                               : std::chrono::milliseconds(1));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    net::http_reply reply = net::JsonReply(200, aExchange.Request().mBody);
+    co_await aExchange.Reply(std::move(reply));
+  }
+
+  net::net_result<net::http_reply> Post(const std::string& aBody)
+  {
+    net::http_request request;
+    request.mMethod = "POST";
+    request.mBody = aBody;
+    return net::FetchBlocking(mServer->LocalEndpoint(), request, kLimit);
+  }
+
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mGuard{ mContext.get_executor() };
+  ref<net::http_server> mServer;
+  std::atomic<int> mHangUps{ 0 };
+  std::promise<void> mFirstHangUp;
+  std::vector<std::thread> mThreads;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(http_server_fixture, "http_server_callers_that_wait_are_never_taken_for_gone")
+{
+  constexpr int kCallers = 8;
+  constexpr int kCalls = 200;
+  std::atomic<int> whole{ 0 };
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back([&] {
+      for (int call = 0; call < kCalls; ++call) {
+        const auto reply = Post("body");
+        whole += reply.has_value() && reply.value().mBody == "body" ? 1 : 0;
+      }
+    });
+  }
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  REQUIRE(whole == kCallers * kCalls);
+  REQUIRE(mHangUps == 0);
+}
+
+TEST_CASE_METHOD(http_server_fixture, "http_server_caller_that_closes_is_noticed")
+{
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(mServer->LocalEndpoint().mPort);
+  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+  REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+  const std::string request = "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n";
+  REQUIRE(send(caller, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+  close(caller);
+  REQUIRE(mFirstHangUp.get_future().wait_for(kLimit) == std::future_status::ready);
+}
+
+TEST_CASE_METHOD(http_server_fixture, "http_server_body_over_the_limit_is_413")
+{
+  for (const std::size_t size : { 101UL, 100'000UL, 20'000'000UL }) {
+    const auto reply = Post(std::string(size, 'x'));
+    REQUIRE(reply.has_value());
+    REQUIRE(reply.value().mStatus == 413);
+  }
+}
