--- a/tests/contract/config_store_test.cpp
+++ b/tests/contract/config_store_test.cpp
@@ -422,6 +422,40 @@
   REQUIRE(JudgeSpread() == "");
 }
 
+TEST_CASE("config_store_unreadable_object_in_the_platform_is_named_and_changes_nothing")
+{
+  struct row
+  {
+    std::string mKey;
+    std::string mBody;
+  };
+  admin::log_entry misplaced;
+  misplaced.set_revision(7);
+  const row rows[] = {
+    { LogKey(revision_number(2)), "\xff\xff" },
+    { LogKey(revision_number(2)), "" },
+    { LogKey(revision_number(2)), misplaced.SerializeAsString() },
+    { kSnapshotHeadKey, "{" },
+    { kSnapshotHeadKey, EncodeHead({ { revision_number(9), "9-none", 1 }, {} }) },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mKey, row.mBody);
+    config_store_fixture cluster;
+    cluster.AddNine();
+    REQUIRE(cluster.JudgeSpread() == "");
+    cluster.mPlatform.mObjects[row.mKey] = { row.mBody, cluster.mPlatform.mSequence.Next() };
+    const auto applied = cluster.Apply(cluster.mNodes[0], Put("d", Workspace("x")));
+    if (row.mKey != kSnapshotHeadKey) {
+      REQUIRE(applied.error().mCode == config_errc::Unavailable);
+      REQUIRE(applied.error().mMessage.find(row.mKey) != std::string::npos);
+    }
+    REQUIRE(cluster.RunUntil([&] { return cluster.AllAt(applied.has_value() ? 2 : 1); }));
+    auto& late = cluster.Add("late", "a");
+    REQUIRE(cluster.RunUntil([&] { return late.mStore->Ready(); })); // from its peers
+    REQUIRE(late.mStore->Current()->Revision().Value() >= 1);
+  }
+}
+
 TEST_CASE_METHOD(config_store_fixture, "config_store_live_list_comes_from_the_relays")
 {
   AddNine();
