--- a/src/config/config_replica.cpp
+++ b/src/config/config_replica.cpp
@@ -94,7 +94,7 @@
     std::lock_guard lock(mMutex);
     mWaiters.push_back(waiting);
   }
-  while (Revision().Value() <= aAfter.Value()) {
+  while (Revision().Value() <= aAfter.Value() && !mWaitsEnded) {
     if (!co_await waiting->Pop(deadline)) {
       break;
     }
@@ -103,7 +103,13 @@
   co_return Revision();
 }
 
-void config_replica::Publish()
+void config_replica::EndWaits()
+{
+  mWaitsEnded = true;
+  WakeWaiters();
+}
+
+void config_replica::WakeWaiters()
 {
   std::vector<ref<waiter>> waiters;
   revision_number revision;
@@ -115,6 +121,11 @@
   for (const auto& waiting : waiters) {
     waiting->Push(revision);
   }
+}
+
+void config_replica::Publish()
+{
+  WakeWaiters();
   std::lock_guard lock(mCallbackMutex);
   const auto view = Current();
   if (view->Revision().Value() <= mPublished.Value()) {
--- a/src/config/config_replica.h
+++ b/src/config/config_replica.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <mutex>
@@ -43,11 +44,14 @@
   void OnChange(change_callback aCallback);
   /// Waits until the revision is above aAfter, or aTime has passed. The caller must run on a strand.
   boost::asio::awaitable<revision_number> WaitAbove(revision_number aAfter, duration aTime);
+  /// Ends all waits, and later ones at once.
+  void EndWaits();
 
 private:
   using waiter = net::mailbox<revision_number>;
 
   void Publish();
+  void WakeWaiters();
   void KeepEntry(const admin::log_entry& aEntry);
   void RemoveWaiter(const ref<waiter>& aWaiter);
 
@@ -57,6 +61,7 @@
   std::deque<admin::log_entry> mEntries; ///< the last ones, without a gap, up to the log's revision
   std::size_t mEntryBytes = 0;
   std::vector<ref<waiter>> mWaiters;
+  std::atomic<bool> mWaitsEnded{ false };
 
   std::mutex mCallbackMutex;
   std::vector<change_callback> mCallbacks;
--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -54,7 +54,7 @@
   virtual bool Ready() const = 0;
   /// Starts to follow the configuration.
   virtual void Run() = 0;
-  /// Stops to follow it; calls in progress end within their timeouts.
+  /// Stops to follow it and ends held pulls; other calls in progress end within their timeouts.
   virtual void Stop() = 0;
 
   /// Checks a change and writes it to the log; gives an answer within about the platform's timeouts.
--- a/src/config/config_store_over.h
+++ b/src/config/config_store_over.h
@@ -44,7 +44,11 @@
   ref<const config_view> Current() const override { return mReplica->Current(); }
   bool Ready() const override { return mReady; }
   void Run() override { Spawn(Follow()); }
-  void Stop() override { mStopped = true; }
+  void Stop() override
+  {
+    mStopped = true;
+    mReplica->EndWaits();
+  }
 
   boost::asio::awaitable<config_result<apply_outcome>> Apply(admin::change aChange, std::string aActor) override
   {
--- a/tests/contract/config_peer_http_test.cpp
+++ b/tests/contract/config_peer_http_test.cpp
@@ -136,6 +136,24 @@
   REQUIRE(Now() - started < std::chrono::seconds(3));
 }
 
+TEST_CASE_METHOD(peer_http_fixture, "peer_server_held_pull_is_answered_when_the_store_stops")
+{
+  MakeReady();
+  std::optional<revision_number> waited;
+  auto wait = [](ref<config_store> aStore, std::optional<revision_number>& aWaited) -> boost::asio::awaitable<void> {
+    aWaited = co_await aStore->WaitAbove(revision_number(), std::chrono::minutes(1));
+  };
+  boost::asio::co_spawn(mContext, wait(mStore, waited), boost::asio::detached);
+  mContext.poll();
+  REQUIRE_FALSE(waited.has_value());
+  mStore->Stop();
+  const auto deadline = Now() + kTimeout;
+  while (!waited && Now() < deadline) {
+    mContext.run_one_for(std::chrono::milliseconds(10));
+  }
+  REQUIRE(waited == revision_number());
+}
+
 TEST_CASE_METHOD(peer_http_fixture, "peer_server_that_does_not_know_the_configuration_gives_none")
 {
   const auto pulled = Await(Client(kKey)->PullConfig(mServer->LocalEndpoint(), { 0, "b0", "b", 0, {} }, kTimeout));
