--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -9,6 +9,7 @@
 
 DEFINE_string(results, "", "folder for the results as JSON; empty: none are written");
 DEFINE_uint32(seeds, 5, "seeds of each comparison");
+DEFINE_bool(comparisons, true, "compare each decision with its baselines");
 DEFINE_bool(costs, true, "also measure the cost of each decision");
 DEFINE_string(only, "", "measure this decision only");
 
@@ -59,11 +60,13 @@
   if (!FLAGS_results.empty()) {
     std::filesystem::create_directories(FLAGS_results);
   }
-  bench::table table;
-  Compare(table, seeds);
-  table.Print();
-  if (!FLAGS_results.empty()) {
-    table.WriteJson(FLAGS_results + "/decisions.json", seeds);
+  if (FLAGS_comparisons) {
+    bench::table table;
+    Compare(table, seeds);
+    table.Print();
+    if (!FLAGS_results.empty()) {
+      table.WriteJson(FLAGS_results + "/decisions.json", seeds);
+    }
   }
   if (FLAGS_costs) {
     MeasureCosts(argv[0]);
--- a/bench/costs.cpp
+++ b/bench/costs.cpp
@@ -6,6 +6,7 @@
 
 #include "generated/link.pb.h"
 #include "policy/admission_queue.h"
+#include "policy/config_rules.h"
 #include "policy/crash_suspects.h"
 #include "policy/placement.h"
 #include "policy/rate_share.h"
@@ -121,6 +122,45 @@
 }
 BENCHMARK(PlanOfAll)->Arg(40)->Arg(400)->Arg(3400)->Unit(benchmark::kMillisecond);
 
+admin::object Workspace(std::size_t aNumber, std::uint32_t aWeight)
+{
+  admin::object object;
+  admin::workspace& workspace = *object.mutable_workspace();
+  workspace.set_name("workspace-" + std::to_string(aNumber));
+  workspace.set_weight(aWeight);
+  workspace.set_requests_per_second(100);
+  workspace.add_api_key_hashes(std::string(32, 'a') + "$" + std::string(64, 'b'));
+  return object;
+}
+
+config_objects Workspaces(std::size_t aCount)
+{
+  std::vector<admin::object> objects(aCount);
+  for (std::size_t i = 0; i < aCount; ++i) {
+    objects[i] = Workspace(i, 1);
+  }
+  return config_objects::Of(objects);
+}
+
+void ConfigChange(benchmark::State& aState)
+{
+  config_objects objects = Workspaces(static_cast<std::size_t>(aState.range(0)));
+  admin::change change;
+  admin::operation& operation = *change.add_operations();
+  operation.set_op(admin::CHANGE_OP_PUT);
+  *operation.mutable_object() = Workspace(7, 3);
+  std::uint64_t revision = 1;
+  for (auto unused : aState) {
+    auto after = ApplyChecked(objects, change, ++revision);
+    if (!after) {
+      aState.SkipWithError(after.error().mMessage.c_str());
+      break;
+    }
+    objects = std::move(after.value());
+  }
+}
+BENCHMARK(ConfigChange)->Arg(10)->Arg(1000)->Arg(9300);
+
 void RateReport(benchmark::State& aState)
 {
   rate_home home;
@@ -229,6 +269,12 @@
 }
 BENCHMARK(MemoryPerWorkspaceBucket)->Iterations(3);
 
+void MemoryPerWorkspaceConfig(benchmark::State& aState)
+{
+  Memory(aState, 9300, [](std::size_t aCount) { return Workspaces(aCount); });
+}
+BENCHMARK(MemoryPerWorkspaceConfig)->Iterations(3);
+
 void MemoryPerWaitingWorkspace(benchmark::State& aState)
 {
   Memory(aState, 9300, [](std::size_t aCount) {
