--- a/bench/costs.cpp
+++ b/bench/costs.cpp
@@ -4,16 +4,9 @@
 #include <memory>
 #include <random>
 
+#include "chervilpulley/policy.h"
 #include "generated/link.pb.h"
-#include "policy/admission_queue.h"
 #include "policy/config_rules.h"
-#include "policy/crash_suspects.h"
-#include "policy/placement.h"
-#include "policy/rate_share.h"
-#include "policy/retry_budget.h"
-#include "policy/route_choice.h"
-#include "policy/stall_detector.h"
-#include "policy/subset.h"
 
 /// Processor time and memory of single decisions.
 namespace {
@@ -31,6 +24,7 @@
     candidates[i].mSlots = 16;
     candidates[i].mRunning = static_cast<std::uint32_t>(i % 17);
     candidates[i].mStep = duration(10000 + 1000 * (i % 3));
+    candidates[i].mCostToGo = duration(90000);
   }
   return candidates;
 }
@@ -146,8 +140,11 @@
 {
   config_objects objects = Workspaces(static_cast<std::size_t>(aState.range(0)));
   admin::change change;
+  change.set_change_id("change-1");
   admin::operation& operation = *change.add_operations();
   operation.set_op(admin::CHANGE_OP_PUT);
+  operation.mutable_ref()->set_kind(admin::OBJECT_KIND_WORKSPACE);
+  operation.mutable_ref()->set_name("workspace-7");
   *operation.mutable_object() = Workspace(7, 3);
   std::uint64_t revision = 1;
   for (auto unused : aState) {
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -53,8 +53,10 @@
     scale = {"ns": 1.0, "us": 1e3, "ms": 1e6, "s": 1e9}
     costs = {}
     for entry in document["benchmarks"]:
+        if entry.get("error_occurred"):
+            sys.exit(f"capacity: benchmark {entry['name']} failed: {entry['error_message']}")
         name = entry["name"].replace("/iterations:3", "")
-        costs[name] = (entry["cpu_time"] * scale[entry["time_unit"]], entry.get("bytes"))
+        costs[name] = (entry["cpu_time"] * scale[entry["time_unit"]], entry.get("bytes"))  # counters lie beside the times
     return costs
 
 
--- a/src/policy/admission_queue.h
+++ b/src/policy/admission_queue.h
@@ -6,7 +6,7 @@
 #include <unordered_map>
 
 #include "base/result.h"
-#include "chervilpulley/policy.h"
+#include "chervilpulley/policy_types.h"
 #include "policy/drain_rate.h"
 
 /// Admission of requests to one backend server: a bounded queue, shared fairly by workspaces.
--- a/src/policy/crash_suspects.h
+++ b/src/policy/crash_suspects.h
@@ -5,7 +5,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "chervilpulley/policy.h"
+#include "chervilpulley/policy_types.h"
 
 /// Finds the request that crashes backend servers, without condemning those that shared a batch with it.
 namespace chervilpulley::policy {
--- a/src/policy/drain_rate.h
+++ b/src/policy/drain_rate.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "chervilpulley/policy.h"
+#include "chervilpulley/policy_types.h"
 
 namespace chervilpulley::policy {
 
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -4,7 +4,7 @@
 #include <span>
 #include <vector>
 
-#include "chervilpulley/policy.h"
+#include "chervilpulley/policy_types.h"
 #include "policy/subset.h"
 
 /// Which instance holds which layers of which model version, and how one instance gets there.
--- a/src/policy/rate_share.h
+++ b/src/policy/rate_share.h
@@ -5,7 +5,7 @@
 #include <span>
 #include <unordered_map>
 
-#include "chervilpulley/policy.h"
+#include "chervilpulley/policy_types.h"
 #include "policy/subset.h"
 
 /// A workspace's rate limit, shared by the entries that its callers use.
--- a/src/policy/route_choice.h
+++ b/src/policy/route_choice.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <span>
 
-#include "chervilpulley/policy.h"
+#include "chervilpulley/policy_types.h"
 
 /// Choice of the next stage (or of a plain backend server) by expected cost to finish.
 namespace chervilpulley::policy {
--- a/src/policy/stall_detector.h
+++ b/src/policy/stall_detector.h
@@ -2,7 +2,7 @@
 
 #include <unordered_map>
 
-#include "chervilpulley/policy.h"
+#include "chervilpulley/policy_types.h"
 
 /// Tells a stalled stream from one that is merely slow, by the usual gaps of its kind.
 namespace chervilpulley::policy {
--- a/src/policy/subset.h
+++ b/src/policy/subset.h
@@ -4,7 +4,7 @@
 #include <span>
 #include <vector>
 
-#include "chervilpulley/policy.h"
+#include "chervilpulley/policy_types.h"
 
 /// Which backend servers an instance keeps links to, when there are too many to link to all.
 namespace chervilpulley::policy {
