--- a/bench/costs.cpp
+++ b/bench/costs.cpp
@@ -4,15 +4,9 @@
 #include <memory>
 #include <random>
 
+#include "chervilpulley/policy.h"
 #include "generated/link.pb.h"
-#include "policy/admission_queue.h"
-#include "policy/crash_suspects.h"
-#include "policy/placement.h"
-#include "policy/rate_share.h"
-#include "policy/retry_budget.h"
-#include "policy/route_choice.h"
-#include "policy/stall_detector.h"
-#include "policy/subset.h"
+#include "policy/config_rules.h"
 
 /// Processor time and memory of single decisions.
 namespace {
@@ -30,6 +24,7 @@
     candidates[i].mSlots = 16;
     candidates[i].mRunning = static_cast<std::uint32_t>(i % 17);
     candidates[i].mStep = duration(10000 + 1000 * (i % 3));
+    candidates[i].mCostToGo = duration(90000);
   }
   return candidates;
 }
@@ -121,6 +116,48 @@
 }
 BENCHMARK(PlanOfAll)->Arg(40)->Arg(400)->Arg(3400)->Unit(benchmark::kMillisecond);
 
+admin::object Workspace(std::size_t aNumber, std::uint32_t aWeight)
+{
+  admin::object object;
+  admin::workspace& workspace = *object.mutable_workspace();
+  workspace.set_name("workspace-" + std::to_string(aNumber));
+  workspace.set_weight(aWeight);
+  workspace.set_requests_per_second(100);
+  workspace.add_api_key_hashes(std::string(32, 'a') + "$" + std::string(64, 'b'));
+  return object;
+}
+
+config_objects Workspaces(std::size_t aCount)
+{
+  std::vector<admin::object> objects(aCount);
+  for (std::size_t i = 0; i < aCount; ++i) {
+    objects[i] = Workspace(i, 1);
+  }
+  return config_objects::Of(objects);
+}
+
+void ConfigChange(benchmark::State& aState)
+{
+  config_objects objects = Workspaces(static_cast<std::size_t>(aState.range(0)));
+  admin::change change;
+  change.set_change_id("change-1");
+  admin::operation& operation = *change.add_operations();
+  operation.set_op(admin::CHANGE_OP_PUT);
+  operation.mutable_ref()->set_kind(admin::OBJECT_KIND_WORKSPACE);
+  operation.mutable_ref()->set_name("workspace-7");
+  *operation.mutable_object() = Workspace(7, 3);
+  std::uint64_t revision = 1;
+  for (auto unused : aState) {
+    auto after = ApplyChecked(objects, change, ++revision);
+    if (!after) {
+      aState.SkipWithError(after.error().mMessage.c_str());
+      break;
+    }
+    objects = std::move(after.value());
+  }
+}
+BENCHMARK(ConfigChange)->Arg(10)->Arg(1000)->Arg(9300);
+
 void RateReport(benchmark::State& aState)
 {
   rate_home home;
@@ -229,6 +266,12 @@
 }
 BENCHMARK(MemoryPerWorkspaceBucket)->Iterations(3);
 
+void MemoryPerWorkspaceConfig(benchmark::State& aState)
+{
+  Memory(aState, 9300, [](std::size_t aCount) { return Workspaces(aCount); });
+}
+BENCHMARK(MemoryPerWorkspaceConfig)->Iterations(3);
+
 void MemoryPerWaitingWorkspace(benchmark::State& aState)
 {
   Memory(aState, 9300, [](std::size_t aCount) {
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -53,8 +53,10 @@
     scale = {"ns": 1.0, "us": 1e3, "ms": 1e6, "s": 1e9}
     costs = {}
     for entry in document["benchmarks"]:
+        if entry.get("error_occurred"):
+            sys.exit(f"capacity: benchmark {entry['name']} failed: {entry['error_message']}")
         name = entry["name"].replace("/iterations:3", "")
-        costs[name] = (entry["cpu_time"] * scale[entry["time_unit"]], entry.get("bytes"))
+        costs[name] = (entry["cpu_time"] * scale[entry["time_unit"]], entry.get("bytes"))  # counters lie beside the times
     return costs
 
 
@@ -114,6 +116,10 @@
                  f"{PER_SERVER_REQUESTS:.1f} requests/s"),
         core_row("planner", "a plan for all servers", costs, "PlanOfAll/3400", CHANGES_PER_DAY / 86400,
                  f"one at each of {CHANGES_PER_DAY} changes a day, at worst"),
+        core_row("either", "a change of the configuration", costs, "ConfigChange/9300", CHANGES_PER_DAY / 86400,
+                 f"{CHANGES_PER_DAY} changes a day"),
+        memory_row("either", "workspaces of the configuration", costs, "MemoryPerWorkspaceConfig", WORKSPACES,
+                   "all 9,300 workspaces"),
         memory_row("entry", "candidates", costs, "MemoryPerBackendServer", 10 * SUBSET, "40 for each of 10 models"),
         memory_row("entry", "rate buckets", costs, "MemoryPerWorkspaceBucket", WORKSPACES, "all 9,300 workspaces"),
         memory_row("entry", "gaps of streams", costs, "MemoryPerStream", STREAMS / ENTRIES,
