--- a/bench/claim_bench.cpp
+++ b/bench/claim_bench.cpp
@@ -1,8 +1,13 @@
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "policy/claim_journal.h"
 
@@ -81,7 +86,7 @@
 }
 
 /// Claims in groups of range(0); with range(1), each also gets a result of 120 bytes in a group of the same size.
-void BM_ClaimGroup(benchmark::State& aState)
+void ClaimGroup(benchmark::State& aState)
 {
   const auto group = static_cast<std::uint64_t>(aState.range(0));
   const bool hasResults = aState.range(1) != 0;
@@ -116,10 +121,10 @@
   aState.counters["written_bytes_per_claim"] = static_cast<double>(store.mWrittenBytes) / claims;
 }
 
-BENCHMARK(BM_ClaimGroup)->ArgNames({ "group", "results" })->ArgsProduct({ { 1, 16, 128 }, { 0, 1 } });
+BENCHMARK(ClaimGroup)->ArgNames({ "group", "results" })->ArgsProduct({ { 1, 16, 128 }, { 0, 1 } });
 
 /// A repeat that is answered from a sealed segment among range(0) sealed ones.
-void BM_RepeatAmongSealed(benchmark::State& aState)
+void RepeatAmongSealed(benchmark::State& aState)
 {
   const calendar_time now(std::chrono::hours(24 * 365 * 56));
   benchmark_store store;
@@ -144,10 +149,10 @@
   }
 }
 
-BENCHMARK(BM_RepeatAmongSealed)->Arg(1)->Arg(10)->Arg(100);
+BENCHMARK(RepeatAmongSealed)->Arg(1)->Arg(10)->Arg(100);
 
 /// Encoded size of one claim among many, and of the filter that a process keeps for it.
-void BM_ClaimSize(benchmark::State& aState)
+void ClaimSize(benchmark::State& aState)
 {
   const calendar_time now(std::chrono::hours(24 * 365 * 56));
   constexpr std::uint64_t kClaims = 1000;
@@ -170,6 +175,137 @@
   aState.counters["filter_bytes_per_claim"] = static_cast<double>(MakeFilter(entries).Bytes()) / kClaims;
 }
 
-BENCHMARK(BM_ClaimSize);
+BENCHMARK(ClaimSize);
+
+/// Sidecars that claim in one partition at the same time, in virtual time.
+class contended_partition
+{
+public:
+  static constexpr std::chrono::milliseconds kStoreTime{ 4 }; ///< half before a call takes effect, half after
+
+  explicit contended_partition(std::size_t aClaimants)
+    : mClaimants(aClaimants)
+  {
+  }
+
+  /// Hands out claims one after another, evenly in time, and runs until all are decided.
+  void Run(std::uint64_t aClaims, std::chrono::microseconds aGap)
+  {
+    std::chrono::microseconds nextArrival{ 0 };
+    std::uint64_t arrived = 0;
+    while (mDecided < aClaims) {
+      if (arrived < aClaims && mNow >= nextArrival) {
+        Arrive(++arrived);
+        nextArrival += aGap;
+      }
+      for (auto& claimant : mClaimants) {
+        Turn(claimant);
+      }
+      mNow += std::chrono::microseconds(100);
+    }
+  }
+
+  std::uint64_t Writes() const { return mWrites; }
+  std::uint64_t Lost() const { return mLost; }
+  /// Time from the arrival of a claim to its decision, in milliseconds.
+  double Latency(double aQuantile)
+  {
+    std::sort(mLatencies.begin(), mLatencies.end());
+    const auto index = static_cast<std::size_t>(aQuantile * static_cast<double>(mLatencies.size() - 1));
+    return static_cast<double>(mLatencies[index].count()) / 1000;
+  }
+
+private:
+  struct claimant
+  {
+    claim_journal mJournal;
+    journal_step mStep;
+    std::optional<journal_reply> mReply;
+    std::chrono::microseconds mDue{ 0 };
+  };
+
+  calendar_time Calendar() const
+  {
+    return calendar_time(std::chrono::hours(24 * 365 * 56)) +
+           std::chrono::duration_cast<std::chrono::milliseconds>(mNow);
+  }
+
+  void Arrive(std::uint64_t aNumber)
+  {
+    claim_request request = MakeRequest(aNumber, Calendar());
+    mArrivals[request.mId.Value()] = mNow;
+    mClaimants[aNumber * 7919 % mClaimants.size()].mJournal.Claim(request);
+  }
+
+  void Turn(claimant& aClaimant)
+  {
+    if (aClaimant.mStep.mAction == journal_action::Idle) {
+      Ask(aClaimant);
+    } else if (mNow >= aClaimant.mDue && !aClaimant.mReply) {
+      aClaimant.mReply = Apply(aClaimant.mStep);
+      aClaimant.mDue = mNow + kStoreTime / 2;
+    } else if (mNow >= aClaimant.mDue) {
+      aClaimant.mJournal.Take(*std::exchange(aClaimant.mReply, std::nullopt), Calendar());
+      Ask(aClaimant);
+    }
+  }
+
+  void Ask(claimant& aClaimant)
+  {
+    aClaimant.mStep = aClaimant.mJournal.Next(Calendar());
+    aClaimant.mDue = mNow + kStoreTime / 2;
+    for (const auto& decision : aClaimant.mJournal.TakeDecisions()) {
+      ++mDecided;
+      mLost += decision.mVerdict == claim_verdict::Won ? 0 : 1;
+      mLatencies.push_back(mNow - mArrivals.at(decision.mId.Value()));
+    }
+  }
+
+  journal_reply Apply(const journal_step& aStep)
+  {
+    const bool isRead = aStep.mAction == journal_action::ReadOpen || aStep.mAction == journal_action::ReadSealed;
+    mWrites += isRead ? 0 : 1;
+    const bool isOpen = aStep.mAction == journal_action::CreateOpen || aStep.mAction == journal_action::UpdateOpen;
+    if (isOpen && aStep.mVersion != mOpenVersion) {
+      return { store_answer::Conflict, {}, {} };
+    }
+    journal_reply reply = mStore.Apply(aStep);
+    if (isOpen) {
+      mOpenVersion = reply.mVersion;
+    }
+    return reply;
+  }
+
+  std::vector<claimant> mClaimants;
+  benchmark_store mStore;
+  segment_version mOpenVersion;
+  std::chrono::microseconds mNow{ 0 };
+  std::map<std::uint64_t, std::chrono::microseconds> mArrivals;
+  std::vector<std::chrono::microseconds> mLatencies;
+  std::uint64_t mDecided = 0;
+  std::uint64_t mWrites = 0;
+  std::uint64_t mLost = 0;
+};
+
+/// range(0) sidecars share one partition with range(1) claims a second.
+void ContendedPartition(benchmark::State& aState)
+{
+  constexpr std::uint64_t kClaims = 2000;
+  for (auto turn : aState) {
+    static_cast<void>(turn);
+    contended_partition partition(static_cast<std::size_t>(aState.range(0)));
+    partition.Run(kClaims, std::chrono::microseconds(1'000'000 / aState.range(1)));
+    aState.counters["p50_ms"] = partition.Latency(0.5);
+    aState.counters["p99_ms"] = partition.Latency(0.99);
+    aState.counters["writes_per_claim"] = static_cast<double>(partition.Writes()) / kClaims;
+    aState.counters["not_won"] = static_cast<double>(partition.Lost());
+  }
+}
+
+BENCHMARK(ContendedPartition)
+  ->ArgNames({ "sidecars", "claims_per_second" })
+  ->ArgsProduct({ { 1, 3, 10, 30 }, { 40, 335 } })
+  ->Iterations(1)
+  ->Unit(benchmark::kMillisecond);
 
 } // namespace
--- a/src/policy/claim_journal.cpp
+++ b/src/policy/claim_journal.cpp
@@ -82,6 +82,7 @@
 journal_step claim_journal::Next(calendar_time aNow)
 {
   GiveUpWrites(aNow);
+  RefreshContended();
   journal_step step;
   if (IsHeld(aNow)) {
     Fail(aNow);
@@ -108,6 +109,14 @@
   return step;
 }
 
+void claim_journal::RefreshContended()
+{
+  const bool hasRested = mAction == journal_action::Idle;
+  if (mIsContended && hasRested && HasWork()) {
+    mKnown = false;
+  }
+}
+
 std::optional<journal_step> claim_journal::NextActive(calendar_time aNow)
 {
   auto step = NextRead(aNow);
--- a/src/policy/claim_journal.h
+++ b/src/policy/claim_journal.h
@@ -180,6 +180,8 @@
   };
 
   void Decide(const pending_claim& aClaim, claim_verdict aVerdict, const journal::entry* aResult = nullptr);
+  /// Reads again, after a rest, what other processes keep changing: a read costs less than an update that fails.
+  void RefreshContended();
   void AddWrite(journal::entry aEntry, calendar_time aNow);
   journal_step Held() const;
   std::optional<journal_step> NextActive(calendar_time aNow);
@@ -232,6 +234,7 @@
   open_segment mOpen;
   std::optional<segment_version> mVersion; ///< of mOpen; nothing while the object does not exist
   bool mKnown = false;                     ///< mOpen was read and nothing speaks against it
+  bool mIsContended = false;               ///< another process wrote since this one did; read before writing
   std::uint64_t mSerial = 0;               ///< of the last step on the open segment
   std::uint64_t mViewSerial = 0;           ///< of the last such step that showed mOpen to be current
   std::unordered_map<segment_version, sealed_info> mSealed;
--- a/src/policy/claim_journal_replies.cpp
+++ b/src/policy/claim_journal_replies.cpp
@@ -61,16 +61,14 @@
 {
   const bool isAbsent = aReply.mAnswer == store_answer::NotFound && !mVersion;
   const bool isCurrent = aReply.mAnswer == store_answer::Ok && Condition().Value() <= aReply.mVersion.Value();
-  auto segment = isCurrent ? open_segment::Parse(aReply.mBody) : std::optional<open_segment>();
-  if (isAbsent) {
-    segment = open_segment();
-  }
-  if (!segment) {
+  const auto added = isCurrent ? mOpen.Refresh(aReply.mBody) : std::nullopt;
+  if (!isAbsent && !added) {
     return Hold(aNow);
   }
-  mOpen = std::move(*segment);
+  mIsContended = mIsContended && mVersion != aReply.mVersion;
   if (isCurrent) {
     mVersion = aReply.mVersion;
+    Observe(*added, aNow);
   }
   const auto missing = std::exchange(mMissing, std::nullopt);
   if (missing && IsListed(*missing)) {
@@ -79,7 +77,6 @@
   mKnown = true;
   mViewSerial = mSerial;
   ForgetUnlisted();
-  Observe(mOpen.Entries(), aNow);
 }
 
 bool claim_journal::IsListed(segment_version aVersion) const
@@ -236,6 +233,7 @@
 {
   const auto claimed = IdsOf(mBatch.mEntries, journal::ENTRY_CLAIM);
   mKnown = false;
+  mIsContended = true;
   std::erase_if(mClaims, [&](pending_claim& aClaim) {
     if (!claimed.contains(aClaim.mRequest.mId.Value())) {
       return false;
--- a/src/policy/claim_segment.cpp
+++ b/src/policy/claim_segment.cpp
@@ -57,16 +57,21 @@
   return standing;
 }
 
-std::optional<open_segment> open_segment::Parse(const std::string& aBody)
+std::optional<std::vector<journal::entry>> open_segment::Refresh(const std::string& aBody)
 {
-  journal::segment parsed;
-  if (!parsed.ParseFromString(aBody)) {
+  const bool extends = aBody.starts_with(mBytes);
+  const std::size_t known = extends ? mBytes.size() : 0;
+  journal::segment rest;
+  if (!rest.ParseFromArray(aBody.data() + known, static_cast<int>(aBody.size() - known))) {
     return std::nullopt;
   }
-  open_segment segment;
-  segment.Append({ parsed.entries().begin(), parsed.entries().end() });
-  segment.mSealed.assign(parsed.sealed().begin(), parsed.sealed().end());
-  return segment;
+  if (!extends) {
+    *this = open_segment();
+  }
+  std::vector<journal::entry> added(rest.entries().begin(), rest.entries().end());
+  Append(added);
+  mSealed.assign(rest.sealed().begin(), rest.sealed().end());
+  return added;
 }
 
 void open_segment::Append(const std::vector<journal::entry>& aEntries)
--- a/src/policy/claim_segment.h
+++ b/src/policy/claim_segment.h
@@ -39,9 +39,9 @@
 class open_segment
 {
 public:
-  open_segment() = default;
-  /// Nothing when the bytes are no segment.
-  static std::optional<open_segment> Parse(const std::string& aBody);
+  /// Takes a newer version's body and returns the entries that are new in it. Entries are only ever added until the
+  /// segment is sealed, so just the rest is read. Nothing, and no change, when the bytes are no segment.
+  std::optional<std::vector<journal::entry>> Refresh(const std::string& aBody);
 
   void Append(const std::vector<journal::entry>& aEntries);
   /// Adds the entries of a key to aOut.
