--- /dev/null
+++ b/tests/contract/service_client_test.cpp
@@ -0,0 +1,109 @@
+#include "engine/service_client.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include "net/http_server.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::engine;
+
+namespace {
+
+constexpr duration kTimeout = std::chrono::milliseconds(200);
+
+struct service_client_fixture
+{
+  ~service_client_fixture()
+  {
+    if (mServer) {
+      mServer->StopAccepting();
+    }
+  }
+
+  void Serve(net::http_handler aHandler)
+  {
+    auto server = net::http_server::Start(mContext, { "127.0.0.1", 0 }, std::move(aHandler), {});
+    REQUIRE(server.has_value());
+    mServer = server.value();
+    mEndpoint = mServer->LocalEndpoint();
+  }
+
+  service_result Call()
+  {
+    const auto client = service_client::Create(net::http_client::Create(mContext), mEndpoint);
+    std::optional<service_result> out;
+    boost::asio::co_spawn(
+      mContext,
+      [&]() -> boost::asio::awaitable<void> {
+        net::http_request request;
+        request.mMethod = "POST";
+        request.mTarget = "/reserve";
+        out.emplace(co_await client->Call(request, kTimeout));
+      },
+      boost::asio::detached);
+    mContext.restart();
+    while (!out && mContext.run_one() > 0) {
+    }
+    REQUIRE(out);
+    return *out;
+  }
+
+  boost::asio::io_context mContext;
+  ref<net::http_server> mServer;
+  net::endpoint mEndpoint;
+  int mRuns = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(service_client_fixture, "service_client_error_status_is_an_answer")
+{
+  Serve([](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+    co_await aExchange.Reply(net::JsonReply(500, "{}"));
+  });
+  const auto reply = Call();
+  REQUIRE(reply.has_value());
+  REQUIRE(reply.value().mStatus == 500);
+}
+
+TEST_CASE_METHOD(service_client_fixture, "service_client_without_connection_tells_not_sent")
+{
+  Serve([](net::http_exchange&) -> boost::asio::awaitable<void> { co_return; });
+  mServer->StopAccepting();
+  mContext.poll();
+  const auto reply = Call();
+  REQUIRE(reply.has_error());
+  REQUIRE(reply.error().mCode == service_errc::NotSent);
+}
+
+TEST_CASE_METHOD(service_client_fixture, "service_client_connection_closed_after_hand_over_tells_maybe_run")
+{
+  Serve([this](net::http_exchange&) -> boost::asio::awaitable<void> {
+    ++mRuns;
+    co_return;
+  });
+  const auto reply = Call();
+  REQUIRE(reply.has_error());
+  REQUIRE(reply.error().mCode == service_errc::MaybeRun);
+  REQUIRE(mRuns == 1);
+}
+
+TEST_CASE_METHOD(service_client_fixture, "service_client_without_answer_in_time_tells_maybe_run")
+{
+  boost::asio::steady_timer never(mContext, std::chrono::hours(1));
+  Serve([&](net::http_exchange&) -> boost::asio::awaitable<void> {
+    ++mRuns;
+    co_await never.async_wait(boost::asio::use_awaitable);
+  });
+  const auto reply = Call();
+  REQUIRE(reply.has_error());
+  REQUIRE(reply.error().mCode == service_errc::MaybeRun);
+  REQUIRE(mRuns == 1);
+}
