--- a/src/policy/claim_journal.cpp
+++ b/src/policy/claim_journal.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Of a decoded entry with its place in the index.
+constexpr std::size_t kEntryMemoryBytes = 300;
+
 journal::entry MakeEntry(journal::entry_kind aKind, const claim_request& aClaim)
 {
   journal::entry entry;
@@ -101,6 +104,15 @@
   return aNow < mHeldUntil && !clockWentBack;
 }
 
+std::size_t claim_journal::MemoryBytes() const
+{
+  std::size_t bytes = mOpen.EncodedEntries().size() + mOpen.Entries().size() * kEntryMemoryBytes;
+  for (const auto& sealed : mSealed) {
+    bytes += sealed.second.mFilter.Bytes();
+  }
+  return bytes;
+}
+
 journal_step claim_journal::Held() const
 {
   journal_step step;
--- a/src/policy/claim_journal.h
+++ b/src/policy/claim_journal.h
@@ -141,6 +141,8 @@
   std::vector<write_report> TakeReports() { return std::exchange(mReports, {}); }
   /// Tells whether claims are refused at once because the platform has just failed.
   bool IsHeld(calendar_time aNow) const;
+  /// Memory that the open segment and the filters take, in bytes and roughly.
+  std::size_t MemoryBytes() const;
 
 private:
   struct pending_claim
--- a/src/sidecar/booking_partition.h
+++ b/src/sidecar/booking_partition.h
@@ -71,6 +71,20 @@
     return Write(aClaim.mId, nullptr, [this, aClaim] { mJournal.Release(aClaim, CalendarNow()); });
   }
 
+  /// Tells whether nobody waits for it and no step is under way.
+  bool IsIdle()
+  {
+    std::lock_guard lock(mMutex);
+    return !mIsDriven && mClaims.empty() && mWrites.empty();
+  }
+
+  /// Memory that its copy of the journal takes, in bytes and roughly.
+  std::size_t MemoryBytes()
+  {
+    std::lock_guard lock(mMutex);
+    return mJournal.MemoryBytes();
+  }
+
 private:
   struct waiting_write
   {
--- a/src/sidecar/booking_runner.h
+++ b/src/sidecar/booking_runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <string>
 #include <utility>
@@ -264,14 +265,33 @@
     const std::string prefix =
       policy::ClaimPartitionPrefix(workspace_id(aCall.workspace()), route_name(aCall.route()), aCall.idempotency_key());
     return mPartitions.WithShard(prefix, [&](auto& aPartitions) {
-      ref<partition>& found = aPartitions[prefix];
-      if (!found) {
-        found = MakeRef<partition>(mContext, mStore, prefix);
+      const auto found = aPartitions.find(prefix);
+      if (found != aPartitions.end()) {
+        return found->second;
       }
-      return found;
+      ForgetIdle(aPartitions);
+      return aPartitions.emplace(prefix, MakeRef<partition>(mContext, mStore, prefix)).first->second;
     });
   }
 
+  /// Drops copies of journals that nobody uses now, when those of a shard take more than its part of the memory.
+  template<class Partitions>
+  void ForgetIdle(Partitions& aPartitions) const
+  {
+    std::size_t bytes = 0;
+    for (const auto& entry : aPartitions) {
+      bytes += entry.second->MemoryBytes();
+    }
+    for (auto next = aPartitions.begin(); next != aPartitions.end() && bytes > mOptions.mJournalBytes / kShardCount;) {
+      if (next->second->IsIdle()) {
+        bytes -= std::min(bytes, next->second->MemoryBytes());
+        next = aPartitions.erase(next);
+      } else {
+        ++next;
+      }
+    }
+  }
+
   static constexpr part_log kBookingLog{ "booking" };
 
   boost::asio::io_context& mContext;
--- a/src/sidecar/service_runner.h
+++ b/src/sidecar/service_runner.h
@@ -19,6 +19,7 @@
 {
   instance_id mInstance;
   duration mCallTimeout = std::chrono::seconds(30); ///< longest wait for the service
+  std::size_t mJournalBytes = 64U << 20U;           ///< memory for copies of journals, in bytes and roughly
   bool mHonoursKey = false;                         ///< the service takes an Idempotency-Key of its own
 };
 
--- a/tests/contract/booking_runner_test.cpp
+++ b/tests/contract/booking_runner_test.cpp
@@ -323,6 +323,23 @@
   REQUIRE(mStore.Writes() < kCalls / 2);
 }
 
+TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_with_no_memory_for_journals_still_knows_each_key")
+{
+  constexpr int kCalls = 300;
+  service_runner_options options;
+  options.mJournalBytes = 0;
+  const auto runner = MakeServiceRunner(mContext, mStore, ref<engine::service_client>(mService), options);
+  for (const seen expected : { seen::First, seen::Replay }) {
+    for (int i = 0; i < kCalls; ++i) {
+      auto call = MakeCall("key " + std::to_string(i), std::to_string(i));
+      call.set_route("route " + std::to_string(i % 40));
+      REQUIRE(See(Call(runner, call)) == expected);
+      Settle();
+    }
+  }
+  REQUIRE(mService->Runs("7") == 1);
+}
+
 TEST_CASE_METHOD(booking_runner_fixture, "booking_runner_racing_on_threads_runs_each_key_once")
 {
   constexpr int kKeys = 30;
