--- a/src/policy/claim_key.cpp
+++ b/src/policy/claim_key.cpp
@@ -115,14 +115,15 @@
                                             calendar_time aNow,
                                             std::chrono::milliseconds aRetention)
 {
+  const auto retention = std::clamp(aRetention, std::chrono::milliseconds::zero(), kMaxRetention);
   const auto keyTime = TimeOfKey(aKey);
   if (!keyTime) {
-    return claim_lifetime{ aNow + aRetention, std::nullopt };
+    return claim_lifetime{ aNow + retention, std::nullopt };
   }
   if (*keyTime > aNow + kClockMargin) {
     return std::nullopt;
   }
-  return claim_lifetime{ std::max(aNow, *keyTime) + aRetention, *keyTime + aRetention };
+  return claim_lifetime{ std::max(aNow, *keyTime) + retention, *keyTime + retention };
 }
 
 } // namespace chervilpulley::policy
--- a/src/policy/claim_key.h
+++ b/src/policy/claim_key.h
@@ -22,6 +22,8 @@
 inline constexpr std::uint64_t kClaimPartitions = 8;
 /// Largest difference between the clocks of two processes that the retention allows for.
 inline constexpr std::chrono::milliseconds kClockMargin = std::chrono::hours(1);
+/// Claims are kept no longer than this, whatever a route asks for.
+inline constexpr std::chrono::milliseconds kMaxRetention = std::chrono::hours(24 * 3650);
 /// Results are kept no longer than this, claims for the whole retention.
 inline constexpr std::chrono::milliseconds kMaxResultRetention = std::chrono::hours(24);
 
--- a/tests/unit/claim_key_test.cpp
+++ b/tests/unit/claim_key_test.cpp
@@ -51,6 +51,14 @@
   REQUIRE(lifetime->mExpires == mKeyTime + std::chrono::hours(1) + mRetention);
 }
 
+TEST_CASE_METHOD(claim_key_fixture, "claim_key_lifetime_is_bounded_whatever_the_retention")
+{
+  const auto longest = LifetimeOfKey("order 17", mKeyTime, std::chrono::milliseconds::max());
+  REQUIRE(longest->mExpires == mKeyTime + kMaxRetention);
+  const auto shortest = LifetimeOfKey("order 17", mKeyTime, std::chrono::milliseconds::min());
+  REQUIRE(shortest->mExpires == mKeyTime);
+}
+
 TEST_CASE_METHOD(claim_key_fixture, "claim_key_from_the_future_has_no_lifetime")
 {
   REQUIRE(LifetimeOfKey(mTimedKey, mKeyTime - kClockMargin, mRetention));
