--- a/tests/unit/claim_journal_test.cpp
+++ b/tests/unit/claim_journal_test.cpp
@@ -215,6 +215,18 @@
   REQUIRE(Claim(mFirst, MakeRequest("key 2", 20'002)) == claim_verdict::Won);
 }
 
+TEST_CASE_METHOD(claim_journal_fixture, "claim_journal_sealed_by_another_process_is_not_written_again")
+{
+  constexpr std::uint64_t kClaims = 10'000;
+  constexpr std::size_t kSlack = 8U << 10U;
+  for (std::uint64_t i = 1; i <= kClaims; ++i) {
+    claim_journal& journal = i % 200 < 100 ? mFirst : mSecond;
+    journal.Claim(MakeRequest("key " + std::to_string(i), i));
+    Settle(journal);
+  }
+  REQUIRE(mStore.LargestBody() < claim_limits().mSegmentBytes + kSlack);
+}
+
 TEST_CASE_METHOD(claim_journal_fixture, "claim_journal_results_are_dropped_before_their_claims")
 {
   for (std::uint64_t i = 1; i <= 40; ++i) {
--- a/tests/unit/claim_model.cpp
+++ b/tests/unit/claim_model.cpp
@@ -80,6 +80,7 @@
     return { store_answer::Conflict, {}, {} };
   }
   mObjects[aKey] = { aBody, ++mSequence };
+  mLargestBody = std::max(mLargestBody, aBody.size());
   return { store_answer::Ok, segment_version(mSequence), {} };
 }
 
--- a/tests/unit/claim_model.h
+++ b/tests/unit/claim_model.h
@@ -42,6 +42,7 @@
 {
 public:
   journal_reply Apply(const journal_step& aStep);
+  std::size_t LargestBody() const { return mLargestBody; }
 
 private:
   journal_reply Read(const std::string& aKey) const;
@@ -49,6 +50,7 @@
 
   std::map<std::string, object> mObjects;
   std::uint64_t mSequence = 0;
+  std::size_t mLargestBody = 0;
 };
 
 /// What was asked of a claimant, and what became of it.
