--- a/src/sidecar/stage_stream.cpp
+++ b/src/sidecar/stage_stream.cpp
@@ -102,7 +102,7 @@
     RefuseTo(aUpstream, aAttempt, *refusal);
     return;
   }
-  if (IsHead() && mUpstream && mUpstream != aUpstream) {
+  if (mUpstream && mUpstream != aUpstream) {
     RefuseTo(mUpstream, mProgress.Current(), Refusal(link::REFUSAL_FENCED, "the stream was taken up elsewhere"));
   }
   const token_position start(static_cast<std::uint64_t>(aOpen.delivered_size()));
@@ -469,6 +469,8 @@
     TrySuccessor();
   } else if (aFrame.has_opened() && mPhase == phase::Opening) {
     Opened(aFrame.opened().prefill_stages(), { aFrame.opened().chain().begin(), aFrame.opened().chain().end() });
+  } else if (aFrame.has_refused() && mPhase == phase::Running) {
+    Fenced(aFrame.refused());
   } else if (aFrame.has_token() && mPhase == phase::Running) {
     TakeToken(aFrame.token());
   } else if (aFrame.has_lost() && mPhase == phase::Running) {
@@ -548,6 +550,15 @@
   }
 }
 
+/// The successor serves a newer attempt, which another stage has opened there.
+void stage_stream::Fenced(const link::refusal& aRefusal)
+{
+  mWork.clear();
+  mWaitingSince = {};
+  LeaveSuccessor("it serves a newer attempt");
+  Refuse(aRefusal);
+}
+
 void stage_stream::End()
 {
   if (mPhase == phase::Ended) {
--- a/src/sidecar/stage_stream.h
+++ b/src/sidecar/stage_stream.h
@@ -126,6 +126,7 @@
   void RunFailed(const engine::engine_error& aError);
   void Emit(token_position aPosition);
   void TakeToken(const link::token& aToken);
+  void Fenced(const link::refusal& aRefusal);
   void Lose(const std::string& aInstance, bool aCrashed, bool aStalled, const std::string& aMessage);
   void End();
   void GiveBackPlace();
