--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "runtime/link_subset.h"
 
 namespace chervilpulley::entry {
 
@@ -119,18 +121,26 @@
 
 void entry_server::OnLiveList(const runtime::instance_core::live_instances& aLive)
 {
-  std::vector<platform::live_instance> sidecars;
-  std::size_t entries = 0;
+  std::map<pool_name, std::vector<platform::live_instance>> pools;
+  std::vector<platform::live_instance> entries;
   for (const auto& listed : aLive) {
-    entries += listed.mRole == platform::instance_role::Entry ? 1 : 0;
     if (listed.mRole == platform::instance_role::Sidecar) {
-      sidecars.push_back(listed);
-    } else if (listed.mInstance == mCore.Instance() && listed.mLeaving) {
+      pools[listed.mPool].push_back(listed);
+      continue;
+    }
+    entries.push_back(listed);
+    if (listed.mInstance == mCore.Instance() && listed.mLeaving) {
       mCore.Health().mLeaving = true;
     }
   }
-  mGuard->SetEntryCount(std::max<std::size_t>(entries, 1));
-  mLinks->SetWanted(sidecars, Now());
+  mGuard->SetEntryCount(std::max<std::size_t>(entries.size(), 1));
+  std::vector<platform::live_instance> wanted;
+  for (auto& pool : pools) {
+    auto chosen =
+      runtime::LinkSubset(std::move(pool.second), entries, mCore.Self(), mCore.Settings().limits().subset());
+    wanted.insert(wanted.end(), chosen.begin(), chosen.end());
+  }
+  mLinks->SetWanted(wanted, Now());
 }
 
 void entry_server::OnTick()
--- a/src/runtime/instance_core.cpp
+++ b/src/runtime/instance_core.cpp
@@ -81,39 +81,62 @@
 
 void instance_core::FollowLiveList(std::function<void(const live_instances&)> aOnList)
 {
-  boost::asio::co_spawn(mContext, ReadLists(std::move(aOnList)), boost::asio::detached);
+  mOnList = std::move(aOnList);
+  // Relays read the list from the platform; all others get its differences from them.
+  mConfig->OnInstances([this](const live_instances& aLive) { TakeList(aLive); });
+  boost::asio::co_spawn(mContext, ReadLists(), boost::asio::detached);
 }
 
-boost::asio::awaitable<void> instance_core::ReadLists(std::function<void(const live_instances&)> aOnList)
+void instance_core::TakeList(const live_instances& aLive)
+{
+  {
+    std::lock_guard lock(mLiveMutex);
+    mLive = aLive;
+  }
+  mOnList(aLive);
+}
+
+boost::asio::awaitable<void> instance_core::ReadLists()
 {
   const duration interval = std::chrono::milliseconds(mSettings.platform().list_interval_ms());
   const duration timeout = std::chrono::milliseconds(mSettings.platform().call_timeout_ms());
   boost::asio::steady_timer timer(mContext);
   while (true) {
-    const auto list = co_await platform::ReadLiveList(mHttp, mAddresses.mPlatform, timeout);
-    const bool isUp = list.has_value();
-    if (mPlatformUp.exchange(isUp) != isUp) {
-      kLog.Info("The platform {}.", isUp ? "answers" : "does not answer");
-    }
-    if (isUp) {
-      {
-        std::lock_guard lock(mLiveMutex);
-        mLive = list.value();
+    if (mConfig->ReadsLiveList()) {
+      const auto list = co_await platform::ReadLiveList(mHttp, mAddresses.mPlatform, timeout);
+      NotePlatform(list.has_value());
+      if (list.has_value()) {
+        mConfig->NoteInstances(list.value());
+        TakeList(list.value());
       }
-      mConfig->NoteInstances(list.value());
-      aOnList(list.value());
     }
     timer.expires_after(interval);
     co_await timer.async_wait(boost::asio::use_awaitable);
   }
 }
 
+void instance_core::NotePlatform(bool aIsUp)
+{
+  if (mPlatformUp.exchange(aIsUp) != aIsUp) {
+    kLog.Info("The platform {}.", aIsUp ? "answers" : "does not answer");
+  }
+}
+
 instance_core::live_instances instance_core::Live() const
 {
   std::lock_guard lock(mLiveMutex);
   return mLive;
 }
 
+platform::live_instance instance_core::Self() const
+{
+  platform::live_instance self;
+  self.mInstance = mInstance;
+  self.mFailureDomain = failure_domain_id(mSettings.instance().failure_domain());
+  self.mPool = pool_name(mSettings.backend().pool());
+  return self;
+}
+
 link::link_options instance_core::LinkOptions() const
 {
   link::link_options options;
--- a/src/runtime/instance_core.h
+++ b/src/runtime/instance_core.h
@@ -45,15 +45,17 @@
   const settings::settings& Settings() const { return mSettings; }
   const parsed_addresses& Addresses() const { return mAddresses; }
   const instance_id& Instance() const { return mInstance; }
+  /// This process as the live list would name it, without its addresses.
+  platform::live_instance Self() const;
   const ref<net::http_client>& Http() const { return mHttp; }
   const ref<link::revision_board>& Board() const { return mBoard; }
   health& Health() { return mHealth; }
 
-  /// Reads the live list again and again; aOnList gets each one that could be read.
+  /// Follows the live list; aOnList gets each state of it that becomes known.
   void FollowLiveList(std::function<void(const live_instances&)> aOnList);
   /// The last live list that could be read.
   live_instances Live() const;
-  /// Whether the last reading of the live list succeeded.
+  /// Whether the last reading of the live list from the platform succeeded; of a process that reads it.
   bool IsPlatformUp() const { return mPlatformUp; }
 
   config::config_store& Config() { return *mConfig; }
@@ -71,7 +73,9 @@
   link::hello Hello(const std::string& aRole) const;
 
 private:
-  boost::asio::awaitable<void> ReadLists(std::function<void(const live_instances&)> aOnList);
+  boost::asio::awaitable<void> ReadLists();
+  void NotePlatform(bool aIsUp);
+  void TakeList(const live_instances& aLive);
 
   const settings::settings mSettings;
   const parsed_addresses mAddresses;
@@ -84,6 +88,7 @@
   ref<config::peer_client> mPeers;
   ref<config::config_store> mConfig;
   ref<net::http_server> mPeerServer;
+  std::function<void(const live_instances&)> mOnList;
   mutable std::mutex mLiveMutex;
   live_instances mLive;
   std::atomic<bool> mPlatformUp{ false };
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "chervilpulley/config.h"
+#include "runtime/link_subset.h"
 #include "sidecar/booking_runner.h"
 
 namespace chervilpulley::sidecar {
@@ -212,17 +213,30 @@
 
 void sidecar_server::OnLiveList(const runtime::instance_core::live_instances& aLive)
 {
-  std::vector<platform::live_instance> others;
+  std::vector<platform::live_instance> pool;
   for (const auto& listed : aLive) {
-    const bool isSelf = listed.mInstance == mCore.Instance();
-    if (isSelf && listed.mLeaving && !mDraining) {
+    if (listed.mInstance == mCore.Instance() && listed.mLeaving && !mDraining) {
       SetLeaving(true);
     }
-    if (!isSelf && IsEngine() && listed.mRole == platform::instance_role::Sidecar && listed.mPool == mPool) {
-      others.push_back(listed);
+    if (IsEngine() && listed.mRole == platform::instance_role::Sidecar && listed.mPool == mPool) {
+      pool.push_back(listed);
     }
   }
-  mSuccessors->SetWanted(others, Now());
+  std::vector<platform::live_instance> successors;
+  for (const auto& listed : pool) {
+    if (listed.mInstance != mCore.Instance() && MayFollow(listed.mInstance)) {
+      successors.push_back(listed);
+    }
+  }
+  mSuccessors->SetWanted(
+    runtime::LinkSubset(std::move(successors), pool, mCore.Self(), mCore.Settings().limits().subset()), Now());
+}
+
+bool sidecar_server::MayFollow(const instance_id& aInstance) const
+{
+  const auto engine = mMonitor->Engine();
+  const admin::placement* placement = mCore.Config().Current()->FindPlacement(aInstance);
+  return !engine || placement == nullptr || placement->first_layer() == engine->mLastLayer + 1;
 }
 
 void sidecar_server::OnConfig(const config::config_view& aView)
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -47,6 +47,8 @@
   link::frame Report() const;
   void ReportToAll();
   void OnLiveList(const runtime::instance_core::live_instances& aLive);
+  /// Whether the instance can hold the layers after this one's, as far as the placement says.
+  bool MayFollow(const instance_id& aInstance) const;
   void OnConfig(const config::config_view& aView);
   void OnTick();
   bool IsEngine() const { return mKind == backend_kind::Engine; }
