Entry: a call that may have run is never answered not_run; finished streams can be taken up

Found by reading: after a lost sidecar a refusal of the next one (platform down) was passed on as not_run, and an unknown of an idempotent call was forgotten when the others refused. A stream's last events can be asked for again while its head keeps it, and an entry without a link to the head makes one.

--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -1,7 +1,11 @@
 #include "entry/caller_api.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 #include "base/clock.h"
@@ -16,6 +20,7 @@
 constexpr std::size_t kRequestIdBytes = 12;
 constexpr std::size_t kLongestCallerId = 128;
 constexpr duration kTakeUpTimeout = std::chrono::seconds(2);
+constexpr duration kLinkCheck = std::chrono::milliseconds(10);
 constexpr duration kDefaultServiceTimeout = std::chrono::seconds(30);
 constexpr std::uint32_t kDefaultRetentionHours = 72;
 constexpr std::string_view kServicesPath = "/services/";
@@ -87,10 +92,11 @@
 
 } // namespace
 
-caller_api::caller_api(const completion_tools& aTools, view_source aView, caller_options aOptions)
+caller_api::caller_api(const completion_tools& aTools, view_source aView, live_source aLive, caller_options aOptions)
   : mTools(aTools)
   , mRouter(aTools.mRouter)
   , mView(std::move(aView))
+  , mLive(std::move(aLive))
   , mOptions(std::move(aOptions))
 {
 }
@@ -199,6 +205,24 @@
   co_await RunCompletion(aExchange, std::move(order), request.value());
 }
 
+boost::asio::awaitable<ref<link::provider>> caller_api::LinkTo(instance_id aSidecar)
+{
+  ref<link::provider> known = mRouter.Links().Find(aSidecar);
+  const auto live = mLive();
+  const auto listed =
+    std::find_if(live.begin(), live.end(), [&](const auto& aListed) { return aListed.mInstance == aSidecar; });
+  if (!known && listed != live.end()) {
+    known = mRouter.Links().Want(*listed, Now());
+  }
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+  const instant deadline = Now() + kTakeUpTimeout;
+  while (known && !known->Link() && Now() < deadline) {
+    timer.expires_after(kLinkCheck);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+  co_return known;
+}
+
 boost::asio::awaitable<std::optional<api_error>> caller_api::TakeUp(completion_order& aOrder,
                                                                     ref<request_mailbox> aMailbox,
                                                                     const std::string& aLastEventId,
@@ -211,7 +235,7 @@
   const api_error gone{
     410, "server_error", "the stream is not kept any more; send the request again", link::OUTCOME_FAILED, std::nullopt
   };
-  const ref<link::provider> head = mRouter.Links().Find(id->mHead);
+  const ref<link::provider> head = co_await LinkTo(id->mHead);
   if (!head) {
     co_return gone;
   }
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -29,7 +29,8 @@
 {
 public:
   using view_source = std::function<ref<const config::config_view>()>;
-  caller_api(const completion_tools& aTools, view_source aView, caller_options aOptions);
+  using live_source = std::function<std::vector<platform::live_instance>()>;
+  caller_api(const completion_tools& aTools, view_source aView, live_source aLive, caller_options aOptions);
   /// Answers one request; runs on the connection's strand.
   boost::asio::awaitable<void> Answer(net::http_exchange& aExchange);
 
@@ -42,6 +43,7 @@
   boost::asio::awaitable<void> RunCompletion(net::http_exchange& aExchange,
                                              completion_order aOrder,
                                              const completion_request& aRequest);
+  boost::asio::awaitable<ref<link::provider>> LinkTo(instance_id aSidecar);
   boost::asio::awaitable<std::optional<api_error>> TakeUp(completion_order& aOrder,
                                                           ref<request_mailbox> aMailbox,
                                                           const std::string& aLastEventId,
@@ -70,6 +72,7 @@
   completion_tools mTools;
   request_router& mRouter;
   view_source mView;
+  live_source mLive;
   caller_options mOptions;
 };
 
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -59,6 +59,7 @@
   mApi = MakeRef<caller_api>(
     completion_tools{ *mRouter, *mGuard, *mMetrics },
     [this] { return mCore.Config().Current(); },
+    [this] { return mCore.Live(); },
     CallerOptions(mCore.Settings()));
 }
 
--- a/src/entry/service_run.cpp
+++ b/src/entry/service_run.cpp
@@ -104,13 +104,24 @@
   const link::refusal& refusal = aFrame.refused();
   kLog.Request(mOrder.mRequest.Str(), "{} refused: {}.", mProvider->Instance().Str(), refusal.message());
   mLastRefusal = refusal;
+  mMayHaveRun |= refusal.outcome() != link::OUTCOME_NOT_RUN;
   const bool mayGoOn = refusal.outcome() == link::OUTCOME_UNKNOWN && mOrder.mCall.idempotent();
   if (IsFinal(refusal) && !mayGoOn) {
-    return service_result(FromRefusal(refusal));
+    return service_result(Known(FromRefusal(refusal)));
   }
   return std::nullopt;
 }
 
+api_error service_run::Known(api_error aError) const
+{
+  // What a sidecar did not run, one that was lost before may have run.
+  if (mMayHaveRun && aError.mOutcome == link::OUTCOME_NOT_RUN) {
+    aError.mOutcome = link::OUTCOME_UNKNOWN;
+    aError.mStatus = 504;
+  }
+  return aError;
+}
+
 std::optional<service_result> service_run::OnProviderLost()
 {
   const std::string& name = mProvider->Instance().Str();
@@ -145,11 +156,7 @@
   if (mLastRefusal) {
     error = FromRefusal(*mLastRefusal);
   }
-  if (mMayHaveRun) {
-    error.mOutcome = link::OUTCOME_UNKNOWN;
-    error.mStatus = 504;
-  }
-  return error;
+  return Known(std::move(error));
 }
 
 link::frame service_run::Frame() const
--- a/src/entry/service_run.h
+++ b/src/entry/service_run.h
@@ -38,6 +38,7 @@
   std::optional<service_result> OnProviderLost();
   bool IsProviderSilent() const;
   service_result NoProvider() const;
+  api_error Known(api_error aError) const;
   link::frame Frame() const;
 
   request_router& mRouter;
--- a/src/link/provider_links.cpp
+++ b/src/link/provider_links.cpp
@@ -124,6 +124,19 @@
   Tick(aNow);
 }
 
+ref<provider> provider_links::Want(const platform::live_instance& aListed, instant aNow)
+{
+  ref<provider> wanted = Find(aListed.mInstance);
+  if (!wanted) {
+    mProviders.Insert(aListed.mInstance, MakeRef<provider>(aListed));
+    wanted = Find(aListed.mInstance);
+  }
+  if (!wanted->Link()) {
+    Connect(wanted, aNow);
+  }
+  return wanted;
+}
+
 void provider_links::Tick(instant aNow)
 {
   for (const auto& known : mProviders.Values()) {
--- a/src/link/provider_links.h
+++ b/src/link/provider_links.h
@@ -81,6 +81,8 @@
 
   /// Sets the sidecars to be linked with: new ones are connected, others are closed once they are idle.
   void SetWanted(const std::vector<platform::live_instance>& aWanted, instant aNow);
+  /// Wants one more sidecar until the next SetWanted(), and connects it.
+  ref<provider> Want(const platform::live_instance& aListed, instant aNow);
   /// Connects what is wanted and not linked, and probes links that are silent.
   void Tick(instant aNow);
   /// Providers of a pool, with or without a link.
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -150,7 +150,6 @@
     mRequesters.Erase(&aClosed);
     mStage->OnUpstreamLost(aClosed);
   };
-  link::SendFrame(aLink.get(), *mCore.Board(), Report());
   return events;
 }
 
--- a/src/sidecar/stage_stream.cpp
+++ b/src/sidecar/stage_stream.cpp
@@ -601,7 +601,8 @@
 {
   std::lock_guard lock(mMutex);
   link::stream_state state;
-  const bool isKnown = mPhase != phase::Idle && mPhase != phase::Ended && IsHead();
+  const bool isKept = mPhase != phase::Idle && (mPhase != phase::Ended || mIsComplete);
+  const bool isKnown = isKept && IsHead();
   if (!isKnown || mOpen.workspace() != aWorkspace || aNext.Value() > mTokens.size()) {
     return state;
   }
--- /dev/null
+++ b/tests/contract/entry_service_run_test.cpp
@@ -0,0 +1,195 @@
+#include "entry/service_run.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+#include "base/clock.h"
+
+using namespace chervilpulley;
+
+namespace {
+
+/// What a sidecar of the test does with a call.
+enum class reaction
+{
+  Reply,
+  CloseLink,
+  RefuseNotRun,  ///< any other sidecar may take it
+  RefuseForGood, ///< the platform is down: nobody takes it
+  RefuseAsUnknown
+};
+
+/// Two sidecars in one: each call gets the next reaction, whichever link it comes over.
+struct service_run_fixture
+{
+  service_run_fixture()
+  {
+    link::provider_events events;
+    events.mOnFrame = [this](const ref<link::provider>& aProvider, link::frame aFrame) {
+      mRouter->OnFrame(aProvider, std::move(aFrame));
+    };
+    events.mOnLost = [this](const ref<link::provider>& aProvider) { mRouter->OnProviderLost(aProvider); };
+    events.mOnRevision = [](const auto&, const auto&, revision_number) {};
+    mLinks = MakeRef<link::provider_links>(mContext, mOptions, link::hello(), mBoard, std::move(events));
+    mRouter->SetLinks(mLinks);
+    mThread = std::thread([this] { mContext.run(); });
+    std::vector<platform::live_instance> listed;
+    for (const char* name : { "sidecar-1", "sidecar-2", "sidecar-3" }) {
+      listed.push_back(StartSidecar(name));
+    }
+    mLinks->SetWanted(listed, Now());
+    WaitForLinks(listed.size());
+  }
+  ~service_run_fixture()
+  {
+    mContext.stop();
+    mThread.join();
+  }
+
+  platform::live_instance StartSidecar(const std::string& aName)
+  {
+    auto started = link::server::Start(mContext, { "127.0.0.1", 0 }, mOptions, [this](ref<link::connection> aLink) {
+      link::events events;
+      events.mOnMessage = [this, aLink](link::connection&, const std::string& aMessage) { React(aLink, aMessage); };
+      events.mOnClosed = [](link::connection&) {};
+      return events;
+    });
+    mServers.push_back(started.value());
+    platform::live_instance listed;
+    listed.mInstance = instance_id(aName);
+    listed.mPool = pool_name("services");
+    listed.mLink = mServers.back()->LocalEndpoint();
+    return listed;
+  }
+
+  void WaitForLinks(std::size_t aCount)
+  {
+    const instant limit = Now() + std::chrono::seconds(20);
+    const auto usable = [&] {
+      std::size_t count = 0;
+      for (const auto& each : mLinks->All()) {
+        count += each->Candidate(Now()).mBackendUp ? 1 : 0;
+      }
+      return count;
+    };
+    while (usable() < aCount && Now() < limit) {
+      std::this_thread::yield();
+    }
+    REQUIRE(usable() == aCount);
+  }
+
+  void React(const ref<link::connection>& aLink, const std::string& aMessage)
+  {
+    link::frame call;
+    link::ReadFrame(aMessage, call);
+    if (call.has_hello()) {
+      link::frame report;
+      report.mutable_load()->set_backend_up(true);
+      link::SendFrame(aLink.get(), *mBoard, report);
+    }
+    if (!call.has_call()) {
+      return;
+    }
+    const reaction now = mReactions.at(mCalls++);
+    link::frame answer = link::AttemptFrame(request_id(call.request()), link::AttemptOf(call));
+    answer.mutable_refused()->set_outcome(now == reaction::RefuseAsUnknown ? link::OUTCOME_UNKNOWN
+                                                                           : link::OUTCOME_NOT_RUN);
+    if (now == reaction::CloseLink) {
+      aLink->Close();
+      return;
+    }
+    if (now == reaction::Reply) {
+      answer.mutable_reply()->set_status(201);
+    } else if (now == reaction::RefuseForGood) {
+      answer.mutable_refused()->set_reason(link::REFUSAL_PLATFORM_DOWN);
+    } else {
+      answer.mutable_refused()->set_reason(link::REFUSAL_LEAVING);
+    }
+    link::SendFrame(aLink.get(), *mBoard, answer);
+  }
+
+  entry::service_result Call(std::vector<reaction> aReactions, bool aIsIdempotent, const std::string& aKey)
+  {
+    mReactions = std::move(aReactions);
+    entry::service_order order;
+    order.mRequest = request_id("r-1");
+    order.mPool = pool_name("services");
+    order.mDeadline = Now() + std::chrono::seconds(20);
+    order.mCall.set_route("bookings");
+    order.mCall.set_idempotent(aIsIdempotent);
+    order.mCall.set_idempotency_key(aKey);
+    const auto strand = boost::asio::make_strand(mContext);
+    auto mailbox = MakeRef<entry::request_mailbox>(strand);
+    mRouter->Register(order.mRequest, mailbox);
+    entry::service_run run(*mRouter, mailbox, order);
+    std::optional<entry::service_result> got;
+    auto task = [&]() -> boost::asio::awaitable<void> { got.emplace(co_await run.Run()); };
+    boost::asio::co_spawn(strand, task, boost::asio::use_future).get();
+    return *got;
+  }
+
+  boost::asio::io_context mContext;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mGuard{ mContext.get_executor() };
+  link::link_options mOptions{ "key" };
+  ref<link::revision_board> mBoard = MakeRef<link::revision_board>();
+  ref<entry::request_router> mRouter = MakeRef<entry::request_router>();
+  ref<link::provider_links> mLinks;
+  std::vector<ref<link::server>> mServers;
+  std::vector<reaction> mReactions;
+  std::size_t mCalls = 0;
+  std::thread mThread;
+};
+
+/// One row: what the sidecars do, and what the caller must be told.
+struct service_row
+{
+  std::string mName;
+  std::vector<reaction> mReactions;
+  bool mIsIdempotent;
+  std::string mKey;
+  unsigned mStatus; ///< of the reply; 0 for an error
+  link::call_outcome mOutcome;
+  std::size_t mCalls;
+};
+
+std::vector<service_row> ServiceRows()
+{
+  using enum reaction;
+  return {
+    { "reply", { Reply }, false, "", 201, link::OUTCOME_UNSPECIFIED, 1 },
+    { "refused, then taken", { RefuseNotRun, Reply }, false, "", 201, link::OUTCOME_UNSPECIFIED, 2 },
+    { "lost without a key", { CloseLink }, false, "", 0, link::OUTCOME_UNKNOWN, 1 },
+    { "lost with a key, then answered", { CloseLink, Reply }, false, "k", 201, link::OUTCOME_UNSPECIFIED, 2 },
+    { "lost with a key, then platform down", { CloseLink, RefuseForGood }, false, "k", 0, link::OUTCOME_UNKNOWN, 2 },
+    { "platform down", { RefuseForGood }, false, "k", 0, link::OUTCOME_NOT_RUN, 1 },
+    { "unknown", { RefuseAsUnknown }, false, "k", 0, link::OUTCOME_UNKNOWN, 1 },
+    { "lookup lost, then taken", { CloseLink, Reply }, true, "", 201, link::OUTCOME_UNSPECIFIED, 2 },
+    { "lookup unknown, then refused by all",
+      { RefuseAsUnknown, RefuseNotRun, RefuseNotRun },
+      true,
+      "",
+      0,
+      link::OUTCOME_UNKNOWN,
+      3 },
+    { "refused by all", { RefuseNotRun, RefuseNotRun, RefuseNotRun }, false, "", 0, link::OUTCOME_NOT_RUN, 3 },
+  };
+}
+
+} // namespace
+
+TEST_CASE("service_run_faults_of_sidecars_give_the_outcome_that_is_true")
+{
+  for (const service_row& row : ServiceRows()) {
+    service_run_fixture fixture;
+    const auto got = fixture.Call(row.mReactions, row.mIsIdempotent, row.mKey);
+    INFO(row.mName);
+    CHECK((got.has_value() ? got.value().status() : 0) == row.mStatus);
+    CHECK((got.has_error() ? got.error().mOutcome : link::OUTCOME_UNSPECIFIED) == row.mOutcome);
+    CHECK(fixture.mCalls == row.mCalls);
+  }
+}
