--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -112,11 +112,11 @@
     const api_error error{
       401, "authentication_error", "the API key is missing or not valid", link::OUTCOME_NOT_RUN, std::nullopt
     };
-    co_await aExchange.Reply(ErrorReply(error));
+    co_await GiveError(aExchange, error);
     co_return;
   }
   if (const auto limited = CheckRate(*workspace)) {
-    co_await aExchange.Reply(ErrorReply(*limited));
+    co_await GiveError(aExchange, *limited);
     co_return;
   }
   const std::string_view path = net::PathOf(request.mTarget);
@@ -130,11 +130,26 @@
   } else if (path.starts_with(kServicesPath)) {
     co_await AnswerService(aExchange, *view, *workspace);
   } else {
-    co_await aExchange.Reply(
-      ErrorReply(BadRequest(404, request.mMethod + " " + std::string(path) + " does not exist")));
+    co_await GiveError(aExchange, BadRequest(404, request.mMethod + " " + std::string(path) + " does not exist"));
   }
 }
 
+boost::asio::awaitable<void> caller_api::Give(net::http_exchange& aExchange, net::http_reply aReply)
+{
+  mTools.mMetrics.Answered(aReply.mStatus);
+  co_await aExchange.Reply(std::move(aReply));
+}
+
+boost::asio::awaitable<void> caller_api::GiveError(net::http_exchange& aExchange, api_error aError)
+{
+  if (aError.mStatus == 401) {
+    mTools.mMetrics.Refusal(metrics::refusal_cause::Unauthorized);
+  } else if (aError.mStatus == 400 || aError.mStatus == 404) {
+    mTools.mMetrics.Refusal(metrics::refusal_cause::BadRequest);
+  }
+  co_await Give(aExchange, ErrorReply(aError));
+}
+
 boost::asio::awaitable<void> caller_api::AnswerModels(net::http_exchange& aExchange, const config::config_view& aView)
 {
   boost::json::array models;
@@ -144,7 +159,8 @@
   boost::json::object body;
   body["object"] = "list";
   body["data"] = std::move(models);
-  co_await aExchange.Reply(net::JsonReply(200, boost::json::serialize(body)));
+  net::http_reply reply = net::JsonReply(200, boost::json::serialize(body));
+  co_await Give(aExchange, std::move(reply));
 }
 
 std::optional<api_error> caller_api::CheckRate(const admin::workspace& aWorkspace)
@@ -180,12 +196,12 @@
 {
   const auto request = ReadCompletionRequest(aStyle, aExchange.Request().mBody);
   if (request.has_error()) {
-    co_await aExchange.Reply(ErrorReply(request.error()));
+    co_await GiveError(aExchange, request.error());
     co_return;
   }
   const admin::model_version* model = aView.FindModel(model_name(request.value().mModel));
   if (model == nullptr) {
-    co_await aExchange.Reply(ErrorReply(BadRequest(404, "model \"" + request.value().mModel + "\" does not exist")));
+    co_await GiveError(aExchange, BadRequest(404, "model \"" + request.value().mModel + "\" does not exist"));
     co_return;
   }
   completion_order order;
@@ -272,7 +288,7 @@
   token_position next;
   if (!lastEventId.empty()) {
     if (const auto error = co_await TakeUp(aOrder, mailbox, lastEventId, next)) {
-      co_await aExchange.Reply(ErrorReply(*error));
+      co_await GiveError(aExchange, *error);
       co_return;
     }
   }
@@ -299,12 +315,12 @@
   completion_run run(mTools, aMailbox, std::move(aOrder));
   const completion_end end = co_await run.Run(sink);
   if (end.mError) {
-    co_await aExchange.Reply(ErrorReply(*end.mError));
+    co_await GiveError(aExchange, *end.mError);
   } else if (end.mIsComplete) {
     const token_usage usage{ promptTokens, run.TokenCount() };
     net::http_reply reply = net::JsonReply(200, AnswerJson(aIdentity, sink.Text(), sink.FinishReason(), usage));
     reply.mHeaders.Set("X-Request-Id", aIdentity.mId);
-    co_await aExchange.Reply(std::move(reply));
+    co_await Give(aExchange, std::move(reply));
   }
 }
 
@@ -328,11 +344,13 @@
   const completion_end end = co_await run.Run(sink);
   if (end.mIsComplete) {
     const token_usage usage{ promptTokens, run.TokenCount() };
+    mTools.mMetrics.Answered(200);
     co_await sink.Finish(aIncludeUsage, usage);
   } else if (end.mError && sink.HasBegun()) {
+    mTools.mMetrics.Cut();
     co_await sink.Fail(*end.mError);
   } else if (end.mError) {
-    co_await aExchange.Reply(ErrorReply(*end.mError));
+    co_await GiveError(aExchange, *end.mError);
   }
 }
 
@@ -400,13 +418,13 @@
   const std::string name(rest.substr(0, end));
   const admin::route* route = aView.FindRoute(workspace_id(aWorkspace.name()), route_name(name));
   if (route == nullptr) {
-    co_await aExchange.Reply(
-      ErrorReply(BadRequest(404, "route \"" + name + "\" does not exist in workspace \"" + aWorkspace.name() + "\"")));
+    co_await GiveError(
+      aExchange, BadRequest(404, "route \"" + name + "\" does not exist in workspace \"" + aWorkspace.name() + "\""));
     co_return;
   }
   const std::string key(request.mHeaders.Get("Idempotency-Key"));
   if (route->key_required() && key.empty()) {
-    co_await aExchange.Reply(ErrorReply(BadRequest(400, "route \"" + name + "\" needs an Idempotency-Key")));
+    co_await GiveError(aExchange, BadRequest(400, "route \"" + name + "\" needs an Idempotency-Key"));
     co_return;
   }
   service_order order = OrderOf(request, aWorkspace, *route, end == std::string_view::npos ? "/" : rest.substr(end));
@@ -417,7 +435,7 @@
   const service_result result = co_await run.Run();
   net::http_reply reply = ReplyOf(result);
   reply.mHeaders.Set("X-Request-Id", answerId);
-  co_await aExchange.Reply(std::move(reply));
+  co_await Give(aExchange, std::move(reply));
 }
 
 } // namespace chervilpulley::entry
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -35,6 +35,9 @@
   boost::asio::awaitable<void> Answer(net::http_exchange& aExchange);
 
 private:
+  /// Sends a whole answer and counts it.
+  boost::asio::awaitable<void> Give(net::http_exchange& aExchange, net::http_reply aReply);
+  boost::asio::awaitable<void> GiveError(net::http_exchange& aExchange, api_error aError);
   boost::asio::awaitable<void> AnswerModels(net::http_exchange& aExchange, const config::config_view& aView);
   boost::asio::awaitable<void> AnswerCompletion(net::http_exchange& aExchange,
                                                 const config::config_view& aView,
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -110,11 +110,8 @@
     co_await aExchange.Reply(std::move(*reply));
     co_return;
   }
-  if (net::PathOf(aExchange.Request().mTarget) == "/metrics") {
-    net::http_reply reply;
-    reply.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
-    reply.mBody = mMetrics->Text();
-    co_await aExchange.Reply(std::move(reply));
+  if (auto reply = runtime::MetricsReply(aExchange.Request(), *mMetrics)) {
+    co_await aExchange.Reply(std::move(*reply));
     co_return;
   }
   co_await mApi->Answer(aExchange);
--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -92,6 +92,17 @@
   aContext.run();
 }
 
+std::optional<net::http_reply> MetricsReply(const net::http_request& aRequest, const metrics::process_metrics& aMetrics)
+{
+  if (net::PathOf(aRequest.mTarget) != "/metrics") {
+    return std::nullopt;
+  }
+  net::http_reply reply;
+  reply.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
+  reply.mBody = aMetrics.Text();
+  return reply;
+}
+
 std::optional<net::http_reply> HealthReply(const net::http_request& aRequest, const health& aHealth)
 {
   const std::string_view path = net::PathOf(aRequest.mTarget);
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -11,6 +11,7 @@
 #include "base/ref_counted.h"
 #include "chervilpulley/units.h"
 #include "generated/settings.pb.h"
+#include "metrics/metrics.h"
 #include "net/endpoint.h"
 #include "net/http_server.h"
 #include "platform/live_list.h"
@@ -48,6 +49,10 @@
   std::atomic<bool> mLeaving{ false };
 };
 
+/// The reply to /metrics; nothing for another target.
+std::optional<net::http_reply> MetricsReply(const net::http_request& aRequest,
+                                            const metrics::process_metrics& aMetrics);
+
 /// The reply to /healthz and /readyz; nothing when the target is neither.
 std::optional<net::http_reply> HealthReply(const net::http_request& aRequest, const health& aHealth);
 
--- a/src/sidecar/admission_gate.cpp
+++ b/src/sidecar/admission_gate.cpp
@@ -12,10 +12,13 @@
 
 } // namespace
 
-admission_gate::admission_gate(boost::asio::io_context& aContext, gate_limits aLimits)
+admission_gate::admission_gate(boost::asio::io_context& aContext,
+                               gate_limits aLimits,
+                               ref<metrics::process_metrics> aMetrics)
   : mContext(aContext)
   , mMaxRunning(aLimits.mMaxRunning)
   , mQueue(aLimits.mMaxQueued)
+  , mMetrics(std::move(aMetrics))
 {
 }
 
@@ -24,6 +27,7 @@
   std::lock_guard lock(mMutex);
   if (mRunning < mMaxRunning && mQueue.Size() == 0) {
     ++mRunning;
+    mMetrics->QueueWait(duration(0));
     return gate_started{};
   }
   if (!aMayWait) {
@@ -31,9 +35,10 @@
   }
   auto offered = mQueue.Offer(aRequest, Now());
   if (offered.has_error()) {
+    mMetrics->Refusal(metrics::refusal_cause::Overloaded);
     return offered.error();
   }
-  mCallbacks.emplace(offered.value(), std::move(aOnStart));
+  mWaiters.emplace(offered.value(), waiter{ std::move(aOnStart), Now() });
   return gate_waiting{ offered.value() };
 }
 
@@ -51,18 +56,19 @@
     if (!granted) {
       return;
     }
-    auto callback = mCallbacks.extract(granted->mTicket);
+    auto found = mWaiters.extract(granted->mTicket);
     mRunning += granted->mExpired ? 0 : 1;
+    mMetrics->QueueWait(Now() - found.mapped().mSince);
     // Posted, as the caller may hold the lock of a request.
-    boost::asio::post(mContext,
-                      [start = std::move(callback.mapped()), isExpired = granted->mExpired] { start(isExpired); });
+    boost::asio::post(
+      mContext, [start = std::move(found.mapped().mOnStart), isExpired = granted->mExpired] { start(isExpired); });
   }
 }
 
 bool admission_gate::CancelWaiting(policy::admission_ticket aTicket)
 {
   std::lock_guard lock(mMutex);
-  mCallbacks.erase(aTicket);
+  mWaiters.erase(aTicket);
   return mQueue.Cancel(aTicket);
 }
 
--- a/src/sidecar/admission_gate.h
+++ b/src/sidecar/admission_gate.h
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "base/ref_counted.h"
+#include "metrics/metrics.h"
 #include "policy/admission_queue.h"
 
 /// Places at the backend server, and the queue for them.
@@ -36,7 +37,7 @@
   /// Called on one of the context's threads when a waiting request is started, or has expired.
   using start_callback = std::function<void(bool aIsExpired)>;
 
-  admission_gate(boost::asio::io_context& aContext, gate_limits aLimits);
+  admission_gate(boost::asio::io_context& aContext, gate_limits aLimits, ref<metrics::process_metrics> aMetrics);
 
   /// Takes a place, or waits for one if aMayWait.
   gate_answer Enter(const policy::admission_request& aRequest, bool aMayWait, start_callback aOnStart);
@@ -57,7 +58,13 @@
   std::uint32_t mMaxRunning;
   std::uint32_t mRunning = 0;
   policy::admission_queue mQueue;
-  std::unordered_map<policy::admission_ticket, start_callback> mCallbacks;
+  struct waiter
+  {
+    start_callback mOnStart;
+    instant mSince{};
+  };
+  ref<metrics::process_metrics> mMetrics;
+  std::unordered_map<policy::admission_ticket, waiter> mWaiters;
 };
 
 } // namespace chervilpulley::sidecar
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -57,7 +57,8 @@
                                       mCore.Http(),
                                       BackendOptions(mCore.Settings(), mCore.Addresses().mBackend, mKind),
                                       [this] { ReportToAll(); });
-  mGate = MakeRef<admission_gate>(mCore.Context(), gate_limits{});
+  mMetrics = metrics::process_metrics::Create();
+  mGate = MakeRef<admission_gate>(mCore.Context(), gate_limits{}, mMetrics);
   mStage = MakeRef<pipeline_stage>(
     mCore.Context(),
     StageOptions(mCore.Settings()),
@@ -135,6 +136,9 @@
 boost::asio::awaitable<void> sidecar_server::AnswerHttp(net::http_exchange& aExchange)
 {
   auto reply = runtime::HealthReply(aExchange.Request(), mCore.Health());
+  if (!reply) {
+    reply = runtime::MetricsReply(aExchange.Request(), *mMetrics);
+  }
   if (!reply) {
     reply = net::JsonReply(404, R"({"error":"this address serves health and metrics only"})");
   }
@@ -253,6 +257,9 @@
   const instant now = Now();
   mSuccessors->Tick(now);
   mCore.Health().mReady = mCore.Config().Ready();
+  mMetrics->Revision(mCore.Config().Current()->Revision().Value());
+  mMetrics->InProgress(InProgress());
+  mMetrics->PlatformUp(mCore.IsPlatformUp());
   mStage->OnTick(now);
   mIdleTicks = InProgress() == 0 ? mIdleTicks + 1 : 0;
   if (mEnding && mIdleTicks > kIdleTicksBeforeEnd) {
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -57,6 +57,7 @@
   backend_kind mKind;
   pool_name mPool;
   ref<backend_monitor> mMonitor;
+  ref<metrics::process_metrics> mMetrics;
   ref<admission_gate> mGate;
   ref<pipeline_stage> mStage;
   ref<service_calls> mCalls;
