--- a/bench/costs.cpp
+++ b/bench/costs.cpp
@@ -231,7 +231,8 @@
 
 std::size_t HeapBytes()
 {
-  return mallinfo2().uordblks;
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
 }
 
 /// Reports the heap bytes per item that aMake takes for aCount of them.
