--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -45,6 +45,7 @@
   asio::awaitable<void> RefuseRequest(const boost::system::error_code& aError);
   asio::awaitable<void> Answer();
   void WatchForHangUp();
+  void CheckForHangUp();
   void HungUp();
   bool KeepAlive() const;
   template<class Message>
@@ -194,18 +195,26 @@
   const std::uint64_t exchange = mExchange;
   mStream.socket().async_wait(tcp::socket::wait_read,
                               [self = ref<server_connection>(this), exchange](const boost::system::error_code& aError) {
-                                if (aError || exchange != self->mExchange || !self->mBusy) {
-                                  return;
-                                }
-                                boost::system::error_code error;
-                                // Readable with nothing to read is the end of the stream; pipelined bytes end the watch
-                                // instead.
-                                if (self->mStream.socket().available(error) == 0 || error) {
-                                  self->HungUp();
+                                if (!aError && exchange == self->mExchange && self->mBusy) {
+                                  self->CheckForHangUp();
                                 }
                               });
 }
 
+/// The wait also ends for bytes that were read before, so the end of the stream is looked for.
+void server_connection::CheckForHangUp()
+{
+  boost::system::error_code error;
+  char byte = 0;
+  mStream.socket().non_blocking(true, error);
+  mStream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  if (error == asio::error::would_block) {
+    WatchForHangUp();
+  } else if (error) {
+    HungUp();
+  }
+}
+
 void server_connection::HungUp()
 {
   mHungUp = true;
