--- a/tests/processes/shutdown_test.cpp
+++ b/tests/processes/shutdown_test.cpp
@@ -62,7 +62,11 @@
     const auto end = std::chrono::steady_clock::now() + aTime;
     while (std::chrono::steady_clock::now() < end) {
       const answer got = mCluster.CallerAt(aEntry).Complete({ "Short note", 2 });
-      CHECK(Text(mCluster.Judge(got, "Short note", 2)) == "");
+      const std::string found = Text(mCluster.Judge(got, "Short note", 2));
+      if (!found.empty()) {
+        UNSCOPED_INFO(mCluster.Logs());
+      }
+      CHECK(found == "");
     }
   }
 };
