Placement: a sidecar brings its engine to what the configuration places on it

Orders carry the configuration's revision as fencing number; none is given before the platform confirms that the revision is the newest, and again after a long pause of the process. Confirmation by the local log alone, tried first, gave no order at all in the new process test; it reads the platform now.

--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -127,6 +127,23 @@
   co_return answer;
 }
 
+boost::asio::awaitable<engine_result<void>> engine_client::Load(load_order aOrder, duration aTimeout)
+{
+  json::object body;
+  body["model"] = aOrder.mModel.Str();
+  body["first_layer"] = aOrder.mFirstLayer;
+  body["last_layer"] = aOrder.mLastLayer;
+  body["fence"] = aOrder.mFence.Value();
+  const auto reply = co_await mHttp->Fetch(mEndpoint, Post("/v1/load", body), aTimeout);
+  if (reply.has_error()) {
+    co_return TurnError(reply.error());
+  }
+  if (reply.value().mStatus != 200) {
+    co_return StatusError(reply.value());
+  }
+  co_return outcome::success();
+}
+
 boost::asio::awaitable<void> engine_client::Cancel(request_id aRequest, duration aTimeout)
 {
   json::object body;
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -72,6 +72,15 @@
   std::string mFinishReason;
 };
 
+/// An order to hold a range of layers.
+struct load_order
+{
+  model_name mModel;
+  std::uint32_t mFirstLayer = 0; ///< inclusive
+  std::uint32_t mLastLayer = 0;  ///< inclusive
+  revision_number mFence;        ///< engines that check fencing numbers refuse an older one
+};
+
 /// An engine at one address. Thread-safe.
 class engine_client : public ref_counted
 {
@@ -83,6 +92,7 @@
   }
   boost::asio::awaitable<engine_result<engine_state>> GetState(duration aTimeout);
   boost::asio::awaitable<engine_result<run_reply>> Run(run_request aRequest, duration aTimeout);
+  boost::asio::awaitable<engine_result<void>> Load(load_order aOrder, duration aTimeout);
   /// Stops a request and drops its KV cache; failures are of no consequence.
   boost::asio::awaitable<void> Cancel(request_id aRequest, duration aTimeout);
 
--- /dev/null
+++ b/src/sidecar/placement_follower.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <mutex>
+#include <vector>
+
+#include "config/config_store.h"
+#include "engine/engine_client.h"
+#include "policy/placement.h"
+#include "sidecar/backend_monitor.h"
+
+/// Brings the engine beside this process to what the configuration places on it.
+namespace chervilpulley::sidecar {
+
+/// Orders come from this process only; their fencing number is the revision of the configuration. Thread-safe.
+class placement_follower : public ref_counted
+{
+public:
+  /// Instances of the same failure domain whose placement is not loaded yet, as far as is known; this one included.
+  using pending_source = std::function<std::vector<policy::member_key>()>;
+  /// Whether the platform holds no revision after the given one; false while it can't tell.
+  using newest_check = std::function<boost::asio::awaitable<bool>(revision_number)>;
+
+  placement_follower(boost::asio::io_context& aContext,
+                     instance_id aInstance,
+                     ref<config::config_store> aConfig,
+                     ref<engine::engine_client> aEngine,
+                     ref<backend_monitor> aMonitor,
+                     pending_source aPending,
+                     newest_check aIsNewest);
+
+  /// One step; called again and again.
+  void OnTick(instant aNow);
+  /// The range that the configuration places on an instance; nothing when it places none.
+  static std::optional<policy::layer_range> Desired(const config::config_view& aView, const instance_id& aInstance);
+
+private:
+  boost::asio::awaitable<void> Confirm();
+  boost::asio::awaitable<void> Order(policy::layer_range aRange, revision_number aFence);
+  policy::placement_state State() const;
+
+  boost::asio::io_context& mContext;
+  const instance_id mInstance;
+  ref<config::config_store> mConfig;
+  ref<engine::engine_client> mEngine;
+  ref<backend_monitor> mMonitor;
+  pending_source mPending;
+  newest_check mIsNewest;
+  mutable std::mutex mMutex;
+  instant mLastTick{};
+  instant mNextOrderAt{}; ///< a refused order is given again only then
+  bool mIsConfirmed = false;
+  bool mIsConfirming = false;
+  std::optional<policy::layer_range> mLoading;
+};
+
+} // namespace chervilpulley::sidecar
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "chervilpulley/config.h"
+#include "config/platform_log.h"
 #include "runtime/link_subset.h"
 #include "sidecar/booking_runner.h"
 
@@ -67,6 +68,14 @@
     mGate,
     [this] { return mCore.Config().Current(); },
     mCore.Board());
+  mPlacement = MakeRef<placement_follower>(
+    mCore.Context(),
+    mCore.Instance(),
+    mCore.ConfigRef(),
+    MakeRef<engine::engine_client>(mCore.Http(), mCore.Addresses().mBackend),
+    mMonitor,
+    [this] { return PendingLoads(); },
+    [this](revision_number aRevision) { return IsNewest(aRevision); });
   mCalls = MakeRef<service_calls>(
     mCore.Context(),
     mCore.Instance(),
@@ -242,6 +251,31 @@
   return !engine || placement == nullptr || placement->first_layer() == engine->mLastLayer + 1;
 }
 
+boost::asio::awaitable<bool> sidecar_server::IsNewest(revision_number aRevision)
+{
+  config::platform_log log(mCore.Store());
+  const auto next = co_await log.Read(aRevision.Next());
+  co_return next.has_value() && !next.value().has_value();
+}
+
+std::vector<policy::member_key> sidecar_server::PendingLoads() const
+{
+  std::vector<policy::member_key> pending{ policy::KeyOf(mCore.Instance()) };
+  const auto view = mCore.Config().Current();
+  for (const auto& other : mSuccessors->All()) {
+    const auto desired = placement_follower::Desired(*view, other->Instance());
+    const link::load_report report = other->Report();
+    const bool isHeld = desired && desired->mModel.Str() == report.model() &&
+                        desired->mFirst.Value() == report.first_layer() &&
+                        desired->mLast.Value() == report.last_layer();
+    const bool isNear = other->FailureDomain().Str() == mCore.Settings().instance().failure_domain();
+    if (desired && !isHeld && isNear) {
+      pending.push_back(policy::KeyOf(other->Instance()));
+    }
+  }
+  return pending;
+}
+
 void sidecar_server::OnConfig(const config::config_view& aView)
 {
   const admin::backend_pool* pool = aView.FindPool(mPool);
@@ -256,6 +290,9 @@
 {
   const instant now = Now();
   mSuccessors->Tick(now);
+  if (IsEngine()) {
+    mPlacement->OnTick(now);
+  }
   mCore.Health().mReady = mCore.Config().Ready();
   mMetrics->Revision(mCore.Config().Current()->Revision().Value());
   mMetrics->InProgress(InProgress());
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -7,6 +7,7 @@
 #include "link/provider_links.h"
 #include "runtime/instance_core.h"
 #include "sidecar/pipeline_stage.h"
+#include "sidecar/placement_follower.h"
 #include "sidecar/service_calls.h"
 
 /// The sidecar's shell: links, reports, signals.
@@ -49,6 +50,10 @@
   void OnLiveList(const runtime::instance_core::live_instances& aLive);
   /// Whether the instance can hold the layers after this one's, as far as the placement says.
   bool MayFollow(const instance_id& aInstance) const;
+  /// Whether the platform holds no revision after this one.
+  boost::asio::awaitable<bool> IsNewest(revision_number aRevision);
+  /// Instances of this failure domain that are still to load what is placed on them, this one included.
+  std::vector<policy::member_key> PendingLoads() const;
   void OnConfig(const config::config_view& aView);
   void OnTick();
   bool IsEngine() const { return mKind == backend_kind::Engine; }
@@ -61,6 +66,7 @@
   ref<admission_gate> mGate;
   ref<pipeline_stage> mStage;
   ref<service_calls> mCalls;
+  ref<placement_follower> mPlacement;
   ref<link::provider_links> mSuccessors;
   ref<link::server> mLinkServer;
   ref<net::http_server> mHttpServer;
