--- a/src/entry/api_request.cpp
+++ b/src/entry/api_request.cpp
@@ -27,10 +27,17 @@
   return std::string(value->get_string());
 }
 
-result<bool, api_error> ReadFlag(const json::object& aBody, const std::string& aField)
+/// The field when it is there and not null.
+const json::value* Given(const json::object& aBody, const std::string& aField)
 {
   const json::value* value = aBody.if_contains(aField);
-  if (value == nullptr || value->is_null()) {
+  return value == nullptr || value->is_null() ? nullptr : value;
+}
+
+result<bool, api_error> ReadFlag(const json::object& aBody, const std::string& aField)
+{
+  const json::value* value = Given(aBody, aField);
+  if (value == nullptr) {
     return false;
   }
   if (!value->is_bool()) {
@@ -41,17 +48,15 @@
 
 result<std::uint32_t, api_error> ReadMaxTokens(const json::object& aBody)
 {
-  const json::value* value = aBody.if_contains("max_tokens");
-  if (value == nullptr || value->is_null()) {
-    value = aBody.if_contains("max_completion_tokens");
-  }
-  if (value == nullptr || value->is_null()) {
+  const std::string field = Given(aBody, "max_tokens") != nullptr ? "max_tokens" : "max_completion_tokens";
+  const json::value* value = Given(aBody, field);
+  if (value == nullptr) {
     return kDefaultMaxTokens;
   }
   boost::system::error_code error;
   const auto number = value->is_number() ? value->to_number<std::uint32_t>(error) : 0;
   if (error || number == 0 || number > kMostTokens) {
-    return BadField("max_tokens", "must be a whole number from 1 to " + std::to_string(kMostTokens));
+    return BadField(field, "must be a whole number from 1 to " + std::to_string(kMostTokens));
   }
   return number;
 }
@@ -77,14 +82,16 @@
   return prompt;
 }
 
-bool IncludesUsage(const json::object& aBody)
+result<bool, api_error> ReadIncludeUsage(const json::object& aBody)
 {
-  const json::value* options = aBody.if_contains("stream_options");
-  if (options == nullptr || !options->is_object()) {
+  const json::value* options = Given(aBody, "stream_options");
+  if (options == nullptr) {
     return false;
   }
-  const json::value* flag = options->get_object().if_contains("include_usage");
-  return flag != nullptr && flag->is_bool() && flag->get_bool();
+  if (!options->is_object()) {
+    return BadField("stream_options", "must be an object");
+  }
+  return ReadFlag(options->get_object(), "include_usage");
 }
 
 } // namespace
@@ -119,7 +126,7 @@
   }
   BOOST_OUTCOME_TRY(request.mMaxTokens, ReadMaxTokens(body));
   BOOST_OUTCOME_TRY(request.mStream, ReadFlag(body, "stream"));
-  request.mIncludeUsage = IncludesUsage(body);
+  BOOST_OUTCOME_TRY(request.mIncludeUsage, ReadIncludeUsage(body));
   return request;
 }
 
--- a/src/entry/event_id.cpp
+++ b/src/entry/event_id.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr char kSeparator = '~';
+constexpr char kEscape = '%';
+constexpr std::size_t kEscapeDigits = 2;
 constexpr std::size_t kParts = 5;
 constexpr std::size_t kSignatureDigits = 32;
 
@@ -31,12 +33,61 @@
   }
 }
 
+/// Whether a byte of a name stands in an id as it is; an id is one line of an event and a header of a request.
+bool IsPlain(char aByte)
+{
+  return aByte > ' ' && aByte < '\x7f' && aByte != kSeparator && aByte != kEscape;
+}
+
+/// A name with all other bytes as the escape character and two hex digits.
+std::string Escape(const std::string& aName)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const char c : aName) {
+    if (IsPlain(c)) {
+      text += c;
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(c);
+    text += { kEscape, kDigits[byte >> 4U], kDigits[byte & 15U] };
+  }
+  return text;
+}
+
+template<class Number>
+bool ReadNumber(std::string_view aText, Number& aNumber, int aBase)
+{
+  const char* end = aText.data() + aText.size();
+  const auto read = std::from_chars(aText.data(), end, aNumber, aBase);
+  return read.ec == std::errc() && read.ptr == end;
+}
+
+/// The name that Escape() wrote; nothing when the text is none, or is empty.
+std::optional<std::string> Unescape(std::string_view aText)
+{
+  std::string name;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    if (aText[at] != kEscape) {
+      name += aText[at];
+      continue;
+    }
+    unsigned char byte = 0;
+    if (aText.size() - at <= kEscapeDigits || !ReadNumber(aText.substr(at + 1, kEscapeDigits), byte, 16)) {
+      return std::nullopt;
+    }
+    name += static_cast<char>(byte);
+    at += kEscapeDigits;
+  }
+  return name.empty() ? std::nullopt : std::optional(name);
+}
+
 } // namespace
 
 std::string WriteEventId(const event_id& aId, std::string_view aKey)
 {
-  std::string text = aId.mRequest.Str() + kSeparator + std::to_string(aId.mNext.Value()) + kSeparator +
-                     aId.mHead.Str() + kSeparator + aId.mWorkspace.Str();
+  std::string text = Escape(aId.mRequest.Str()) + kSeparator + std::to_string(aId.mNext.Value()) + kSeparator +
+                     Escape(aId.mHead.Str()) + kSeparator + Escape(aId.mWorkspace.Str());
   return text + kSeparator + Sign(text, aKey);
 }
 
@@ -47,15 +98,17 @@
     return std::nullopt;
   }
   const std::string_view signedText = aText.substr(0, aText.size() - parts.back().size() - 1);
+  if (!EqualConstantTime(Sign(signedText, aKey), parts.back())) {
+    return std::nullopt;
+  }
+  const auto request = Unescape(parts[0]);
+  const auto head = Unescape(parts[2]);
+  const auto workspace = Unescape(parts[3]);
   std::uint64_t next = 0;
-  const auto number = std::from_chars(parts[1].data(), parts[1].data() + parts[1].size(), next);
-  if (!EqualConstantTime(Sign(signedText, aKey), parts.back()) || number.ec != std::errc()) {
+  if (!request || !head || !workspace || !ReadNumber(parts[1], next, 10)) {
     return std::nullopt;
   }
-  return event_id{ request_id(std::string(parts[0])),
-                   token_position(next),
-                   instance_id(std::string(parts[2])),
-                   workspace_id(std::string(parts[3])) };
+  return event_id{ request_id(*request), token_position(next), instance_id(*head), workspace_id(*workspace) };
 }
 
 } // namespace chervilpulley::entry
--- /dev/null
+++ b/tests/contract/sidecar_admission_gate_threads_test.cpp
@@ -0,0 +1,95 @@
+#include "sidecar/admission_gate.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace chervilpulley;
+using namespace chervilpulley::sidecar;
+
+namespace {
+
+constexpr std::uint32_t kPlaces = 3;
+constexpr int kThreads = 4;
+constexpr int kRequests = 500; ///< of each thread
+
+/// Threads that enter, cancel and leave while the context's threads start what waited.
+struct gate_threads_fixture
+{
+  boost::asio::io_context mContext;
+  ref<admission_gate> mGate = MakeRef<admission_gate>(mContext, gate_limits{ kPlaces, 64 });
+  std::atomic<int> mHeld{ 0 };
+  std::atomic<int> mMostHeld{ 0 };
+  std::atomic<int> mFinished{ 0 }; ///< ran, refused, or cancelled
+  std::atomic<int> mTwice{ 0 };    ///< ran though cancelled
+
+  void Run()
+  {
+    const int held = ++mHeld;
+    int most = mMostHeld;
+    while (most < held && !mMostHeld.compare_exchange_weak(most, held)) {
+    }
+    --mHeld;
+    mGate->Leave();
+    ++mFinished;
+  }
+
+  void EnterOnce(const std::string& aWorkspace, bool aCancels)
+  {
+    policy::admission_request request;
+    request.mWorkspace = workspace_id(aWorkspace);
+    const auto isCancelled = std::make_shared<std::atomic<bool>>(false);
+    const auto answer = mGate->Enter(request, true, [this, isCancelled](bool) {
+      mTwice += *isCancelled ? 1 : 0;
+      Run();
+    });
+    if (std::holds_alternative<gate_started>(answer)) {
+      Run();
+    } else if (std::holds_alternative<policy::admission_error>(answer)) {
+      ++mFinished;
+    } else if (aCancels && mGate->CancelWaiting(std::get<gate_waiting>(answer).mTicket)) {
+      *isCancelled = true;
+      ++mFinished;
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(gate_threads_fixture,
+                 "admission_gate_used_by_many_threads_finishes_each_request_once_within_its_places")
+{
+  auto work = boost::asio::make_work_guard(mContext);
+  std::vector<std::thread> runners;
+  runners.reserve(2);
+  for (int i = 0; i < 2; ++i) {
+    runners.emplace_back([this] { mContext.run(); });
+  }
+  std::vector<std::thread> callers;
+  callers.reserve(kThreads);
+  for (int thread = 0; thread < kThreads; ++thread) {
+    callers.emplace_back([this, thread] {
+      for (int i = 0; i < kRequests; ++i) {
+        EnterOnce("w" + std::to_string(thread), i % 3 == 0);
+      }
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  work.reset();
+  for (std::thread& runner : runners) {
+    runner.join();
+  }
+  CHECK(mFinished == kThreads * kRequests);
+  CHECK(mMostHeld <= static_cast<int>(kPlaces));
+  CHECK(mTwice == 0);
+  CHECK(mGate->Running() == 0);
+  CHECK(mGate->Waiting() == 0);
+}
--- /dev/null
+++ b/tests/unit/entry_request_guard_test.cpp
@@ -0,0 +1,153 @@
+#include "entry/request_guard.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace chervilpulley;
+using namespace chervilpulley::entry;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct request_guard_fixture
+{
+  const request_digest mFaulty{ 1 };
+  const request_digest mOther{ 2 };
+  const workspace_id mWorkspace{ "tegid" };
+  instant mNow{ 1000s };
+  std::vector<std::uint32_t> mReported; ///< crashes, of each report to other entries
+  ref<request_guard> mGuard =
+    MakeRef<request_guard>([this](request_digest, std::uint32_t aCrashes) { mReported.push_back(aCrashes); });
+
+  /// Requests that pass when all ask at once.
+  int Passing(const workspace_id& aWorkspace, std::uint32_t aPerSecond, int aAsked)
+  {
+    int passed = 0;
+    for (int i = 0; i < aAsked; ++i) {
+      passed += mGuard->TakeRate(aWorkspace, aPerSecond, mNow) ? 0 : 1;
+    }
+    return passed;
+  }
+
+  /// Requests that pass over some seconds, each of which asks more than the limit.
+  int PassingOver(int aSeconds, std::uint32_t aPerSecond)
+  {
+    int passed = 0;
+    for (int second = 0; second < aSeconds; ++second) {
+      mNow += 1s;
+      passed += Passing(mWorkspace, aPerSecond, static_cast<int>(aPerSecond) * 3);
+    }
+    return passed;
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_unknown_request_runs")
+{
+  CHECK(mGuard->Check(mFaulty, mNow) == guard_verdict::Run);
+  CHECK(mReported.empty());
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_second_crash_refuses_for_good_and_is_reported")
+{
+  CHECK(mGuard->Crashed(mFaulty, mNow) == guard_verdict::RunAsSuspect);
+  CHECK(mGuard->Check(mFaulty, mNow) == guard_verdict::RunAsSuspect);
+  CHECK(mGuard->Crashed(mFaulty, mNow + 1s) == guard_verdict::Refused);
+  CHECK(mGuard->Check(mFaulty, mNow + 2s) == guard_verdict::Refused);
+  CHECK(mReported == std::vector<std::uint32_t>{ 1, 2 });
+  CHECK(mGuard->Check(mOther, mNow + 2s) == guard_verdict::Run);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_whole_answer_clears_a_suspect")
+{
+  mGuard->Crashed(mFaulty, mNow);
+  mGuard->Cleared(mFaulty, mNow + 1s);
+  CHECK(mGuard->Check(mFaulty, mNow + 1s) == guard_verdict::Run);
+  CHECK(mGuard->Crashed(mFaulty, mNow + 2s) == guard_verdict::RunAsSuspect);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_whole_answer_of_another_run_does_not_clear_a_refused_request")
+{
+  mGuard->Crashed(mFaulty, mNow);
+  mGuard->Crashed(mFaulty, mNow);
+  mGuard->Cleared(mFaulty, mNow);
+  CHECK(mGuard->Check(mFaulty, mNow) == guard_verdict::Refused);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_finding_is_forgotten_after_its_time")
+{
+  mGuard->Crashed(mFaulty, mNow);
+  mGuard->Crashed(mFaulty, mNow);
+  CHECK(mGuard->Check(mFaulty, mNow + policy::kSuspicionTime - 1s) == guard_verdict::Refused);
+  CHECK(mGuard->Check(mFaulty, mNow + policy::kSuspicionTime + 1s) == guard_verdict::Run);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_first_crash_at_a_peer_holds_the_request_back_then_suspects_it")
+{
+  mGuard->CrashedAtPeer(mFaulty, 1, mNow);
+  CHECK(mGuard->Check(mFaulty, mNow + 1s) == guard_verdict::TriedElsewhere);
+  CHECK(mGuard->Check(mFaulty, mNow + 10s) == guard_verdict::RunAsSuspect);
+  CHECK(mGuard->Check(mOther, mNow + 1s) == guard_verdict::Run);
+  CHECK(mReported.empty());
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_second_crash_at_a_peer_refuses_at_once")
+{
+  mGuard->CrashedAtPeer(mFaulty, 1, mNow);
+  mGuard->CrashedAtPeer(mFaulty, 2, mNow + 1s);
+  CHECK(mGuard->Check(mFaulty, mNow + 1s) == guard_verdict::Refused);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_crash_here_after_one_at_a_peer_refuses")
+{
+  mGuard->CrashedAtPeer(mFaulty, 1, mNow);
+  CHECK(mGuard->Crashed(mFaulty, mNow + 6s) == guard_verdict::Refused);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_without_limit_lets_all_pass")
+{
+  CHECK(Passing(mWorkspace, 0, 1000) == 1000);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_flood_passes_at_its_limit_and_is_told_when_to_come_back")
+{
+  PassingOver(5, 10);
+  const int passed = PassingOver(20, 10);
+  CHECK(passed >= 190);
+  CHECK(passed <= 210);
+  const auto wait = mGuard->TakeRate(mWorkspace, 10, mNow);
+  REQUIRE(wait);
+  CHECK(*wait > 0s);
+  CHECK(*wait <= 1s);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_flood_of_one_workspace_leaves_others_their_limit")
+{
+  PassingOver(5, 10);
+  const workspace_id other("aran");
+  CHECK_FALSE(mGuard->TakeRate(mWorkspace, 10, mNow) == std::nullopt);
+  mGuard->TakeRate(other, 10, mNow);
+  mNow += 1s;
+  CHECK(Passing(other, 10, 5) == 5);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_of_several_entries_takes_its_part_of_the_limit")
+{
+  mGuard->SetEntryCount(2);
+  PassingOver(5, 10);
+  const int passed = PassingOver(20, 10);
+  CHECK(passed >= 90);
+  CHECK(passed <= 110);
+}
+
+TEST_CASE_METHOD(request_guard_fixture, "request_guard_retries_without_traffic_are_bounded")
+{
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    retries += mGuard->TryRetry(mNow) ? 1 : 0;
+  }
+  CHECK(retries > 0);
+  CHECK(retries <= static_cast<int>(policy::kRetryReserve));
+}
