Fuzz targets for what comes from outside; settings refuse what they would cut or leave empty

FUZZ_ENGINE=libfuzzer links libFuzzer instead.

Found by the settings target, and tests seen to fail before: a required key without a value (an empty cluster key) was taken; a line above 198 bytes was cut and its rest read as another line; all behind a zero byte was left out.

--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -50,3 +50,22 @@
   set_tests_properties(${folder} PROPERTIES TIMEOUT 600
     ENVIRONMENT "CHERVILPULLEY_BINARY=$<TARGET_FILE:chervilpulley>;CHERVILPULLEY_STANDIN=${CMAKE_BINARY_DIR}/standin;CHERVILPULLEY_SOURCE=${CMAKE_SOURCE_DIR};RC_PARAMS=seed=20261204")
 endfunction()
+
+# add_fuzz_part(name parts...) makes fuzz_<name> of tests/fuzz/<name>_target.cpp and adds it to CTest. With
+# FUZZ_ENGINE=libfuzzer (clang) libFuzzer drives it; else our driver, which any compiler builds.
+set(FUZZ_ENGINE "driver" CACHE STRING "what drives the fuzz targets: driver or libfuzzer")
+set(FUZZ_RUNS 20000 CACHE STRING "inputs that each fuzz target runs in CTest")
+function(add_fuzz_part name)
+  set(target fuzz_${name})
+  add_executable(${target} ${CMAKE_SOURCE_DIR}/tests/fuzz/${name}_target.cpp)
+  target_include_directories(${target} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+  link_parts(${target} ${ARGN})
+  if(FUZZ_ENGINE STREQUAL "libfuzzer")
+    target_compile_options(${target} PRIVATE -fsanitize=fuzzer)
+    target_link_options(${target} PRIVATE -fsanitize=fuzzer)
+  else()
+    target_sources(${target} PRIVATE ${CMAKE_SOURCE_DIR}/tests/fuzz/driver.cpp ${CMAKE_SOURCE_DIR}/tests/fuzz/mutator.cpp)
+  endif()
+  add_test(NAME ${target} COMMAND ${target} -seed=20261204 -runs=${FUZZ_RUNS})
+  set_tests_properties(${target} PROPERTIES TIMEOUT 120 LABELS fuzz)
+endfunction()
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -18,6 +18,9 @@
 using google::protobuf::FieldDescriptor;
 using google::protobuf::Message;
 
+/// Longest line that the library reads whole.
+constexpr std::size_t kMaxLineBytes = INI_MAX_LINE - 2;
+
 struct reading
 {
   settings::settings mSettings;
@@ -50,7 +53,7 @@
     }
     return text.str();
   }
-  return "text";
+  return options.required() ? "text that is not empty" : "text";
 }
 
 bool SetNumber(Message& aSection, const FieldDescriptor& aField, const std::string& aValue)
@@ -69,6 +72,9 @@
 bool SetText(Message& aSection, const FieldDescriptor& aField, const std::string& aValue)
 {
   const auto& choices = OptionsOf(aField).one_of();
+  if (aValue.empty() && OptionsOf(aField).required()) {
+    return false;
+  }
   if (!choices.empty() && std::find(choices.begin(), choices.end(), aValue) == choices.end()) {
     return false;
   }
@@ -113,6 +119,22 @@
   }
 }
 
+/// Finds what the library would cut: it ends at a zero byte, and takes the rest of a long line for the next one.
+void CheckLines(reading& aReading, const std::string& aText)
+{
+  if (aText.find('\0') != std::string::npos) {
+    AddFault(aReading, "holds a zero byte");
+  }
+  std::istringstream lines(aText);
+  std::string line;
+  for (int number = 1; std::getline(lines, line); ++number) {
+    if (line.size() > kMaxLineBytes) {
+      AddFault(aReading,
+               "line " + std::to_string(number) + " is longer than " + std::to_string(kMaxLineBytes) + " bytes");
+    }
+  }
+}
+
 int TakeIniLine(void* aUser, const char* aSection, const char* aKey, const char* aValue)
 {
   TakeKey(*static_cast<reading*>(aUser), aSection, aKey, aValue);
@@ -154,6 +176,10 @@
 {
   reading state;
   state.mFile = aFile;
+  CheckLines(state, aText);
+  if (!state.mFaults.empty()) {
+    return state.mFaults;
+  }
   const int badLine = ini_parse_string(aText.c_str(), TakeIniLine, &state);
   if (badLine > 0) {
     AddFault(state, "line " + std::to_string(badLine) + " is neither a section nor \"key = value\"");
--- /dev/null
+++ b/tests/fuzz/caller_body_target.cpp
@@ -0,0 +1,40 @@
+#include "entry/api_request.h"
+#include "fuzz/fuzz_target.h"
+
+using namespace chervilpulley;
+
+namespace {
+
+void Check(entry::api_style aStyle, const std::string& aBody)
+{
+  const auto read = entry::ReadCompletionRequest(aStyle, aBody);
+  if (read.has_error()) {
+    fuzz::Require(read.error().mStatus == 400, "a bad body is answered with 400");
+    fuzz::Require(read.error().mOutcome == link::OUTCOME_NOT_RUN, "a bad body has not run");
+    fuzz::Require(!entry::ErrorBody(read.error()).empty(), "an error has a body");
+    return;
+  }
+  const entry::completion_request& request = read.value();
+  fuzz::Require(!request.mModel.empty() && !request.mPrompt.empty(), "model and prompt are not empty");
+  fuzz::Require(request.mMaxTokens >= 1 && request.mMaxTokens <= 1U << 20U, "the token limit is in its range");
+  fuzz::Require(entry::CountTokens(request.mPrompt) <= request.mPrompt.size(), "a token has a byte at least");
+}
+
+} // namespace
+
+std::vector<std::string> fuzz::SeedInputs()
+{
+  return {
+    R"({"model":"m","prompt":"one two","max_tokens":16,"stream":true,"stream_options":{"include_usage":true}})",
+    R"({"model":"m","messages":[{"role":"user","content":"c"},{"role":"system","content":"\u00e9\ud83d\ude00"}]})",
+    R"({"model":"m","prompt":"p","max_completion_tokens":1e2,"stream":null,"temperature":0.5})"
+  };
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  const std::string body = fuzz::TextOf(aData, aSize);
+  Check(entry::api_style::Completion, body);
+  Check(entry::api_style::Chat, body);
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/event_id_target.cpp
@@ -0,0 +1,58 @@
+#include "base/random.h"
+#include "entry/event_id.h"
+#include "fuzz/fuzz_target.h"
+
+using namespace chervilpulley;
+
+namespace {
+
+constexpr const char* kKey = "shared";
+
+/// Splits a text at line ends into names of an id.
+entry::event_id IdOf(const std::string& aText)
+{
+  const std::size_t first = aText.find('\n');
+  const std::size_t second = first == std::string::npos ? first : aText.find('\n', first + 1);
+  entry::event_id id;
+  id.mRequest = request_id("r" + aText.substr(0, first));
+  id.mHead = instance_id("s" + (first == std::string::npos ? "" : aText.substr(first + 1, second - first - 1)));
+  id.mWorkspace = workspace_id("w" + (second == std::string::npos ? "" : aText.substr(second + 1)));
+  id.mNext = token_position(aText.size());
+  return id;
+}
+
+} // namespace
+
+std::vector<std::string> fuzz::SeedInputs()
+{
+  return { "r~7~sidecar-1~tegid",
+           "r%7e~18446744073709551615~s%00~w%ff",
+           "r\nsidecar-1\ntegid",
+           "a~b\nc%d\n\xff",
+           entry::WriteEventId(IdOf("1\n2\n3"), kKey) };
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  const std::string text = fuzz::TextOf(aData, aSize);
+  if (const auto unsignedId = entry::ReadEventId(text, kKey)) {
+    fuzz::Require(unsignedId->mRequest.IsValid() && unsignedId->mHead.IsValid() && unsignedId->mWorkspace.IsValid(),
+                  "an id names all that it must");
+  }
+  // A right signature, so that what lies behind it is reached too.
+  const std::string signedText = text + "~" + HmacSha256Hex(kKey, text).substr(0, 32);
+  if (const auto read = entry::ReadEventId(signedText, kKey)) {
+    const auto again = entry::ReadEventId(entry::WriteEventId(*read, kKey), kKey);
+    fuzz::Require(again && again->mRequest == read->mRequest && again->mNext == read->mNext &&
+                    again->mHead == read->mHead && again->mWorkspace == read->mWorkspace,
+                  "an id that was read is written to the same");
+  }
+  const entry::event_id id = IdOf(text);
+  const std::string written = entry::WriteEventId(id, kKey);
+  const auto back = entry::ReadEventId(written, kKey);
+  fuzz::Require(written.find_first_of("\r\n") == std::string::npos, "an id is one line");
+  fuzz::Require(back && back->mRequest == id.mRequest && back->mHead == id.mHead && back->mWorkspace == id.mWorkspace,
+                "an id of any names is read back");
+  fuzz::Require(!entry::ReadEventId(written, "other"), "an id of another key is refused");
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/settings_target.cpp
@@ -0,0 +1,25 @@
+#include "base/settings.h"
+#include "fuzz/fuzz_target.h"
+
+using namespace chervilpulley;
+
+std::vector<std::string> fuzz::SeedInputs()
+{
+  return { "[instance]\nid = a\nfailure_domain = f1\n[platform]\naddress = 127.0.0.1:1\n[security]\ncluster_key = k\n",
+           "; comment\n[instance]\nid = a ; comment\nid = b\n[other]\nx = 1\n",
+           "[instance\nid a\n= b\n" };
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  const auto read = ParseSettings(fuzz::TextOf(aData, aSize), "x.ini");
+  if (read.has_error()) {
+    fuzz::Require(!read.error().empty(), "a refused text has a fault");
+    for (const settings_fault& fault : read.error()) {
+      fuzz::Require(fault.mText.rfind("x.ini: ", 0) == 0, "a fault names its file");
+    }
+    return 0;
+  }
+  fuzz::Require(!read.value().security().cluster_key().empty(), "a required key is there");
+  return 0;
+}
--- /dev/null
+++ b/tests/fuzz/stage_progress_target.cpp
@@ -0,0 +1,111 @@
+#include <optional>
+
+#include "fuzz/fuzz_target.h"
+#include "policy/stage_progress.h"
+
+using namespace chervilpulley;
+using policy::attempt_key;
+using policy::stage_action;
+
+namespace {
+
+attempt_key Attempt(unsigned aNumber)
+{
+  return { attempt_number(aNumber), aNumber * 7ULL };
+}
+
+/// A stage, and an engine that runs at most one position and loses its state with all that it holds.
+class stage_run
+{
+public:
+  /// One event: two bits of kind, two of attempt, four of position.
+  void Feed(std::uint8_t aEvent, std::uint8_t aDigest)
+  {
+    const unsigned attempt = (aEvent >> 2U) & 3U;
+    const token_position position((aEvent >> 4U) & 7U);
+    switch (aEvent & 3U) {
+      case 0:
+        return Open(attempt, position);
+      case 1:
+        return Finish(aDigest);
+      case 2:
+        return Lose(aDigest);
+      default:
+        return Input(attempt, position, aDigest & 1U);
+    }
+  }
+
+private:
+  void Open(unsigned aAttempt, token_position aStart)
+  {
+    const bool isNewer = Attempt(aAttempt) > mStage.Current();
+    const bool isOpened = mStage.Open(Attempt(aAttempt), aStart);
+    fuzz::Require(isOpened == isNewer, "only a newer attempt opens");
+    if (isOpened && mStage.NeedsPrefill(aStart) && !mRunning) {
+      mStage.Prefilled(aStart);
+      fuzz::Require(!mStage.NeedsPrefill(aStart), "a filled stage needs no prefill");
+    }
+  }
+
+  void Finish(std::uint8_t aDigest)
+  {
+    if (!mRunning) {
+      return;
+    }
+    const token_position position = *mRunning;
+    mRunning.reset();
+    if (aDigest % 8 == 0) {
+      mStage.OnFailure();
+      return;
+    }
+    mStage.OnOutput(position, { "out", "", false, "" });
+    fuzz::Require(!mStage.IsRunning(), "an output ends the run");
+    fuzz::Require(mStage.Kept(position) != nullptr, "an output is kept");
+  }
+
+  void Lose(std::uint8_t aDigest)
+  {
+    if (aDigest % 4 == 0) {
+      mStage.LoseState();
+      mRunning.reset();
+      fuzz::Require(mStage.KeptCount() == 0 && !mStage.IsRunning(), "nothing is left of a lost state");
+      return;
+    }
+    mStage.Delivered(token_position(aDigest & 7U));
+  }
+
+  void Input(unsigned aAttempt, token_position aPosition, std::uint64_t aDigest)
+  {
+    const bool needsPrefill = mStage.NeedsPrefill(aPosition);
+    const stage_action action = mStage.OnInput(Attempt(aAttempt), aPosition, aDigest);
+    fuzz::Require((action == stage_action::Fenced) == !mStage.IsCurrent(Attempt(aAttempt)), "old attempts are fenced");
+    fuzz::Require(action != stage_action::Replay || mStage.Kept(aPosition) != nullptr, "a replay has an output");
+    fuzz::Require(action != stage_action::Wait || mRunning == aPosition, "what is waited for runs");
+    if (action == stage_action::Run) {
+      fuzz::Require(!mRunning, "one position runs at a time");
+      fuzz::Require(!needsPrefill, "no position runs without those before it");
+      mRunning = aPosition;
+    }
+  }
+
+  policy::stage_progress mStage;
+  std::optional<token_position> mRunning; ///< at the engine
+};
+
+} // namespace
+
+std::vector<std::string> fuzz::SeedInputs()
+{
+  return { std::string("\x04\x01\x07\x01\x01\x01\x17\x01\x01\x01\x27\x01", 12),
+           std::string("\x04\x01\x07\x01\x08\x01\x0b\x01\x01\x01\x1b\x01", 12),
+           std::string("\x04\x01\x07\x01\x02\x04\x08\x01\x0b\x01\x01\x08", 12) };
+}
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  stage_run run;
+  for (std::size_t i = 0; i + 1 < aSize; i += 2) {
+    run.Feed(aData[i], aData[i + 1]);
+  }
+  return 0;
+}
--- a/tests/unit/settings_faults_test.cpp
+++ b/tests/unit/settings_faults_test.cpp
@@ -74,6 +74,34 @@
   REQUIRE(faults.size() == 7);
 }
 
+TEST_CASE_METHOD(settings_fixture, "settings_required_key_without_a_value_is_refused")
+{
+  const std::string text = "[instance]\nid =\nfailure_domain = f1\n[platform]\naddress = 127.0.0.1:1\n"
+                           "[security]\ncluster_key =\n";
+  const auto faults = Faults(text);
+  REQUIRE(faults.size() == 2);
+  CHECK_THAT(faults[0], Catch::Contains("key \"id\" in section [instance] must be text that is not empty"));
+  CHECK_THAT(faults[1], Catch::Contains("key \"cluster_key\" in section [security] must be text that is not empty"));
+}
+
+TEST_CASE_METHOD(settings_fixture, "settings_line_that_would_be_cut_is_refused_with_its_number")
+{
+  const std::string head = "[backend]\npool = ";
+  CHECK(Faults(kRequired + head + std::string(191, 'p') + "\n").empty());
+  for (const std::size_t size : { 192U, 300U, 5000U }) {
+    const auto faults = Faults(kRequired + head + std::string(size, 'p') + "=\n[log]\nlevel = info\n");
+    REQUIRE_FALSE(faults.empty());
+    CHECK(faults[0] == "x.ini: line 9 is longer than 198 bytes");
+  }
+}
+
+TEST_CASE_METHOD(settings_fixture, "settings_with_a_zero_byte_are_refused")
+{
+  const auto faults = Faults(kRequired + std::string("\0[log]\nlevel = loud\n", 20));
+  REQUIRE_FALSE(faults.empty());
+  CHECK(faults[0] == "x.ini: holds a zero byte");
+}
+
 TEST_CASE("settings_reference_names_every_key")
 {
   const std::string page = SettingsReference();
