--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "runtime/link_subset.h"
 
 namespace chervilpulley::entry {
 
@@ -57,6 +59,7 @@
   mApi = MakeRef<caller_api>(
     completion_tools{ *mRouter, *mGuard, *mMetrics },
     [this] { return mCore.Config().Current(); },
+    [this] { return mCore.Live(); },
     CallerOptions(mCore.Settings()));
 }
 
@@ -107,11 +110,8 @@
     co_await aExchange.Reply(std::move(*reply));
     co_return;
   }
-  if (net::PathOf(aExchange.Request().mTarget) == "/metrics") {
-    net::http_reply reply;
-    reply.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
-    reply.mBody = mMetrics->Text();
-    co_await aExchange.Reply(std::move(reply));
+  if (auto reply = runtime::MetricsReply(aExchange.Request(), *mMetrics)) {
+    co_await aExchange.Reply(std::move(*reply));
     co_return;
   }
   co_await mApi->Answer(aExchange);
@@ -119,18 +119,26 @@
 
 void entry_server::OnLiveList(const runtime::instance_core::live_instances& aLive)
 {
-  std::vector<platform::live_instance> sidecars;
-  std::size_t entries = 0;
+  std::map<pool_name, std::vector<platform::live_instance>> pools;
+  std::vector<platform::live_instance> entries;
   for (const auto& listed : aLive) {
-    entries += listed.mRole == platform::instance_role::Entry ? 1 : 0;
     if (listed.mRole == platform::instance_role::Sidecar) {
-      sidecars.push_back(listed);
-    } else if (listed.mInstance == mCore.Instance() && listed.mLeaving) {
+      pools[listed.mPool].push_back(listed);
+      continue;
+    }
+    entries.push_back(listed);
+    if (listed.mInstance == mCore.Instance() && listed.mLeaving) {
       mCore.Health().mLeaving = true;
     }
   }
-  mGuard->SetEntryCount(std::max<std::size_t>(entries, 1));
-  mLinks->SetWanted(sidecars, Now());
+  mGuard->SetEntryCount(std::max<std::size_t>(entries.size(), 1));
+  std::vector<platform::live_instance> wanted;
+  for (auto& pool : pools) {
+    auto chosen =
+      runtime::LinkSubset(std::move(pool.second), entries, mCore.Self(), mCore.Settings().limits().subset());
+    wanted.insert(wanted.end(), chosen.begin(), chosen.end());
+  }
+  mLinks->SetWanted(wanted, Now());
 }
 
 void entry_server::OnTick()
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "chervilpulley/config.h"
+#include "runtime/link_subset.h"
 #include "sidecar/booking_runner.h"
 
 namespace chervilpulley::sidecar {
@@ -56,7 +57,8 @@
                                       mCore.Http(),
                                       BackendOptions(mCore.Settings(), mCore.Addresses().mBackend, mKind),
                                       [this] { ReportToAll(); });
-  mGate = MakeRef<admission_gate>(mCore.Context(), gate_limits{});
+  mMetrics = metrics::process_metrics::Create();
+  mGate = MakeRef<admission_gate>(mCore.Context(), gate_limits{}, mMetrics);
   mStage = MakeRef<pipeline_stage>(
     mCore.Context(),
     StageOptions(mCore.Settings()),
@@ -134,6 +136,9 @@
 boost::asio::awaitable<void> sidecar_server::AnswerHttp(net::http_exchange& aExchange)
 {
   auto reply = runtime::HealthReply(aExchange.Request(), mCore.Health());
+  if (!reply) {
+    reply = runtime::MetricsReply(aExchange.Request(), *mMetrics);
+  }
   if (!reply) {
     reply = net::JsonReply(404, R"({"error":"this address serves health and metrics only"})");
   }
@@ -149,7 +154,6 @@
     mRequesters.Erase(&aClosed);
     mStage->OnUpstreamLost(aClosed);
   };
-  link::SendFrame(aLink.get(), *mCore.Board(), Report());
   return events;
 }
 
@@ -212,17 +216,30 @@
 
 void sidecar_server::OnLiveList(const runtime::instance_core::live_instances& aLive)
 {
-  std::vector<platform::live_instance> others;
+  std::vector<platform::live_instance> pool;
   for (const auto& listed : aLive) {
-    const bool isSelf = listed.mInstance == mCore.Instance();
-    if (isSelf && listed.mLeaving && !mDraining) {
+    if (listed.mInstance == mCore.Instance() && listed.mLeaving && !mDraining) {
       SetLeaving(true);
     }
-    if (!isSelf && IsEngine() && listed.mRole == platform::instance_role::Sidecar && listed.mPool == mPool) {
-      others.push_back(listed);
+    if (IsEngine() && listed.mRole == platform::instance_role::Sidecar && listed.mPool == mPool) {
+      pool.push_back(listed);
+    }
+  }
+  std::vector<platform::live_instance> successors;
+  for (const auto& listed : pool) {
+    if (listed.mInstance != mCore.Instance() && MayFollow(listed.mInstance)) {
+      successors.push_back(listed);
     }
   }
-  mSuccessors->SetWanted(others, Now());
+  mSuccessors->SetWanted(
+    runtime::LinkSubset(std::move(successors), pool, mCore.Self(), mCore.Settings().limits().subset()), Now());
+}
+
+bool sidecar_server::MayFollow(const instance_id& aInstance) const
+{
+  const auto engine = mMonitor->Engine();
+  const admin::placement* placement = mCore.Config().Current()->FindPlacement(aInstance);
+  return !engine || placement == nullptr || placement->first_layer() == engine->mLastLayer + 1;
 }
 
 void sidecar_server::OnConfig(const config::config_view& aView)
@@ -240,6 +257,9 @@
   const instant now = Now();
   mSuccessors->Tick(now);
   mCore.Health().mReady = mCore.Config().Ready();
+  mMetrics->Revision(mCore.Config().Current()->Revision().Value());
+  mMetrics->InProgress(InProgress());
+  mMetrics->PlatformUp(mCore.IsPlatformUp());
   mStage->OnTick(now);
   mIdleTicks = InProgress() == 0 ? mIdleTicks + 1 : 0;
   if (mEnding && mIdleTicks > kIdleTicksBeforeEnd) {
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -47,6 +47,8 @@
   link::frame Report() const;
   void ReportToAll();
   void OnLiveList(const runtime::instance_core::live_instances& aLive);
+  /// Whether the instance can hold the layers after this one's, as far as the placement says.
+  bool MayFollow(const instance_id& aInstance) const;
   void OnConfig(const config::config_view& aView);
   void OnTick();
   bool IsEngine() const { return mKind == backend_kind::Engine; }
@@ -55,6 +57,7 @@
   backend_kind mKind;
   pool_name mPool;
   ref<backend_monitor> mMonitor;
+  ref<metrics::process_metrics> mMetrics;
   ref<admission_gate> mGate;
   ref<pipeline_stage> mStage;
   ref<service_calls> mCalls;
