--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -18,6 +18,8 @@
 import time
 from pathlib import Path
 
+from deployment import POLL_SECONDS, DeploymentError, Instance, Standin, call, records, wait_until
+
 ROOT = Path(__file__).resolve().parent.parent
 BUILD = Path(os.environ.get("BUILD", ROOT / "build")).resolve()
 FOLDER = BUILD / "demo"
@@ -26,9 +28,7 @@
 BINARY = BUILD / "chervilpulley"
 STANDIN = BUILD / "standin"
 
-START_SECONDS = 60
 STOP_SECONDS = 30
-POLL_SECONDS = 0.05
 RESTART_PAUSE_SECONDS = 0.3
 TOKENS = 24
 KILL_AFTER_TOKENS = 8
@@ -45,150 +45,16 @@
 PLATFORM_DOMAIN = "platform"
 
 
-class DemoError(Exception):
-    """Something of the demo did not go as it must."""
-
-
-# --- HTTP
-
-
-def call(address, method, path, body=None, headers=None):
-    """Sends a request; gives status, headers and body."""
-    connection = http.client.HTTPConnection(address, timeout=30)
-    try:
-        connection.request(method, path, body=body, headers=headers or {})
-        reply = connection.getresponse()
-        return reply.status, dict(reply.getheaders()), reply.read().decode()
-    finally:
-        connection.close()
-
-
-def records(address):
-    """What a stand-in has run."""
-    return [json.loads(line) for line in call(address, "GET", "/records")[2].splitlines()]
-
-
-def wait_until(what, condition):
-    """Asks again and again until the condition gives something true, and returns it."""
-    deadline = time.monotonic() + START_SECONDS
-    seen = None
-    while time.monotonic() < deadline:
-        try:
-            result = condition()
-            if result:
-                return result
-        except (OSError, ValueError, http.client.HTTPException) as error:
-            seen = error
-        time.sleep(POLL_SECONDS)
-    raise DemoError(f"{what} did not happen within {START_SECONDS} s; logs are in {FOLDER}; last: {seen}")
-
-
 # --- Keeper: runs the processes
 
 
-class Program:
-    """One process of the demo. Started again, it keeps its addresses."""
-
-    def __init__(self, keeper, name, role, failure_domain, backend=None):
-        self.keeper = keeper
-        self.name = name
-        self.role = role
-        self.failure_domain = failure_domain
-        self.backend = backend
-        self.addresses = {}
-        self.listening = {}
-        self.child = None
-
-    def command(self):
-        raise NotImplementedError
-
-    def start(self):
-        with open(FOLDER / f"{self.name}.log", "ab") as log:
-            self.child = subprocess.Popen(self.command(), stdout=subprocess.PIPE, stderr=log, stdin=subprocess.DEVNULL)
-        line = self.child.stdout.readline()
-        if not line:
-            raise DemoError(f"{self.name} ended at its start; see {FOLDER / (self.name + '.log')}")
-        self.listening = json.loads(line)["listening"]
-        purposes = ("http", "link", "peer", "admin")
-        self.addresses = {purpose: self.listening[purpose] for purpose in purposes if purpose in self.listening}
-
-    def forget_addresses(self):
-        """Lets the next start choose others; those of a stand-in stand in other processes' settings."""
-
-    def description(self):
-        described = {
-            "name": self.name,
-            "role": self.role,
-            "pid": self.child.pid,
-            "failure_domain": self.failure_domain,
-            "addresses": dict(self.addresses),
-        }
-        if self.backend:
-            described["backend"] = self.backend
-        if self.role in ("entry", "sidecar") and "http" in self.addresses:
-            described["addresses"]["metrics"] = self.addresses["http"]
-        return described
-
-
-class Standin(Program):
-    """A stand-in for the platform, an engine or a plain service."""
-
-    def __init__(self, keeper, name, role, failure_domain, flags=()):
-        super().__init__(keeper, name, role, failure_domain)
-        self.flags = list(flags)
-
-    def command(self):
-        listen = self.addresses.get("http", "127.0.0.1:0")
-        own = ["--listen", listen, "--records_file", str(FOLDER / f"{self.name}.records")]
-        return [str(STANDIN), self.role, *own, *self.flags]
-
-
-class Instance(Program):
-    """An entry or a sidecar."""
-
-    def __init__(self, keeper, name, role, failure_domain, server=None):
-        super().__init__(keeper, name, role, failure_domain, server.role if server else None)
-        self.server = server
-
-    def command(self):
-        settings = FOLDER / f"{self.name}.ini"
-        settings.write_text(self.settings())
-        return [str(BINARY), self.role, "--settings", str(settings)]
-
-    def settings(self):
-        sections = {
-            "instance": {"id": self.name, "failure_domain": self.failure_domain},
-            "listen": self.addresses,
-            "platform": {"address": self.keeper.platform.addresses["http"], "list_interval_ms": 200},
-            "security": {
-                "cluster_key": self.keeper.cluster_key,
-                "bootstrap_operator_key": self.keeper.operator_key,
-            },
-        }
-        if self.server:
-            pool = "engines" if self.server.role == "engine" else "services"
-            backend = {"address": self.server.addresses["http"], "kind": self.server.role, "pool": pool}
-            sections["backend"] = {**backend, "probe_interval_ms": 100}
-        lines = []
-        for section, keys in sections.items():
-            lines.append(f"[{section}]")
-            lines += [f"{key} = {value}" for key, value in keys.items()]
-        return "\n".join(lines) + "\n"
-
-    def forget_addresses(self):
-        self.addresses = {}
-
-    def start(self):
-        super().start()
-        line = {key: value for key, value in self.listening.items() if key != "pid"}
-        line["state"] = "live"
-        call(self.keeper.platform.addresses["http"], "PUT", f"/live/{self.name}", json.dumps(line))
-
-
 class Keeper:
     """Starts all processes, starts again what ends, and keeps processes.json up to date."""
 
     def __init__(self):
+        self.folder = FOLDER
+        self.binary = BINARY
+        self.standin = STANDIN
         self.cluster_key = secrets.token_hex(16)
         self.operator_key = "bootstrap." + secrets.token_hex(16)
         self.workspace_key = "demo." + secrets.token_hex(16)
@@ -225,7 +91,7 @@
             program.child.stdout.close()
             try:
                 program.start()
-            except (DemoError, OSError, ValueError) as error:
+            except (DeploymentError, OSError, ValueError) as error:
                 print(f"keeper: {program.name} could not be started again: {error}", file=sys.stderr, flush=True)
                 program.forget_addresses()
         self.write()
@@ -267,7 +133,7 @@
 def start_keeper():
     FOLDER.mkdir(parents=True, exist_ok=True)
     if keeper_pid():
-        raise DemoError("the demo runs already; `make demo-stop` ends it")
+        raise DeploymentError("the demo runs already; `make demo-stop` ends it")
     for left in FOLDER.iterdir():
         left.unlink()
     with open(FOLDER / "keeper.log", "ab") as log:
@@ -277,7 +143,7 @@
 
     def started():
         if keeper.poll() is not None:
-            raise DemoError(f"the processes did not start; see {FOLDER / 'keeper.log'}")
+            raise DeploymentError(f"the processes did not start; see {FOLDER / 'keeper.log'}")
         return PROCESSES.exists()
 
     wait_until("the start of all processes", started)
@@ -298,7 +164,7 @@
             pass
         time.sleep(POLL_SECONDS)
     if keeper_pid():
-        raise DemoError(f"the keeper, process {pid}, did not end")
+        raise DeploymentError(f"the keeper, process {pid}, did not end")
     KEEPER.unlink(missing_ok=True)
     print("The demo's processes have ended.")
 
@@ -345,7 +211,7 @@
     def apply(self):
         applied = self.operate("apply", "-f", str(FOLDER / "demo.ini"), "--change-id", "demo")
         if applied.returncode not in (0, 3, 5):
-            raise DemoError(f"apply: {applied.stderr.strip()}")
+            raise DeploymentError(f"apply: {applied.stderr.strip()}")
         return applied.stdout.strip() if applied.returncode == 0 else None
 
     def wait_until_serving(self):
@@ -370,7 +236,7 @@
         connection.request("POST", path, json.dumps({**body, "model": "demo", "stream": True}), self.headers())
         reply = connection.getresponse()
         if reply.status != 200:
-            raise DemoError(f"POST {path}: {reply.status} {reply.read().decode()}")
+            raise DeploymentError(f"POST {path}: {reply.status} {reply.read().decode()}")
         text, tokens, done = "", 0, False
         for line in reply:
             if not line.startswith(b"data: "):
@@ -381,7 +247,7 @@
                 break
             event = json.loads(data)
             if "error" in event:
-                raise DemoError(f"POST {path}: the stream ended with {event['error']}")
+                raise DeploymentError(f"POST {path}: the stream ended with {event['error']}")
             for choice in event.get("choices", []):
                 piece = choice.get("text") or choice.get("delta", {}).get("content") or ""
                 if piece:
@@ -390,7 +256,7 @@
                         on_token(tokens)
         connection.close()
         if not done:
-            raise DemoError(f"POST {path}: the stream was cut after {tokens} tokens")
+            raise DeploymentError(f"POST {path}: the stream was cut after {tokens} tokens")
         return text, tokens
 
     def show_completion(self):
@@ -459,7 +325,7 @@
     @staticmethod
     def check(holds, fault):
         if not holds:
-            raise DemoError(fault)
+            raise DeploymentError(fault)
 
     def run(self):
         self.configure()
@@ -517,8 +383,8 @@
         return 2
     try:
         command()
-    except DemoError as error:
-        print(f"demo: {error}", file=sys.stderr)
+    except DeploymentError as error:
+        print(f"demo: {error}; logs are in {FOLDER}", file=sys.stderr)
         return 1
     return 0
 
