--- /dev/null
+++ b/scripts/measure_faults.py
@@ -0,0 +1,178 @@
+"""Measurements under faults: recovery of a stream, leaving, loss of a failure domain, spread of a configuration."""
+
+import os
+import signal
+import statistics
+import time
+
+from measure_cluster import Callers, Stream
+
+RECOVERY_RUNS = 7
+LEAVING_RUNS = 5
+DOMAIN_RUNS = 5
+CONFIG_RUNS = 7
+FIND_AT_TOKEN = 5
+FAULT_AT_TOKEN = 30
+RECOVERY_TOKENS = 70
+CALLERS = 8
+CALLER_TOKENS = 30
+BEFORE_FAULT_SECONDS = 0.8
+AFTER_FAULT_SECONDS = 3.0
+CONFIG_LIMIT_SECONDS = 20
+
+
+def freeze(cluster, number):
+    os.kill(cluster.sidecars[number].child.pid, signal.SIGSTOP)
+
+
+def kill_sidecar(cluster, number):
+    kill(cluster.sidecars[number])
+
+
+def kill_engine(cluster, number):
+    kill(cluster.engines[number])
+
+
+def kill(program):
+    os.kill(program.child.pid, signal.SIGKILL)
+
+
+def last_run_at(cluster, number):
+    runs = cluster.runs_of(cluster.engines[number])
+    return runs[-1]["time_us"] if runs else 0
+
+
+def recovery_run(cluster, fault, run):
+    """Stall in seconds of one stream whose first (or second) stage meets the fault, and its answer."""
+    stream = Stream(cluster, cluster.entries[run % 2], "Lift plan for the quarry", RECOVERY_TOKENS)
+    seen = {}
+
+    def on_token(count):
+        if count == FIND_AT_TOKEN:
+            stages = range(run % 2, len(cluster.engines), 2)
+            seen["stage"] = max(stages, key=lambda number: last_run_at(cluster, number))
+        elif count == FAULT_AT_TOKEN:
+            seen["time"] = time.monotonic()
+            fault(cluster, seen["stage"])
+
+    stream.run(on_token)
+    thaw(cluster)
+    if "time" not in seen:
+        return None, stream, "no fault was caused"
+    gaps = [(late - early, late) for early, late in zip(stream.times, stream.times[1:])]
+    usual = statistics.median(gap for gap, late in gaps if late <= seen["time"])
+    after = [(gap, late) for gap, late in gaps if late > seen["time"]]
+    stage = f"stage {run % 2 + 1}, engine {seen['stage'] + 1}"
+    return (max(after)[1] - seen["time"] - usual if after else None), stream, stage
+
+
+def thaw(cluster):
+    for sidecar in cluster.sidecars:
+        if sidecar.child.poll() is None:
+            os.kill(sidecar.child.pid, signal.SIGCONT)
+
+
+def recovery(cluster, fault):
+    undisturbed = Stream(cluster, cluster.entries[0], "Lift plan for the quarry", RECOVERY_TOKENS).run()
+    stalls, faults, stages = [], [], []
+    for run in range(RECOVERY_RUNS):
+        stall, stream, stage = recovery_run(cluster, fault, run)
+        stages.append(stage)
+        if stall is not None:
+            stalls.append(stall)
+        if stream.error or stream.text != undisturbed.text:
+            faults.append(f"run {run}, {stage}: {stream.error or 'another answer'}, {len(stream.times)} tokens")
+        cluster.mend()
+    return {"stall_s": stalls, "stages": stages, "faults": faults}
+
+
+def leaving_run(cluster, run):
+    """SIGTERM to a sidecar under load."""
+    number = run % len(cluster.sidecars)
+    child = cluster.sidecars[number].child
+    with Callers(cluster, cluster.entries, CALLERS, CALLER_TOKENS) as callers:
+        time.sleep(BEFORE_FAULT_SECONDS)
+        asked = time.monotonic()
+        child.terminate()
+        time.sleep(AFTER_FAULT_SECONDS)
+    first_seen = {}
+    for one in cluster.runs_of(cluster.engines[number]):
+        first_seen.setdefault(one["request"], one["time_us"] * 1e-6)
+    new = [start - asked for start in first_seen.values() if start > asked]
+    return {
+        "sidecar": number + 1,
+        "last_new_s": max(new, default=0.0),
+        "new_after": len(new),
+        "ended": child.poll() is not None,
+        "exit_status": child.poll(),
+        "requests": len(callers.streams),
+        "failed": [stream.error for stream in callers.streams if stream.error],
+    }
+
+
+def leaving(cluster):
+    runs = []
+    for run in range(LEAVING_RUNS):
+        runs.append(leaving_run(cluster, run))
+        child = cluster.sidecars[run % len(cluster.sidecars)].child
+        if child.poll() is None:
+            child.kill()
+            child.wait()
+        cluster.mend()
+    return runs
+
+
+def domain_run(cluster, domain):
+    """Kills all processes of a failure domain under load through an entry of another."""
+    entry = next(entry for entry in cluster.entries if entry.failure_domain != domain)
+    lost = [program for program in cluster.programs if program.failure_domain == domain]
+    with Callers(cluster, [entry], CALLERS, CALLER_TOKENS) as callers:
+        time.sleep(BEFORE_FAULT_SECONDS)
+        at = time.monotonic()
+        for program in lost:
+            kill(program)
+        time.sleep(AFTER_FAULT_SECONDS)
+    running = [s for s in callers.streams if s.sent < at and s.times and s.times[-1] > at and s.times[0] < at]
+    new = [s for s in callers.streams if s.sent >= at and s.times]
+    return {
+        "lost_processes": len(lost),
+        "running_streams": len(running),
+        "running_move_s": max((resumed_at(stream, at) for stream in running), default=0.0),
+        "new_move_s": min((stream.times[0] for stream in new), default=float("nan")) - at,
+        "slowest_first_token_s": max((stream.times[0] - stream.sent for stream in new), default=float("nan")),
+        "requests": len(callers.streams),
+        "failed": [stream.error for stream in callers.streams if stream.error],
+    }
+
+
+def resumed_at(stream, at):
+    """Time from the fault to the end of the stream's longest gap after it."""
+    gaps = [(late - early, late) for early, late in zip(stream.times, stream.times[1:]) if late > at]
+    return max(gaps)[1] - at if gaps else 0.0
+
+
+def domain_loss(cluster):
+    runs = []
+    for run in range(DOMAIN_RUNS):
+        runs.append(domain_run(cluster, f"domain-{run % 3 + 1}"))
+        for program in cluster.programs:
+            if program.failure_domain == f"domain-{run % 3 + 1}":
+                program.child.wait()
+        cluster.mend()
+    return runs
+
+
+def config_run(cluster):
+    """Seconds from the sending of a change, and from its acceptance, until it is in force at every process."""
+    sent = time.monotonic()
+    revision = cluster.apply_change()
+    accepted = time.monotonic()
+    pending = [*cluster.entries, *cluster.sidecars]
+    while pending and time.monotonic() < accepted + CONFIG_LIMIT_SECONDS:
+        pending = [program for program in pending if cluster.revision_of(program) < revision]
+    done = time.monotonic()
+    return {"from_sending_s": done - sent, "from_acceptance_s": done - accepted, "missing": [p.name for p in pending]}
+
+
+def configuration(cluster):
+    return [config_run(cluster) for _ in range(CONFIG_RUNS)]
--- /dev/null
+++ b/scripts/measure_report.py
@@ -0,0 +1,244 @@
+"""Makes docs/MEASURED.md, and the rows of scripts/capacity.py, from the results of scripts/measure.py."""
+
+import math
+import statistics
+
+from measure_slopes import LAYERS, LOAD_TOKENS, MIB, slope
+
+COMMAND = "python3 scripts/measure.py build-bench"
+RECOVERY_AIM_S = 0.5
+FROZEN_AIM_S = 1.5
+LEAVING_AIM_S = 2.0
+DOMAIN_AIM_S = 2.0
+CONFIG_AIM_S = 6.0
+ENTRY_TOKENS_AIM = 41_000  # tokens/s a core: ten times what the two-year size asks
+SIDECAR_TOKENS_AIM = 4_700
+DELAY_AIM_S = 0.001
+IDLE_AIM_SHARE = 0.029
+CONTROL_AIM_BYTES = 9000
+MEMORY_AIM_MB = 128
+SHOWN_FAULTS = 5
+
+
+def table(header, rows):
+    lines = ["| " + " | ".join(header) + " |", "|" + " --- |" * len(header)]
+    return "\n".join([*lines, *("| " + " | ".join(row) + " |" for row in rows)])
+
+
+def spread(values, digits=2):
+    """Median with least and most."""
+    values = [value for value in values if not math.isnan(value)]
+    if not values:
+        return "not measured"
+    return f"{statistics.median(values):.{digits}f} ({min(values):.{digits}f} to {max(values):.{digits}f})"
+
+
+def verdict(values, aim):
+    """Whether the median is within the aim, and how many of the runs are."""
+    good = [value for value in values if not math.isnan(value)]
+    if not good:
+        return "not measured"
+    within = sum(1 for value in good if value <= aim)
+    met = "met" if within == len(values) else "median met" if statistics.median(good) <= aim else "missed"
+    return f"{met} ({within} of {len(values)} runs)"
+
+
+def seconds_row(what, values, aim):
+    return [what, spread(values), f"{aim:g} s", verdict(values, aim)]
+
+
+def count_row(what, count, requests):
+    return [what, f"{count} of {requests} requests", "0", "met" if count == 0 else "missed"]
+
+
+def fault_rows(results):
+    rows = []
+    for name, found in results.get("recovery", {}).items():
+        aim = FROZEN_AIM_S if "frozen" in name else RECOVERY_AIM_S
+        rows.append(seconds_row(f"stall of a stream, {name}", found["stall_s"], aim))
+        rows.append(count_row(f"streams cut or changed, {name}", len(found["faults"]), len(found["stages"])))
+    if "leaving" in results:
+        runs = results["leaving"]
+        rows.append(seconds_row("leaving sidecar: last new request at its engine", [r["last_new_s"] for r in runs], LEAVING_AIM_S))
+        rows.append(count_row("leaving sidecar: failed or refused", sum(len(r["failed"]) for r in runs), sum(r["requests"] for r in runs)))
+    if "domain" in results:
+        runs = results["domain"]
+        rows.append(seconds_row("domain lost: slowest running stream moves again", [r["running_move_s"] for r in runs], DOMAIN_AIM_S))
+        rows.append(seconds_row("domain lost: first token of a new request", [r["new_move_s"] for r in runs], DOMAIN_AIM_S))
+        rows.append(seconds_row("domain lost: slowest first token after it", [r["slowest_first_token_s"] for r in runs], DOMAIN_AIM_S))
+        rows.append(count_row("domain lost: failed", sum(len(r["failed"]) for r in runs), sum(r["requests"] for r in runs)))
+    for name, runs in results.get("configuration", {}).items():
+        times = [math.inf if run["missing"] else run["from_sending_s"] for run in runs]
+        rows.append(seconds_row(f"configuration in force everywhere, {name}", times, CONFIG_AIM_S))
+    return rows
+
+
+def fault_notes(results):
+    notes = []
+    for name, found in results.get("recovery", {}).items():
+        notes += [f"{name}, {fault}" for fault in found["faults"]]
+    for name in ("leaving", "domain"):
+        notes += [f"{name}, run {i}: {text}" for i, run in enumerate(results.get(name, [])) for text in run["failed"]]
+    return notes
+
+
+def idle_points(results, role):
+    """One point a size: the medians over its windows."""
+    points = []
+    for size in results.get("idle", []):
+        use = [window[role] for window in size["windows"]]
+        point = {key: statistics.median(each[key] for each in use) for key in use[0]}
+        points.append({**point, "size": f"{size['entries']} entries, {size['sidecars']} sidecars", "all": use})
+    return points
+
+
+def idle_rows(results):
+    rows = []
+    for role in ("entry", "sidecar"):
+        for point in idle_points(results, role):
+            cpu = [100 * each["cpu_share"] for each in point["all"]]
+            links = [each["process_bytes_per_s"] / 1e3 for each in point["all"]]
+            outside = [each["platform_and_probe_bytes_per_s"] / 1e3 for each in point["all"]]
+            memory = f"{point['resident_bytes'] / MIB:.1f}"
+            rows.append([role, point["size"], f"{point['connections']:.0f}", spread(cpu), spread(links), spread(outside), memory])
+    return rows
+
+
+def idle_slopes(results):
+    lines = []
+    for role in ("entry", "sidecar"):
+        points = idle_points(results, role)
+        if points:
+            cpu, size = slope(points, "cpu_share", "connections"), slope(points, "process_bytes_per_s", "connections")
+            memory = slope(points, "resident_bytes", "connections")
+            lines.append(f"- {role}: {100 * cpu:.4f} % of a core, {size:.0f} bytes/s and {memory / 1024:.0f} KiB a connection.")
+    return "\n".join(lines)
+
+
+def load_rows(results):
+    rows = []
+    for run in results.get("loaded", []):
+        delay = run["added_delay_s"]
+        shown = [f"{delay[key] * 1e3:.2f}" for key in ("p50", "p95")] if delay else ["not measured"] * 2
+        cores = [f"{100 * run[key]:.0f}" for key in ("entry_cpu_share", "sidecar_cpu_share", "engine_cpu_share")]
+        rates = [f"{run[key]:.0f}" for key in ("entry_tokens_per_s_a_core", "sidecar_tokens_per_s_a_core")]
+        whole = run["ends"].get("whole", 0)
+        rows.append([f"{run['calls_per_s']}", f"{run['tokens_per_s']:.0f}", *cores, *rates, *shown, f"{whole} of {sum(run['ends'].values())}"])
+    return rows
+
+
+def aim_rows(results):
+    runs = results.get("loaded", [])
+    if not runs:
+        return []
+    best_entry = max(run["entry_tokens_per_s_a_core"] for run in runs)
+    best_sidecar = max(run["sidecar_tokens_per_s_a_core"] for run in runs)
+    delays = [run["added_delay_s"]["p95"] for run in runs if run["added_delay_s"]]
+    rows = [
+        ["entry, tokens/s a core", f"{best_entry:.0f}", f"{ENTRY_TOKENS_AIM}", "met" if best_entry >= ENTRY_TOKENS_AIM else "missed"],
+        ["sidecar, tokens/s a core", f"{best_sidecar:.0f}", f"{SIDECAR_TOKENS_AIM}", "met" if best_sidecar >= SIDECAR_TOKENS_AIM else "missed"],
+    ]
+    if delays:
+        rows.append(["delay added to a token, p95 at the lowest rate", f"{delays[0] * 1e3:.2f} ms", "1 ms", "met" if delays[0] <= DELAY_AIM_S else "missed"])
+    return rows
+
+
+def open_rows(results):
+    points = results.get("open_streams", {}).get("points", [])
+    return [
+        [f"{p['open']}", f"{p['running_at_engine']}", f"{p['entry_bytes'] / MIB:.1f}", f"{p['sidecar_bytes'] / MIB:.1f}"]
+        for p in points
+    ]
+
+
+def open_slopes(results):
+    points = results.get("open_streams", {}).get("points", [])
+    if not points:
+        return ""
+    by_role = [f"{role} {slope(points, role + '_bytes', 'open') / 1024:.1f} KiB" for role in ("entry", "sidecar")]
+    return "Slope a stream opened: " + ", ".join(by_role) + "."
+
+
+def platform_lines(results):
+    lines = []
+    for size in results.get("idle", []):
+        kinds = sorted({kind for window in size["windows"] for kind in window["platform_calls_per_s"]})
+        for kind in kinds:
+            rates = [window["platform_calls_per_s"].get(kind, 0.0) for window in size["windows"]]
+            if max(rates) > 0:
+                lines.append([f"{size['entries']} entries, {size['sidecars']} sidecars", f"`{kind}`", spread(rates, 1)])
+    return lines
+
+
+def page(results):
+    before, after = results["before"], results["after"]
+    loads = [" ".join(f"{value:.1f}" for value in each["load_average"]) for each in (before, after)]
+    notes = fault_notes(results)
+    parts = [
+        "# Measured",
+        f"Made by `{COMMAND}` from its JSON; a release build, all processes on loopback of one machine. Medians, in brackets\n"
+        "the least and the most of all runs. The bounds are the aims, never taken from a measurement; what is over its aim is\n"
+        "marked as missed.",
+        f"This run: {before['cpus']} processors, which other builds were using at the same time. Load average (1, 5, 15 minutes)\n"
+        f"{loads[0]} before and {loads[1]} after; it took {results['seconds']:.0f} s. On a quiet machine the figures can differ.",
+        "## Under faults",
+        "2 entries, 6 sidecars before engines in 3 failure domains, two stages, 1 ms a layer. A stall is the time from the fault\n"
+        "to the token that ends the longest gap after it, less the usual gap; the prefill for recomputation (below 10 ms) is\n"
+        "left in. A lost domain is all its processes killed at once; requests are counted through an entry of another domain.",
+        table(["what", "seconds or count", "aim", "verdict"], fault_rows(results)),
+        "Failures seen:\n\n" + "\n".join(f"- {note}" for note in notes[:SHOWN_FAULTS]) if notes else "Failures seen: none.",
+        "## Idle",
+        "Processor time is the scheduler's count. Bytes are payload, sent and received, of connections that lasted the window,\n"
+        "from the kernel's TCP counters by `ss`; connections shorter than that are not counted. The live list is read every\n"
+        "200 ms and the engine's state every 100 ms here, five and two and a half times as often as by default.",
+        table(["role", "size", "connections", "% of a core", "KB/s to our processes", "KB/s to platform and engine", "resident MB"], idle_rows(results)),
+        "Slopes over connections:\n\n" + idle_slopes(results),
+        "Calls on the platform a second, of all processes together:",
+        table(["size", "call", "calls/s"], platform_lines(results)),
+        "## Loaded",
+        f"One entry and one sidecar with a thread each, one engine with all {LAYERS} layers; streams of up to {LOAD_TOKENS} tokens from\n"
+        "`chervilpulley load`. The delay added is the time from the end of the engine's step to the token at a caller: it holds\n"
+        "the stand-in's own lateness and the caller's. Tokens/s a core are tokens by the processor time they took.",
+        table(
+            ["calls/s", "tokens/s", "entry %", "sidecar %", "engine %", "entry tokens/s a core", "sidecar tokens/s a core", "delay p50 ms", "delay p95 ms", "whole"],
+            load_rows(results),
+        ),
+        table(["what", "measured", "aim", "verdict"], aim_rows(results)),
+        "Resident memory while streams are open:",
+        table(["open", "running at the engine", "entry MB", "sidecar MB"], open_rows(results)),
+        open_slopes(results),
+        "## Not measured",
+        "\n".join(f"- {line}" for line in [*results["not_run"], *NOT_MEASURED]),
+    ]
+    return "\n\n".join(part for part in parts if part) + "\n"
+
+
+NOT_MEASURED = [
+    "Links over 24, and slopes over workspaces and over changes a minute.",
+    "Bytes of connections shorter than a window.",
+    "A relay's and a rate limit's control traffic by themselves.",
+]
+
+
+def capacity_rows(results):
+    """Rows for process.json, which scripts/capacity.py reads."""
+    rows = []
+
+    def add(role, figure, value, unit):
+        rows.append({"role": role, "figure": figure, "value": value, "unit": unit, "command": COMMAND})
+
+    runs = results.get("loaded", [])
+    for role in ("entry", "sidecar"):
+        if runs:
+            add(role, "tokens/s a core", round(max(run[f"{role}_tokens_per_s_a_core"] for run in runs)), "tokens/s")
+        points = idle_points(results, role)
+        if points:
+            last = points[-1]
+            where = f"with {last['connections']:.0f} connections"
+            add(role, "idle processor time", round(100 * last["cpu_share"], 2), f"% of a core {where}")
+            add(role, "memory", round(last["resident_bytes"] / MIB, 1), f"MB {where}")
+            add(role, "control bytes/s", round(last["process_bytes_per_s"]), f"bytes/s {where}, payload")
+    delays = [run["added_delay_s"]["p95"] for run in runs if run["added_delay_s"]]
+    if delays:
+        add("entry", "delay added to a token, p95", round(delays[0] * 1e3, 2), "ms, by entry and sidecar together")
+    return rows
--- /dev/null
+++ b/scripts/measure_slopes.py
@@ -0,0 +1,174 @@
+"""Measurements of what processes use: idle, loaded, and with many streams open."""
+
+import json
+import socket
+import statistics
+import subprocess
+import time
+
+from deployment import call
+from measure_cluster import LAYERS, Stream, connections, cpu_seconds, resident_bytes
+
+SETTLE_SECONDS = 2.0
+IDLE_WINDOWS = 3
+IDLE_WINDOW_SECONDS = 2.5
+LOAD_SECONDS = 4
+LOAD_TOKENS = 64
+LOAD_RATES = (15, 50, 120, 250)  # calls a second
+PROBE_TOKENS = 197  # differs from every other request's, so that its records can be told apart
+OPEN_STREAMS = (0, 100, 200, 400)
+OPEN_TOKENS = 500
+SLOW_STEP_MS = 300
+MIB = 1024 * 1024
+
+
+def usage(programs):
+    """Processor time of each program and its connections' bytes, now."""
+    links = connections()
+    return {p.name: (cpu_seconds(p.child.pid), links.get(p.child.pid, {})) for p in programs}
+
+
+def bytes_between(before, after):
+    """Bytes of the connections that were there at the end."""
+    return sum(size - before.get(key, 0) for key, size in after.items())
+
+
+def idle_window(cluster):
+    """One window: median over the processes of each role."""
+    programs = [*cluster.entries, *cluster.sidecars]
+    calls = json.loads(call(cluster.platform.addresses["http"], "GET", "/counts")[2])
+    before, start = usage(programs), time.monotonic()
+    time.sleep(IDLE_WINDOW_SECONDS)
+    after, length = usage(programs), time.monotonic() - start
+    calls_after = json.loads(call(cluster.platform.addresses["http"], "GET", "/counts")[2])
+    window = {"platform_calls_per_s": {k: (n - calls.get(k, 0)) / length for k, n in calls_after.items()}}
+    for role, group in (("entry", cluster.entries), ("sidecar", cluster.sidecars)):
+        window[role] = role_use(group, before, after, length, cluster)
+    return window
+
+
+def role_use(group, before, after, length, cluster):
+    backends = {engine.addresses["http"] for engine in cluster.engines}
+    outside = backends | {cluster.platform.addresses["http"]}
+
+    def control(name, is_outside):
+        early, late = before[name][1], after[name][1]
+        kept = {key: size for key, size in late.items() if (key[1] in outside) == is_outside}
+        return bytes_between(early, kept) / length
+
+    names = [program.name for program in group]
+    return {
+        "cpu_share": statistics.median((after[name][0] - before[name][0]) / length for name in names),
+        "connections": statistics.median(len(after[name][1]) for name in names),
+        "process_bytes_per_s": statistics.median(control(name, False) for name in names),
+        "platform_and_probe_bytes_per_s": statistics.median(control(name, True) for name in names),
+        "resident_bytes": statistics.median(resident_bytes(program.child.pid) for program in group),
+    }
+
+
+def idle(cluster):
+    time.sleep(SETTLE_SECONDS)
+    return {
+        "entries": len(cluster.entries),
+        "sidecars": len(cluster.sidecars),
+        "windows": [idle_window(cluster) for _ in range(IDLE_WINDOWS)],
+    }
+
+
+def load_run(cluster, rate):
+    """Drives one entry and one sidecar with the project's load tool, and probes the delay with a stream beside it."""
+    out = cluster.folder / f"load-{rate}.json"
+    entry, sidecar, engine = cluster.entries[0], cluster.sidecars[0], cluster.engines[0]
+    words = ["load", "--address", entry.addresses["http"], "--key-file", str(cluster.folder / "caller.key")]
+    words += ["--rate", str(rate), "--seconds", str(LOAD_SECONDS), "--max-tokens", str(LOAD_TOKENS)]
+    words += ["--streams", "1", "--plain", "0", "--bookings", "0", "--lookups", "0", "--json", str(out)]
+    before = [cpu_seconds(p.child.pid) for p in (entry, sidecar, engine)]
+    start = time.monotonic()
+    tool = subprocess.Popen([str(cluster.binary), *words], stdout=subprocess.DEVNULL, stderr=subprocess.PIPE)
+    time.sleep(LOAD_SECONDS / 4)
+    probe = Stream(cluster, entry, f"probe {rate}", PROBE_TOKENS).run()
+    errors = tool.communicate(timeout=60)[1].decode()
+    length = time.monotonic() - start
+    used = [cpu_seconds(p.child.pid) - early for p, early in zip((entry, sidecar, engine), before)]
+    report = json.loads(out.read_text())
+    tokens = report["tokens_per_second"] * report["length_us"] * 1e-6 + len(probe.times)
+    return {
+        "calls_per_s": rate,
+        "tokens_per_s": tokens / length,
+        "entry_cpu_share": used[0] / length,
+        "sidecar_cpu_share": used[1] / length,
+        "engine_cpu_share": used[2] / length,
+        "entry_tokens_per_s_a_core": tokens / used[0],
+        "sidecar_tokens_per_s_a_core": tokens / used[1],
+        "ends": report["ends"],
+        "promises": report["promises"],
+        "load_exit": tool.returncode,
+        "load_errors": errors[-300:],
+        "probe_error": probe.error,
+        "added_delay_s": added_delays(cluster, probe),
+    }
+
+
+def added_delays(cluster, probe):
+    """p50 and p95 of a token's time at the caller after the end of the engine's step."""
+    step = int(call_state(cluster)["step_us"]) * 1e-6
+    starts = {}
+    for run in cluster.runs_of(cluster.engines[0]):
+        if not run["prefill"]:
+            starts.setdefault(run["request"], []).append(run["time_us"] * 1e-6)
+    own = [times for times in starts.values() if len(times) == PROBE_TOKENS]
+    if not own or len(probe.times) != PROBE_TOKENS:
+        return None
+    delays = sorted(at - start - step for at, start in zip(probe.times, own[-1]))
+    return {"p50": delays[len(delays) // 2], "p95": delays[len(delays) * 95 // 100]}
+
+
+def call_state(cluster):
+    return json.loads(call(cluster.engines[0].addresses["http"], "GET", "/v1/state")[2])
+
+
+def loaded(cluster):
+    return [load_run(cluster, rate) for rate in LOAD_RATES]
+
+
+def open_stream(cluster):
+    """Sends the request of a stream that is left open; gives its socket."""
+    host, port = cluster.entries[0].addresses["http"].split(":")
+    body = json.dumps({"model": "demo", "prompt": "Open", "max_tokens": OPEN_TOKENS, "stream": True})
+    head = "".join(f"{name}: {value}\r\n" for name, value in cluster.headers().items())
+    request = f"POST /v1/completions HTTP/1.1\r\nHost: {host}\r\nContent-Length: {len(body)}\r\n{head}\r\n{body}"
+    connection = socket.create_connection((host, int(port)), timeout=10)
+    connection.sendall(request.encode())
+    return connection
+
+
+def memory_per_stream(cluster):
+    """Resident memory of entry and sidecar while streams are open."""
+    slow = json.dumps({"slow_ms": SLOW_STEP_MS})
+    call(cluster.engines[0].addresses["http"], "POST", "/control", slow)
+    opened, points = [], []
+    try:
+        for count in OPEN_STREAMS:
+            opened += [open_stream(cluster) for _ in range(count - len(opened))]
+            time.sleep(SETTLE_SECONDS)
+            points.append(
+                {
+                    "open": count,
+                    "running_at_engine": call_state(cluster)["running"],
+                    "entry_bytes": resident_bytes(cluster.entries[0].child.pid),
+                    "sidecar_bytes": resident_bytes(cluster.sidecars[0].child.pid),
+                }
+            )
+        answers = [connection.recv(64)[:12].decode() for connection in opened]
+    finally:
+        for connection in opened:
+            connection.close()
+    return {"points": points, "answers": {head: answers.count(head) for head in set(answers)}}
+
+
+def slope(points, of, by):
+    """Least-squares slope of one figure over another."""
+    xs, ys = [point[by] for point in points], [point[of] for point in points]
+    middle_x, middle_y = statistics.mean(xs), statistics.mean(ys)
+    spread = sum((x - middle_x) ** 2 for x in xs)
+    return sum((x - middle_x) * (y - middle_y) for x, y in zip(xs, ys)) / spread if spread else 0.0
