--- a/scripts/measure_cluster.py
+++ b/scripts/measure_cluster.py
@@ -121,10 +121,12 @@
         time.sleep(WARM_SECONDS)
         wait_until("all entries' serving", self.is_serving)
 
-    def revision_of(self, program):
-        text = call(program.addresses["http"], "GET", "/metrics")[2]
-        found = re.search(r"^chervilpulley_config_revision(?:\{[^}]*\})? (\S+)", text, re.M)
-        return float(found.group(1)) if found else 0
+    def lacking(self, revision):
+        """Names of the processes that have not reported a revision, or a later one, in force."""
+        reply = self.operate("rollout", "-o", "json")
+        reports = json.loads(reply.stdout).get("instances", []) if reply.returncode == 0 else []
+        known = {report["instance"] for report in reports if int(report.get("revision", 0)) >= revision}
+        return [program.name for program in [*self.entries, *self.sidecars] if program.name not in known]
 
     def runs_of(self, engine):
         """Records of an engine, also of one that has ended."""
@@ -188,7 +190,8 @@
 
     def loop(self, cluster, entry, max_tokens, prompt):
         while not self.stopping.is_set():
-            stream = Stream(cluster, entry, prompt, max_tokens)
+            own_prompt = f"{prompt}, request {len(self.streams)} {secrets.token_hex(4)}"
+            stream = Stream(cluster, entry, own_prompt, max_tokens)
             self.streams.append(stream)
             stream.run()
             if stream.error and not stream.times:
--- a/scripts/measure_faults.py
+++ b/scripts/measure_faults.py
@@ -42,9 +42,9 @@
     return runs[-1]["time_us"] if runs else 0
 
 
-def recovery_run(cluster, fault, run):
+def recovery_run(cluster, fault, run, prompt):
     """Stall in seconds of one stream whose first (or second) stage meets the fault, and its answer."""
-    stream = Stream(cluster, cluster.entries[run % 2], "Lift plan for the quarry", RECOVERY_TOKENS)
+    stream = Stream(cluster, cluster.entries[run % 2], prompt, RECOVERY_TOKENS)
     seen = {}
 
     def on_token(count):
@@ -63,9 +63,17 @@
     usual = statistics.median(gap for gap, late in gaps if late <= seen["time"])
     after = [(gap, late) for gap, late in gaps if late > seen["time"]]
     stage = f"stage {run % 2 + 1}, engine {seen['stage'] + 1}"
+    if not is_moved(cluster, seen):
+        return None, stream, f"{stage}, which did not serve the stream"
     return (max(after)[1] - seen["time"] - usual if after else None), stream, stage
 
 
+def is_moved(cluster, seen):
+    """Whether another engine of the stage has run something since the fault; the stream is the only request."""
+    others = [number for number in range(seen["stage"] % 2, len(cluster.engines), 2) if number != seen["stage"]]
+    return any(last_run_at(cluster, number) * 1e-6 > seen["time"] for number in others)
+
+
 def thaw(cluster):
     for sidecar in cluster.sidecars:
         if sidecar.child.poll() is None:
@@ -73,14 +81,15 @@
 
 
 def recovery(cluster, fault):
-    undisturbed = Stream(cluster, cluster.entries[0], "Lift plan for the quarry", RECOVERY_TOKENS).run()
     stalls, faults, stages = [], [], []
     for run in range(RECOVERY_RUNS):
-        stall, stream, stage = recovery_run(cluster, fault, run)
+        prompt = f"Lift plan for quarry {run} after {fault.__name__}"  # a crash makes its request's prompt suspect
+        undisturbed = Stream(cluster, cluster.entries[0], prompt, RECOVERY_TOKENS).run()
+        stall, stream, stage = recovery_run(cluster, fault, run, prompt)
         stages.append(stage)
         if stall is not None:
             stalls.append(stall)
-        if stream.error or stream.text != undisturbed.text:
+        if stream.error or undisturbed.error or stream.text != undisturbed.text:
             faults.append(f"run {run}, {stage}: {stream.error or 'another answer'}, {len(stream.times)} tokens")
         cluster.mend()
     return {"stall_s": stalls, "stages": stages, "faults": faults}
@@ -103,6 +112,7 @@
         "sidecar": number + 1,
         "last_new_s": max(new, default=0.0),
         "new_after": len(new),
+        "new_before": len([start for start in first_seen.values() if asked - BEFORE_FAULT_SECONDS < start <= asked]),
         "ended": child.poll() is not None,
         "exit_status": child.poll(),
         "requests": len(callers.streams),
@@ -163,15 +173,15 @@
 
 
 def config_run(cluster):
-    """Seconds from the sending of a change, and from its acceptance, until it is in force at every process."""
+    """Seconds from the sending of a change, and from its acceptance, until it is reported in force by every process."""
     sent = time.monotonic()
     revision = cluster.apply_change()
     accepted = time.monotonic()
-    pending = [*cluster.entries, *cluster.sidecars]
-    while pending and time.monotonic() < accepted + CONFIG_LIMIT_SECONDS:
-        pending = [program for program in pending if cluster.revision_of(program) < revision]
+    missing = cluster.lacking(revision)
+    while missing and time.monotonic() < accepted + CONFIG_LIMIT_SECONDS:
+        missing = cluster.lacking(revision)
     done = time.monotonic()
-    return {"from_sending_s": done - sent, "from_acceptance_s": done - accepted, "missing": [p.name for p in pending]}
+    return {"from_sending_s": done - sent, "from_acceptance_s": done - accepted, "missing": missing}
 
 
 def configuration(cluster):
--- a/scripts/measure_slopes.py
+++ b/scripts/measure_slopes.py
@@ -142,6 +142,14 @@
     return connection
 
 
+def answer_so_far(connection):
+    connection.setblocking(False)
+    try:
+        return connection.recv(64)[:12].decode() or "closed"
+    except BlockingIOError:
+        return "none yet"
+
+
 def memory_per_stream(cluster):
     """Resident memory of entry and sidecar while streams are open."""
     slow = json.dumps({"slow_ms": SLOW_STEP_MS})
@@ -159,7 +167,7 @@
                     "sidecar_bytes": resident_bytes(cluster.sidecars[0].child.pid),
                 }
             )
-        answers = [connection.recv(64)[:12].decode() for connection in opened]
+        answers = [answer_so_far(connection) for connection in opened]
     finally:
         for connection in opened:
             connection.close()
