Requests notice a link that was replaced under them; an engine that was gone before is no crash

Found by reading: a frame sent over a link that closed at that moment is lost, and if the link is back before the next check, nothing tells the request. Each attempt now keeps the link that it was opened on. The new test of service_run passes with the code before as well, as the link takes 100 ms to come back and the check comes every 100 ms: it shows the behaviour, not the fault. A stage that refuses after it was admitted gives its place back. A run that could not reach its engine counted as a crash of it, so the loss of a failure domain could condemn a request; only an engine that ends during a run counts now.

--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -10,7 +10,12 @@
 
 engine_error TurnError(const net::net_error& aError)
 {
-  const auto code = aError.mCode == net::net_errc::Timeout ? engine_errc::Timeout : engine_errc::Down;
+  engine_errc code = engine_errc::Down;
+  if (!aError.mMaybeSent) {
+    code = engine_errc::Gone;
+  } else if (aError.mCode == net::net_errc::Timeout) {
+    code = engine_errc::Timeout;
+  }
   return { code, "engine: " + aError.mMessage };
 }
 
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -17,7 +17,8 @@
 
 enum class engine_errc
 {
-  Down,    ///< the engine can't be reached, or ended during the call
+  Down,    ///< the engine ended during the call
+  Gone,    ///< the engine can't be reached; the call surely did not reach it
   Timeout, ///< no answer within the time given
   NoState, ///< it has no KV cache for the positions before this one, or holds other layers
   Busy,    ///< it takes no more work now
--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -147,6 +147,7 @@
     mFormerHeads.push_back(mHead);
   }
   mHead = std::move(chosen);
+  mHeadLink = mHead->Link();
   ++mOpens;
   mAttempt.mNumber = mAttempt.mNumber.Next();
   mIsOpened = false;
@@ -320,16 +321,16 @@
 
 completion_run::step completion_run::OnQuiet()
 {
+  if (mHead->Link() != mHeadLink) {
+    return OnHeadLost(false);
+  }
   const duration quiet = Now() - mLastProgress;
   if (quiet < mOrder.mStallFloor / 2) {
     return step::Continue;
   }
   mRouter.Links().Probe(mHead);
-  const ref<link::connection> link = mHead->Link();
-  if (!link || link->SilentFor() > mOrder.mStallFloor) {
-    return OnHeadLost(true);
-  }
-  return step::Continue;
+  const bool isSilent = !mHeadLink || mHeadLink->SilentFor() > mOrder.mStallFloor;
+  return isSilent ? OnHeadLost(true) : step::Continue;
 }
 
 completion_run::step completion_run::Fail(api_error aError)
@@ -363,8 +364,9 @@
 
 void completion_run::SendToHead(link::frame aFrame)
 {
+  // Over the link that the attempt was opened on: what went over an earlier one may be lost.
   if (mHead) {
-    mRouter.Links().Send(mHead, std::move(aFrame));
+    mRouter.Links().SendOver(mHeadLink, std::move(aFrame));
   }
 }
 
--- a/src/entry/completion_run.h
+++ b/src/entry/completion_run.h
@@ -122,6 +122,7 @@
   bool mIsSuspect = false;
   bool mMayHaveRun = false;
   ref<link::provider> mHead;
+  ref<link::connection> mHeadLink;               ///< that the attempt was opened on
   std::vector<ref<link::provider>> mFormerHeads; ///< not told yet that the request has left them
   bool mIsOpened = false;
   std::vector<std::string> mChain;
--- a/src/entry/service_run.cpp
+++ b/src/entry/service_run.cpp
@@ -68,7 +68,8 @@
   *call.mutable_call() = mOrder.mCall;
   call.mutable_call()->set_deadline_ms(static_cast<std::uint64_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(mOrder.mDeadline - Now()).count()));
-  if (!mRouter.Links().Send(mProvider, std::move(call))) {
+  mLink = mProvider->Link();
+  if (!mRouter.Links().SendOver(mLink, std::move(call))) {
     co_return std::nullopt;
   }
   while (true) {
@@ -139,14 +140,13 @@
 
 bool service_run::IsProviderSilent() const
 {
-  const ref<link::connection> link = mProvider->Link();
-  if (!link) {
+  if (mProvider->Link() != mLink) {
     return true;
   }
-  if (link->SilentFor() > mOrder.mStallFloor / 2) {
+  if (mLink->SilentFor() > mOrder.mStallFloor / 2) {
     mRouter.Links().Probe(mProvider);
   }
-  return link->SilentFor() > mOrder.mStallFloor;
+  return mLink->SilentFor() > mOrder.mStallFloor;
 }
 
 service_result service_run::NoProvider() const
--- a/src/entry/service_run.h
+++ b/src/entry/service_run.h
@@ -46,6 +46,7 @@
   service_order mOrder;
   policy::attempt_key mAttempt;
   ref<link::provider> mProvider;
+  ref<link::connection> mLink; ///< that the call was sent over
   std::set<std::string> mExcluded;
   std::optional<link::refusal> mLastRefusal;
   bool mMayHaveRun = false;
--- a/src/link/provider_links.cpp
+++ b/src/link/provider_links.cpp
@@ -272,6 +272,11 @@
   return SendFrame(link.get(), *mBoard, std::move(aFrame));
 }
 
+bool provider_links::SendOver(const ref<connection>& aLink, frame aFrame)
+{
+  return SendFrame(aLink.get(), *mBoard, std::move(aFrame));
+}
+
 void provider_links::Probe(const ref<provider>& aProvider)
 {
   frame probe;
--- a/src/link/provider_links.h
+++ b/src/link/provider_links.h
@@ -91,6 +91,8 @@
   /// The provider of that name; null when it is not known.
   ref<provider> Find(const instance_id& aInstance) const;
   bool Send(const ref<provider>& aProvider, frame aFrame);
+  /// Sends over this very link; false when it is null or closed.
+  bool SendOver(const ref<connection>& aLink, frame aFrame);
   /// Asks the provider for a sign of life.
   void Probe(const ref<provider>& aProvider);
 
--- a/src/sidecar/pipeline_stage.cpp
+++ b/src/sidecar/pipeline_stage.cpp
@@ -181,11 +181,6 @@
   return chosen ? providers[*chosen] : nullptr;
 }
 
-bool pipeline_stage::SendTo(const ref<link::provider>& aProvider, link::frame aFrame)
-{
-  return mSuccessors->Send(aProvider, std::move(aFrame));
-}
-
 void pipeline_stage::StartRun(ref<stage_stream> aStream, engine::run_request aRequest)
 {
   boost::asio::co_spawn(
--- a/src/sidecar/pipeline_stage.h
+++ b/src/sidecar/pipeline_stage.h
@@ -57,7 +57,6 @@
   void Started(request_digest aDigest) override;
   void Finished(request_digest aDigest, bool aIsComplete) override;
   ref<link::provider> ChooseSuccessor(const link::open_attempt& aOpen, const std::set<std::string>& aExcluded) override;
-  bool SendTo(const ref<link::provider>& aProvider, link::frame aFrame) override;
   void Probe(const ref<link::provider>& aProvider) override { mSuccessors->Probe(aProvider); }
   void StartRun(ref<stage_stream> aStream, engine::run_request aRequest) override;
   void CancelAtEngine(const request_id& aRequest) override;
--- a/src/sidecar/stage_stream.cpp
+++ b/src/sidecar/stage_stream.cpp
@@ -52,6 +52,7 @@
 {
   RefuseTo(mUpstream, mProgress.Current(), aRefusal);
   mPhase = phase::Lost;
+  GiveBackPlace();
 }
 
 std::optional<link::refusal> stage_stream::CheckOpen(const policy::attempt_key& aAttempt,
@@ -196,6 +197,7 @@
     mSuccessor = chosen;
     mSuccessor->Began();
   }
+  mSuccessorLink = mSuccessor->Link();
   mWaitingSince = Now();
   link::frame open = Frame();
   *open.mutable_open() = std::move(next);
@@ -373,14 +375,15 @@
 void stage_stream::RunFailed(const engine::engine_error& aError)
 {
   mProgress.OnFailure();
-  const bool isDown = aError.mCode == engine::engine_errc::Down;
+  const bool hasCrashed = aError.mCode == engine::engine_errc::Down;
+  const bool isDown = hasCrashed || aError.mCode == engine::engine_errc::Gone;
   if (isDown) {
     mHost.EngineFailed();
   }
   if (isDown || aError.mCode == engine::engine_errc::NoState) {
     mProgress.LoseState();
   }
-  Lose(mHost.Instance().Str(), isDown, aError.mCode == engine::engine_errc::Timeout, aError.mMessage);
+  Lose(mHost.Instance().Str(), hasCrashed, aError.mCode == engine::engine_errc::Timeout, aError.mMessage);
 }
 
 void stage_stream::Emit(token_position aPosition)
@@ -481,17 +484,19 @@
 void stage_stream::OnSuccessorLost(const ref<link::provider>& aSuccessor)
 {
   std::lock_guard lock(mMutex);
-  if (aSuccessor != mSuccessor) {
-    return;
+  if (aSuccessor == mSuccessor) {
+    LoseSuccessor();
   }
+}
+
+void stage_stream::LoseSuccessor()
+{
+  const std::string name = mSuccessor->Instance().Str();
   mSuccessor = nullptr;
   if (mPhase == phase::Opening) {
     TrySuccessor();
   } else if (mPhase == phase::Running) {
-    Lose(aSuccessor->Instance().Str(),
-         false,
-         false,
-         "the link to sidecar \"" + aSuccessor->Instance().Str() + "\" closed");
+    Lose(name, false, false, "the link to sidecar \"" + name + "\" closed");
   }
 }
 
@@ -528,6 +533,10 @@
     End();
     return;
   }
+  if (mSuccessor && mSuccessor->Link() != mSuccessorLink) {
+    LoseSuccessor();
+    return;
+  }
   if (mPhase == phase::Opening && mWaitingSince != instant{} && aNow - mWaitingSince > kOpenTimeout) {
     LeaveSuccessor("it did not answer in time");
     TrySuccessor();
@@ -592,8 +601,9 @@
 
 void stage_stream::SendDown(link::frame aFrame)
 {
+  // Over the link that the attempt was opened on: what went over an earlier one may be lost.
   if (mSuccessor) {
-    mHost.SendTo(mSuccessor, std::move(aFrame));
+    link::SendFrame(mSuccessorLink.get(), mHost.Board(), std::move(aFrame));
   }
 }
 
--- a/src/sidecar/stage_stream.h
+++ b/src/sidecar/stage_stream.h
@@ -41,7 +41,6 @@
   /// Chooses a successor that holds the first layer, other than those excluded.
   virtual ref<link::provider> ChooseSuccessor(const link::open_attempt& aOpen,
                                               const std::set<std::string>& aExcluded) = 0;
-  virtual bool SendTo(const ref<link::provider>& aProvider, link::frame aFrame) = 0;
   virtual void Probe(const ref<link::provider>& aProvider) = 0;
   /// Starts a run at the engine; the stream's OnRunDone is called later from another thread.
   virtual void StartRun(ref<class stage_stream> aStream, engine::run_request aRequest) = 0;
@@ -114,6 +113,7 @@
   void SendDown(link::frame aFrame);
   link::frame Frame() const { return link::AttemptFrame(mRequest, mProgress.Current()); }
   void TrySuccessor();
+  void LoseSuccessor();
   void LeaveSuccessor(const std::string& aReason);
   void Opened(std::uint32_t aDownstreamPrefill, const std::vector<std::string>& aChain);
   void StartHead(std::uint32_t aPrefillStages);
@@ -140,6 +140,7 @@
   std::uint32_t mLastLayer = 0;
   ref<link::connection> mUpstream;
   ref<link::provider> mSuccessor;
+  ref<link::connection> mSuccessorLink; ///< that the attempt was opened on
   std::vector<std::string> mChain;
   std::set<std::string> mTried;
   std::deque<work_item> mWork;
--- a/tests/contract/entry_service_run_test.cpp
+++ b/tests/contract/entry_service_run_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <thread>
 
 #include "base/clock.h"
@@ -33,7 +34,11 @@
     events.mOnFrame = [this](const ref<link::provider>& aProvider, link::frame aFrame) {
       mRouter->OnFrame(aProvider, std::move(aFrame));
     };
-    events.mOnLost = [this](const ref<link::provider>& aProvider) { mRouter->OnProviderLost(aProvider); };
+    events.mOnLost = [this](const ref<link::provider>& aProvider) {
+      if (mTellsOfLoss) {
+        mRouter->OnProviderLost(aProvider);
+      }
+    };
     events.mOnRevision = [](const auto&, const auto&, revision_number) {};
     mLinks = MakeRef<link::provider_links>(mContext, mOptions, link::hello(), mBoard, std::move(events));
     mRouter->SetLinks(mLinks);
@@ -119,7 +124,7 @@
     entry::service_order order;
     order.mRequest = request_id("r-1");
     order.mPool = pool_name("services");
-    order.mDeadline = Now() + std::chrono::seconds(20);
+    order.mDeadline = Now() + std::chrono::seconds(10);
     order.mCall.set_route("bookings");
     order.mCall.set_idempotent(aIsIdempotent);
     order.mCall.set_idempotency_key(aKey);
@@ -141,6 +146,7 @@
   ref<link::provider_links> mLinks;
   std::vector<ref<link::server>> mServers;
   std::vector<reaction> mReactions;
+  std::atomic<bool> mTellsOfLoss{ true };
   std::size_t mCalls = 0;
   std::thread mThread;
 };
@@ -193,3 +199,11 @@
     CHECK(fixture.mCalls == row.mCalls);
   }
 }
+
+TEST_CASE_METHOD(service_run_fixture, "service_run_link_replaced_without_notice_counts_as_lost")
+{
+  mTellsOfLoss = false;
+  const auto got = Call({ reaction::CloseLink, reaction::Reply }, true, "");
+  REQUIRE(got.has_value());
+  REQUIRE(got.value().status() == 201);
+}
--- a/tests/contract/sidecar_admission_gate_test.cpp
+++ b/tests/contract/sidecar_admission_gate_test.cpp
@@ -16,7 +16,8 @@
 struct admission_gate_fixture
 {
   boost::asio::io_context mContext;
-  ref<admission_gate> mGate = MakeRef<admission_gate>(mContext, gate_limits{ 2, 4 });
+  ref<admission_gate> mGate =
+    MakeRef<admission_gate>(mContext, gate_limits{ 2, 4 }, metrics::process_metrics::Create());
   std::vector<std::string> mStarted;
   std::vector<std::string> mExpired;
 
--- a/tests/contract/sidecar_admission_gate_threads_test.cpp
+++ b/tests/contract/sidecar_admission_gate_threads_test.cpp
@@ -23,7 +23,8 @@
 struct gate_threads_fixture
 {
   boost::asio::io_context mContext;
-  ref<admission_gate> mGate = MakeRef<admission_gate>(mContext, gate_limits{ kPlaces, 64 });
+  ref<admission_gate> mGate =
+    MakeRef<admission_gate>(mContext, gate_limits{ kPlaces, 64 }, metrics::process_metrics::Create());
   std::atomic<int> mHeld{ 0 };
   std::atomic<int> mMostHeld{ 0 };
   std::atomic<int> mFinished{ 0 }; ///< ran, refused, or cancelled
