--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -44,7 +44,7 @@
 def idle_sizes(build, results):
     results["idle"] = []
     for entries, sidecars in IDLE_SIZES:
-        with Cluster(build, f"idle-{sidecars}", entries, sidecars, STEP_US) as cluster:
+        with Cluster(build, f"idle-{sidecars}", entries, sidecars, STEP_US, usual_intervals=True) as cluster:
             results["idle"].append(slopes.idle(cluster))
             if (entries, sidecars) == IDLE_SIZES[-1]:
                 results["configuration"][f"{entries} entries, {sidecars} sidecars"] = faults.configuration(cluster)
@@ -53,6 +53,7 @@
 def under_load(build, results):
     flags = [f"--max_batch={IN_FLIGHT}"]
     with Cluster(build, "loaded", 1, 1, FAST_STEP_US, threads=1, whole=True, engine_flags=flags) as cluster:
+        results["direct_delay_s"] = slopes.direct_delays(cluster)
         results["loaded"] = slopes.loaded(cluster)
     with Cluster(build, "open", 1, 1, FAST_STEP_US, threads=1, whole=True, engine_flags=flags) as cluster:
         results["open_streams"] = slopes.memory_per_stream(cluster)
--- a/scripts/measure_cluster.py
+++ b/scripts/measure_cluster.py
@@ -17,13 +17,15 @@
 LAYERS = 8
 CALL_TIMEOUT_SECONDS = 30
 WARM_SECONDS = 1.0
+USUAL_LIST_MS = 1000  # the settings' defaults
+USUAL_PROBE_MS = 250
 KIB = 1024
 
 
 class Cluster:
     """Entries, and sidecars before engines that hold halves of the model (or all of it), on loopback."""
 
-    def __init__(self, build, name, entries, engines, step_us, threads=2, whole=False, engine_flags=()):
+    def __init__(self, build, name, entries, engines, step_us, threads=2, whole=False, engine_flags=(), usual_intervals=False):
         self.folder = build / "measure" / name
         self.binary = build / "chervilpulley"
         self.standin = build / "standin"
@@ -32,6 +34,9 @@
         self.workspace_key = "demo." + secrets.token_hex(16)
         self.changes = 0
         self.more = {"instance": {"threads": threads}}
+        if usual_intervals:
+            self.more["platform"] = {"list_interval_ms": USUAL_LIST_MS}
+        self.usual_intervals = usual_intervals
         self.platform = Standin(self, "platform", "platform", "platform")
         self.engines, self.sidecars = [], []
         for index in range(engines):
@@ -48,8 +53,9 @@
         domain = f"domain-{index // 2 % 3 + 1}"
         shape = [f"--layer_count={LAYERS}", f"--first_layer={first}", f"--last_layer={last}", f"--step_us={step_us}"]
         engine = Standin(self, f"engine-{index + 1}", "engine", domain, [*shape, *flags])
+        more = {**self.more, "backend": {"probe_interval_ms": USUAL_PROBE_MS}} if self.usual_intervals else self.more
         self.engines.append(engine)
-        self.sidecars.append(Instance(self, f"sidecar-{index + 1}", "sidecar", domain, engine, self.more))
+        self.sidecars.append(Instance(self, f"sidecar-{index + 1}", "sidecar", domain, engine, more))
 
     def __enter__(self):
         self.folder.mkdir(parents=True, exist_ok=True)
