--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -69,3 +69,12 @@
   add_test(NAME ${target} COMMAND ${target} -seed=20261204 -runs=${FUZZ_RUNS})
   set_tests_properties(${target} PROPERTIES TIMEOUT 120 LABELS fuzz)
 endfunction()
+
+# add_sanitizer_tests(target sources parts...) makes a test program that scripts/sanitize.sh builds and runs; the same
+# tests are in the programs of CTest.
+function(add_sanitizer_tests target sources)
+  add_executable(${target} EXCLUDE_FROM_ALL ${sources} ${CMAKE_SOURCE_DIR}/tests/catch_main.cpp)
+  target_include_directories(${target} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+  link_parts(${target} ${ARGN})
+  target_link_libraries(${target} PRIVATE Catch2::Catch2 rapidcheck)
+endfunction()
