--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -46,7 +46,7 @@
   target_include_directories(${target} PRIVATE ${CMAKE_SOURCE_DIR}/tests)
   link_parts(${target} ${ARGN})
   target_link_libraries(${target} PRIVATE Catch2::Catch2 rapidcheck)
-  add_test(NAME ${folder} COMMAND ${target} -r compact)
+  add_test(NAME ${folder} COMMAND ${CMAKE_SOURCE_DIR}/scripts/run-tests.sh $<TARGET_FILE:${target}>)
   set_tests_properties(${folder} PROPERTIES TIMEOUT 600
     ENVIRONMENT "CHERVILPULLEY_BINARY=$<TARGET_FILE:chervilpulley>;CHERVILPULLEY_STANDIN=${CMAKE_BINARY_DIR}/standin;CHERVILPULLEY_SOURCE=${CMAKE_SOURCE_DIR};RC_PARAMS=seed=20261204")
 endfunction()
