--- a/src/engine/engine_client.cpp
+++ b/src/engine/engine_client.cpp
@@ -10,7 +10,12 @@
 
 engine_error TurnError(const net::net_error& aError)
 {
-  const auto code = aError.mCode == net::net_errc::Timeout ? engine_errc::Timeout : engine_errc::Down;
+  engine_errc code = engine_errc::Down;
+  if (!aError.mMaybeSent) {
+    code = engine_errc::Gone;
+  } else if (aError.mCode == net::net_errc::Timeout) {
+    code = engine_errc::Timeout;
+  }
   return { code, "engine: " + aError.mMessage };
 }
 
@@ -127,6 +132,23 @@
   co_return answer;
 }
 
+boost::asio::awaitable<engine_result<void>> engine_client::Load(load_order aOrder, duration aTimeout)
+{
+  json::object body;
+  body["model"] = aOrder.mModel.Str();
+  body["first_layer"] = aOrder.mFirstLayer;
+  body["last_layer"] = aOrder.mLastLayer;
+  body["fence"] = aOrder.mFence.Value();
+  const auto reply = co_await mHttp->Fetch(mEndpoint, Post("/v1/load", body), aTimeout);
+  if (reply.has_error()) {
+    co_return TurnError(reply.error());
+  }
+  if (reply.value().mStatus != 200) {
+    co_return StatusError(reply.value());
+  }
+  co_return outcome::success();
+}
+
 boost::asio::awaitable<void> engine_client::Cancel(request_id aRequest, duration aTimeout)
 {
   json::object body;
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -17,7 +17,8 @@
 
 enum class engine_errc
 {
-  Down,    ///< the engine can't be reached, or ended during the call
+  Down,    ///< the engine ended during the call
+  Gone,    ///< the engine can't be reached; the call surely did not reach it
   Timeout, ///< no answer within the time given
   NoState, ///< it has no KV cache for the positions before this one, or holds other layers
   Busy,    ///< it takes no more work now
@@ -72,6 +73,15 @@
   std::string mFinishReason;
 };
 
+/// An order to hold a range of layers.
+struct load_order
+{
+  model_name mModel;
+  std::uint32_t mFirstLayer = 0; ///< inclusive
+  std::uint32_t mLastLayer = 0;  ///< inclusive
+  revision_number mFence;        ///< engines that check fencing numbers refuse an older one
+};
+
 /// An engine at one address. Thread-safe.
 class engine_client : public ref_counted
 {
@@ -83,6 +93,7 @@
   }
   boost::asio::awaitable<engine_result<engine_state>> GetState(duration aTimeout);
   boost::asio::awaitable<engine_result<run_reply>> Run(run_request aRequest, duration aTimeout);
+  boost::asio::awaitable<engine_result<void>> Load(load_order aOrder, duration aTimeout);
   /// Stops a request and drops its KV cache; failures are of no consequence.
   boost::asio::awaitable<void> Cancel(request_id aRequest, duration aTimeout);
 
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -59,6 +59,7 @@
   mApi = MakeRef<caller_api>(
     completion_tools{ *mRouter, *mGuard, *mMetrics },
     [this] { return mCore.Config().Current(); },
+    [this] { return mCore.Live(); },
     CallerOptions(mCore.Settings()));
 }
 
@@ -109,11 +110,8 @@
     co_await aExchange.Reply(std::move(*reply));
     co_return;
   }
-  if (net::PathOf(aExchange.Request().mTarget) == "/metrics") {
-    net::http_reply reply;
-    reply.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
-    reply.mBody = mMetrics->Text();
-    co_await aExchange.Reply(std::move(reply));
+  if (auto reply = runtime::MetricsReply(aExchange.Request(), *mMetrics)) {
+    co_await aExchange.Reply(std::move(*reply));
     co_return;
   }
   co_await mApi->Answer(aExchange);
--- a/src/entry/service_run.cpp
+++ b/src/entry/service_run.cpp
@@ -68,7 +68,8 @@
   *call.mutable_call() = mOrder.mCall;
   call.mutable_call()->set_deadline_ms(static_cast<std::uint64_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(mOrder.mDeadline - Now()).count()));
-  if (!mRouter.Links().Send(mProvider, std::move(call))) {
+  mLink = mProvider->Link();
+  if (!mRouter.Links().SendOver(mLink, std::move(call))) {
     co_return std::nullopt;
   }
   while (true) {
@@ -104,13 +105,24 @@
   const link::refusal& refusal = aFrame.refused();
   kLog.Request(mOrder.mRequest.Str(), "{} refused: {}.", mProvider->Instance().Str(), refusal.message());
   mLastRefusal = refusal;
+  mMayHaveRun |= refusal.outcome() != link::OUTCOME_NOT_RUN;
   const bool mayGoOn = refusal.outcome() == link::OUTCOME_UNKNOWN && mOrder.mCall.idempotent();
   if (IsFinal(refusal) && !mayGoOn) {
-    return service_result(FromRefusal(refusal));
+    return service_result(Known(FromRefusal(refusal)));
   }
   return std::nullopt;
 }
 
+api_error service_run::Known(api_error aError) const
+{
+  // What a sidecar did not run, one that was lost before may have run.
+  if (mMayHaveRun && aError.mOutcome == link::OUTCOME_NOT_RUN) {
+    aError.mOutcome = link::OUTCOME_UNKNOWN;
+    aError.mStatus = 504;
+  }
+  return aError;
+}
+
 std::optional<service_result> service_run::OnProviderLost()
 {
   const std::string& name = mProvider->Instance().Str();
@@ -128,14 +140,13 @@
 
 bool service_run::IsProviderSilent() const
 {
-  const ref<link::connection> link = mProvider->Link();
-  if (!link) {
+  if (mProvider->Link() != mLink) {
     return true;
   }
-  if (link->SilentFor() > mOrder.mStallFloor / 2) {
+  if (mLink->SilentFor() > mOrder.mStallFloor / 2) {
     mRouter.Links().Probe(mProvider);
   }
-  return link->SilentFor() > mOrder.mStallFloor;
+  return mLink->SilentFor() > mOrder.mStallFloor;
 }
 
 service_result service_run::NoProvider() const
@@ -145,11 +156,7 @@
   if (mLastRefusal) {
     error = FromRefusal(*mLastRefusal);
   }
-  if (mMayHaveRun) {
-    error.mOutcome = link::OUTCOME_UNKNOWN;
-    error.mStatus = 504;
-  }
-  return error;
+  return Known(std::move(error));
 }
 
 link::frame service_run::Frame() const
--- a/src/entry/service_run.h
+++ b/src/entry/service_run.h
@@ -38,6 +38,7 @@
   std::optional<service_result> OnProviderLost();
   bool IsProviderSilent() const;
   service_result NoProvider() const;
+  api_error Known(api_error aError) const;
   link::frame Frame() const;
 
   request_router& mRouter;
@@ -45,6 +46,7 @@
   service_order mOrder;
   policy::attempt_key mAttempt;
   ref<link::provider> mProvider;
+  ref<link::connection> mLink; ///< that the call was sent over
   std::set<std::string> mExcluded;
   std::optional<link::refusal> mLastRefusal;
   bool mMayHaveRun = false;
--- a/src/link/provider_links.cpp
+++ b/src/link/provider_links.cpp
@@ -124,6 +124,19 @@
   Tick(aNow);
 }
 
+ref<provider> provider_links::Want(const platform::live_instance& aListed, instant aNow)
+{
+  ref<provider> wanted = Find(aListed.mInstance);
+  if (!wanted) {
+    mProviders.Insert(aListed.mInstance, MakeRef<provider>(aListed));
+    wanted = Find(aListed.mInstance);
+  }
+  if (!wanted->Link()) {
+    Connect(wanted, aNow);
+  }
+  return wanted;
+}
+
 void provider_links::Tick(instant aNow)
 {
   for (const auto& known : mProviders.Values()) {
@@ -259,6 +272,11 @@
   return SendFrame(link.get(), *mBoard, std::move(aFrame));
 }
 
+bool provider_links::SendOver(const ref<connection>& aLink, frame aFrame)
+{
+  return SendFrame(aLink.get(), *mBoard, std::move(aFrame));
+}
+
 void provider_links::Probe(const ref<provider>& aProvider)
 {
   frame probe;
--- a/src/link/provider_links.h
+++ b/src/link/provider_links.h
@@ -81,6 +81,8 @@
 
   /// Sets the sidecars to be linked with: new ones are connected, others are closed once they are idle.
   void SetWanted(const std::vector<platform::live_instance>& aWanted, instant aNow);
+  /// Wants one more sidecar until the next SetWanted(), and connects it.
+  ref<provider> Want(const platform::live_instance& aListed, instant aNow);
   /// Connects what is wanted and not linked, and probes links that are silent.
   void Tick(instant aNow);
   /// Providers of a pool, with or without a link.
@@ -89,6 +91,8 @@
   /// The provider of that name; null when it is not known.
   ref<provider> Find(const instance_id& aInstance) const;
   bool Send(const ref<provider>& aProvider, frame aFrame);
+  /// Sends over this very link; false when it is null or closed.
+  bool SendOver(const ref<connection>& aLink, frame aFrame);
   /// Asks the provider for a sign of life.
   void Probe(const ref<provider>& aProvider);
 
