--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -281,7 +281,8 @@
 {
   const auto mailbox = WatchCaller(aExchange);
   const std::string lastEventId(aExchange.Request().mHeaders.Get("Last-Event-ID"));
-  if (const auto id = ReadEventId(lastEventId, mOptions.mClusterKey)) {
+  const auto id = ReadEventId(lastEventId, mOptions.mClusterKey);
+  if (id && id->mWorkspace == aOrder.mWorkspace) {
     aOrder.mRequest = id->mRequest;
   }
   const registration registered(mRouter, aOrder.mRequest, mailbox);
--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -1,5 +1,7 @@
 #include "entry/completion_run.h"
 
+#include <algorithm>
+
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/random.h"
@@ -353,7 +355,8 @@
 {
   // Only now: a cancel before the new attempt is open would end the stages that it takes over.
   for (const auto& former : mFormerHeads) {
-    if (former != mHead) {
+    const bool isInChain = std::count(mChain.begin(), mChain.end(), former->Instance().Str()) > 0;
+    if (former != mHead && !isInChain) {
       link::frame cancel = Frame();
       cancel.mutable_cancel()->set_reason("another chain was chosen");
       mRouter.Links().Send(former, std::move(cancel));
--- a/src/entry/request_guard.cpp
+++ b/src/entry/request_guard.cpp
@@ -7,6 +7,8 @@
 /// Time that the entry which saw a crash gets to find out whether the request does so again.
 constexpr duration kPeerTrialTime = std::chrono::seconds(5);
 constexpr std::uint32_t kCrashesThatCondemn = 2;
+/// Trials that are remembered before those that are over are dropped.
+constexpr std::size_t kMostTrials = 1024;
 
 } // namespace
 
@@ -102,6 +104,9 @@
   const bool isCondemned = aCrashes >= kCrashesThatCondemn || mSuspects.Level(aDigest, aNow) != policy::suspicion::None;
   const auto level = isCondemned ? policy::suspicion::Refused : policy::suspicion::Suspect;
   mSuspects.Merge({ aDigest, level, policy::kSuspicionTime }, aNow);
+  if (mTriedElsewhere.size() >= kMostTrials) {
+    std::erase_if(mTriedElsewhere, [&](const auto& aTrial) { return aTrial.second <= aNow; });
+  }
   mTriedElsewhere[aDigest] = aNow + kPeerTrialTime;
 }
 
--- a/src/sidecar/pipeline_stage.cpp
+++ b/src/sidecar/pipeline_stage.cpp
@@ -60,13 +60,19 @@
     return;
   }
   if (!stream) {
+    if (aFrame.has_activation()) {
+      link::frame lost = link::AttemptFrame(request, link::AttemptOf(aFrame));
+      lost.mutable_lost()->set_instance(mOptions.mInstance.Str());
+      lost.mutable_lost()->set_message("the request is not known at this stage");
+      link::SendFrame(aFrom.get(), *mBoard, std::move(lost));
+    }
     return;
   }
   const policy::attempt_key attempt = link::AttemptOf(aFrame);
   if (aFrame.has_open()) {
     stream->OnOpen(aFrom, attempt, aFrame.open());
   } else if (aFrame.has_activation()) {
-    stream->OnActivation(attempt, aFrame.activation());
+    stream->OnActivation(aFrom, attempt, aFrame.activation());
   } else if (aFrame.has_delivered()) {
     stream->OnDelivered(attempt, token_position(aFrame.delivered().next_position()));
   } else if (aFrame.has_cancel()) {
--- a/src/sidecar/stage_stream.cpp
+++ b/src/sidecar/stage_stream.cpp
@@ -11,6 +11,8 @@
 
 constexpr part_log kLog("stage");
 constexpr duration kOpenTimeout = std::chrono::seconds(1);
+/// A successor that is alive watches its own engine and successors; this is for what none of them notices.
+constexpr duration kLongestWait = std::chrono::seconds(30);
 constexpr std::uint64_t kRetryAfterMs = 500;
 
 link::frame LostFrame(link::frame aFrame, const std::string& aInstance, const std::string& aMessage)
@@ -256,9 +258,19 @@
   mWork.push_back({ false, aPosition, input, 0 });
 }
 
-void stage_stream::OnActivation(const policy::attempt_key& aAttempt, const link::activation& aActivation)
+void stage_stream::OnActivation(const ref<link::connection>& aFrom,
+                                const policy::attempt_key& aAttempt,
+                                const link::activation& aActivation)
 {
   std::lock_guard lock(mMutex);
+  const bool isEnded = mPhase == phase::Ended || aAttempt > mProgress.Current();
+  if (isEnded && aAttempt >= mProgress.Current()) {
+    // The stage before would wait for an answer that never comes.
+    link::frame lost =
+      LostFrame(link::AttemptFrame(mRequest, aAttempt), mHost.Instance().Str(), "the request has ended at this stage");
+    link::SendFrame(aFrom.get(), mHost.Board(), std::move(lost));
+    return;
+  }
   if (!mProgress.IsCurrent(aAttempt) || mPhase != phase::Running || IsHead()) {
     return;
   }
@@ -553,8 +565,8 @@
     return;
   }
   mHost.Probe(mSuccessor);
-  const ref<link::connection> link = mSuccessor->Link();
-  if (link && link->SilentFor() > mHost.StallFloor()) {
+  const bool isSilent = mSuccessorLink && mSuccessorLink->SilentFor() > mHost.StallFloor();
+  if (isSilent || aNow - mWaitingSince > kLongestWait) {
     Lose(mSuccessor->Instance().Str(), false, true, "sidecar \"" + mSuccessor->Instance().Str() + "\" is silent");
   }
 }
--- a/src/sidecar/stage_stream.h
+++ b/src/sidecar/stage_stream.h
@@ -62,7 +62,9 @@
   void OnOpen(ref<link::connection> aUpstream, policy::attempt_key aAttempt, const link::open_attempt& aOpen);
   /// A place at the engine was given to it, or its time to wait has passed.
   void OnAdmitted(bool aIsExpired);
-  void OnActivation(const policy::attempt_key& aAttempt, const link::activation& aActivation);
+  void OnActivation(const ref<link::connection>& aFrom,
+                    const policy::attempt_key& aAttempt,
+                    const link::activation& aActivation);
   void OnDelivered(const policy::attempt_key& aAttempt, token_position aNext);
   void OnCancel(const policy::attempt_key& aAttempt);
   /// A frame from the successor.
