--- a/src/cli/load_plan.cpp
+++ b/src/cli/load_plan.cpp
@@ -15,9 +15,9 @@
 /// One in so many repeats is sent at the same moment as the booking itself.
 constexpr std::size_t kImmediateRepeats = 4;
 
-constexpr std::array<std::string_view, 16> kWords{ "winch",  "cable", "crew",  "slot",    "gate", "load",
-                                                   "spring", "well",  "feast", "village", "rota", "quote",
-                                                   "survey", "lift",  "yard",  "crane" };
+constexpr std::array<std::string_view, 16> kWords{ "north",  "cable", "plate",  "slot",    "gate", "load",
+                                                   "spring", "river", "bridge", "village", "list", "quote",
+                                                   "survey", "lift",  "yard",   "tower" };
 
 duration Seconds(double aSeconds)
 {
--- a/src/link/frames.cpp
+++ b/src/link/frames.cpp
@@ -16,6 +16,13 @@
   return { attempt_number(aFrame.attempt()), aFrame.nonce() };
 }
 
+frame LostFrame(frame aFrame, const std::string& aInstance, const std::string& aMessage)
+{
+  aFrame.mutable_lost()->set_instance(aInstance);
+  aFrame.mutable_lost()->set_message(aMessage);
+  return aFrame;
+}
+
 bool SendFrame(connection* aLink, const revision_board& aBoard, frame aFrame)
 {
   if (aLink == nullptr) {
--- a/src/link/frames.h
+++ b/src/link/frames.h
@@ -24,6 +24,9 @@
 frame AttemptFrame(const request_id& aRequest, const policy::attempt_key& aAttempt);
 /// The attempt that a frame is about.
 policy::attempt_key AttemptOf(const frame& aFrame);
+/// The frame with the loss of an attempt as its body.
+/// @param aInstance the stage at fault.
+frame LostFrame(frame aFrame, const std::string& aInstance, const std::string& aMessage);
 /// Stamps and sends a frame; false when the link is closed. A null link counts as closed.
 bool SendFrame(connection* aLink, const revision_board& aBoard, frame aFrame);
 /// Parses a message; false when it is not a frame.
--- a/src/sidecar/pipeline_stage.cpp
+++ b/src/sidecar/pipeline_stage.cpp
@@ -61,9 +61,9 @@
   }
   if (!stream) {
     if (aFrame.has_activation()) {
-      link::frame lost = link::AttemptFrame(request, link::AttemptOf(aFrame));
-      lost.mutable_lost()->set_instance(mOptions.mInstance.Str());
-      lost.mutable_lost()->set_message("the request is not known at this stage");
+      link::frame lost = link::LostFrame(link::AttemptFrame(request, link::AttemptOf(aFrame)),
+                                         mOptions.mInstance.Str(),
+                                         "the request is not known at this stage");
       link::SendFrame(aFrom.get(), *mBoard, std::move(lost));
     }
     return;
--- a/tests/contract/net_http_server_test.cpp
+++ b/tests/contract/net_http_server_test.cpp
@@ -82,6 +82,7 @@
   constexpr int kCalls = 200;
   std::atomic<int> whole{ 0 };
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       for (int call = 0; call < kCalls; ++call) {
--- a/tests/processes/bookings_test.cpp
+++ b/tests/processes/bookings_test.cpp
@@ -78,7 +78,7 @@
   for (const std::size_t service : { std::size_t(0), std::size_t(1) }) {
     Control(*mCluster.Service(service).mServer, { { "slow_ms", 400 } });
   }
-  const std::string body = "crew 4 at Yirgalem";
+  const std::string body = "slot 4 at gate 2";
   std::future<answer> first =
     std::async(std::launch::async, [&] { return mCluster.CallerAt(0).Book(body, "crashed"); });
   REQUIRE(WaitUntil([&] { return HasRun(body); }));
--- a/tests/processes/path_test.cpp
+++ b/tests/processes/path_test.cpp
@@ -44,12 +44,12 @@
 
 TEST_CASE_METHOD(demo_fixture, "whole_path_booking_repeated_at_another_entry_runs_once")
 {
-  const answer first = mCluster.CallerAt(0).Book("winch 3, crew 2", "key-1");
-  const answer second = mCluster.CallerAt(1).Book("winch 3, crew 2", "key-1");
+  const answer first = mCluster.CallerAt(0).Book("slot 3, team 2", "key-1");
+  const answer second = mCluster.CallerAt(1).Book("slot 3, team 2", "key-1");
   CHECK(first.mStatus == 201);
   CHECK(second.mStatus == 201);
   CHECK(first.mBody == second.mBody);
-  CHECK(Text(JudgeBookings(mCluster.ServiceRunsSoFar(), { { "winch 3, crew 2", told::Booked } })) == "");
+  CHECK(Text(JudgeBookings(mCluster.ServiceRunsSoFar(), { { "slot 3, team 2", told::Booked } })) == "");
 }
 
 TEST_CASE_METHOD(demo_fixture, "whole_path_stock_and_refusals_are_answered")
