HTTP server that stops: a caller that had connected gets its answer

Such a connection now has a second for its request, and counts as open until then. The contract test connects, stops the server, then sends.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,9 +3,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/intrusive/list.hpp>
 
 #include <array>
+#include <memory>
 #include <mutex>
 #include <optional>
 
@@ -20,6 +22,8 @@
 
 constexpr std::size_t kLingerPieceBytes = 16U << 10U;
 constexpr std::size_t kMostLingerBytes = 64U << 20U;
+/// Time that a connected caller gets for its first request once the server stops.
+constexpr duration kFirstRequestTime = std::chrono::seconds(1);
 constexpr duration kLingerTime = std::chrono::seconds(3);
 
 class server_impl;
@@ -36,6 +40,7 @@
 
   asio::awaitable<void> Run();
   void CloseIfIdle();
+  void CloseWithoutRequest();
 
   http_request& Request() override { return mRequest; }
   asio::any_io_executor Executor() override { return mStream.get_executor(); }
@@ -50,6 +55,7 @@
   asio::awaitable<void> RefuseRequest(const boost::system::error_code& aError);
   asio::awaitable<void> Linger();
   asio::awaitable<void> Answer();
+  void SetNotFresh();
   void WatchForHangUp();
   void CheckForHangUp();
   void HungUp();
@@ -63,6 +69,7 @@
   http_request mRequest;
   bool mRequestKeepAlive = false;
   bool mIsHead = false;
+  bool mIsFresh = true; ///< no request has come yet
   bool mBusy = false;
   bool mAnswered = false;
   bool mFailed = false;
@@ -87,7 +94,7 @@
 
   endpoint LocalEndpoint() const override { return mLocal; }
   void StopAccepting() override;
-  std::size_t OpenExchanges() const override { return mOpenExchanges; }
+  std::size_t OpenExchanges() const override { return mOpenExchanges + mAwaitingFirst; }
 
   void Add(server_connection& aConnection);
   void Remove(server_connection& aConnection);
@@ -95,6 +102,8 @@
   const http_handler& Handler() const { return mHandler; }
   const http_limits& Limits() const { return mLimits; }
   std::atomic<std::size_t> mOpenExchanges{ 0 };
+  /// Connections whose first request has not come yet.
+  std::atomic<std::size_t> mAwaitingFirst{ 0 };
   auto AcceptorExecutor() { return mAcceptor.get_executor(); }
 
 private:
@@ -112,11 +121,13 @@
   : mServer(std::move(aServer))
   , mStream(std::move(aSocket))
 {
+  mServer->mAwaitingFirst.fetch_add(1);
 }
 
 server_connection::~server_connection()
 {
   // Still listed when the process ends while the connection is open.
+  SetNotFresh();
   mServer->Remove(*this);
 }
 
@@ -124,18 +135,27 @@
 {
   const ref<server_connection> self(this);
   mServer->Add(*this);
-  while (!mServer->IsStopping() && co_await ReadRequest()) {
+  // The first request is read even by a server that stops: its caller had connected before.
+  while ((mIsFresh || !mServer->IsStopping()) && co_await ReadRequest()) {
     co_await Answer();
     if (!KeepAlive()) {
       break;
     }
   }
+  SetNotFresh();
   boost::system::error_code ignored;
   mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
   mStream.close();
   mServer->Remove(*this);
 }
 
+void server_connection::SetNotFresh()
+{
+  if (std::exchange(mIsFresh, false)) {
+    mServer->mAwaitingFirst.fetch_sub(1);
+  }
+}
+
 bool server_connection::KeepAlive() const
 {
   return mRequestKeepAlive && mAnswered && !mFailed && !mHungUp && !mServer->IsStopping();
@@ -205,6 +225,7 @@
   mAnswered = false;
   ++mExchange;
   mServer->mOpenExchanges.fetch_add(1);
+  SetNotFresh();
   WatchForHangUp();
   co_await mServer->Handler()(*this);
   mOnHangUp = nullptr;
@@ -328,7 +349,19 @@
 void server_connection::CloseIfIdle()
 {
   asio::post(mStream.get_executor(), [self = ref<server_connection>(this)] {
-    if (!self->mBusy) {
+    if (self->mIsFresh) {
+      self->CloseWithoutRequest();
+    } else if (!self->mBusy) {
+      self->mStream.cancel();
+    }
+  });
+}
+
+void server_connection::CloseWithoutRequest()
+{
+  auto timer = std::make_shared<asio::steady_timer>(mStream.get_executor(), kFirstRequestTime);
+  timer->async_wait([self = ref<server_connection>(this), timer](const boost::system::error_code&) {
+    if (self->mIsFresh) {
       self->mStream.cancel();
     }
   });
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -59,9 +59,10 @@
                                             http_handler aHandler,
                                             http_limits aLimits);
   virtual endpoint LocalEndpoint() const = 0;
-  /// Stops accepting and closes idle connections; answers in progress go on, then their connections close.
+  /// Stops accepting and closes idle connections. Answers in progress go on, then their connections close; a caller
+  /// that has connected and sent nothing yet has a second for its request.
   virtual void StopAccepting() = 0;
-  /// Number of requests that are being answered.
+  /// Number of requests that are being answered, and of connections whose first request has not come yet.
   virtual std::size_t OpenExchanges() const = 0;
 };
 
--- a/tests/contract/net_http_server_test.cpp
+++ b/tests/contract/net_http_server_test.cpp
@@ -15,6 +15,8 @@
 #include <future>
 #include <thread>
 
+#include "base/clock.h"
+
 using namespace chervilpulley;
 
 namespace {
@@ -66,6 +68,21 @@
     return net::FetchBlocking(mServer->LocalEndpoint(), request, kLimit);
   }
 
+  int ConnectRaw() const
+  {
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(mServer->LocalEndpoint().mPort);
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    return caller;
+  }
+  static void SendRaw(int aCaller, const std::string& aText)
+  {
+    REQUIRE(send(aCaller, aText.data(), aText.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(aText.size()));
+  }
+
   boost::asio::io_context mContext;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mGuard{ mContext.get_executor() };
   ref<net::http_server> mServer;
@@ -100,18 +117,27 @@
 
 TEST_CASE_METHOD(http_server_fixture, "http_server_caller_that_closes_is_noticed")
 {
-  const int caller = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(mServer->LocalEndpoint().mPort);
-  inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-  REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-  const std::string request = "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n";
-  REQUIRE(send(caller, request.data(), request.size(), 0) == static_cast<ssize_t>(request.size()));
+  const int caller = ConnectRaw();
+  SendRaw(caller, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n");
   close(caller);
   REQUIRE(mFirstHangUp.get_future().wait_for(kLimit) == std::future_status::ready);
 }
 
+TEST_CASE_METHOD(http_server_fixture, "http_server_that_stops_answers_a_caller_that_had_connected")
+{
+  const int caller = ConnectRaw();
+  const instant limit = Now() + kLimit;
+  while (mServer->OpenExchanges() == 0 && Now() < limit) {
+    std::this_thread::yield();
+  }
+  mServer->StopAccepting();
+  SendRaw(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  char answer[12] = {};
+  REQUIRE(recv(caller, answer, sizeof answer, MSG_WAITALL) == sizeof answer);
+  REQUIRE(std::string(answer, sizeof answer) == "HTTP/1.1 200");
+  close(caller);
+}
+
 TEST_CASE_METHOD(http_server_fixture, "http_server_body_over_the_limit_is_413")
 {
   for (const std::size_t size : { 101UL, 100'000UL, 20'000'000UL }) {
