--- a/include/chervilpulley/ids.h
+++ b/include/chervilpulley/ids.h
@@ -68,6 +68,8 @@
 using route_name = strong_name<struct route_tag>;
 /// A model version.
 using model_name = strong_name<struct model_tag>;
+/// One start of a backend server.
+using backend_id = strong_name<struct backend_tag>;
 /// A pool of backend servers.
 using pool_name = strong_name<struct pool_tag>;
 /// A caller's request, unique in the deployment.
--- /dev/null
+++ b/src/base/decision_log.cpp
@@ -0,0 +1,171 @@
+#include "base/decision_log.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
+#include <boost/json/value.hpp>
+#include <fmt/format.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <iterator>
+#include <memory>
+
+#include "base/clock.h"
+
+namespace chervilpulley {
+
+namespace {
+
+/// Lines a second of each rank; at 25 requests a second an entry writes about 60.
+constexpr std::uint32_t kRoutineLinesPerSecond = 150;
+constexpr std::uint32_t kNotableLinesPerSecond = 400;
+
+std::uint64_t sDropped = 0;
+
+/// Writes to standard output without waiting; a line that the pipe does not take is dropped whole, and the rest of one
+/// that it takes in part is written before the next.
+class pipe_sink : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+  pipe_sink()
+  {
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+      ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override
+  {
+    flush_();
+    if (!mRest.empty()) {
+      ++sDropped;
+      return;
+    }
+    spdlog::memory_buf_t line;
+    formatter_->format(aMessage, line);
+    mRest.assign(line.data(), line.size());
+    const std::size_t whole = mRest.size();
+    flush_();
+    if (mRest.size() == whole) {
+      mRest.clear();
+      ++sDropped;
+    }
+  }
+
+  void flush_() override
+  {
+    while (!mRest.empty()) {
+      const ssize_t written = ::write(STDOUT_FILENO, mRest.data(), mRest.size());
+      if (written <= 0) {
+        return;
+      }
+      mRest.erase(0, static_cast<std::size_t>(written));
+    }
+  }
+
+private:
+  std::string mRest;
+};
+
+/// Lines allowed in the present second.
+class line_budget
+{
+public:
+  bool Take(log_rank aRank)
+  {
+    const instant now = Now();
+    if (now - mSecond >= std::chrono::seconds(1)) {
+      mSecond = now;
+      mRoutine = 0;
+      mNotable = 0;
+    }
+    std::uint32_t& used = aRank == log_rank::Routine ? mRoutine : mNotable;
+    const std::uint32_t most = aRank == log_rank::Routine ? kRoutineLinesPerSecond : kNotableLinesPerSecond;
+    if (used >= most) {
+      ++sDropped;
+      return false;
+    }
+    ++used;
+    return true;
+  }
+
+private:
+  instant mSecond;
+  std::uint32_t mRoutine = 0;
+  std::uint32_t mNotable = 0;
+};
+
+std::shared_ptr<spdlog::logger> sLogger;
+line_budget sBudget;
+std::uint64_t sReportedDropped = 0;
+
+void AppendText(std::string& aLine, std::string_view aValue)
+{
+  aLine += boost::json::serialize(boost::json::string(aValue.data(), aValue.size()));
+}
+
+} // namespace
+
+void StartDecisionLog(const std::string& aInstance)
+{
+  sLogger = std::make_shared<spdlog::logger>(aInstance, std::make_shared<pipe_sink>());
+  sLogger->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","instance":"%n",%v})");
+}
+
+std::uint64_t DroppedLogLines()
+{
+  return sDropped;
+}
+
+log_line::log_line(std::string_view aEvent, log_rank aRank)
+  : mIsKept(sLogger != nullptr && sBudget.Take(aRank))
+{
+  if (mIsKept) {
+    mFields = fmt::format(R"("event":"{}")", aEvent);
+  }
+}
+
+log_line::~log_line()
+{
+  if (!mIsKept) {
+    return;
+  }
+  if (sDropped != sReportedDropped) {
+    Count("log_lines_dropped", sDropped);
+    sReportedDropped = sDropped;
+  }
+  sLogger->info(mFields);
+}
+
+log_line& log_line::Text(std::string_view aName, std::string_view aValue)
+{
+  if (mIsKept) {
+    fmt::format_to(std::back_inserter(mFields), R"(,"{}":)", aName);
+    AppendText(mFields, aValue);
+  }
+  return *this;
+}
+
+log_line& log_line::Number(std::string_view aName, double aValue)
+{
+  if (mIsKept) {
+    fmt::format_to(std::back_inserter(mFields), R"(,"{}":{:.3f})", aName, aValue);
+  }
+  return *this;
+}
+
+log_line& log_line::Count(std::string_view aName, std::uint64_t aValue)
+{
+  if (mIsKept) {
+    fmt::format_to(std::back_inserter(mFields), R"(,"{}":{})", aName, aValue);
+  }
+  return *this;
+}
+
+} // namespace chervilpulley
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -53,6 +53,14 @@
     }
     return text.str();
   }
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE) {
+    std::ostringstream text;
+    text << "a number from " << options.min() << " to " << options.max();
+    if (!options.unit().empty()) {
+      text << " (" << options.unit() << ")";
+    }
+    return text.str();
+  }
   return options.required() ? "text that is not empty" : "text";
 }
 
@@ -69,6 +77,19 @@
   return true;
 }
 
+bool SetFraction(Message& aSection, const FieldDescriptor& aField, const std::string& aValue)
+{
+  double number = 0;
+  const char* end = aValue.data() + aValue.size();
+  const auto parsed = std::from_chars(aValue.data(), end, number);
+  const auto& options = OptionsOf(aField);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !(number >= options.min() && number <= options.max())) {
+    return false;
+  }
+  aSection.GetReflection()->SetDouble(&aSection, &aField, number);
+  return true;
+}
+
 bool SetText(Message& aSection, const FieldDescriptor& aField, const std::string& aValue)
 {
   const auto& choices = OptionsOf(aField).one_of();
@@ -87,6 +108,9 @@
   if (aField.cpp_type() == FieldDescriptor::CPPTYPE_UINT32) {
     return SetNumber(aSection, aField, aValue);
   }
+  if (aField.cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE) {
+    return SetFraction(aSection, aField, aValue);
+  }
   return SetText(aSection, aField, aValue);
 }
 
--- a/src/cli/commands_local.cpp
+++ b/src/cli/commands_local.cpp
@@ -4,6 +4,7 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <ostream>
 
 #include "base/settings.h"
@@ -24,13 +25,21 @@
   }
 }
 
+/// The file that the flag names, else the one that the environment does.
+std::string SettingsFile()
+{
+  const char* fromEnvironment = std::getenv("CHERVILPULLEY_SETTINGS");
+  return FLAGS_role_settings.empty() && fromEnvironment != nullptr ? fromEnvironment : FLAGS_role_settings;
+}
+
 int RunRole(const role_command& aRole, streams aStreams)
 {
-  if (FLAGS_role_settings.empty()) {
+  const std::string file = SettingsFile();
+  if (file.empty()) {
     aStreams.mErr << fmt::format("{}: flag \"--settings\" is needed\n", aRole.mName);
     return ExitUsage;
   }
-  const auto loaded = LoadSettings(FLAGS_role_settings);
+  const auto loaded = LoadSettings(file);
   if (!loaded) {
     PrintFaults(loaded.error(), aStreams.mErr);
     return ExitRefused;
--- /dev/null
+++ b/src/gateway/caller_session.cpp
@@ -0,0 +1,534 @@
+#include "gateway/caller_session.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/list.hpp>
+
+#include <fmt/format.h>
+
+#include <optional>
+
+#include "base/decision_log.h"
+#include "net/http_p.h"
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+/// Pause after a connection could not be accepted, as when there are no descriptors left.
+constexpr duration kAcceptPause = std::chrono::milliseconds(50);
+/// Times the limit for a head that a body may take.
+constexpr int kBodyTimeFactor = 5;
+
+class listener_impl;
+
+enum class session_phase
+{
+  Idle,    ///< waits for a request
+  Reading, ///< a request has begun to come
+  Answering,
+  Closed
+};
+
+class session_impl
+  : public caller_session
+  , public boost::intrusive::list_base_hook<>
+{
+public:
+  session_impl(ref<listener_impl> aListener, tcp::socket aSocket);
+  ~session_impl() override;
+
+  void WaitForRequest();
+  void CloseIfIdle();
+  bool IsBusy() const { return mPhase == session_phase::Reading || mPhase == session_phase::Answering; }
+
+  void SetWork(ref<request_work> aWork) override;
+  void Answer(net::http_reply aReply) override;
+  void Begin(const net::http_reply& aHead, std::string_view aBytes) override;
+  void Write(std::string_view aBytes) override;
+  void Finish() override;
+  void Cut() override;
+  std::size_t Backlog() const override { return mOut.size() - mOutTaken; }
+
+private:
+  void ReadHead();
+  void ReadBody();
+  void TakeRequest();
+  void Refuse(const error_code& aError);
+  std::string HeadOf(const net::http_reply& aReply, std::string_view aFraming);
+  void AnswerDone();
+  void Flush();
+  void AfterFlush();
+  void WatchCaller();
+  void CallerGone();
+  void Close();
+  void Limit(duration aTime);
+
+  ref<listener_impl> mListener;
+  tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::string_body>> mParser;
+  session_phase mPhase = session_phase::Idle;
+  ref<request_work> mWork;
+  std::string mOut;
+  std::size_t mOutTaken = 0;
+  bool mIsWriting = false;
+  bool mIsWatching = false;
+  bool mKeepAlive = true;
+  bool mIsHead = false; ///< the request's method is HEAD
+  bool mIsBegun = false;
+  bool mIsDone = false; ///< the answer is written, though perhaps not taken yet
+  unsigned mRound = 0;  ///< counts requests, so that an old timer finds itself out of date
+};
+
+class listener_impl : public caller_listener
+{
+public:
+  listener_impl(asio::io_context& aContext, ref<session_host> aHost)
+    : mContext(aContext)
+    , mAcceptor(aContext)
+    , mPause(aContext)
+    , mHost(std::move(aHost))
+  {
+  }
+
+  bool Bind(const net::endpoint& aEndpoint);
+  void Accept();
+  net::endpoint LocalEndpoint() const override;
+  void StopAccepting() override;
+  void CloseIdle() override;
+  std::size_t Busy() const override;
+  std::size_t Open() const override { return mSessions.size(); }
+
+  void Add(session_impl& aSession) { mSessions.push_back(aSession); }
+  void Remove(session_impl& aSession) { mSessions.erase(mSessions.iterator_to(aSession)); }
+  asio::io_context& Context() { return mContext; }
+  session_host& Host() { return *mHost; }
+
+private:
+  asio::io_context& mContext;
+  tcp::acceptor mAcceptor;
+  asio::steady_timer mPause;
+  ref<session_host> mHost;
+  boost::intrusive::list<session_impl> mSessions;
+};
+
+session_impl::session_impl(ref<listener_impl> aListener, tcp::socket aSocket)
+  : mListener(std::move(aListener))
+  , mSocket(std::move(aSocket))
+  , mTimer(mListener->Context())
+{
+  error_code ignored;
+  mSocket.set_option(tcp::no_delay(true), ignored);
+  mSocket.non_blocking(true, ignored);
+  mListener->Add(*this);
+}
+
+session_impl::~session_impl()
+{
+  mListener->Remove(*this);
+}
+
+void session_impl::Limit(duration aTime)
+{
+  mTimer.expires_after(aTime);
+  mTimer.async_wait([self = ref<session_impl>(this), round = mRound](const error_code& aError) {
+    if (aError || round != self->mRound || self->mPhase == session_phase::Answering ||
+        self->mPhase == session_phase::Closed) {
+      return;
+    }
+    if (self->mPhase == session_phase::Reading) {
+      net::http_reply reply;
+      reply.mStatus = 408;
+      self->mKeepAlive = false;
+      self->mPhase = session_phase::Answering;
+      self->Answer(std::move(reply));
+      return;
+    }
+    self->Close();
+  });
+}
+
+void session_impl::WaitForRequest()
+{
+  mPhase = session_phase::Idle;
+  ++mRound;
+  if (mBuffer.size() > 0) {
+    ReadHead();
+    return;
+  }
+  Limit(mListener->Host().Limits().mIdleTimeout);
+  mSocket.async_wait(tcp::socket::wait_read, [self = ref<session_impl>(this)](const error_code& aError) {
+    if (self->mPhase != session_phase::Idle) {
+      return;
+    }
+    if (aError) {
+      self->Close();
+      return;
+    }
+    self->ReadHead();
+  });
+}
+
+void session_impl::ReadHead()
+{
+  mPhase = session_phase::Reading;
+  ++mRound;
+  Limit(mListener->Host().Limits().mHeaderTimeout);
+  mParser.emplace();
+  mParser->header_limit(static_cast<std::uint32_t>(mListener->Host().Limits().mMaxHeaderBytes));
+  mParser->body_limit(mListener->Host().Limits().mMaxBodyBytes);
+  http::async_read_header(
+    mSocket, mBuffer, *mParser, [self = ref<session_impl>(this)](const error_code& aError, std::size_t) {
+      if (self->mPhase != session_phase::Reading) {
+        return;
+      }
+      if (aError) {
+        self->Refuse(aError);
+        return;
+      }
+      self->ReadBody();
+    });
+}
+
+void session_impl::ReadBody()
+{
+  if (mParser->is_done()) {
+    TakeRequest();
+    return;
+  }
+  ++mRound;
+  Limit(mListener->Host().Limits().mHeaderTimeout * kBodyTimeFactor);
+  if (boost::beast::iequals(mParser->get()[http::field::expect], "100-continue")) {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  http::async_read(mSocket, mBuffer, *mParser, [self = ref<session_impl>(this)](const error_code& aError, std::size_t) {
+    if (self->mPhase != session_phase::Reading) {
+      return;
+    }
+    if (aError) {
+      self->Refuse(aError);
+      return;
+    }
+    self->TakeRequest();
+  });
+}
+
+void session_impl::TakeRequest()
+{
+  mPhase = session_phase::Answering;
+  ++mRound;
+  mTimer.cancel();
+  mIsBegun = false;
+  mIsDone = false;
+  auto message = mParser->release();
+  mParser.reset();
+  mKeepAlive = message.keep_alive();
+  mIsHead = message.method() == http::verb::head;
+  net::http_request request;
+  request.mMethod = std::string(message.method_string());
+  request.mTarget = std::string(message.target());
+  for (const auto& field : message) {
+    const auto name = field.name_string();
+    const auto value = field.value();
+    request.mHeaders.Add(std::string_view(name.data(), name.size()), std::string_view(value.data(), value.size()));
+  }
+  request.mBody = std::move(message.body());
+  WatchCaller();
+  mListener->Host().Handle(ref<caller_session>(this), std::move(request));
+}
+
+/// Answers bytes that are no request, or too large a one.
+void session_impl::Refuse(const error_code& aError)
+{
+  net::http_reply reply;
+  if (aError == http::error::body_limit) {
+    reply.mStatus = 413;
+  } else if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
+    reply.mStatus = 431;
+  } else if (aError.category() == http::make_error_code(http::error::bad_method).category() &&
+             aError != http::error::end_of_stream && aError != http::error::partial_message) {
+    reply.mStatus = 400;
+  } else {
+    Close();
+    return;
+  }
+  log_line("request_unreadable", log_rank::Notable).Text("reason", aError.message()).Count("status", reply.mStatus);
+  mKeepAlive = false;
+  mPhase = session_phase::Answering;
+  Answer(std::move(reply));
+}
+
+void session_impl::SetWork(ref<request_work> aWork)
+{
+  if (mPhase == session_phase::Answering && !mIsDone) {
+    mWork = std::move(aWork);
+  }
+}
+
+std::string session_impl::HeadOf(const net::http_reply& aReply, std::string_view aFraming)
+{
+  std::string head = fmt::format("HTTP/1.1 {} {}\r\n",
+                                 aReply.mStatus,
+                                 std::string(http::obsolete_reason(static_cast<http::status>(aReply.mStatus))));
+  for (const net::http_header& header : aReply.mHeaders.All()) {
+    head += header.mName + ": " + header.mValue + "\r\n";
+  }
+  if (mListener->Host().IsLeaving()) {
+    mKeepAlive = false;
+  }
+  if (!mKeepAlive) {
+    head += "Connection: close\r\n";
+  }
+  head += aFraming;
+  head += "\r\n\r\n";
+  return head;
+}
+
+void session_impl::Answer(net::http_reply aReply)
+{
+  if (mPhase != session_phase::Answering || mIsDone) {
+    return;
+  }
+  mOut += HeadOf(aReply, fmt::format("Content-Length: {}", aReply.mBody.size()));
+  if (!mIsHead) {
+    mOut += aReply.mBody;
+  }
+  AnswerDone();
+}
+
+void session_impl::Begin(const net::http_reply& aHead, std::string_view aBytes)
+{
+  if (mPhase != session_phase::Answering || mIsDone) {
+    return;
+  }
+  mIsBegun = true;
+  mOut += HeadOf(aHead, "Transfer-Encoding: chunked");
+  Write(aBytes);
+}
+
+void session_impl::Write(std::string_view aBytes)
+{
+  if (mPhase == session_phase::Closed || mIsDone) {
+    return;
+  }
+  if (mIsBegun && !aBytes.empty()) {
+    mOut += fmt::format("{:x}\r\n", aBytes.size());
+    mOut += aBytes;
+    mOut += "\r\n";
+  } else {
+    mOut += aBytes;
+  }
+  Flush();
+}
+
+void session_impl::Finish()
+{
+  if (mPhase != session_phase::Answering || mIsDone) {
+    return;
+  }
+  mOut += "0\r\n\r\n";
+  AnswerDone();
+}
+
+void session_impl::AnswerDone()
+{
+  mIsDone = true;
+  mWork.reset();
+  Flush();
+}
+
+void session_impl::Cut()
+{
+  mWork.reset();
+  Close();
+}
+
+void session_impl::Flush()
+{
+  if (mIsWriting || mPhase == session_phase::Closed) {
+    return;
+  }
+  while (mOutTaken < mOut.size()) {
+    error_code error;
+    mOutTaken += mSocket.write_some(asio::buffer(mOut.data() + mOutTaken, mOut.size() - mOutTaken), error);
+    if (error == asio::error::would_block) {
+      mIsWriting = true;
+      mSocket.async_wait(tcp::socket::wait_write, [self = ref<session_impl>(this)](const error_code& aError) {
+        self->mIsWriting = false;
+        if (self->mPhase == session_phase::Closed) {
+          return;
+        }
+        if (aError) {
+          self->CallerGone();
+          return;
+        }
+        self->Flush();
+      });
+      return;
+    }
+    if (error) {
+      CallerGone();
+      return;
+    }
+  }
+  mOut.clear();
+  mOutTaken = 0;
+  AfterFlush();
+}
+
+void session_impl::AfterFlush()
+{
+  if (mIsDone && mPhase == session_phase::Answering) {
+    if (!mKeepAlive) {
+      Close();
+      return;
+    }
+    WaitForRequest();
+    return;
+  }
+  if (mWork) {
+    const ref<request_work> work = mWork;
+    work->OnTaken();
+  }
+}
+
+/// Waits for the end of the caller's connection while a request is answered.
+void session_impl::WatchCaller()
+{
+  if (mIsWatching || mBuffer.size() > 0) {
+    return;
+  }
+  mIsWatching = true;
+  mSocket.async_wait(tcp::socket::wait_read,
+                     [self = ref<session_impl>(this), round = mRound](const error_code& aError) {
+                       self->mIsWatching = false;
+                       if (self->mPhase != session_phase::Answering) {
+                         return;
+                       }
+                       if (round != self->mRound) {
+                         self->WatchCaller();
+                         return;
+                       }
+                       char byte = 0;
+                       error_code error = aError;
+                       std::size_t size = 0;
+                       if (!error) {
+                         size = self->mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+                       }
+                       if (error == asio::error::would_block) {
+                         self->WatchCaller();
+                       } else if (error || size == 0) {
+                         self->CallerGone();
+                       }
+                     });
+}
+
+void session_impl::CallerGone()
+{
+  const ref<session_impl> self(this);
+  const ref<request_work> work = std::exchange(mWork, nullptr);
+  Close();
+  if (work) {
+    work->OnCallerGone();
+  }
+}
+
+void session_impl::CloseIfIdle()
+{
+  if (mPhase == session_phase::Idle) {
+    Close();
+  }
+}
+
+void session_impl::Close()
+{
+  mPhase = session_phase::Closed;
+  mTimer.cancel();
+  error_code ignored;
+  mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+  mSocket.close(ignored);
+}
+
+bool listener_impl::Bind(const net::endpoint& aEndpoint)
+{
+  error_code error;
+  const auto address = net::ToTcp(aEndpoint.mAddress, aEndpoint.mPort);
+  mAcceptor.open(address.protocol(), error);
+  mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  mAcceptor.bind(address, error);
+  if (!error) {
+    mAcceptor.listen(1024, error);
+  }
+  return !error;
+}
+
+void listener_impl::Accept()
+{
+  mAcceptor.async_accept([self = ref<listener_impl>(this)](const error_code& aError, tcp::socket aSocket) {
+    if (!self->mAcceptor.is_open()) {
+      return;
+    }
+    if (aError) {
+      log_line("accept_failed", log_rank::Notable).Text("reason", aError.message());
+      self->mPause.expires_after(kAcceptPause);
+      self->mPause.async_wait([self](const error_code&) { self->Accept(); });
+      return;
+    }
+    MakeRef<session_impl>(self, std::move(aSocket))->WaitForRequest();
+    self->Accept();
+  });
+}
+
+net::endpoint listener_impl::LocalEndpoint() const
+{
+  error_code ignored;
+  const auto local = mAcceptor.local_endpoint(ignored);
+  return { local.address().to_string(), local.port() };
+}
+
+void listener_impl::StopAccepting()
+{
+  error_code ignored;
+  mAcceptor.close(ignored);
+}
+
+void listener_impl::CloseIdle()
+{
+  for (auto session = mSessions.begin(); session != mSessions.end();) {
+    const ref<session_impl> kept(&*session);
+    ++session;
+    kept->CloseIfIdle();
+  }
+}
+
+std::size_t listener_impl::Busy() const
+{
+  std::size_t busy = 0;
+  for (const session_impl& session : mSessions) {
+    busy += session.IsBusy() ? 1 : 0;
+  }
+  return busy;
+}
+
+} // namespace
+
+ref<caller_listener> caller_listener::Start(asio::io_context& aContext,
+                                            const net::endpoint& aEndpoint,
+                                            ref<session_host> aHost)
+{
+  auto listener = MakeRef<listener_impl>(aContext, std::move(aHost));
+  if (!listener->Bind(aEndpoint)) {
+    return nullptr;
+  }
+  listener->Accept();
+  return listener;
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/configuration.cpp
@@ -0,0 +1,71 @@
+#include "gateway/configuration.h"
+
+#include <algorithm>
+
+namespace chervilpulley::gateway {
+
+void configuration::Index()
+{
+  mByHost.clear();
+  mPoolsByName.clear();
+  for (const route& each : mRoutes) {
+    mByHost[each.mHost].push_back(&each);
+  }
+  for (auto& [host, routes] : mByHost) {
+    std::stable_sort(routes.begin(), routes.end(), [](const route* aLeft, const route* aRight) {
+      return aLeft->mPathPrefix.size() > aRight->mPathPrefix.size();
+    });
+  }
+  for (const pool& each : mPools) {
+    mPoolsByName.emplace(each.mName, &each);
+  }
+}
+
+const route* configuration::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  const auto routes = mByHost.find(std::string(aHost));
+  if (routes == mByHost.end()) {
+    return nullptr;
+  }
+  for (const route* each : routes->second) {
+    if (aPath.starts_with(each->mPathPrefix)) {
+      return each;
+    }
+  }
+  return nullptr;
+}
+
+const pool* configuration::FindPool(const pool_name& aName) const
+{
+  const auto found = mPoolsByName.find(aName);
+  return found == mPoolsByName.end() ? nullptr : found->second;
+}
+
+const workspace* configuration::FindWorkspace(const std::string& aKey) const
+{
+  const auto found = mKeys.find(aKey);
+  return found == mKeys.end() ? nullptr : &mWorkspaces[found->second];
+}
+
+const pool_name& DrawPool(const route& aRoute, std::uint64_t aDraw)
+{
+  static const pool_name kNone;
+  if (aRoute.mPools.empty()) {
+    return kNone;
+  }
+  double all = 0;
+  for (const pool_share& share : aRoute.mPools) {
+    all += share.mWeight;
+  }
+  // 53 bits of the draw make a fraction of a double's precision.
+  double point = static_cast<double>(aDraw >> 11U) / static_cast<double>(1ULL << 53U) * all;
+  for (const pool_share& share : aRoute.mPools) {
+    point -= share.mWeight;
+    if (point < 0) {
+      return share.mPool;
+    }
+  }
+  return aRoute.mPools.back().mPool;
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/fleet.cpp
@@ -0,0 +1,229 @@
+#include "gateway/fleet.h"
+
+#include <algorithm>
+
+#include "base/decision_log.h"
+#include "policy/service_choice.h"
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+/// Weight of the newest outcome in a server's share of failures.
+constexpr double kOutcomeWeight = 0.15;
+
+} // namespace
+
+fleet::fleet(failure_domain_id aHome, duration aReturnTime, policy::retry_bounds aRetryBounds)
+  : mHome(std::move(aHome))
+  , mMembers(aReturnTime)
+  , mRetryBounds(aRetryBounds)
+{
+}
+
+void fleet::MembersChanged()
+{
+  std::map<backend_id, backend_belief> beliefs;
+  mByAddress.clear();
+  for (const auto& [id, member] : mMembers.Members()) {
+    mByAddress[member.mAddress] = id;
+    const auto known = mBeliefs.find(id);
+    if (known != mBeliefs.end() && known->second.mStartedAt == member.mStartedAt) {
+      beliefs.emplace(id, known->second);
+      continue;
+    }
+    backend_belief fresh;
+    fresh.mStartedAt = member.mStartedAt;
+    if (auto address = net::ParseEndpoint(member.mAddress)) {
+      fresh.mAddress = address.value();
+    }
+    beliefs.emplace(id, fresh);
+    log_line("backend_seen", log_rank::Notable)
+      .Text("backend", id.Str())
+      .Text("pool", member.mPool.Str())
+      .Text("address", member.mAddress)
+      .Count("started_at", member.mStartedAt);
+  }
+  for (const auto& [id, belief] : mBeliefs) {
+    if (!beliefs.contains(id)) {
+      log_line("backend_gone", log_rank::Notable).Text("backend", id.Str());
+    }
+  }
+  mBeliefs = std::move(beliefs);
+}
+
+backend_belief& fleet::Belief(const backend_id& aId)
+{
+  return mBeliefs[aId];
+}
+
+void fleet::FillEngines(const pool& aPool)
+{
+  if (mEnginesOf == aPool.mName && mEnginesVersion == mMembers.Version() &&
+      mEnginesConfiguration == mConfiguration.get()) {
+    return;
+  }
+  mEnginesOf = aPool.mName;
+  mEnginesVersion = mMembers.Version();
+  mEnginesConfiguration = mConfiguration.get();
+  mEngines.clear();
+  for (const auto& [id, member] : mMembers.Members()) {
+    const policy::accelerator_kind* kind = aPool.mEngine->FindKind(member.mAccelerator);
+    if (member.mPool != aPool.mName || kind == nullptr || member.mLeaving) {
+      continue;
+    }
+    policy::path_engine engine;
+    engine.mId = id;
+    engine.mDomain = member.mDomain;
+    engine.mKind = *kind;
+    engine.mHeld = member.mLayers;
+    mEngines.push_back(std::move(engine));
+  }
+}
+
+std::optional<chosen_path> fleet::ChoosePath(const path_question& aQuestion, instant aNow)
+{
+  const pool* pool = mConfiguration ? mConfiguration->FindPool(aQuestion.mPool) : nullptr;
+  if (pool == nullptr || !pool->mEngine) {
+    return std::nullopt;
+  }
+  FillEngines(*pool);
+  policy::path_wish wish{ aQuestion.mPrompt, aQuestion.mAnswer, mHome, aQuestion.mSpan };
+  for (policy::path_engine& engine : mEngines) {
+    const backend_belief& belief = Belief(engine.mId);
+    const double sharers = engine.mDomain == mHome ? static_cast<double>(mGatewaysInDomain) : 1.0;
+    engine.mPromisedTokenLayers = belief.mPromised * sharers;
+    engine.mRunning = belief.mRunning * sharers;
+    engine.mSlowness = belief.mSlowness;
+    engine.mUsable =
+      belief.mLostUntil <= aNow && belief.mRefusingUntil <= aNow && !aQuestion.mExcluded.contains(engine.mId);
+  }
+  const auto path = policy::ChoosePath(*pool->mEngine, mEngines, wish);
+  if (!path) {
+    return std::nullopt;
+  }
+  chosen_path chosen;
+  chosen.mTokens = aQuestion.mPrompt + aQuestion.mAnswer;
+  chosen.mCost = path->mCost;
+  for (const policy::path_part& part : path->mParts) {
+    const backend_id& id = mEngines[part.mEngine].mId;
+    chosen.mParts.push_back({ id, mMembers.Find(id)->mAddress, part.mRange });
+  }
+  return chosen;
+}
+
+std::optional<backend_id> fleet::ChooseService(const pool_name& aPool,
+                                               const std::set<backend_id>& aExcluded,
+                                               std::uint64_t aRandom,
+                                               instant aNow)
+{
+  std::vector<policy::service_candidate> candidates;
+  std::vector<const backend_id*> ids;
+  for (const auto& [id, member] : mMembers.Members()) {
+    if (member.mPool != aPool) {
+      continue;
+    }
+    const backend_belief& belief = Belief(id);
+    const bool usable = !member.mLeaving && belief.mLostUntil <= aNow && !aExcluded.contains(id);
+    const double refusing = belief.mRefusingUntil > aNow ? 1.0 : 0.0;
+    candidates.push_back({ member.mDomain == mHome, belief.mRunning, std::max(belief.mFailures, refusing), usable });
+    ids.push_back(&id);
+  }
+  const auto index = policy::ChooseService(candidates, aRandom);
+  return index ? std::optional(*ids[*index]) : std::nullopt;
+}
+
+void fleet::Promise(const chosen_path& aPath)
+{
+  for (const chosen_path::part& part : aPath.mParts) {
+    backend_belief& belief = Belief(part.mEngine);
+    belief.mPromised += aPath.mTokens * part.mRange.Size();
+    ++belief.mRunning;
+  }
+}
+
+void fleet::Release(const chosen_path& aPath)
+{
+  for (const chosen_path::part& part : aPath.mParts) {
+    const auto found = mBeliefs.find(part.mEngine);
+    if (found != mBeliefs.end()) {
+      found->second.mPromised = std::max(0.0, found->second.mPromised - aPath.mTokens * part.mRange.Size());
+      found->second.mRunning -= found->second.mRunning > 0 ? 1 : 0;
+    }
+  }
+}
+
+void fleet::Started(const backend_id& aId)
+{
+  ++Belief(aId).mRunning;
+}
+
+void fleet::Ended(const backend_id& aId)
+{
+  const auto found = mBeliefs.find(aId);
+  if (found != mBeliefs.end() && found->second.mRunning > 0) {
+    --found->second.mRunning;
+  }
+}
+
+void fleet::Outcome(const backend_id& aId, bool aFailed)
+{
+  const auto found = mBeliefs.find(aId);
+  if (found != mBeliefs.end()) {
+    double& share = found->second.mFailures;
+    share += kOutcomeWeight * ((aFailed ? 1.0 : 0.0) - share);
+  }
+}
+
+bool fleet::BelieveLost(const backend_id& aId, instant aNow)
+{
+  const auto found = mBeliefs.find(aId);
+  if (found == mBeliefs.end()) {
+    return false;
+  }
+  const bool isNews = found->second.mLostUntil <= aNow;
+  found->second.mLostUntil = aNow + kLossBelief;
+  if (isNews) {
+    log_line("backend_believed_lost", log_rank::Notable).Text("backend", aId.Str());
+  }
+  return isNews;
+}
+
+void fleet::BelieveRefusing(const backend_id& aId, instant aNow)
+{
+  const auto found = mBeliefs.find(aId);
+  if (found != mBeliefs.end()) {
+    found->second.mRefusingUntil = aNow + kRefusalBelief;
+  }
+}
+
+bool fleet::IsBelievedLost(const backend_id& aId, instant aNow) const
+{
+  const auto found = mBeliefs.find(aId);
+  return found == mBeliefs.end() || found->second.mLostUntil > aNow;
+}
+
+std::optional<net::endpoint> fleet::AddressOf(const backend_id& aId) const
+{
+  const auto found = mBeliefs.find(aId);
+  return found == mBeliefs.end() ? std::nullopt : std::optional(found->second.mAddress);
+}
+
+std::optional<backend_id> fleet::AtAddress(const std::string& aAddress) const
+{
+  const auto found = mByAddress.find(aAddress);
+  return found == mByAddress.end() ? std::nullopt : std::optional(found->second);
+}
+
+policy::retry_allowance& fleet::Retries(const pool_name& aPool)
+{
+  return mRetries.try_emplace(aPool, mRetryBounds).first->second;
+}
+
+void fleet::SetGateways(std::size_t aAll, std::size_t aInDomain)
+{
+  mGateways = std::max<std::size_t>(1, aAll);
+  mGatewaysInDomain = std::max<std::size_t>(1, aInDomain);
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/fleet.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "gateway/configuration.h"
+#include "net/endpoint.h"
+#include "policy/key_freshness.h"
+#include "policy/member_table.h"
+#include "policy/path_choice.h"
+#include "policy/retry_allowance.h"
+
+/// What this gateway believes of the backend servers: who there is, what they hold, what of our work they have, and
+/// which of them were seen failing. One thread.
+namespace chervilpulley::gateway {
+
+/// A believed loss ends after this time unless it is seen again: by then the platform's list has dropped a dead server.
+inline constexpr duration kLossBelief = std::chrono::milliseconds(4000);
+/// A server that refused for want of room is not asked for this time.
+inline constexpr duration kRefusalBelief = std::chrono::milliseconds(150);
+
+/// What is known of one backend server beside its list entry.
+struct backend_belief
+{
+  net::endpoint mAddress;
+  double mPromised = 0; ///< tokens x layers of our requests
+  std::uint32_t mRunning = 0;
+  instant mLostUntil;
+  instant mRefusingUntil;
+  double mFailures = 0; ///< recent share of failed requests
+  double mSlowness = 1;
+  std::uint64_t mStartedAt = 0;
+};
+
+/// A path that was chosen, with what is needed to use it.
+struct chosen_path
+{
+  struct part
+  {
+    backend_id mEngine;
+    std::string mAddress;
+    policy::layer_range mRange;
+  };
+  std::vector<part> mParts;
+  double mTokens = 0; ///< promised at each layer
+  policy::path_cost mCost;
+};
+
+/// What a path is asked for.
+struct path_question
+{
+  pool_name mPool;
+  double mPrompt = 0;
+  double mAnswer = 0;
+  std::set<backend_id> mExcluded;
+  std::optional<policy::layer_range> mSpan; ///< only these layers
+};
+
+class fleet : public ref_counted
+{
+public:
+  fleet(failure_domain_id aHome, duration aReturnTime, policy::retry_bounds aRetryBounds);
+
+  void SetConfiguration(ref<const configuration> aConfiguration) { mConfiguration = std::move(aConfiguration); }
+  const ref<const configuration>& Configuration() const { return mConfiguration; }
+  policy::member_table& Members() { return mMembers; }
+  const policy::member_table& Members() const { return mMembers; }
+  /// Must be called after members have changed.
+  void MembersChanged();
+
+  std::optional<chosen_path> ChoosePath(const path_question& aQuestion, instant aNow);
+  std::optional<backend_id> ChooseService(const pool_name& aPool,
+                                          const std::set<backend_id>& aExcluded,
+                                          std::uint64_t aRandom,
+                                          instant aNow);
+
+  /// Counts a path's promise at its engines, or takes it back.
+  void Promise(const chosen_path& aPath);
+  void Release(const chosen_path& aPath);
+  void Started(const backend_id& aId);
+  void Ended(const backend_id& aId);
+  /// Outcome of a request at a server, for its share of failures.
+  void Outcome(const backend_id& aId, bool aFailed);
+
+  /// A server was found dead or out of reach. Tells whether that is news.
+  bool BelieveLost(const backend_id& aId, instant aNow);
+  void BelieveRefusing(const backend_id& aId, instant aNow);
+  bool IsBelievedLost(const backend_id& aId, instant aNow) const;
+
+  /// The address of a server; nothing when it is not listed.
+  std::optional<net::endpoint> AddressOf(const backend_id& aId) const;
+  /// The server that is listed at an address.
+  std::optional<backend_id> AtAddress(const std::string& aAddress) const;
+
+  policy::retry_allowance& Retries(const pool_name& aPool);
+  /// Gateways that share what is bounded for all together.
+  std::size_t Gateways() const { return mGateways; }
+  void SetGateways(std::size_t aAll, std::size_t aInDomain);
+
+private:
+  backend_belief& Belief(const backend_id& aId);
+  void FillEngines(const pool& aPool);
+
+  failure_domain_id mHome;
+  ref<const configuration> mConfiguration;
+  policy::member_table mMembers;
+  std::map<backend_id, backend_belief> mBeliefs;
+  std::unordered_map<std::string, backend_id> mByAddress;
+  policy::retry_bounds mRetryBounds;
+  std::unordered_map<pool_name, policy::retry_allowance> mRetries;
+  std::size_t mGateways = 1;
+  std::size_t mGatewaysInDomain = 1;
+  std::vector<policy::path_engine> mEngines; ///< of the pool and versions below
+  pool_name mEnginesOf;
+  std::uint64_t mEnginesVersion = 0;
+  const configuration* mEnginesConfiguration = nullptr;
+};
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,347 @@
+#include "gateway/gateway.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <iostream>
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "gateway/placement_duty.h"
+#include "gateway/request_context.h"
+#include "gateway/service_request.h"
+#include "gateway/store_sync.h"
+#include "gateway/stream_request.h"
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr part_log kLog("gateway");
+
+/// Answers of requests without a deadline of their own.
+constexpr duration kLongestPatience = std::chrono::seconds(60);
+/// When a caller is told to come back to an instance that can't trust its configuration: another one takes it.
+constexpr duration kComeBackElsewhere = std::chrono::milliseconds(100);
+/// Time that the balancer takes to find that this instance is leaving, and a connection made just then to arrive.
+constexpr duration kBalancerNotices = std::chrono::milliseconds(2600);
+/// Time before the end of the grace at which what is still running is cut.
+constexpr duration kBeforeKill = std::chrono::milliseconds(300);
+constexpr duration kLookAgain = std::chrono::milliseconds(50);
+constexpr duration kReport = std::chrono::milliseconds(1000);
+
+duration Milliseconds(double aTime)
+{
+  return std::chrono::duration_cast<duration>(policy::fine_ms(aTime));
+}
+
+/// The route and workspace that a request's head asks for, or the status that it is refused with.
+class gateway_process : public session_host
+{
+public:
+  gateway_process(asio::io_context& aContext, const settings::settings& aSettings)
+    : mContext(aContext)
+    , mSettings(aSettings)
+    , mMetrics(gateway_metrics::Create())
+    , mFleet(MakeRef<fleet>(failure_domain_id(aSettings.instance().failure_domain()),
+                            Milliseconds(aSettings.gateway().membership_return_s() * 1000),
+                            RetryBounds(aSettings.gateway())))
+    , mCalls(worker_calls::Create(aContext))
+    , mInquiries(MakeRef<engine_inquiries>(aContext, mFleet, mCalls))
+    , mSignals(aContext, SIGTERM, SIGINT, SIGHUP)
+    , mTools{ aContext, mFleet, mCalls, mInquiries, mMetrics, mStreams, std::mt19937_64(std::random_device{}()) }
+  {
+  }
+
+  bool Start();
+  const caller_limits& Limits() const override
+  {
+    return mFleet->Configuration() ? mFleet->Configuration()->mLimits : mDefaultLimits;
+  }
+  bool IsLeaving() const override { return mIsLeaving; }
+  void Handle(const ref<caller_session>& aSession, net::http_request aRequest) override;
+
+  /// The answer to the balancer and to scrapers.
+  net::http_reply AnswerControl(const net::http_request& aRequest);
+
+private:
+  static policy::retry_bounds RetryBounds(const settings::gateway_settings& aSettings)
+  {
+    return { aSettings.retry_ratio(), aSettings.retry_slack(), Milliseconds(aSettings.retry_window_s() * 1000) };
+  }
+
+  bool IsReady() const;
+  void Refuse(const ref<caller_session>& aSession,
+              const wire::caller_wish& aWish,
+              unsigned aStatus,
+              const std::string& aReason);
+  asio::awaitable<void> Tick();
+  asio::awaitable<void> Report();
+  asio::awaitable<void> FollowSignals();
+  asio::awaitable<void> Leave();
+  void Reload();
+
+  asio::io_context& mContext;
+  settings::settings mSettings;
+  ref<gateway_metrics> mMetrics;
+  ref<fleet> mFleet;
+  ref<worker_calls> mCalls;
+  ref<engine_inquiries> mInquiries;
+  ref<store_sync> mSync;
+  ref<placement_duty> mPlacement;
+  ref<caller_listener> mCallers;
+  ref<caller_listener> mControl;
+  asio::signal_set mSignals;
+  stream_list mStreams;
+  request_tools mTools;
+  caller_limits mDefaultLimits;
+  bool mIsLeaving = false;
+  bool mWasReady = false;
+};
+
+/// Sessions of the balancer and of scrapers.
+class control_host : public session_host
+{
+public:
+  explicit control_host(ref<gateway_process> aProcess)
+    : mProcess(std::move(aProcess))
+  {
+  }
+  const caller_limits& Limits() const override { return mLimits; }
+  bool IsLeaving() const override { return false; }
+  void Handle(const ref<caller_session>& aSession, net::http_request aRequest) override
+  {
+    aSession->Answer(mProcess->AnswerControl(aRequest));
+  }
+
+private:
+  ref<gateway_process> mProcess;
+  caller_limits mLimits;
+};
+
+bool gateway_process::Start()
+{
+  const auto store = net::ParseEndpoint(mSettings.platform().address());
+  const auto callers = net::ParseEndpoint(mSettings.gateway().callers());
+  const auto ready = net::ParseEndpoint(mSettings.gateway().ready());
+  if (!store || !callers || !ready) {
+    kLog.Error("An address in the settings is no ip:port.");
+    return false;
+  }
+  const store_bounds bounds{ Milliseconds(mSettings.gateway().configuration_bound_ms()),
+                             Milliseconds(mSettings.gateway().key_bound_ms()),
+                             Milliseconds(mSettings.gateway().drain_bound_ms()) };
+  auto calls = MakeRef<store_calls>(mContext, store.value(), mMetrics);
+  mSync = MakeRef<store_sync>(mContext, calls, mFleet, mMetrics, bounds);
+  mPlacement = MakeRef<placement_duty>(
+    mContext, instance_id(mSettings.instance().id()), calls, mFleet, mCalls, mInquiries, mMetrics);
+  mCallers = caller_listener::Start(mContext, callers.value(), ref<session_host>(this));
+  mControl = caller_listener::Start(mContext, ready.value(), MakeRef<control_host>(ref<gateway_process>(this)));
+  if (!mCallers || !mControl) {
+    kLog.Error("Can't listen at {} or {}.", callers.value().Str(), ready.value().Str());
+    return false;
+  }
+  log_line("started", log_rank::Notable)
+    .Text("callers", mCallers->LocalEndpoint().Str())
+    .Text("ready", mControl->LocalEndpoint().Str())
+    .Text("failure_domain", mSettings.instance().failure_domain());
+  mSync->Start();
+  mPlacement->Start();
+  asio::co_spawn(mContext, Tick(), asio::detached);
+  asio::co_spawn(mContext, Report(), asio::detached);
+  asio::co_spawn(mContext, FollowSignals(), asio::detached);
+  return true;
+}
+
+bool gateway_process::IsReady() const
+{
+  return !mIsLeaving && mSync->IsComplete() && mSync->Keys().MayTakeCallers(BootNow());
+}
+
+net::http_reply gateway_process::AnswerControl(const net::http_request& aRequest)
+{
+  net::http_reply reply;
+  if (wire::IsReadyQuestion(aRequest.mTarget)) {
+    reply.mStatus = IsReady() ? 200 : 503;
+  } else if (net::PathOf(aRequest.mTarget) == "/metrics") {
+    reply.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
+    reply.mBody = mMetrics->Text();
+  } else {
+    reply.mStatus = 404;
+  }
+  return reply;
+}
+
+void gateway_process::Refuse(const ref<caller_session>& aSession,
+                             const wire::caller_wish& aWish,
+                             unsigned aStatus,
+                             const std::string& aReason)
+{
+  const auto& configuration = mFleet->Configuration();
+  const auto age = mSync->Keys().Age(BootNow());
+  log_line("request_refused", log_rank::Notable)
+    .Text("request", aWish.mId.Str())
+    .Text("reason", aReason)
+    .Count("status", aStatus)
+    .Count("configuration", configuration ? configuration->mVersion : 0)
+    .Number("confirmed_ms_ago", age ? std::chrono::duration<double, std::milli>(*age).count() : -1);
+  mMetrics->Ended(aStatus == 503 ? request_end::Refused : request_end::NotAllowed, duration::zero());
+  aSession->Answer(OwnAnswer(aStatus, aStatus == 503 ? std::optional(kComeBackElsewhere) : std::nullopt));
+}
+
+void gateway_process::Handle(const ref<caller_session>& aSession, net::http_request aRequest)
+{
+  admitted_request asked;
+  asked.mWish = wire::DecodeWish(aRequest.mHeaders);
+  asked.mConfiguration = mFleet->Configuration();
+  if (!asked.mConfiguration || !mSync->IsComplete()) {
+    Refuse(aSession, asked.mWish, 503, "not configured yet");
+    return;
+  }
+  asked.mRoute = asked.mConfiguration->FindRoute(asked.mWish.mHost, net::PathOf(aRequest.mTarget));
+  const bool trustsKeys = mSync->Keys().MayTrustKeys(BootNow());
+  if (asked.mRoute == nullptr) {
+    Refuse(aSession, asked.mWish, trustsKeys ? 404 : 503, "no route");
+    return;
+  }
+  if (asked.mRoute->mNeedsKey && !asked.mConfiguration->mWorkspaces.empty()) {
+    if (!trustsKeys) {
+      Refuse(aSession, asked.mWish, 503, "configuration not confirmed");
+      return;
+    }
+    const workspace* workspace = asked.mConfiguration->FindWorkspace(asked.mWish.mKey);
+    if (workspace == nullptr) {
+      Refuse(aSession, asked.mWish, 401, "unknown key");
+      return;
+    }
+    asked.mWorkspace = workspace->mName.Str();
+  }
+  asked.mPool = DrawPool(*asked.mRoute, mTools.mRandom());
+  asked.mArrived = Now();
+  const duration patience = asked.mWish.mPatience.value_or(kLongestPatience);
+  asked.mDeadline = asked.mArrived + std::min(patience, asked.mRoute->mTimeout);
+  asked.mSession = aSession;
+  asked.mRequest = std::move(aRequest);
+  const pool* pool = asked.mConfiguration->FindPool(asked.mPool);
+  if (asked.mRoute->mKind == request_kind::Stream && pool != nullptr && pool->mEngine) {
+    MakeRef<stream_request>(mTools, std::move(asked))->Start();
+  } else {
+    MakeRef<service_request>(mTools, std::move(asked))->Start();
+  }
+}
+
+asio::awaitable<void> gateway_process::Tick()
+{
+  while (true) {
+    co_await Pause(kStreamTick);
+    const instant now = Now();
+    for (auto stream = mStreams.begin(); stream != mStreams.end();) {
+      const ref<stream_request> kept(&*stream);
+      ++stream;
+      kept->TimePassed(now);
+    }
+  }
+}
+
+asio::awaitable<void> gateway_process::Report()
+{
+  while (true) {
+    co_await Pause(kReport);
+    const bool ready = IsReady();
+    if (ready != mWasReady) {
+      log_line(ready ? "ready" : "not_ready", log_rank::Notable);
+      mWasReady = ready;
+    }
+    const auto& configuration = mFleet->Configuration();
+    if (configuration) {
+      mMetrics->Configuration(configuration->mVersion, mSync->Keys().Age(BootNow()).value_or(duration::zero()));
+    }
+    mMetrics->Backends(mFleet->Members().Members().size(), 0);
+    mMetrics->LogLinesDropped(DroppedLogLines());
+  }
+}
+
+asio::awaitable<void> gateway_process::FollowSignals()
+{
+  while (true) {
+    const int number = co_await mSignals.async_wait(asio::use_awaitable);
+    log_line("signal", log_rank::Notable).Count("number", static_cast<std::uint64_t>(number));
+    if (number == SIGHUP) {
+      Reload();
+    } else if (!mIsLeaving) {
+      mIsLeaving = true;
+      asio::co_spawn(mContext, Leave(), asio::detached);
+    }
+  }
+}
+
+void gateway_process::Reload()
+{
+  // Addresses and bounds hold for the life of a process; the platform replaces processes to change them.
+  log_line("reloaded", log_rank::Notable);
+}
+
+asio::awaitable<void> gateway_process::Leave()
+{
+  const instant begun = Now();
+  const instant kill = begun + Milliseconds(mSettings.gateway().stop_grace_s() * 1000) - kBeforeKill;
+  mPlacement->Leave();
+  co_await Pause(std::min<duration>(kBalancerNotices, (kill - begun) / 2));
+  mCallers->StopAccepting();
+  mCallers->CloseIdle();
+  while (mCallers->Busy() > 0 && Now() < kill) {
+    co_await Pause(kLookAgain);
+    mCallers->CloseIdle();
+  }
+  log_line("stopped", log_rank::Notable)
+    .Count("cut", mCallers->Busy())
+    .Number("after_ms", std::chrono::duration<double, std::milli>(Now() - begun).count());
+  mContext.stop();
+}
+
+} // namespace
+
+net::http_reply OwnAnswer(unsigned aStatus, std::optional<duration> aComeBack)
+{
+  net::http_reply reply;
+  reply.mStatus = aStatus;
+  if (aComeBack) {
+    const net::http_header header = wire::ComeBackAfter(*aComeBack);
+    reply.mHeaders.Add(header.mName, header.mValue);
+  }
+  return reply;
+}
+
+net::http_headers EndToEnd(const net::http_headers& aHeaders)
+{
+  net::http_headers headers;
+  for (const net::http_header& header : aHeaders.All()) {
+    if (!net::IsOfConnection(header.mName)) {
+      headers.Add(header.mName, header.mValue);
+    }
+  }
+  return headers;
+}
+
+int Run(const settings::settings& aSettings)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  SetUpLogs(aSettings.log().level(), aSettings.log().format(), aSettings.instance().id());
+  StartDecisionLog(aSettings.instance().id());
+  asio::io_context context(1);
+  const auto process = MakeRef<gateway_process>(context, aSettings);
+  if (!process->Start()) {
+    return 1;
+  }
+  context.run();
+  return 0;
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,118 @@
+#include "gateway/gateway_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+using prometheus::Histogram;
+
+constexpr std::array kEnds{ "served", "backend_failed", "refused",    "unknown", "timed_out",
+                            "cut",    "caller_left",    "not_allowed" };
+constexpr std::array kRepairs{ "repeated", "resumed", "repathed" };
+
+/// Seconds; the objectives of the users' routes lie between 0.1 and 0.6.
+const Histogram::BucketBoundaries kTimes{ 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2, 5, 10, 20 };
+
+double Seconds(duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+class metrics_impl : public gateway_metrics
+{
+public:
+  metrics_impl()
+    : mTimes(Family("gateway_request_seconds", "Time from a request to its end, by outcome"))
+    , mFirstEvent(Family("gateway_first_event_seconds", "Time to the first event of a stream").Add({}, kTimes))
+    , mGaps(Family("gateway_event_gap_seconds", "Pause between two events of a stream").Add({}, kTimes))
+    , mStoreCalls(Family("gateway_store_call_seconds", "Time of a call to the platform's store, by outcome"))
+    , mRepairs(Counters("gateway_repairs_total", "Requests repeated, resumed and repathed"))
+    , mOrders(Counters("gateway_orders_total", "Orders to engines, by outcome"))
+    , mBackends(Gauge("gateway_backends", "Backend servers listed"))
+    , mUncovered(Gauge("gateway_uncovered_layers", "Layers without a holder in this failure domain"))
+    , mVersion(Gauge("gateway_configuration_version", "Version of the configuration in force"))
+    , mAge(Gauge("gateway_configuration_age_seconds", "Time since the configuration was confirmed as the newest"))
+    , mDropped(Gauge("gateway_log_lines_dropped", "Log lines dropped since the start"))
+  {
+    for (std::size_t index = 0; index < kEnds.size(); ++index) {
+      mEnds[index] = &mTimes.Add({ { "outcome", kEnds[index] } }, kTimes);
+    }
+    for (std::size_t index = 0; index < kRepairs.size(); ++index) {
+      mByRepair[index] = &mRepairs.Add({ { "kind", kRepairs[index] } });
+    }
+  }
+
+  void Ended(request_end aEnd, duration aTime) override
+  {
+    mEnds[static_cast<std::size_t>(aEnd)]->Observe(Seconds(aTime));
+  }
+  void FirstEvent(duration aTime) override { mFirstEvent.Observe(Seconds(aTime)); }
+  void Gap(duration aTime) override { mGaps.Observe(Seconds(aTime)); }
+  void Repaired(repair_kind aKind) override { mByRepair[static_cast<std::size_t>(aKind)]->Increment(); }
+  void StoreCall(bool aSucceeded, duration aTime) override
+  {
+    mStoreCalls.Add({ { "outcome", aSucceeded ? "ok" : "failed" } }, kTimes).Observe(Seconds(aTime));
+  }
+  void OrderGiven(bool aAccepted) override
+  {
+    mOrders.Add({ { "outcome", aAccepted ? "accepted" : "refused" } }).Increment();
+  }
+  void Backends(std::size_t aListed, std::size_t aUncoveredLayers) override
+  {
+    mBackends.Set(static_cast<double>(aListed));
+    mUncovered.Set(static_cast<double>(aUncoveredLayers));
+  }
+  void Configuration(std::uint64_t aVersion, duration aAge) override
+  {
+    mVersion.Set(static_cast<double>(aVersion));
+    mAge.Set(Seconds(aAge));
+  }
+  void LogLinesDropped(std::uint64_t aLines) override { mDropped.Set(static_cast<double>(aLines)); }
+  std::string Text() const override { return prometheus::TextSerializer().Serialize(mRegistry.Collect()); }
+
+private:
+  prometheus::Family<Histogram>& Family(const std::string& aName, const std::string& aHelp)
+  {
+    return prometheus::BuildHistogram().Name(aName).Help(aHelp).Register(mRegistry);
+  }
+  prometheus::Family<prometheus::Counter>& Counters(const std::string& aName, const std::string& aHelp)
+  {
+    return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(mRegistry);
+  }
+  prometheus::Gauge& Gauge(const std::string& aName, const std::string& aHelp)
+  {
+    return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(mRegistry).Add({});
+  }
+
+  mutable prometheus::Registry mRegistry;
+  prometheus::Family<Histogram>& mTimes;
+  Histogram& mFirstEvent;
+  Histogram& mGaps;
+  prometheus::Family<Histogram>& mStoreCalls;
+  prometheus::Family<prometheus::Counter>& mRepairs;
+  prometheus::Family<prometheus::Counter>& mOrders;
+  prometheus::Gauge& mBackends;
+  prometheus::Gauge& mUncovered;
+  prometheus::Gauge& mVersion;
+  prometheus::Gauge& mAge;
+  prometheus::Gauge& mDropped;
+  std::array<Histogram*, kEnds.size()> mEnds{};
+  std::array<prometheus::Counter*, kRepairs.size()> mByRepair{};
+};
+
+} // namespace
+
+ref<gateway_metrics> gateway_metrics::Create()
+{
+  return MakeRef<metrics_impl>();
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/placement_duty.cpp
@@ -0,0 +1,291 @@
+#include "gateway/placement_duty.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+#include "policy/layer_plan.h"
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+/// Length of the lease: a lost holder is followed within about three seconds.
+constexpr duration kLeaseLength = std::chrono::milliseconds(2400);
+/// Time between two renewals; two of them may be lost.
+constexpr duration kRenewal = std::chrono::milliseconds(500);
+/// Time between two looks at another's lease.
+constexpr duration kLook = std::chrono::milliseconds(700);
+constexpr duration kStoreTimeout = std::chrono::milliseconds(800);
+/// Time between two plans.
+constexpr duration kPlanPause = std::chrono::milliseconds(100);
+/// Engines that are listed one by one at the start are waited for until the list has been still for so long.
+constexpr duration kStillList = std::chrono::milliseconds(500);
+constexpr duration kOrderTimeout = std::chrono::milliseconds(700);
+/// Time beside its load within which an order's effect is listed: engines report about each second.
+constexpr duration kOrderSlack = std::chrono::milliseconds(2500);
+const std::string kDutyName = "placement";
+
+} // namespace
+
+placement_duty::placement_duty(boost::asio::io_context& aContext,
+                               instance_id aSelf,
+                               ref<store_calls> aStore,
+                               ref<fleet> aFleet,
+                               ref<worker_calls> aCalls,
+                               ref<engine_inquiries> aInquiries,
+                               ref<gateway_metrics> aMetrics)
+  : mContext(aContext)
+  , mSelf(std::move(aSelf))
+  , mStore(std::move(aStore))
+  , mFleet(std::move(aFleet))
+  , mCalls(std::move(aCalls))
+  , mInquiries(std::move(aInquiries))
+  , mMetrics(std::move(aMetrics))
+  , mLease(kLeaseLength)
+{
+}
+
+void placement_duty::Start()
+{
+  boost::asio::co_spawn(mContext, KeepLease(), boost::asio::detached);
+  boost::asio::co_spawn(mContext, Run(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> placement_duty::Run()
+{
+  const ref<placement_duty> self(this);
+  while (true) {
+    co_await Pause(kPlanPause);
+    const bool held = mLease.IsHeld(BootNow()) && !mIsLeaving;
+    if (held != mWasHeld) {
+      log_line(held ? "duty_taken" : "duty_left", log_rank::Notable)
+        .Text("duty", kDutyName)
+        .Count("fence", mLease.Fence());
+      mWasHeld = held;
+      mOrders.clear();
+      mOrderCounts.clear();
+    }
+    if (held) {
+      Plan(Now());
+    }
+  }
+}
+
+boost::asio::awaitable<void> placement_duty::KeepLease()
+{
+  const ref<placement_duty> self(this);
+  while (!mIsLeaving) {
+    if (mLease.IsHeld(BootNow())) {
+      co_await WriteLease();
+      co_await Pause(kRenewal);
+      continue;
+    }
+    if (mLease.MayTake(BootNow())) {
+      co_await LookAtLease();
+    }
+    if (mLease.MayTake(BootNow())) {
+      co_await WriteLease();
+    }
+    if (!mLease.IsHeld(BootNow())) {
+      co_await Pause(kLook);
+      co_await LookAtLease();
+    }
+  }
+  if (mLease.IsHeld(BootNow())) {
+    const auto answer = co_await mStore->Call(wire::EncodeDelete(wire::object_kind::Duties, kDutyName), kStoreTimeout);
+    log_line("duty_given_up", log_rank::Notable).Text("duty", kDutyName).Count("status", answer.mStatus);
+  }
+}
+
+boost::asio::awaitable<void> placement_duty::LookAtLease()
+{
+  const auto answer = co_await mStore->Call(wire::EncodeGet(wire::object_kind::Duties, kDutyName, true), kStoreTimeout);
+  std::string fault;
+  if (answer.mStatus == 404) {
+    mLease.SeenNone();
+  } else if (answer.IsGood()) {
+    if (const auto object = wire::DecodeStored(answer.mBody, fault)) {
+      mLease.Seen(object->mRevision, BootNow());
+    }
+  }
+}
+
+boost::asio::awaitable<void> placement_duty::WriteLease()
+{
+  const instant sent = BootNow();
+  const bool held = mLease.IsHeld(sent);
+  const auto revision = held ? mLease.HeldRevision() : mLease.SeenRevision();
+  // The time makes each renewal a change; a write that changes nothing gets no new revision.
+  const std::string spec =
+    fmt::format(R"({{"holder":"{}","renewed":{}}})", mSelf.Str(), sent.time_since_epoch().count());
+  const auto question = revision ? wire::EncodeReplace(wire::object_kind::Duties, kDutyName, spec, *revision)
+                                 : wire::EncodeCreate(wire::object_kind::Duties, kDutyName, spec);
+  const auto answer = co_await mStore->Call(question, kStoreTimeout);
+  std::string fault;
+  if (answer.IsGood()) {
+    if (const auto object = wire::DecodeStored(answer.mBody, fault)) {
+      mLease.Written(object->mRevision, sent, !held);
+    }
+    co_return;
+  }
+  if (answer.mStatus != 409 && answer.mStatus != 404) {
+    co_return;
+  }
+  // A renewal of ours whose answer was lost looks like a rival's write; then we begin anew with a higher number.
+  mLease.Lost();
+  if (const auto object = wire::DecodeStored(answer.mBody, fault); answer.mStatus == 409 && object) {
+    mLease.Seen(object->mRevision, BootNow());
+  } else {
+    mLease.SeenNone();
+  }
+}
+
+void placement_duty::Plan(instant aNow)
+{
+  if (mMembersVersion != mFleet->Members().Version()) {
+    mMembersVersion = mFleet->Members().Version();
+    mMembersChangedAt = aNow;
+  }
+  const auto configuration = mFleet->Configuration();
+  if (!configuration) {
+    return;
+  }
+  CloseOrders(aNow);
+  for (const pool& each : configuration->mPools) {
+    if (each.mEngine && each.mEngine->mLayers > 0) {
+      PlanPool(each, aNow);
+    }
+  }
+}
+
+void placement_duty::PlanPool(const pool& aPool, instant aNow)
+{
+  std::vector<policy::plan_engine> engines;
+  bool anyHolds = false;
+  for (const auto& [id, member] : mFleet->Members().Members()) {
+    const policy::accelerator_kind* kind = aPool.mEngine->FindKind(member.mAccelerator);
+    if (member.mPool != aPool.mName || kind == nullptr) {
+      continue;
+    }
+    policy::plan_engine engine;
+    engine.mId = id;
+    engine.mDomain = member.mDomain;
+    engine.mKind = *kind;
+    engine.mHeld = member.mLayers;
+    engine.mGone = member.mLeaving || mFleet->IsBelievedLost(id, aNow);
+    if (const auto order = mOrders.find(id); order != mOrders.end()) {
+      engine.mHeld = order->second.mRange;
+      engine.mBusy = true;
+    }
+    anyHolds = anyHolds || !member.mLayers.IsEmpty();
+    engines.push_back(std::move(engine));
+  }
+  if (!anyHolds && aNow - mMembersChangedAt < kStillList) {
+    return;
+  }
+  const auto most = static_cast<std::size_t>(aPool.mEngine->mLoadsAtOnce) * 2;
+  for (const policy::layer_order& order : policy::PlanLayers(*aPool.mEngine, std::move(engines))) {
+    if (anyHolds && mOrders.size() >= most) {
+      return;
+    }
+    Give(order, *aPool.mEngine, aNow);
+  }
+}
+
+/// Forgets orders whose effect is listed, and asks about those that should have had one by now.
+void placement_duty::CloseOrders(instant aNow)
+{
+  for (auto order = mOrders.begin(); order != mOrders.end();) {
+    const auto* member = mFleet->Members().Find(order->first);
+    const bool isGone = member == nullptr || member->mStartedAt != order->second.mStartedAt;
+    const bool isDone = !isGone && member->mLayers == order->second.mRange;
+    if (!isGone && !isDone && order->second.mUntil <= aNow) {
+      order->second.mUntil = aNow + kOrderSlack;
+      AskAgain(order->first);
+    }
+    if (isGone) {
+      mOrderCounts.erase(order->first);
+    }
+    order = isGone || isDone ? mOrders.erase(order) : std::next(order);
+  }
+}
+
+void placement_duty::AskAgain(const backend_id& aEngine)
+{
+  mInquiries->Ask(aEngine, [self = ref<placement_duty>(this), aEngine](const auto& aReport) {
+    const auto order = self->mOrders.find(aEngine);
+    if (order == self->mOrders.end() || !aReport || aReport->mIsBusy) {
+      return;
+    }
+    self->mOrderCounts[aEngine] = aReport->mOrders;
+    if (!(aReport->mLayers == order->second.mRange)) {
+      log_line("order_without_effect", log_rank::Notable)
+        .Text("backend", aEngine.Str())
+        .Count("from", aReport->mLayers.mFrom)
+        .Count("end", aReport->mLayers.mEnd)
+        .Count("orders", aReport->mOrders);
+      self->mOrders.erase(order);
+    }
+  });
+}
+
+void placement_duty::Give(const policy::layer_order& aOrder, const policy::engine_model& aModel, instant aNow)
+{
+  const auto* member = mFleet->Members().Find(aOrder.mEngine);
+  const auto address = mFleet->AddressOf(aOrder.mEngine);
+  if (member == nullptr || !address) {
+    return;
+  }
+  const auto known = mOrderCounts.find(aOrder.mEngine);
+  const std::uint64_t orders = known == mOrderCounts.end() ? member->mOrders : std::max(known->second, member->mOrders);
+  const double share = static_cast<double>(aOrder.mRange.Size()) / aModel.mLayers;
+  const auto load = std::chrono::duration_cast<duration>(aModel.mLoad * share);
+  mOrders[aOrder.mEngine] = { aOrder.mRange, member->mStartedAt, aNow + load * 2 + kOrderSlack };
+  log_line("layers_ordered", log_rank::Notable)
+    .Text("backend", aOrder.mEngine.Str())
+    .Count("from", aOrder.mRange.mFrom)
+    .Count("end", aOrder.mRange.mEnd)
+    .Count("held_from", member->mLayers.mFrom)
+    .Count("held_end", member->mLayers.mEnd)
+    .Count("fence", mLease.Fence())
+    .Count("orders", orders)
+    .Count("members_version", mFleet->Members().Version());
+  CallShortly(mContext,
+              mCalls,
+              *address,
+              wire::EncodeLayerOrder(aOrder, mLease.Fence(), orders),
+              kOrderTimeout,
+              [self = ref<placement_duty>(this), aOrder](const auto& aReply) { self->Answered(aOrder, aReply); });
+}
+
+void placement_duty::Answered(const policy::layer_order& aOrder, const std::optional<net::http_reply>& aReply)
+{
+  const unsigned status = aReply ? aReply->mStatus : 0;
+  mMetrics->OrderGiven(status == 200 || status == 202);
+  if (status == 200 || status == 202) {
+    return;
+  }
+  log_line("order_refused", log_rank::Notable).Text("backend", aOrder.mEngine.Str()).Count("status", status);
+  const auto order = mOrders.find(aOrder.mEngine);
+  if (order == mOrders.end()) {
+    return;
+  }
+  if (status == 412) {
+    // Another gateway has the duty with a higher number.
+    mLease.Lost();
+    return;
+  }
+  if (status == 0) {
+    // It may have been accepted, and may be carried out late: the engine is asked in time.
+    return;
+  }
+  order->second.mUntil = Now();
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/stream_request.cpp
@@ -0,0 +1,582 @@
+#include "gateway/stream_request.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+#include "gateway/engine_inquiries.h"
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+/// Longest wait for a connection to an engine; a live one takes one within a millisecond.
+constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
+/// Shortest silence that counts as a stall. Steps of busy engines take up to 100 ms.
+constexpr duration kStallFloor = std::chrono::milliseconds(220);
+/// Longest silence before somebody is asked: a caller gives up after two seconds.
+constexpr duration kStallCeiling = std::chrono::milliseconds(500);
+/// Silence added to the predicted first token before somebody is asked.
+constexpr duration kFirstEventSlack = std::chrono::milliseconds(350);
+/// Silence after which the word of others that an engine on the path is lost is acted on.
+constexpr duration kSilenceBesideLoss = std::chrono::milliseconds(100);
+/// Time that a replaced part gets beside its reading.
+constexpr duration kRepathSlack = std::chrono::milliseconds(300);
+constexpr duration kRepathTimeout = std::chrono::milliseconds(300);
+/// Pauses between two inquiries about one stream.
+constexpr duration kFirstInquiryPause = std::chrono::milliseconds(250);
+/// A caller that has not taken so many bytes is not sent more until it has.
+constexpr std::size_t kMostBacklog = 256U << 10U;
+/// When a caller that was refused for want of room is told to come back: streams run for about three seconds, so that
+/// within one second a third of the places is free again.
+constexpr duration kComeBack = std::chrono::milliseconds(1000);
+/// How long a request may wait for room: most of an objective of 500 ms is left for reading the prompt.
+constexpr double kWaitShareOfObjective = 0.3;
+/// Pause between two tries to find room.
+constexpr duration kRoomPause = std::chrono::milliseconds(30);
+/// Silence that ends the hope for a stream that can't be taken up elsewhere.
+constexpr duration kHopeless = std::chrono::milliseconds(1900);
+/// Requests sent at most, also where none has run.
+constexpr unsigned kMostSends = 5;
+
+duration ToDuration(policy::fine_ms aTime)
+{
+  return std::chrono::duration_cast<duration>(aTime);
+}
+
+double Milliseconds(duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+std::vector<wire::hop> HopsOf(const chosen_path& aPath)
+{
+  std::vector<wire::hop> hops;
+  for (const chosen_path::part& part : aPath.mParts) {
+    hops.push_back({ part.mAddress, part.mRange });
+  }
+  return hops;
+}
+
+} // namespace
+
+stream_request::stream_request(request_tools& aTools, admitted_request aRequest)
+  : mTools(aTools)
+  , mAsked(std::move(aRequest))
+  , mTimer(aTools.mContext)
+  , mCursor(mAsked.mWish.mLastEvent)
+  , mInquiryPause(kFirstInquiryPause)
+{
+}
+
+void stream_request::Start()
+{
+  mTools.mStreams.push_back(*this);
+  mAsked.mSession->SetWork(ref<request_work>(this));
+  mTools.mFleet->Retries(mAsked.mPool).RequestSent(mAsked.mArrived);
+  TryPath(mAsked.mArrived);
+}
+
+double stream_request::AnswerGuess() const
+{
+  const pool* pool = mAsked.mConfiguration->FindPool(mAsked.mPool);
+  const double usual = pool != nullptr && pool->mEngine ? pool->mEngine->mUsualAnswer : 0;
+  const double guess = mAsked.mWish.mAnswerGuess.value_or(usual);
+  // Guesses are often far off: half of the weight stays with the usual answer.
+  return std::min(std::max(1.0, (guess + usual) / 2), std::max(1.0, mAsked.mWish.mMostAnswerTokens));
+}
+
+double stream_request::TokensLeft() const
+{
+  return std::max(1.0, AnswerGuess() - static_cast<double>(mCursor.Count()));
+}
+
+void stream_request::TryPath(instant aNow)
+{
+  mPhase = phase::Waiting;
+  if (TimeLeft(aNow) <= duration::zero()) {
+    GiveUp("deadline", aNow);
+    return;
+  }
+  path_question question;
+  question.mPool = mAsked.mPool;
+  // What was written already must be read again.
+  question.mPrompt = mAsked.mWish.mPromptTokens + static_cast<double>(mCursor.Count());
+  question.mAnswer = TokensLeft();
+  question.mExcluded = mExcluded;
+  if (auto path = mTools.mFleet->ChoosePath(question, aNow)) {
+    Send(std::move(*path), aNow);
+    return;
+  }
+  const auto most = std::chrono::duration_cast<duration>(mAsked.mRoute->mObjective * kWaitShareOfObjective);
+  const bool hopeless = mHasBegun ? aNow - mLastEvent > kHopeless : aNow - mAsked.mArrived > most;
+  if (hopeless) {
+    GiveUp("no_path", aNow);
+    return;
+  }
+  mTimer.expires_after(kRoomPause);
+  mTimer.async_wait([self = ref<stream_request>(this)](const boost::system::error_code& aError) {
+    if (!aError && self->mPhase == phase::Waiting) {
+      self->mExcluded.clear();
+      self->TryPath(Now());
+    }
+  });
+}
+
+void stream_request::Send(chosen_path aPath, instant aNow)
+{
+  mPhase = phase::Running;
+  mPath = std::move(aPath);
+  ++mPathNumber;
+  mTools.mFleet->Promise(*mPath);
+  mSourceIsGood = false;
+  mStatus = 0;
+  mFailureBody.clear();
+  mCursor.SourceChanged();
+  mSentAt = aNow;
+  mQuietUntil = aNow + ToDuration(mPath->mCost.mFirstToken) * 2 + kFirstEventSlack;
+  mInquiryPause = kFirstInquiryPause;
+  wire::dispatch dispatch;
+  dispatch.mExpected = mPath->mParts.front().mEngine;
+  dispatch.mTimeLeft = TimeLeft(aNow);
+  dispatch.mWorkspace = mAsked.mWorkspace;
+  dispatch.mPath = HopsOf(*mPath);
+  dispatch.mLastEvent = mCursor.Last();
+  net::http_request request;
+  request.mMethod = mAsked.mRequest.mMethod;
+  request.mTarget = mAsked.mRequest.mTarget;
+  request.mHeaders = wire::EncodeDispatch(mAsked.mRequest.mHeaders, dispatch);
+  request.mBody = mAsked.mRequest.mBody;
+  call_options options;
+  options.mRequestId = Id();
+  options.mConnectTimeout = kConnectTimeout;
+  if (const auto server = net::ParseEndpoint(mPath->mParts.front().mAddress)) {
+    options.mServer = server.value();
+  }
+  ++mSends;
+  log_line("stream_sent")
+    .Text("request", Id())
+    .Text("backend", dispatch.mExpected.Str())
+    .Text("path", wire::EncodePath(dispatch.mPath))
+    .Count("send", mSends)
+    .Count("members_version", mTools.mFleet->Members().Version())
+    .Number("predicted_first_ms", mPath->mCost.mFirstToken.count());
+  mCall = mTools.mCalls->Start(options, std::move(request), *this);
+}
+
+/// Lets go of the present call and of what was promised for it.
+void stream_request::Drop()
+{
+  if (mCall) {
+    mCall->Cancel();
+    mCall.reset();
+  }
+  if (mPath) {
+    mTools.mFleet->Release(*mPath);
+    mPath.reset();
+  }
+  mIsRepathing = false;
+  ++mPathNumber;
+}
+
+void stream_request::OnHead(unsigned aStatus, net::http_headers aHeaders)
+{
+  mStatus = aStatus;
+  mHeaders = std::move(aHeaders);
+  mNote = wire::DecodeNote(mHeaders);
+  mSourceIsGood = aStatus == 200 && mNote.mIsSigned && !mHeaders.Has("Content-Encoding");
+}
+
+void stream_request::OnBody(std::string_view aBytes)
+{
+  const ref<stream_request> self(this);
+  if (!mSourceIsGood) {
+    mFailureBody.append(aBytes);
+    return;
+  }
+  std::string events;
+  const auto verdict = mCursor.Take(aBytes, events);
+  const instant now = Now();
+  if (!events.empty()) {
+    if (!mHasBegun) {
+      mHasBegun = true;
+      ++mRuns;
+      net::http_reply head;
+      head.mStatus = mStatus;
+      head.mHeaders = EndToEnd(mHeaders);
+      mTools.mMetrics->FirstEvent(now - mAsked.mArrived);
+      mAsked.mSession->Begin(head, events);
+    } else {
+      mTools.mMetrics->Gap(now - mLastEvent);
+      mGaps.Observed(now - mLastEvent);
+      mAsked.mSession->Write(events);
+    }
+    mLastEvent = now;
+    mQuietUntil = now + Allowance();
+    mInquiryPause = kFirstInquiryPause;
+  }
+  if (mPhase != phase::Running) {
+    return;
+  }
+  if (verdict != policy::event_cursor::verdict::InOrder) {
+    TakeFailure("events out of order", now);
+    return;
+  }
+  if (mAsked.mSession->Backlog() > kMostBacklog && mCall) {
+    mIsPaused = true;
+    mCall->SetPaused(true);
+  }
+}
+
+duration stream_request::Allowance() const
+{
+  return std::clamp<duration>(std::max<duration>(mGaps.Unusual(), mGaps.Mean() * 3), kStallFloor, kStallCeiling);
+}
+
+void stream_request::OnEnd(call_end aEnd, const std::string& aReason)
+{
+  const ref<stream_request> self(this);
+  const instant now = Now();
+  mCall.reset();
+  if (aEnd == call_end::Unsent) {
+    const backend_id first = mPath->mParts.front().mEngine;
+    mTools.mFleet->BelieveLost(first, now);
+    log_line("backend_unreachable", log_rank::Notable)
+      .Text("request", Id())
+      .Text("backend", first.Str())
+      .Text("reason", aReason);
+    Drop();
+    if (mSends < kMostSends) {
+      TryPath(now);
+    } else {
+      GiveUp("engines unreachable", now);
+    }
+    return;
+  }
+  if (aEnd == call_end::Cut) {
+    TakeFailure(aReason, now);
+    return;
+  }
+  if (mSourceIsGood) {
+    if (mCursor.IsInEvent() || !mHasBegun) {
+      TakeFailure("ended in the middle", now);
+      return;
+    }
+    mAsked.mSession->Finish();
+    End(request_end::Served, mStatus, "");
+    return;
+  }
+  if (mNote.mDidNotRun || mStatus == 421 || mStatus == 429) {
+    TakeRefusal(now);
+    return;
+  }
+  TakeFailure("status " + std::to_string(mStatus), now);
+}
+
+/// An engine says that the request has not run.
+void stream_request::TakeRefusal(instant aNow)
+{
+  const backend_id first = mPath->mParts.front().mEngine;
+  const backend_id faulty = mTools.mFleet->AtAddress(mNote.mFaultyAddress).value_or(first);
+  log_line("engine_refused", log_rank::Notable)
+    .Text("request", Id())
+    .Text("backend", faulty.Str())
+    .Text("asked", first.Str())
+    .Count("status", mStatus)
+    .Number("after_ms", Milliseconds(aNow - mSentAt));
+  mExcluded.insert(faulty);
+  if (mStatus == 503) {
+    mTools.mFleet->BelieveRefusing(faulty, aNow);
+  }
+  Drop();
+  Retry("refused", aNow);
+}
+
+/// The answer broke off, or is a failure.
+void stream_request::TakeFailure(const std::string& aReason, instant aNow)
+{
+  const backend_id first = mPath->mParts.front().mEngine;
+  log_line("stream_failed", log_rank::Notable)
+    .Text("request", Id())
+    .Text("backend", first.Str())
+    .Text("reason", aReason)
+    .Count("events", mCursor.Count())
+    .Number("after_ms", Milliseconds(aNow - mSentAt));
+  mTools.mFleet->Outcome(first, true);
+  if (!mHasBegun) {
+    ++mRuns;
+  }
+  mExcluded.insert(first);
+  Drop();
+  const bool ended = !MayRunAgain() || mRuns >= mAsked.mRoute->mMaxAttempts + 1;
+  if (ended) {
+    if (!mHasBegun && mStatus >= 400) {
+      HandOnFailure(aNow);
+      return;
+    }
+    GiveUp(aReason, aNow);
+    return;
+  }
+  Retry(aReason, aNow);
+}
+
+/// Sends the request once more, as far as the budget for repeats allows.
+void stream_request::Retry(const std::string& aReason, instant aNow)
+{
+  if (mSends >= kMostSends || !mTools.mFleet->Retries(mAsked.mPool).TryRepeat(aNow, mTools.mFleet->Gateways())) {
+    GiveUp("no more repeats: " + aReason, aNow);
+    return;
+  }
+  mTools.mMetrics->Repaired(mHasBegun ? repair_kind::Resumed : repair_kind::Repeated);
+  TryPath(aNow);
+}
+
+void stream_request::HandOnFailure(instant)
+{
+  net::http_reply reply;
+  reply.mStatus = mStatus;
+  reply.mHeaders = EndToEnd(mHeaders);
+  reply.mBody = std::move(mFailureBody);
+  const unsigned status = mStatus;
+  mAsked.mSession->Answer(std::move(reply));
+  End(request_end::BackendFailed, status, "handed on");
+}
+
+/// The final answer of a request that can't be served.
+void stream_request::GiveUp(const std::string& aReason, instant aNow)
+{
+  Drop();
+  if (mHasBegun) {
+    mAsked.mSession->Cut();
+    End(request_end::Cut, 0, aReason);
+    return;
+  }
+  if (mRuns > 0) {
+    const bool timedOut = TimeLeft(aNow) <= duration::zero();
+    mAsked.mSession->Answer(OwnAnswer(timedOut ? 504 : 502, std::nullopt));
+    End(timedOut ? request_end::TimedOut : request_end::Unknown, timedOut ? 504 : 502, aReason);
+    return;
+  }
+  mAsked.mSession->Answer(OwnAnswer(503, kComeBack));
+  End(request_end::Refused, 503, aReason);
+}
+
+void stream_request::TimePassed(instant aNow)
+{
+  const ref<stream_request> self(this);
+  if (mPhase == phase::Ended) {
+    return;
+  }
+  if (TimeLeft(aNow) <= duration::zero()) {
+    if (mPhase == phase::Running && !mHasBegun) {
+      ++mRuns; // it may have run by now
+    }
+    GiveUp("deadline", aNow);
+    return;
+  }
+  if (mPhase != phase::Running || mIsPaused || mIsRepathing || !mPath) {
+    return;
+  }
+  const instant since = mHasBegun ? std::max(mLastEvent, mSentAt) : mSentAt;
+  if (aNow - since > kSilenceBesideLoss) {
+    for (const chosen_path::part& part : mPath->mParts) {
+      if (mTools.mFleet->IsBelievedLost(part.mEngine, aNow)) {
+        Stalled(part.mEngine, aNow);
+        return;
+      }
+    }
+  }
+  if (aNow >= mQuietUntil && !mIsAsking) {
+    Inquire(aNow);
+  }
+}
+
+/// Asks the first engine whether the stream waits for another one.
+void stream_request::Inquire(instant aNow)
+{
+  mIsAsking = true;
+  mQuietUntil = aNow + mInquiryPause;
+  mInquiryPause = std::min<duration>(mInquiryPause * 2, std::chrono::seconds(1));
+  const backend_id first = mPath->mParts.front().mEngine;
+  log_line("stall_suspected", log_rank::Notable)
+    .Text("request", Id())
+    .Text("backend", first.Str())
+    .Number("silent_ms", Milliseconds(aNow - (mHasBegun ? mLastEvent : mSentAt)));
+  mTools.mInquiries->Ask(first, [self = ref<stream_request>(this), first, number = mPathNumber](const auto& aReport) {
+    self->mIsAsking = false;
+    if (self->mPhase != phase::Running || number != self->mPathNumber) {
+      return;
+    }
+    const instant now = Now();
+    if (!aReport) {
+      self->mTools.mFleet->BelieveLost(first, now);
+      self->Stalled(first, now);
+      return;
+    }
+    for (const auto& stalled : aReport->mStalled) {
+      const auto engine = self->mTools.mFleet->AtAddress(stalled.mFaultyAddress);
+      if (engine && *engine != first) {
+        self->mTools.mFleet->BelieveLost(*engine, now);
+      }
+      if (engine && stalled.mRequest == self->Id()) {
+        self->Stalled(*engine, now);
+        return;
+      }
+    }
+  });
+}
+
+void stream_request::Stalled(const backend_id& aEngine, instant aNow)
+{
+  const ref<stream_request> self(this);
+  if (mPhase != phase::Running || mIsRepathing || !mPath) {
+    return;
+  }
+  if (mPath->mParts.front().mEngine == aEngine) {
+    TakeFailure("first engine is lost", aNow);
+    return;
+  }
+  Repath(aEngine, aNow);
+}
+
+/// The present path with other engines for the layers of a lost one.
+std::optional<chosen_path> stream_request::Replace(const backend_id& aLost, instant aNow)
+{
+  chosen_path path;
+  path.mTokens = mPath->mTokens;
+  for (const chosen_path::part& part : mPath->mParts) {
+    const bool lost = part.mEngine == aLost || mTools.mFleet->IsBelievedLost(part.mEngine, aNow);
+    if (!lost) {
+      path.mParts.push_back(part);
+      continue;
+    }
+    path_question question;
+    question.mPool = mAsked.mPool;
+    question.mPrompt = mAsked.mWish.mPromptTokens + static_cast<double>(mCursor.Count());
+    question.mAnswer = TokensLeft();
+    question.mSpan = part.mRange;
+    question.mExcluded = mExcluded;
+    question.mExcluded.insert(aLost);
+    for (const chosen_path::part& other : mPath->mParts) {
+      question.mExcluded.insert(other.mEngine);
+    }
+    for (const chosen_path::part& other : path.mParts) {
+      question.mExcluded.insert(other.mEngine);
+    }
+    const auto replacement = mTools.mFleet->ChoosePath(question, aNow);
+    if (!replacement) {
+      return std::nullopt;
+    }
+    path.mCost.mFirstToken += replacement->mCost.mFirstToken;
+    path.mParts.insert(path.mParts.end(), replacement->mParts.begin(), replacement->mParts.end());
+  }
+  return path;
+}
+
+/// Replaces the parts of lost engines while the stream goes on at its first one.
+void stream_request::Repath(const backend_id& aLost, instant aNow)
+{
+  auto path = Replace(aLost, aNow);
+  const auto first = mTools.mFleet->AddressOf(mPath->mParts.front().mEngine);
+  if (!path || !first) {
+    TakeFailure("no other engine for a part", aNow);
+    return;
+  }
+  mIsRepathing = true;
+  mTools.mFleet->Release(*mPath);
+  mPath = *path;
+  mTools.mFleet->Promise(*mPath);
+  ++mPathNumber;
+  const auto hops = HopsOf(*mPath);
+  log_line("stream_repathed", log_rank::Notable)
+    .Text("request", Id())
+    .Text("lost", aLost.Str())
+    .Text("path", wire::EncodePath(hops))
+    .Count("events", mCursor.Count());
+  CallShortly(mTools.mContext,
+              mTools.mCalls,
+              *first,
+              wire::EncodeNewPath(Id(), hops),
+              kRepathTimeout,
+              [self = ref<stream_request>(this), number = mPathNumber, path = *path](const auto& aReply) {
+                self->RepathAnswered(number, path, aReply);
+              });
+}
+
+void stream_request::RepathAnswered(std::uint64_t aPathNumber,
+                                    const chosen_path& aPath,
+                                    const std::optional<net::http_reply>& aReply)
+{
+  if (aPathNumber != mPathNumber || mPhase != phase::Running) {
+    return;
+  }
+  mIsRepathing = false;
+  const instant now = Now();
+  if (aReply && aReply->mStatus < 300) {
+    mTools.mMetrics->Repaired(repair_kind::Repathed);
+    mQuietUntil = now + ToDuration(aPath.mCost.mFirstToken) * 2 + kRepathSlack;
+    mLastEvent = mHasBegun ? mLastEvent : now;
+    return;
+  }
+  log_line("repath_refused", log_rank::Notable).Text("request", Id()).Count("status", aReply ? aReply->mStatus : 0);
+  if (aReply && aReply->mStatus == 409) {
+    const auto faulty = mTools.mFleet->AtAddress(wire::DecodeNote(aReply->mHeaders).mFaultyAddress);
+    if (faulty) {
+      mTools.mFleet->BelieveRefusing(*faulty, now);
+      mExcluded.insert(*faulty);
+    }
+  }
+  TakeFailure("path not replaced", now);
+}
+
+void stream_request::OnTaken()
+{
+  if (mIsPaused && mCall) {
+    mIsPaused = false;
+    mQuietUntil = Now() + Allowance();
+    mCall->SetPaused(false);
+  }
+}
+
+void stream_request::OnCallerGone()
+{
+  if (mPhase != phase::Ended) {
+    Drop();
+    End(request_end::CallerLeft, 0, "caller left");
+  }
+}
+
+void stream_request::End(request_end aEnd, unsigned aStatus, const std::string& aReason)
+{
+  const ref<stream_request> self(this);
+  if (mPhase == phase::Ended) {
+    return;
+  }
+  const instant now = Now();
+  const bool served = aEnd == request_end::Served;
+  if (served && mPath) {
+    mTools.mFleet->Outcome(mPath->mParts.front().mEngine, false);
+  }
+  Drop();
+  mPhase = phase::Ended;
+  mTimer.cancel();
+  mTools.mMetrics->Ended(aEnd, now - mAsked.mArrived);
+  log_line(served ? "stream_served" : "stream_ended", served ? log_rank::Routine : log_rank::Notable)
+    .Text("request", Id())
+    .Text("route", mAsked.mRoute->mName.Str())
+    .Text("workspace", mAsked.mWorkspace)
+    .Text("reason", aReason)
+    .Count("status", aStatus)
+    .Count("events", mCursor.Count())
+    .Count("sends", mSends)
+    .Count("configuration", mAsked.mConfiguration->mVersion)
+    .Number("after_ms", Milliseconds(now - mAsked.mArrived));
+  if (is_linked()) {
+    unlink();
+  }
+  mAsked.mSession.reset();
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/stream_request.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "gateway/request_context.h"
+#include "policy/event_cursor.h"
+#include "policy/stall_detector.h"
+
+/// A request that is answered with events by a path of engines. It is sent, repaired and resumed until its events are
+/// all there or its time is over; the caller gets each event once and in order.
+namespace chervilpulley::gateway {
+
+class stream_request
+  : public request_work
+  , public call_owner
+  , public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+  stream_request(request_tools& aTools, admitted_request aRequest);
+
+  void Start();
+  /// Looks for a stall; called every kStreamTick.
+  void TimePassed(instant aNow);
+  const std::string& Id() const { return mAsked.mWish.mId.Str(); }
+  /// The first engine says that this stream waits for another one.
+  void Stalled(const backend_id& aEngine, instant aNow);
+
+  void OnCallerGone() override;
+  void OnTaken() override;
+  void OnHead(unsigned aStatus, net::http_headers aHeaders) override;
+  void OnBody(std::string_view aBytes) override;
+  void OnEnd(call_end aEnd, const std::string& aReason) override;
+
+private:
+  enum class phase
+  {
+    Waiting, ///< for an engine
+    Running,
+    Ended
+  };
+
+  void TryPath(instant aNow);
+  void Send(chosen_path aPath, instant aNow);
+  void Drop();
+  void TakeRefusal(instant aNow);
+  void TakeFailure(const std::string& aReason, instant aNow);
+  void Retry(const std::string& aReason, instant aNow);
+  void GiveUp(const std::string& aReason, instant aNow);
+  void HandOnFailure(instant aNow);
+  void Repath(const backend_id& aLost, instant aNow);
+  void RepathAnswered(std::uint64_t aPathNumber,
+                      const chosen_path& aPath,
+                      const std::optional<net::http_reply>& aReply);
+  std::optional<chosen_path> Replace(const backend_id& aLost, instant aNow);
+  void Inquire(instant aNow);
+  duration Allowance() const;
+  double AnswerGuess() const;
+  double TokensLeft() const;
+  void End(request_end aEnd, unsigned aStatus, const std::string& aReason);
+  duration TimeLeft(instant aNow) const { return mAsked.mDeadline - aNow; }
+  bool MayRunAgain() const { return mAsked.mRoute->mIsResumable; }
+
+  request_tools& mTools;
+  admitted_request mAsked;
+  boost::asio::steady_timer mTimer;
+  phase mPhase = phase::Waiting;
+  policy::event_cursor mCursor;
+  std::optional<chosen_path> mPath;
+  std::uint64_t mPathNumber = 0;
+  ref<worker_call> mCall;
+  std::set<backend_id> mExcluded;
+  unsigned mRuns = 0; ///< engines that may have run it
+  unsigned mSends = 0;
+  bool mHasBegun = false;     ///< the caller has the head of an answer
+  bool mSourceIsGood = false; ///< the present answer is a stream of events
+  unsigned mStatus = 0;
+  net::http_headers mHeaders;
+  wire::answer_note mNote;
+  std::string mFailureBody;
+  instant mSentAt;
+  instant mLastEvent;
+  instant mQuietUntil; ///< no stall is looked for before
+  duration mInquiryPause{ 0 };
+  bool mIsAsking = false;
+  bool mIsRepathing = false;
+  policy::gap_statistics mGaps;
+  bool mIsPaused = false;
+};
+
+/// Time between two looks at all streams.
+inline constexpr duration kStreamTick = std::chrono::milliseconds(40);
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/wire.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gateway/configuration.h"
+#include "net/http.h"
+#include "policy/layer_plan.h"
+#include "policy/member_table.h"
+
+/// What is said to callers and backend servers, and what the platform keeps, as types that say what they hold. The
+/// functions are defined in platform/, which alone knows the names on the wire.
+namespace chervilpulley::gateway::wire {
+
+/// What a caller asks, from the head of its request.
+struct caller_wish
+{
+  request_id mId;
+  std::string mHost;
+  std::string mKey;
+  std::optional<duration> mPatience;       ///< how long the caller waits
+  std::optional<std::uint64_t> mLastEvent; ///< the caller has the events up to this one
+  double mPromptTokens = 0;
+  double mMostAnswerTokens = 0;
+  std::optional<double> mAnswerGuess; ///< the caller's guess of the answer's tokens; often far off
+};
+
+/// A part of the path of a request.
+struct hop
+{
+  std::string mAddress;
+  policy::layer_range mRange;
+};
+
+/// What a gateway adds to a request for a backend server.
+struct dispatch
+{
+  backend_id mExpected;
+  duration mTimeLeft{ 0 };
+  std::string mWorkspace;                  ///< empty: no key was asked for
+  std::vector<hop> mPath;                  ///< empty: the server alone
+  std::optional<std::uint64_t> mLastEvent; ///< events up to this one are not wanted again
+};
+
+/// What a backend server's answer says beside its status.
+struct answer_note
+{
+  std::string mRequest;       ///< id of the request that it answers, as the server gives it
+  bool mDidNotRun = false;    ///< the server says that the request was not run
+  bool mIsSigned = false;     ///< the server put its mark on the answer
+  std::string mFaultyAddress; ///< the server on the path that is at fault
+  std::string mActualInstance;
+};
+
+/// What an engine says of itself.
+struct engine_report
+{
+  struct stalled_request
+  {
+    std::string mRequest;
+    std::string mFaultyAddress; ///< the engine that it waits for
+  };
+  policy::layer_range mLayers;
+  std::uint64_t mOrders = 0;
+  bool mIsBusy = false;
+  double mSlowness = 1;
+  double mUsedMemory = 0; ///< tokens x layers that can't yield
+  double mAllMemory = 0;
+  std::uint64_t mStartedAt = 0;
+  std::vector<stalled_request> mStalled;
+};
+
+caller_wish DecodeWish(const net::http_headers& aHeaders);
+/// The headers for the backend server: the caller's, less those of the connection and of the system, and the dispatch.
+net::http_headers EncodeDispatch(const net::http_headers& aCallers, const dispatch& aDispatch);
+answer_note DecodeNote(const net::http_headers& aHeaders);
+/// A header that tells a caller when to come back.
+net::http_header ComeBackAfter(duration aTime);
+/// The path of a request to a backend server, as sent.
+std::string EncodePath(const std::vector<hop>& aPath);
+
+/// Each gives nothing, and says why in aFault, for what can't be read.
+ref<const configuration> DecodeConfiguration(std::string_view aSpec, std::string& aFault);
+std::optional<policy::backend_member> DecodeMember(const std::string& aName,
+                                                   std::string_view aSpec,
+                                                   std::string& aFault);
+std::optional<engine_report> DecodeReport(std::string_view aBody, std::string& aFault);
+
+/// Requests to an engine for orders and reports.
+net::http_request EncodeLayerOrder(const policy::layer_order& aOrder, std::uint64_t aFence, std::uint64_t aOrders);
+net::http_request EncodeNewPath(const std::string& aRequest, const std::vector<hop>& aPath);
+net::http_request EncodeReportQuestion();
+/// The target at which the platform's balancer asks whether this instance takes callers.
+bool IsReadyQuestion(std::string_view aTarget);
+
+/// An object as the platform's store keeps it.
+struct stored
+{
+  std::string mName;
+  std::uint64_t mRevision = 0;
+  std::string mSpec; ///< JSON
+};
+struct stored_list
+{
+  std::vector<stored> mItems;
+  bool mIsCut = false; ///< goes on after the last item
+  std::uint64_t mRevision = 0;
+};
+struct stored_change
+{
+  stored mObject;
+  bool mIsDeleted = false;
+};
+struct stored_changes
+{
+  std::vector<stored_change> mChanges;
+  std::uint64_t mRevision = 0;
+};
+
+/// Kinds of objects in the store.
+enum class object_kind
+{
+  Configuration, ///< written by operators
+  Backends,      ///< written by backend servers
+  Duties,        ///< ours: who holds which duty
+  Gateways       ///< ours: which gateways there are
+};
+
+net::http_request EncodeGet(object_kind aKind, const std::string& aName, bool aMayBeOld);
+net::http_request EncodeList(object_kind aKind, const std::string& aAfter, bool aMayBeOld);
+net::http_request EncodeWatch(object_kind aKind, std::uint64_t aRevision, duration aWait);
+net::http_request EncodeCreate(object_kind aKind, const std::string& aName, const std::string& aSpec);
+/// Replaces an object that must have this revision.
+net::http_request EncodeReplace(object_kind aKind,
+                                const std::string& aName,
+                                const std::string& aSpec,
+                                std::uint64_t aRevision);
+net::http_request EncodeDelete(object_kind aKind, const std::string& aName);
+std::optional<stored> DecodeStored(std::string_view aBody, std::string& aFault);
+std::optional<stored_list> DecodeList(std::string_view aBody, std::string& aFault);
+std::optional<stored_changes> DecodeChanges(std::string_view aBody, std::string& aFault);
+/// Name of the one object that holds the configuration.
+const std::string& ConfigurationName();
+
+} // namespace chervilpulley::gateway::wire
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,19 +1,13 @@
 #include "net/http.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 namespace chervilpulley::net {
 
 namespace {
 
-bool EqualNames(std::string_view aLeft, std::string_view aRight)
-{
-  return std::equal(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char aL, char aR) {
-    return std::tolower(static_cast<unsigned char>(aL)) == std::tolower(static_cast<unsigned char>(aR));
-  });
-}
-
 int HexValue(char aDigit)
 {
   if (aDigit >= '0' && aDigit <= '9') {
@@ -40,6 +34,26 @@
 
 } // namespace
 
+bool EqualNames(std::string_view aLeft, std::string_view aRight)
+{
+  return std::equal(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(), [](char aL, char aR) {
+    return std::tolower(static_cast<unsigned char>(aL)) == std::tolower(static_cast<unsigned char>(aR));
+  });
+}
+
+bool IsOfConnection(std::string_view aName)
+{
+  static constexpr std::array<std::string_view, 9> kNames{ "Connection",        "Keep-Alive",     "Proxy-Connection",
+                                                           "Transfer-Encoding", "Content-Length", "TE",
+                                                           "Trailer",           "Upgrade",        "Expect" };
+  return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view aKnown) { return EqualNames(aName, aKnown); });
+}
+
+void http_headers::Add(std::string_view aName, std::string_view aValue)
+{
+  mAll.push_back({ std::string(aName), std::string(aValue) });
+}
+
 void http_headers::Set(std::string_view aName, std::string_view aValue)
 {
   for (http_header& header : mAll) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -18,6 +18,8 @@
 class http_headers
 {
 public:
+  /// Adds a header behind the others, also where one of that name is there.
+  void Add(std::string_view aName, std::string_view aValue);
   /// Adds a header, or replaces the value of the one of that name.
   void Set(std::string_view aName, std::string_view aValue);
   /// Value of a header; empty when there is none.
@@ -49,6 +51,10 @@
 std::string_view PathOf(std::string_view aTarget);
 /// A value from the target's query, decoded; nothing when it is absent.
 std::optional<std::string> QueryValue(std::string_view aTarget, std::string_view aName);
+/// Whether two names of headers are the same; case does not count.
+bool EqualNames(std::string_view aLeft, std::string_view aRight);
+/// Whether a header concerns one connection only, or the framing of a message on it.
+bool IsOfConnection(std::string_view aName);
 /// A reply with a JSON body.
 http_reply JsonReply(unsigned aStatus, std::string aBody);
 
--- /dev/null
+++ b/src/policy/path_choice.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "policy/engine_model.h"
+
+/// The engines that a request passes through, each layer once and in order. It answers to the load of engines, the
+/// memory that running requests were promised, and lost engines: the cheapest path by the published cost model over
+/// engines that have room for the whole request, inside one failure domain as long as that has a path.
+namespace chervilpulley::policy {
+
+/// Share of the memory for requests that may be promised; prompts' estimates err and other gateways promise too.
+inline constexpr double kPromisableMemoryShare = 0.9;
+
+/// An engine as path choice sees it.
+struct path_engine
+{
+  backend_id mId;
+  failure_domain_id mDomain;
+  accelerator_kind mKind;
+  layer_range mHeld;
+  double mSlowness = 1;            ///< its own report: times the usual
+  double mPromisedTokenLayers = 0; ///< memory promised to running requests, all gateways together
+  double mRunning = 0;             ///< requests that pass through it, all gateways together
+  bool mUsable = true;
+};
+
+/// A part of a path.
+struct path_part
+{
+  std::size_t mEngine = 0; ///< index
+  layer_range mRange;
+};
+
+struct path_wish
+{
+  double mPrompt = 0; ///< tokens that must be read before the next one is written
+  double mAnswer = 0; ///< tokens expected
+  failure_domain_id mHome;
+  std::optional<layer_range> mSpan; ///< only these layers, as where a part of a running path is replaced; else all
+};
+
+/// Tokens x layers that an engine can hold beside its weights.
+double MemoryForRequests(const engine_model& aModel, const accelerator_kind& aKind, layer_range aHeld);
+
+/// How long the parts of a path take.
+struct path_cost
+{
+  fine_ms mFirstToken{ 0 }; ///< reading the prompt and the first step
+  fine_ms mTotal{ 0 };
+};
+
+struct layer_path
+{
+  std::vector<path_part> mParts;
+  path_cost mCost;
+};
+
+/// The cheapest path, or nothing where no engines with room cover all layers.
+std::optional<layer_path> ChoosePath(const engine_model& aModel,
+                                     const std::vector<path_engine>& aEngines,
+                                     const path_wish& aWish);
+
+} // namespace chervilpulley::policy
