--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -29,6 +29,10 @@
 constexpr duration kOrderTimeout = std::chrono::milliseconds(700);
 /// Time beside its load within which an order's effect is listed: engines report about each second.
 constexpr duration kOrderSlack = std::chrono::milliseconds(2500);
+/// Pause after a refused order: reports are some hundred milliseconds old.
+constexpr duration kRefusedPause = std::chrono::milliseconds(500);
+/// Bytes of an engine's refusal that go into the log.
+constexpr std::size_t kMostQuoted = 200;
 const std::string kDutyName = "placement";
 
 } // namespace
@@ -211,6 +215,11 @@
     }
     if (isGone) {
       mOrderCounts.erase(order->first);
+    } else if (isDone) {
+      log_line("layers_held", log_rank::Notable)
+        .Text("backend", order->first.Str())
+        .Count("from", order->second.mRange.mFrom)
+        .Count("end", order->second.mRange.mEnd);
     }
     order = isGone || isDone ? mOrders.erase(order) : std::next(order);
   }
@@ -235,6 +244,15 @@
   });
 }
 
+void placement_duty::AskCount(const backend_id& aEngine)
+{
+  mInquiries->Ask(aEngine, [self = ref<placement_duty>(this), aEngine](const auto& aReport) {
+    if (aReport) {
+      self->mOrderCounts[aEngine] = aReport->mOrders;
+    }
+  });
+}
+
 void placement_duty::Give(const policy::layer_order& aOrder, const policy::engine_model& aModel, instant aNow)
 {
   const auto* member = mFleet->Members().Find(aOrder.mEngine);
@@ -243,7 +261,12 @@
     return;
   }
   const auto known = mOrderCounts.find(aOrder.mEngine);
-  const std::uint64_t orders = known == mOrderCounts.end() ? member->mOrders : std::max(known->second, member->mOrders);
+  if (known == mOrderCounts.end() && !member->mLayers.IsEmpty()) {
+    AskCount(aOrder.mEngine);
+    return;
+  }
+  // An engine that holds nothing has most likely had no order; where it had, it refuses and is asked.
+  const std::uint64_t orders = known == mOrderCounts.end() ? 0 : known->second;
   const double share = static_cast<double>(aOrder.mRange.Size()) / aModel.mLayers;
   const auto load = std::chrono::duration_cast<duration>(aModel.mLoad * share);
   mOrders[aOrder.mEngine] = { aOrder.mRange, member->mStartedAt, aNow + load * 2 + kOrderSlack };
@@ -268,10 +291,16 @@
 {
   const unsigned status = aReply ? aReply->mStatus : 0;
   mMetrics->OrderGiven(status == 200 || status == 202);
+  if (status == 202) {
+    ++mOrderCounts[aOrder.mEngine];
+  }
   if (status == 200 || status == 202) {
     return;
   }
-  log_line("order_refused", log_rank::Notable).Text("backend", aOrder.mEngine.Str()).Count("status", status);
+  log_line("order_refused", log_rank::Notable)
+    .Text("backend", aOrder.mEngine.Str())
+    .Count("status", status)
+    .Text("answer", aReply ? std::string_view(aReply->mBody).substr(0, kMostQuoted) : "");
   const auto order = mOrders.find(aOrder.mEngine);
   if (order == mOrders.end()) {
     return;
@@ -285,7 +314,7 @@
     // It may have been accepted, and may be carried out late: the engine is asked in time.
     return;
   }
-  order->second.mUntil = Now();
+  order->second.mUntil = Now() + kRefusedPause;
 }
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/placement_duty.h
+++ b/src/gateway/placement_duty.h
@@ -46,6 +46,8 @@
   void CloseOrders(instant aNow);
   void Give(const policy::layer_order& aOrder, const policy::engine_model& aModel, instant aNow);
   void Answered(const policy::layer_order& aOrder, const std::optional<net::http_reply>& aReply);
+  /// Asks an engine how many orders it has had.
+  void AskCount(const backend_id& aEngine);
   void AskAgain(const backend_id& aEngine);
 
   boost::asio::io_context& mContext;
@@ -57,7 +59,7 @@
   ref<gateway_metrics> mMetrics;
   policy::duty_lease mLease;
   std::map<backend_id, open_order> mOrders;
-  std::map<backend_id, std::uint64_t> mOrderCounts; ///< as engines reported them, where newer than the list
+  std::map<backend_id, std::uint64_t> mOrderCounts; ///< as engines reported them
   std::uint64_t mMembersVersion = 0;
   instant mMembersChangedAt;
   bool mIsLeaving = false;
--- a/src/policy/member_table.h
+++ b/src/policy/member_table.h
@@ -21,7 +21,6 @@
   std::string mAccelerator;
   layer_range mLayers;
   std::uint64_t mStartedAt = 0; ///< Unix milliseconds; another value is another process under the same id
-  std::uint64_t mOrders = 0;    ///< orders that it had accepted
   bool mLeaving = false;
 };
 
