--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "base/decision_log.h"
 #include "base/log.h"
 #include "base/random.h"
+#include "gateway/gateway_registry.h"
 #include "gateway/placement_duty.h"
 #include "gateway/request_context.h"
 #include "gateway/service_request.h"
@@ -96,6 +97,7 @@
   ref<engine_inquiries> mInquiries;
   ref<store_sync> mSync;
   ref<placement_duty> mPlacement;
+  ref<gateway_registry> mRegistry;
   ref<caller_listener> mCallers;
   ref<caller_listener> mControl;
   asio::signal_set mSignals;
@@ -142,6 +144,11 @@
   mSync = MakeRef<store_sync>(mContext, calls, mFleet, mMetrics, bounds);
   mPlacement = MakeRef<placement_duty>(
     mContext, instance_id(mSettings.instance().id()), calls, mFleet, mCalls, mInquiries, mMetrics);
+  mRegistry = MakeRef<gateway_registry>(mContext,
+                                        instance_id(mSettings.instance().id()),
+                                        failure_domain_id(mSettings.instance().failure_domain()),
+                                        calls,
+                                        mFleet);
   mCallers = caller_listener::Start(mContext, callers.value(), ref<session_host>(this));
   mControl = caller_listener::Start(mContext, ready.value(), MakeRef<control_host>(ref<gateway_process>(this)));
   if (!mCallers || !mControl) {
@@ -154,6 +161,7 @@
     .Text("failure_domain", mSettings.instance().failure_domain());
   mSync->Start();
   mPlacement->Start();
+  mRegistry->Start();
   asio::co_spawn(mContext, Tick(), asio::detached);
   asio::co_spawn(mContext, Report(), asio::detached);
   asio::co_spawn(mContext, FollowSignals(), asio::detached);
@@ -293,6 +301,7 @@
   const instant begun = Now();
   const instant kill = begun + Milliseconds(mSettings.gateway().stop_grace_s() * 1000) - kBeforeKill;
   mPlacement->Leave();
+  mRegistry->Leave();
   co_await Pause(std::min<duration>(kBalancerNotices, (kill - begun) / 2));
   mCallers->StopAccepting();
   mCallers->CloseIdle();
--- /dev/null
+++ b/src/gateway/gateway_registry.cpp
@@ -0,0 +1,131 @@
+#include "gateway/gateway_registry.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+/// Time between two renewals of our object.
+constexpr duration kRenewal = std::chrono::seconds(4);
+/// An object that was not renewed for so long counts for nothing.
+constexpr duration kLife = std::chrono::seconds(10);
+/// Time between two readings, and what each gateway adds to it, so that many do not read each other too often.
+constexpr duration kReading = std::chrono::seconds(2);
+constexpr duration kReadingPerGateway = std::chrono::milliseconds(100);
+constexpr duration kRetryPause = std::chrono::milliseconds(700);
+constexpr duration kStoreTimeout = std::chrono::milliseconds(800);
+
+} // namespace
+
+gateway_registry::gateway_registry(boost::asio::io_context& aContext,
+                                   instance_id aSelf,
+                                   failure_domain_id aDomain,
+                                   ref<store_calls> aStore,
+                                   ref<fleet> aFleet)
+  : mContext(aContext)
+  , mSelf(std::move(aSelf))
+  , mDomain(std::move(aDomain))
+  , mStore(std::move(aStore))
+  , mFleet(std::move(aFleet))
+  , mCensus(kLife)
+{
+}
+
+void gateway_registry::Start()
+{
+  mFleet->SetGateways(policy::kAssumedPeers, 1);
+  boost::asio::co_spawn(mContext, Renew(), boost::asio::detached);
+  boost::asio::co_spawn(mContext, Follow(), boost::asio::detached);
+}
+
+void gateway_registry::Leave()
+{
+  mIsLeaving = true;
+  boost::asio::co_spawn(mContext, Remove(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> gateway_registry::Renew()
+{
+  const ref<gateway_registry> self(this);
+  while (!mIsLeaving) {
+    co_await Write();
+    co_await Pause(mRevision ? kRenewal : kRetryPause);
+  }
+}
+
+boost::asio::awaitable<void> gateway_registry::Write()
+{
+  const std::string spec = wire::EncodeGateway({ mDomain, BootNow() });
+  const auto question = mRevision ? wire::EncodeReplace(wire::object_kind::Gateways, mSelf.Str(), spec, *mRevision)
+                                  : wire::EncodeCreate(wire::object_kind::Gateways, mSelf.Str(), spec);
+  const auto answer = co_await mStore->Call(question, kStoreTimeout);
+  std::string fault;
+  const auto object = wire::DecodeStored(answer.mBody, fault);
+  // A conflict shows the object as it is: an earlier process of this instance, or a lost answer, left it.
+  if ((answer.IsGood() || answer.mStatus == 409) && object) {
+    mRevision = object->mRevision;
+  } else if (answer.mStatus == 404) {
+    mRevision.reset();
+  }
+}
+
+boost::asio::awaitable<void> gateway_registry::Remove()
+{
+  const ref<gateway_registry> self(this);
+  co_await mStore->Call(wire::EncodeDelete(wire::object_kind::Gateways, mSelf.Str()), kStoreTimeout);
+}
+
+boost::asio::awaitable<void> gateway_registry::Follow()
+{
+  const ref<gateway_registry> self(this);
+  co_await Pause(kRetryPause);
+  while (!mIsLeaving) {
+    if (co_await ReadAll()) {
+      mCensus.ListRead(Now());
+    }
+    Count();
+    co_await Pause(kReading + kReadingPerGateway * static_cast<int>(mCounted));
+  }
+}
+
+boost::asio::awaitable<bool> gateway_registry::ReadAll()
+{
+  std::string after;
+  while (true) {
+    auto question = wire::EncodeList(wire::object_kind::Gateways, after, true);
+    const auto answer = co_await mStore->Call(std::move(question), kStoreTimeout);
+    std::string fault;
+    const auto list = answer.IsGood() ? wire::DecodeList(answer.mBody, fault) : std::nullopt;
+    if (!list) {
+      co_return false;
+    }
+    for (const wire::stored& object : list->mItems) {
+      if (const auto gateway = wire::DecodeGateway(object.mSpec, fault)) {
+        mCensus.Seen(instance_id(object.mName), gateway->mDomain, object.mRevision, Now());
+      }
+    }
+    if (!list->mIsCut || list->mItems.empty()) {
+      co_return true;
+    }
+    after = list->mItems.back().mName;
+  }
+}
+
+void gateway_registry::Count()
+{
+  const std::size_t all = mCensus.All(Now());
+  const std::size_t inDomain = mCensus.InDomain(mDomain, Now());
+  if (all != mCounted) {
+    log_line("gateways_counted", log_rank::Notable).Count("all", all).Count("in_domain", inDomain);
+  }
+  mCounted = all;
+  mFleet->SetGateways(all, inDomain);
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/gateway_registry.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "gateway/store_sync.h"
+#include "policy/peer_census.h"
+
+/// Makes this gateway known to the others, and counts them: they share the budget for repeats and the engines' memory.
+namespace chervilpulley::gateway {
+
+class gateway_registry : public ref_counted
+{
+public:
+  gateway_registry(boost::asio::io_context& aContext,
+                   instance_id aSelf,
+                   failure_domain_id aDomain,
+                   ref<store_calls> aStore,
+                   ref<fleet> aFleet);
+
+  void Start();
+  /// Removes this gateway's object, so that the others need not wait.
+  void Leave();
+
+private:
+  boost::asio::awaitable<void> Renew();
+  boost::asio::awaitable<void> Write();
+  boost::asio::awaitable<void> Remove();
+  boost::asio::awaitable<void> Follow();
+  boost::asio::awaitable<bool> ReadAll();
+  void Count();
+
+  boost::asio::io_context& mContext;
+  instance_id mSelf;
+  failure_domain_id mDomain;
+  ref<store_calls> mStore;
+  ref<fleet> mFleet;
+  policy::peer_census mCensus;
+  std::optional<std::uint64_t> mRevision; ///< of our object
+  std::size_t mCounted = 0;
+  bool mIsLeaving = false;
+};
+
+} // namespace chervilpulley::gateway
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -128,6 +128,15 @@
   Gateways       ///< ours: which gateways there are
 };
 
+/// What a gateway says of itself in the store.
+struct gateway_note
+{
+  failure_domain_id mDomain;
+  instant mRenewed; ///< makes each renewal a change; of the writer's own clock
+};
+std::string EncodeGateway(const gateway_note& aNote);
+std::optional<gateway_note> DecodeGateway(std::string_view aSpec, std::string& aFault);
+
 net::http_request EncodeGet(object_kind aKind, const std::string& aName, bool aMayBeOld);
 net::http_request EncodeList(object_kind aKind, const std::string& aAfter, bool aMayBeOld);
 net::http_request EncodeWatch(object_kind aKind, std::uint64_t aRevision, duration aWait);
--- /dev/null
+++ b/src/policy/peer_census.cpp
@@ -0,0 +1,43 @@
+#include "policy/peer_census.h"
+
+#include <algorithm>
+
+namespace chervilpulley::policy {
+
+void peer_census::Seen(const instance_id& aPeer,
+                       const failure_domain_id& aDomain,
+                       std::uint64_t aRevision,
+                       instant aNow)
+{
+  peer& known = mPeers[aPeer];
+  if (known.mRevision != aRevision) {
+    known = { aDomain, aRevision, aNow };
+  }
+}
+
+void peer_census::ListRead(instant aNow)
+{
+  mIsRead = true;
+  // Kept for a while longer, so that an old reading does not make a lost one look new.
+  std::erase_if(mPeers, [&](const auto& aEntry) { return aEntry.second.mRenewed + mLife * 10 < aNow; });
+}
+
+std::size_t peer_census::All(instant aNow) const
+{
+  if (!mIsRead) {
+    return kAssumedPeers;
+  }
+  const auto count = std::count_if(
+    mPeers.begin(), mPeers.end(), [&](const auto& aEntry) { return aEntry.second.mRenewed + mLife >= aNow; });
+  return std::max<std::size_t>(1, static_cast<std::size_t>(count));
+}
+
+std::size_t peer_census::InDomain(const failure_domain_id& aDomain, instant aNow) const
+{
+  const auto count = std::count_if(mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
+    return aEntry.second.mDomain == aDomain && aEntry.second.mRenewed + mLife >= aNow;
+  });
+  return std::max<std::size_t>(1, static_cast<std::size_t>(count));
+}
+
+} // namespace chervilpulley::policy
