--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -11,6 +11,8 @@
 
 /// Weight of the newest outcome in a server's share of failures.
 constexpr double kOutcomeWeight = 0.15;
+/// Use of a pipe by gateways of all domains, in terms of that by our own domain's: mostly one domain lacks a layer.
+constexpr double kOtherDomainsUse = 1.5;
 
 } // namespace
 
@@ -88,7 +90,7 @@
     return std::nullopt;
   }
   FillEngines(*pool);
-  policy::path_wish wish{ aQuestion.mPrompt, aQuestion.mAnswer, mHome, aQuestion.mSpan };
+  policy::path_wish wish{ aQuestion.mPrompt, aQuestion.mAnswer, mHome, mPipes.Waits(aNow), aQuestion.mSpan };
   for (policy::path_engine& engine : mEngines) {
     const backend_belief& belief = Belief(engine.mId);
     const double sharers = engine.mDomain == mHome ? static_cast<double>(mGatewaysInDomain) : 1.0;
@@ -107,7 +109,7 @@
   chosen.mCost = path->mCost;
   for (const policy::path_part& part : path->mParts) {
     const backend_id& id = mEngines[part.mEngine].mId;
-    chosen.mParts.push_back({ id, mMembers.Find(id)->mAddress, part.mRange });
+    chosen.mParts.push_back({ id, mMembers.Find(id)->mAddress, part.mRange, mEngines[part.mEngine].mDomain });
   }
   return chosen;
 }
@@ -133,6 +135,23 @@
   return index ? std::optional(*ids[*index]) : std::nullopt;
 }
 
+void fleet::CountCrossings(const pool_name& aPool, const chosen_path& aPath, double aTokens, instant aNow)
+{
+  const pool* pool = mConfiguration ? mConfiguration->FindPool(aPool) : nullptr;
+  if (pool == nullptr || !pool->mEngine) {
+    return;
+  }
+  const policy::fine_ms time = policy::PipeTime(*pool->mEngine, aTokens);
+  const double sharers = static_cast<double>(mGatewaysInDomain) * kOtherDomainsUse;
+  for (std::size_t index = 1; index < aPath.mParts.size(); ++index) {
+    const failure_domain_id& left = aPath.mParts[index - 1].mDomain;
+    const failure_domain_id& right = aPath.mParts[index].mDomain;
+    if (left != right) {
+      mPipes.Add(policy::domain_pair(left, right), time, sharers, aNow);
+    }
+  }
+}
+
 void fleet::Promise(const chosen_path& aPath)
 {
   for (const chosen_path::part& part : aPath.mParts) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -44,6 +44,7 @@
     backend_id mEngine;
     std::string mAddress;
     policy::layer_range mRange;
+    failure_domain_id mDomain;
   };
   std::vector<part> mParts;
   double mTokens = 0; ///< promised at each layer
@@ -78,6 +79,8 @@
                                           std::uint64_t aRandom,
                                           instant aNow);
 
+  /// Counts what a request on a path takes of the pipes between failure domains, for so many tokens.
+  void CountCrossings(const pool_name& aPool, const chosen_path& aPath, double aTokens, instant aNow);
   /// Counts a path's promise at its engines, or takes it back.
   void Promise(const chosen_path& aPath);
   void Release(const chosen_path& aPath);
@@ -110,6 +113,7 @@
   policy::member_table mMembers;
   std::map<backend_id, backend_belief> mBeliefs;
   std::unordered_map<std::string, backend_id> mByAddress;
+  policy::pipe_load mPipes;
   policy::retry_bounds mRetryBounds;
   std::unordered_map<pool_name, policy::retry_allowance> mRetries;
   std::size_t mGateways = 1;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -107,6 +107,7 @@
   question.mAnswer = TokensLeft();
   question.mExcluded = mExcluded;
   if (auto path = mTools.mFleet->ChoosePath(question, aNow)) {
+    mTools.mFleet->CountCrossings(mAsked.mPool, *path, path->mTokens, aNow);
     Send(std::move(*path), aNow);
     return;
   }
@@ -486,6 +487,7 @@
   }
   mIsRepathing = true;
   mTools.mFleet->Release(*mPath);
+  mTools.mFleet->CountCrossings(mAsked.mPool, *path, path->mTokens, aNow);
   mPath = *path;
   mTools.mFleet->Promise(*mPath);
   ++mPathNumber;
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -9,7 +9,7 @@
 
 /// A token waits for half a pass at each part, and for the link within a failure domain.
 constexpr fine_ms kHop{ 0.25 };
-/// Crossing between failure domains counts for more than its delay, as the pipe is shared by all.
+/// Crossing between failure domains counts for more than its time, as the pipe is shared by all.
 constexpr double kPipeSharers = 3.0;
 constexpr double kMillionPairs = 1e6;
 constexpr double kMax = std::numeric_limits<double>::max();
@@ -145,6 +145,9 @@
         continue;
       }
       const auto [once, each] = HopCost(last, aNext);
+      if (once == kMax) {
+        continue;
+      }
       const double cost = at.mCost + once + each * mWish.mAnswer;
       if (cost < aEntry.mCost) {
         aEntry = { cost, at.mFirstToken + once + each, aCut, last };
@@ -175,8 +178,13 @@
     if (left.mDomain == right.mDomain || mModel.mDomainPipeMbps <= 0) {
       return { 0, kHop.count() };
     }
-    const double perToken = mModel.mActivationBytes * 8 / 1e6 / mModel.mDomainPipeMbps * 1000 * kPipeSharers;
-    return { perToken * mWish.mPrompt, perToken + mModel.mDomainDelay.count() + kHop.count() };
+    const auto wait = mWish.mPipeWaits.find(domain_pair(left.mDomain, right.mDomain));
+    const double waiting = wait == mWish.mPipeWaits.end() ? 0 : wait->second.count();
+    if (waiting > kMostPipeWait.count()) {
+      return { kMax, 0 };
+    }
+    const double perToken = PipeTime(mModel, 1).count();
+    return { waiting + perToken * mWish.mPrompt * kPipeSharers, perToken + mModel.mDomainDelay.count() + kHop.count() };
   }
 
   std::optional<layer_path> Trace()
@@ -224,6 +232,15 @@
   return freeMb * 1e6 / aModel.mBytesPerTokenAndLayer;
 }
 
+fine_ms PipeTime(const engine_model& aModel, double aTokens)
+{
+  if (aModel.mDomainPipeMbps <= 0) {
+    return fine_ms(0);
+  }
+  // Megabits over megabits a second give seconds.
+  return fine_ms(aTokens * aModel.mActivationBytes * 8 / 1e6 / aModel.mDomainPipeMbps * 1000);
+}
+
 std::optional<layer_path> ChoosePath(const engine_model& aModel,
                                      const std::vector<path_engine>& aEngines,
                                      const path_wish& aWish)
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "policy/engine_model.h"
+#include "policy/pipe_load.h"
 
 /// The engines that a request passes through, each layer once and in order. It answers to the load of engines, the
 /// memory that running requests were promised, and lost engines: the cheapest path by the published cost model over
@@ -13,6 +14,10 @@
 /// Share of the memory for requests that may be promised; prompts' estimates err and other gateways promise too.
 inline constexpr double kPromisableMemoryShare = 0.9;
 
+/// A path does not cross to another failure domain where its transfer would wait for longer: what is refused at once
+/// does less harm than what stops all streams on the pipe.
+inline constexpr fine_ms kMostPipeWait{ 150 };
+
 /// An engine as path choice sees it.
 struct path_engine
 {
@@ -38,12 +43,16 @@
   double mPrompt = 0; ///< tokens that must be read before the next one is written
   double mAnswer = 0; ///< tokens expected
   failure_domain_id mHome;
+  pipe_waits mPipeWaits;
   std::optional<layer_range> mSpan; ///< only these layers, as where a part of a running path is replaced; else all
 };
 
 /// Tokens x layers that an engine can hold beside its weights.
 double MemoryForRequests(const engine_model& aModel, const accelerator_kind& aKind, layer_range aHeld);
 
+/// Time for which one request takes the pipe between two failure domains.
+fine_ms PipeTime(const engine_model& aModel, double aTokens);
+
 /// How long the parts of a path take.
 struct path_cost
 {
