A request runs on no more live engines than its route allows

Now each send counts, and is taken back where the engine says that it did not run, was never reached, or is lost.

--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -157,6 +157,7 @@
     options.mServer = server.value();
   }
   ++mSends;
+  ++mRuns;
   log_line("stream_sent")
     .Text("request", Id())
     .Text("backend", dispatch.mExpected.Str())
@@ -203,7 +204,6 @@
   if (!events.empty()) {
     if (!mHasBegun) {
       mHasBegun = true;
-      ++mRuns;
       net::http_reply head;
       head.mStatus = mStatus;
       head.mHeaders = EndToEnd(mHeaders);
@@ -248,6 +248,7 @@
       .Text("request", Id())
       .Text("backend", first.Str())
       .Text("reason", aReason);
+    --mRuns;
     Drop();
     if (mSends < kMostSends) {
       TryPath(now);
@@ -287,6 +288,7 @@
     .Text("asked", first.Str())
     .Count("status", mStatus)
     .Number("after_ms", Milliseconds(aNow - mSentAt));
+  --mRuns;
   mExcluded.insert(faulty);
   if (mStatus == 503) {
     mTools.mFleet->BelieveRefusing(faulty, aNow);
@@ -306,13 +308,12 @@
     .Count("events", mCursor.Count())
     .Number("after_ms", Milliseconds(aNow - mSentAt));
   mTools.mFleet->Outcome(first, true);
-  if (!mHasBegun) {
-    ++mRuns;
-  }
+  mMayHaveRun = true;
+  // An engine that is lost does not count for the route's bound on attempts.
+  mRuns -= mTools.mFleet->IsBelievedLost(first, aNow) ? 1 : 0;
   mExcluded.insert(first);
   Drop();
-  const bool ended = !MayRunAgain() || mRuns >= mAsked.mRoute->mMaxAttempts + 1;
-  if (ended) {
+  if (!MayRunAgain() || mRuns >= mAsked.mRoute->mMaxAttempts) {
     if (!mHasBegun && mStatus >= 400) {
       HandOnFailure(aNow);
       return;
@@ -354,7 +355,7 @@
     End(request_end::Cut, 0, aReason);
     return;
   }
-  if (mRuns > 0) {
+  if (mMayHaveRun) {
     const bool timedOut = TimeLeft(aNow) <= duration::zero();
     mAsked.mSession->Answer(OwnAnswer(timedOut ? 504 : 502, std::nullopt));
     End(timedOut ? request_end::TimedOut : request_end::Unknown, timedOut ? 504 : 502, aReason);
@@ -371,9 +372,7 @@
     return;
   }
   if (TimeLeft(aNow) <= duration::zero()) {
-    if (mPhase == phase::Running && !mHasBegun) {
-      ++mRuns; // it may have run by now
-    }
+    mMayHaveRun = mMayHaveRun || mPhase == phase::Running;
     GiveUp("deadline", aNow);
     return;
   }
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -69,7 +69,8 @@
   std::uint64_t mPathNumber = 0;
   ref<worker_call> mCall;
   std::set<backend_id> mExcluded;
-  unsigned mRuns = 0; ///< engines that may have run it
+  unsigned mRuns = 0;       ///< live engines that run it or may have run it
+  bool mMayHaveRun = false; ///< somewhere, also on an engine that is lost
   unsigned mSends = 0;
   bool mHasBegun = false;     ///< the caller has the head of an answer
   bool mSourceIsGood = false; ///< the present answer is a stream of events
