--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -386,7 +386,8 @@
 void session_impl::AfterFlush()
 {
   if (mIsDone && mPhase == session_phase::Answering) {
-    if (!mKeepAlive) {
+    // The head of a long answer may have gone out before this instance began to leave.
+    if (!mKeepAlive || mListener->Host().IsLeaving()) {
       Close();
       return;
     }
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -23,7 +23,7 @@
 {
 }
 
-void fleet::MembersChanged()
+void fleet::MembersChanged(instant aNow)
 {
   std::map<backend_id, backend_belief> beliefs;
   mByAddress.clear();
@@ -31,11 +31,18 @@
     mByAddress[member.mAddress] = id;
     const auto known = mBeliefs.find(id);
     if (known != mBeliefs.end() && known->second.mStartedAt == member.mStartedAt) {
-      beliefs.emplace(id, known->second);
+      backend_belief& kept = beliefs.emplace(id, known->second).first->second;
+      if (member.mLeaving && !kept.mLeavingSince) {
+        kept.mLeavingSince = aNow;
+        log_line("backend_leaving", log_rank::Notable).Text("backend", id.Str());
+      }
       continue;
     }
     backend_belief fresh;
     fresh.mStartedAt = member.mStartedAt;
+    if (member.mLeaving) {
+      fresh.mLeavingSince = aNow;
+    }
     if (auto address = net::ParseEndpoint(member.mAddress)) {
       fresh.mAddress = address.value();
     }
@@ -222,6 +229,12 @@
   return found == mBeliefs.end() || found->second.mLostUntil > aNow;
 }
 
+std::optional<instant> fleet::LeavingSince(const backend_id& aId) const
+{
+  const auto found = mBeliefs.find(aId);
+  return found == mBeliefs.end() ? std::nullopt : found->second.mLeavingSince;
+}
+
 std::optional<net::endpoint> fleet::AddressOf(const backend_id& aId) const
 {
   const auto found = mBeliefs.find(aId);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -34,6 +34,7 @@
   double mFailures = 0; ///< recent share of failed requests
   double mSlowness = 1;
   std::uint64_t mStartedAt = 0;
+  std::optional<instant> mLeavingSince; ///< when it was first seen leaving
 };
 
 /// A path that was chosen, with what is needed to use it.
@@ -43,7 +44,7 @@
   {
     backend_id mEngine;
     std::string mAddress;
-    policy::layer_range mRange;
+    policy::layer_span mRange;
     failure_domain_id mDomain;
   };
   std::vector<part> mParts;
@@ -58,7 +59,7 @@
   double mPrompt = 0;
   double mAnswer = 0;
   std::set<backend_id> mExcluded;
-  std::optional<policy::layer_range> mSpan; ///< only these layers
+  std::optional<policy::layer_span> mSpan; ///< only these layers
 };
 
 class fleet : public ref_counted
@@ -71,7 +72,7 @@
   policy::member_table& Members() { return mMembers; }
   const policy::member_table& Members() const { return mMembers; }
   /// Must be called after members have changed.
-  void MembersChanged();
+  void MembersChanged(instant aNow);
 
   std::optional<chosen_path> ChoosePath(const path_question& aQuestion, instant aNow);
   std::optional<backend_id> ChooseService(const pool_name& aPool,
@@ -94,6 +95,9 @@
   void BelieveRefusing(const backend_id& aId, instant aNow);
   bool IsBelievedLost(const backend_id& aId, instant aNow) const;
 
+  /// Since when a server is known to be leaving; nothing when it is not, or is not listed any more.
+  std::optional<instant> LeavingSince(const backend_id& aId) const;
+
   /// The address of a server; nothing when it is not listed.
   std::optional<net::endpoint> AddressOf(const backend_id& aId) const;
   /// The server that is listed at an address.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,6 +35,8 @@
 constexpr duration kBalancerNotices = std::chrono::milliseconds(2600);
 /// Time before the end of the grace at which what is still running is cut.
 constexpr duration kBeforeKill = std::chrono::milliseconds(300);
+/// Part of the grace within which requests are still taken: streams run for three seconds, slow ones for five.
+constexpr double kShareForNewRequests = 0.4;
 constexpr duration kLookAgain = std::chrono::milliseconds(50);
 constexpr duration kReport = std::chrono::milliseconds(1000);
 
@@ -57,7 +59,14 @@
     , mCalls(worker_calls::Create(aContext))
     , mInquiries(MakeRef<engine_inquiries>(aContext, mFleet, mCalls))
     , mSignals(aContext, SIGTERM, SIGINT, SIGHUP)
-    , mTools{ aContext, mFleet, mCalls, mInquiries, mMetrics, mStreams, std::mt19937_64(std::random_device{}()) }
+    , mTools{ aContext,
+              mFleet,
+              mCalls,
+              mInquiries,
+              mMetrics,
+              mStreams,
+              Milliseconds(aSettings.gateway().drain_bound_ms()),
+              std::mt19937_64(std::random_device{}()) }
   {
   }
 
@@ -79,6 +88,11 @@
   }
 
   bool IsReady() const;
+  /// A request that comes later after SIGTERM would be cut off by SIGKILL.
+  duration LastRequestAfter() const
+  {
+    return Milliseconds(mSettings.gateway().stop_grace_s() * 1000 * kShareForNewRequests);
+  }
   void Refuse(const ref<caller_session>& aSession,
               const wire::caller_wish& aWish,
               unsigned aStatus,
@@ -105,6 +119,7 @@
   request_tools mTools;
   caller_limits mDefaultLimits;
   bool mIsLeaving = false;
+  instant mLeavingSince;
   bool mWasReady = false;
 };
 
@@ -213,6 +228,10 @@
     Refuse(aSession, asked.mWish, 503, "not configured yet");
     return;
   }
+  if (mIsLeaving && Now() - mLeavingSince > LastRequestAfter()) {
+    Refuse(aSession, asked.mWish, 503, "leaving");
+    return;
+  }
   asked.mRoute = asked.mConfiguration->FindRoute(asked.mWish.mHost, net::PathOf(aRequest.mTarget));
   const bool trustsKeys = mSync->Keys().MayTrustKeys(BootNow());
   if (asked.mRoute == nullptr) {
@@ -285,6 +304,7 @@
       Reload();
     } else if (!mIsLeaving) {
       mIsLeaving = true;
+      mLeavingSince = Now();
       asio::co_spawn(mContext, Leave(), asio::detached);
     }
   }
--- a/src/gateway/placement_duty.h
+++ b/src/gateway/placement_duty.h
@@ -32,7 +32,7 @@
   /// An order that was given and whose effect is not listed yet.
   struct open_order
   {
-    policy::layer_range mRange;
+    policy::layer_span mRange;
     std::uint64_t mStartedAt = 0; ///< of the engine
     instant mUntil;               ///< then the engine is asked what became of it
   };
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -30,6 +30,7 @@
   ref<engine_inquiries> mInquiries;
   ref<gateway_metrics> mMetrics;
   stream_list& mStreams;
+  duration mDrainBound{ 0 }; ///< a leaving backend server serves for so long at least
   std::mt19937_64 mRandom;
 };
 
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -199,7 +199,7 @@
     after = list->mItems.back().mName;
   }
   mFleet->Members().Listed(std::move(members), Now());
-  mFleet->MembersChanged();
+  mFleet->MembersChanged(Now());
   co_return revision;
 }
 
@@ -249,7 +249,7 @@
   aRevision = changes->mRevision;
   mFleet->Members().TimePassed(Now());
   if (!changes->mChanges.empty()) {
-    mFleet->MembersChanged();
+    mFleet->MembersChanged(Now());
   }
   co_return true;
 }
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -36,10 +36,16 @@
 constexpr double kWaitShareOfObjective = 0.3;
 /// Pause between two tries to find room.
 constexpr duration kRoomPause = std::chrono::milliseconds(30);
-/// Silence that ends the hope for a stream that can't be taken up elsewhere.
-constexpr duration kHopeless = std::chrono::milliseconds(1900);
-/// Requests sent at most, also where none has run.
+/// Pause before a broken stream is tried again where the budget or the engines gave nothing. A caller that has a part
+/// of its answer decides itself how long it waits for the rest.
+constexpr duration kBrokenPause = std::chrono::milliseconds(120);
+/// Times that a request is sent at most, also where no engine has run it: before its first event, and in all.
 constexpr unsigned kMostSends = 5;
+constexpr unsigned kMostSendsOnceBegun = 12;
+/// Part of the time for which a leaving engine serves after which streams are moved away from it.
+constexpr double kStayShare = 0.5;
+/// Pause after a stream could not be moved.
+constexpr duration kMovePause = std::chrono::milliseconds(500);
 
 duration ToDuration(policy::fine_ms aTime)
 {
@@ -112,16 +118,23 @@
     return;
   }
   const auto most = std::chrono::duration_cast<duration>(mAsked.mRoute->mObjective * kWaitShareOfObjective);
-  const bool hopeless = mHasBegun ? aNow - mLastEvent > kHopeless : aNow - mAsked.mArrived > most;
-  if (hopeless) {
+  if (!mHasBegun && aNow - mAsked.mArrived > most) {
     GiveUp("no_path", aNow);
     return;
   }
-  mTimer.expires_after(kRoomPause);
-  mTimer.async_wait([self = ref<stream_request>(this)](const boost::system::error_code& aError) {
+  Wait(mHasBegun ? kBrokenPause : kRoomPause, [](stream_request& aRequest) {
+    aRequest.mExcluded.clear();
+    aRequest.TryPath(Now());
+  });
+}
+
+/// Goes on after a pause, unless the request has ended or runs by then.
+void stream_request::Wait(duration aTime, void (*aGoOn)(stream_request&))
+{
+  mTimer.expires_after(aTime);
+  mTimer.async_wait([self = ref<stream_request>(this), aGoOn](const boost::system::error_code& aError) {
     if (!aError && self->mPhase == phase::Waiting) {
-      self->mExcluded.clear();
-      self->TryPath(Now());
+      aGoOn(*self);
     }
   });
 }
@@ -327,12 +340,18 @@
 /// Sends the request once more, as far as the budget for repeats allows.
 void stream_request::Retry(const std::string& aReason, instant aNow)
 {
-  if (mSends >= kMostSends || !mTools.mFleet->Retries(mAsked.mPool).TryRepeat(aNow, mTools.mFleet->Gateways())) {
-    GiveUp("no more repeats: " + aReason, aNow);
+  mPhase = phase::Waiting;
+  const bool maySend = mSends < (mHasBegun ? kMostSendsOnceBegun : kMostSends);
+  if (maySend && mTools.mFleet->Retries(mAsked.mPool).TryRepeat(aNow, mTools.mFleet->Gateways())) {
+    mTools.mMetrics->Repaired(mHasBegun ? repair_kind::Resumed : repair_kind::Repeated);
+    TryPath(aNow);
     return;
   }
-  mTools.mMetrics->Repaired(mHasBegun ? repair_kind::Resumed : repair_kind::Repeated);
-  TryPath(aNow);
+  if (maySend && mHasBegun) {
+    Wait(kBrokenPause, [](stream_request& aRequest) { aRequest.Retry("no budget for repeats", Now()); });
+    return;
+  }
+  GiveUp("no more repeats: " + aReason, aNow);
 }
 
 void stream_request::HandOnFailure(instant)
@@ -390,6 +409,25 @@
   }
   if (aNow >= mQuietUntil && !mIsAsking) {
     Inquire(aNow);
+    return;
+  }
+  MoveFromLeaving(aNow);
+}
+
+/// Moves a running stream from an engine that will end before the stream does. The first engine can't be replaced.
+void stream_request::MoveFromLeaving(instant aNow)
+{
+  if (!mHasBegun || aNow < mNextMove) {
+    return;
+  }
+  for (std::size_t index = 1; index < mPath->mParts.size(); ++index) {
+    const backend_id engine = mPath->mParts[index].mEngine;
+    const auto since = mTools.mFleet->LeavingSince(engine);
+    if (since && aNow - *since > mTools.mDrainBound * kStayShare) {
+      mNextMove = aNow + kMovePause;
+      Repath(engine, aNow, repath_reason::Leaving);
+      return;
+    }
   }
 }
 
@@ -438,7 +476,7 @@
     TakeFailure("first engine is lost", aNow);
     return;
   }
-  Repath(aEngine, aNow);
+  Repath(aEngine, aNow, repath_reason::Lost);
 }
 
 /// The present path with other engines for the layers of a lost one.
@@ -476,14 +514,17 @@
 }
 
 /// Replaces the parts of lost engines while the stream goes on at its first one.
-void stream_request::Repath(const backend_id& aLost, instant aNow)
+void stream_request::Repath(const backend_id& aLost, instant aNow, repath_reason aReason)
 {
   auto path = Replace(aLost, aNow);
   const auto first = mTools.mFleet->AddressOf(mPath->mParts.front().mEngine);
   if (!path || !first) {
-    TakeFailure("no other engine for a part", aNow);
+    if (aReason == repath_reason::Lost) {
+      TakeFailure("no other engine for a part", aNow);
+    }
     return;
   }
+  const chosen_path former = *mPath;
   mIsRepathing = true;
   mTools.mFleet->Release(*mPath);
   mTools.mFleet->CountCrossings(mAsked.mPool, *path, path->mTokens, aNow);
@@ -493,7 +534,7 @@
   const auto hops = HopsOf(*mPath);
   log_line("stream_repathed", log_rank::Notable)
     .Text("request", Id())
-    .Text("lost", aLost.Str())
+    .Text(aReason == repath_reason::Lost ? "lost" : "leaving", aLost.Str())
     .Text("path", wire::EncodePath(hops))
     .Count("events", mCursor.Count());
   CallShortly(mTools.mContext,
@@ -501,13 +542,14 @@
               *first,
               wire::EncodeNewPath(Id(), hops),
               kRepathTimeout,
-              [self = ref<stream_request>(this), number = mPathNumber, path = *path](const auto& aReply) {
-                self->RepathAnswered(number, path, aReply);
+              [self = ref<stream_request>(this), number = mPathNumber, former, aReason](const auto& aReply) {
+                self->RepathAnswered(number, former, aReason, aReply);
               });
 }
 
 void stream_request::RepathAnswered(std::uint64_t aPathNumber,
-                                    const chosen_path& aPath,
+                                    const chosen_path& aFormer,
+                                    repath_reason aReason,
                                     const std::optional<net::http_reply>& aReply)
 {
   if (aPathNumber != mPathNumber || mPhase != phase::Running) {
@@ -517,7 +559,7 @@
   const instant now = Now();
   if (aReply && aReply->mStatus < 300) {
     mTools.mMetrics->Repaired(repair_kind::Repathed);
-    mQuietUntil = now + ToDuration(aPath.mCost.mFirstToken) * 2 + kRepathSlack;
+    mQuietUntil = now + ToDuration(mPath->mCost.mFirstToken) * 2 + kRepathSlack;
     mLastEvent = mHasBegun ? mLastEvent : now;
     return;
   }
@@ -529,6 +571,13 @@
       mExcluded.insert(*faulty);
     }
   }
+  if (aReason == repath_reason::Leaving && aReply) {
+    // The engine refused, and the former path still serves.
+    mTools.mFleet->Release(*mPath);
+    mPath = aFormer;
+    mTools.mFleet->Promise(*mPath);
+    return;
+  }
   TakeFailure("path not replaced", now);
 }
 
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -39,7 +39,14 @@
     Ended
   };
 
+  enum class repath_reason
+  {
+    Lost,   ///< the stream stands still
+    Leaving ///< the stream goes on meanwhile
+  };
+
   void TryPath(instant aNow);
+  void Wait(duration aTime, void (*aGoOn)(stream_request&));
   void Send(chosen_path aPath, instant aNow);
   void Drop();
   void TakeRefusal(instant aNow);
@@ -47,7 +54,8 @@
   void Retry(const std::string& aReason, instant aNow);
   void GiveUp(const std::string& aReason, instant aNow);
   void HandOnFailure(instant aNow);
-  void Repath(const backend_id& aLost, instant aNow);
+  void Repath(const backend_id& aLost, instant aNow, repath_reason aReason);
+  void MoveFromLeaving(instant aNow);
   void RepathAnswered(std::uint64_t aPathNumber,
                       const chosen_path& aPath,
                       const std::optional<net::http_reply>& aReply);
@@ -86,6 +94,7 @@
   bool mIsRepathing = false;
   policy::gap_statistics mGaps;
   bool mIsPaused = false;
+  instant mNextMove;
 };
 
 /// Time between two looks at all streams.
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -31,7 +31,7 @@
 struct hop
 {
   std::string mAddress;
-  policy::layer_range mRange;
+  policy::layer_span mRange;
 };
 
 /// What a gateway adds to a request for a backend server.
@@ -62,7 +62,7 @@
     std::string mRequest;
     std::string mFaultyAddress; ///< the engine that it waits for
   };
-  policy::layer_range mLayers;
+  policy::layer_span mLayers;
   std::uint64_t mOrders = 0;
   bool mIsBusy = false;
   double mSlowness = 1;
--- a/src/policy/engine_model.h
+++ b/src/policy/engine_model.h
@@ -14,7 +14,7 @@
 using fine_ms = std::chrono::duration<double, std::milli>;
 
 /// Layers [mFrom, mEnd) of a model.
-struct layer_range
+struct layer_span
 {
   std::uint32_t mFrom = 0;
   std::uint32_t mEnd = 0;
@@ -22,7 +22,7 @@
   std::uint32_t Size() const { return mEnd - mFrom; }
   bool IsEmpty() const { return mEnd <= mFrom; }
   bool Holds(std::uint32_t aLayer) const { return mFrom <= aLayer && aLayer < mEnd; }
-  bool operator==(const layer_range&) const = default;
+  bool operator==(const layer_span&) const = default;
 };
 
 /// A kind of accelerator.
--- a/src/policy/layer_plan.cpp
+++ b/src/policy/layer_plan.cpp
@@ -30,7 +30,7 @@
     }
   }
 
-  void Add(const failure_domain_id& aDomain, layer_range aRange, int aHolders)
+  void Add(const failure_domain_id& aDomain, layer_span aRange, int aHolders)
   {
     holder_counts& domain = InDomain(aDomain);
     for (std::uint32_t layer = aRange.mFrom; layer < std::min(aRange.mEnd, mLayers); ++layer) {
@@ -64,7 +64,7 @@
   }
 
   /// The most useful range of so many layers; the lowest of equals.
-  std::pair<layer_range, std::uint64_t> BestRange(const failure_domain_id& aDomain, std::uint32_t aSize)
+  std::pair<layer_span, std::uint64_t> BestRange(const failure_domain_id& aDomain, std::uint32_t aSize)
   {
     aSize = std::min(aSize, mLayers);
     std::uint64_t worth = 0;
@@ -81,7 +81,7 @@
         bestFrom = from;
       }
     }
-    return { layer_range{ bestFrom, bestFrom + aSize }, best };
+    return { layer_span{ bestFrom, bestFrom + aSize }, best };
   }
 
   bool HasGap(const failure_domain_id& aDomain)
@@ -156,7 +156,7 @@
     }
   }
 
-  void Order(plan_engine& aEngine, layer_range aRange)
+  void Order(plan_engine& aEngine, layer_span aRange)
   {
     mCoverage.Add(aEngine.mDomain, aEngine.mHeld, -1);
     mCoverage.Add(aEngine.mDomain, aRange, 1);
@@ -194,7 +194,7 @@
         continue;
       }
       const std::uint32_t most = LayerCapacity(mModel, engine.mKind, kDenseWeightShare);
-      layer_range wider = engine.mHeld;
+      layer_span wider = engine.mHeld;
       while (wider.Size() < most && wider.mEnd < mModel.mLayers && IsUnheld(engine.mDomain, wider.mEnd)) {
         ++wider.mEnd;
       }
--- a/src/policy/layer_plan.h
+++ b/src/policy/layer_plan.h
@@ -21,7 +21,7 @@
   backend_id mId;
   failure_domain_id mDomain;
   accelerator_kind mKind;
-  layer_range mHeld;  ///< what it holds, or will hold when the order under way is done
+  layer_span mHeld;   ///< what it holds, or will hold when the order under way is done
   bool mBusy = false; ///< an order is under way: it can't be given another one
   bool mGone = false; ///< leaving, or believed lost: it counts for nothing and gets no order
 };
@@ -29,7 +29,7 @@
 struct layer_order
 {
   backend_id mEngine;
-  layer_range mRange;
+  layer_span mRange;
 };
 
 /// Layers that an engine may hold.
--- a/src/policy/member_table.h
+++ b/src/policy/member_table.h
@@ -19,7 +19,7 @@
   std::string mAddress; ///< ip:port
   failure_domain_id mDomain;
   std::string mAccelerator;
-  layer_range mLayers;
+  layer_span mLayers;
   std::uint64_t mStartedAt = 0; ///< Unix milliseconds; another value is another process under the same id
   bool mLeaving = false;
 };
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -93,10 +93,10 @@
 
   void CutAtRangeEnds()
   {
-    const layer_range span = mWish.mSpan.value_or(layer_range{ 0, mModel.mLayers });
+    const layer_span span = mWish.mSpan.value_or(layer_span{ 0, mModel.mLayers });
     mCuts = { span.mFrom, span.mEnd };
     for (const chosen_engine& chosen : mChosen) {
-      const layer_range& held = mEngines[chosen.mIndex].mHeld;
+      const layer_span& held = mEngines[chosen.mIndex].mHeld;
       mCuts.push_back(std::clamp(held.mFrom, span.mFrom, span.mEnd));
       mCuts.push_back(std::clamp(held.mEnd, span.mFrom, span.mEnd));
     }
@@ -223,7 +223,7 @@
 
 } // namespace
 
-double MemoryForRequests(const engine_model& aModel, const accelerator_kind& aKind, layer_range aHeld)
+double MemoryForRequests(const engine_model& aModel, const accelerator_kind& aKind, layer_span aHeld)
 {
   const double freeMb = aKind.mMemoryMb - aModel.mLayerMb * aHeld.Size();
   if (freeMb <= 0 || aModel.mBytesPerTokenAndLayer <= 0) {
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -24,7 +24,7 @@
   backend_id mId;
   failure_domain_id mDomain;
   accelerator_kind mKind;
-  layer_range mHeld;
+  layer_span mHeld;
   double mSlowness = 1;            ///< its own report: times the usual
   double mPromisedTokenLayers = 0; ///< memory promised to running requests, all gateways together
   double mRunning = 0;             ///< requests that pass through it, all gateways together
@@ -35,7 +35,7 @@
 struct path_part
 {
   std::size_t mEngine = 0; ///< index
-  layer_range mRange;
+  layer_span mRange;
 };
 
 struct path_wish
@@ -44,11 +44,11 @@
   double mAnswer = 0; ///< tokens expected
   failure_domain_id mHome;
   pipe_waits mPipeWaits;
-  std::optional<layer_range> mSpan; ///< only these layers, as where a part of a running path is replaced; else all
+  std::optional<layer_span> mSpan; ///< only these layers, as where a part of a running path is replaced; else all
 };
 
 /// Tokens x layers that an engine can hold beside its weights.
-double MemoryForRequests(const engine_model& aModel, const accelerator_kind& aKind, layer_range aHeld);
+double MemoryForRequests(const engine_model& aModel, const accelerator_kind& aKind, layer_span aHeld);
 
 /// Time for which one request takes the pipe between two failure domains.
 fine_ms PipeTime(const engine_model& aModel, double aTokens);
--- /dev/null
+++ b/tests/unit/platform_wire_test.cpp
@@ -0,0 +1,187 @@
+#include "gateway/wire.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chervilpulley;
+using namespace chervilpulley::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const char* const kConfiguration = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"streaming","timeoutMs":20000,"targetLatencyMs":500,
+   "priority":1,"trafficSplit":[{"service":"e","weight":90},{"service":"f","weight":10}],"maxAttempts":2,
+   "anonymous":false,"resumable":true,"gapTargetMs":200},
+  {"name":"r2","host":"a.example","pathPrefix":"/x/y/","kind":"unsafe","service":"s","maxAttempts":1,"timeoutMs":900,
+   "anonymous":true},
+  {"name":"broken"}],
+  "services":[{"name":"e","healthPath":"/h","maxConns":968,"engine":{"slots":192,"kvTokenBytes":459000,"stride":2,
+   "step_ms":0.85,"read_per_s":252000.0,"layers":80,"layerMb":1750.0,"pipeMbps":7900.0,"loads_at_once":6,
+   "models":[{"name":"m","loadS":14.0}],"delays":[{"from":"p","target":"q","delay_ms":0.25}],
+   "usual":{"prompt":772,"answer":154},"kinds":[{"name":"l4","mb":21600.0,"pace":16.0,"readX":8.2}]}},
+   {"name":"s","healthPath":"/h","maxConns":96}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+  "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},{"apiKeys":["lost"]}]})";
+
+struct configuration_fixture
+{
+  std::string mFault;
+  ref<const configuration> mMade = wire::DecodeConfiguration(kConfiguration, mFault);
+};
+
+net::http_headers Headers(const std::vector<net::http_header>& aHeaders)
+{
+  net::http_headers headers;
+  for (const auto& header : aHeaders) {
+    headers.Add(header.mName, header.mValue);
+  }
+  return headers;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(configuration_fixture, "platform_configuration_decodes_and_leaves_out_what_it_cannot_read")
+{
+  REQUIRE(mMade);
+  CHECK(mMade->mVersion == 7);
+  CHECK(mMade->mRoutes.size() == 2);
+  CHECK(mMade->mWorkspaces.size() == 1);
+  CHECK(mMade->FindWorkspace("k2")->mName.Str() == "t1");
+  CHECK(mMade->FindWorkspace("lost") == nullptr);
+  CHECK(mMade->mLimits.mMaxBodyBytes == 100);
+  const pool* engines = mMade->FindPool(pool_name("e"));
+  REQUIRE(engines);
+  REQUIRE(engines->mEngine);
+  CHECK(engines->mEngine->mBytesPerTokenAndLayer == Approx(5737.5));
+  CHECK(engines->mEngine->mLoad.count() == Approx(14'000));
+  CHECK(engines->mEngine->FindKind("l4")->mReadScale == Approx(8.2));
+  CHECK(!mMade->FindPool(pool_name("s"))->mEngine);
+}
+
+TEST_CASE_METHOD(configuration_fixture, "platform_route_with_the_longest_prefix_of_the_path_is_found")
+{
+  REQUIRE(mMade);
+  CHECK(mMade->FindRoute("a.example", "/x/1")->mName.Str() == "r1");
+  CHECK(mMade->FindRoute("a.example", "/x/y/1")->mName.Str() == "r2");
+  CHECK(mMade->FindRoute("a.example", "/z") == nullptr);
+  CHECK(mMade->FindRoute("b.example", "/x/1") == nullptr);
+}
+
+TEST_CASE_METHOD(configuration_fixture, "platform_pool_is_drawn_by_weight")
+{
+  REQUIRE(mMade);
+  const route& split = *mMade->FindRoute("a.example", "/x/1");
+  CHECK(DrawPool(split, 0).Str() == "e");
+  CHECK(DrawPool(split, ~0ULL).Str() == "f");
+}
+
+TEST_CASE("platform_configuration_that_is_none_is_refused_with_a_reason")
+{
+  for (const char* text : { "", "[]", "{}", R"({"version":"x","routes":[]})", R"({"version":1})", "{\"version\":1" }) {
+    std::string fault;
+    INFO(text);
+    CHECK(wire::DecodeConfiguration(text, fault) == nullptr);
+    CHECK(!fault.empty());
+  }
+}
+
+TEST_CASE("platform_list_entry_with_missing_or_wrong_fields_names_no_server")
+{
+  std::string fault;
+  const std::string good =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready","layers":{"from":3,"target":9},"born":12})";
+  const auto member = wire::DecodeMember("i-1", good, fault);
+  REQUIRE(member);
+  CHECK(member->mLayers == policy::layer_span{ 3, 9 });
+  CHECK(member->mStartedAt == 12);
+  for (const char* text : { "",
+                            "1",
+                            "{}",
+                            R"({"service":"s","address":"x","zone":"z","state":"ready"})",
+                            R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"asleep"})",
+                            R"({"service":5,"address":"10.0.0.9:80","zone":"z","state":"ready"})" }) {
+    INFO(text);
+    CHECK(!wire::DecodeMember("i-1", text, fault));
+  }
+}
+
+TEST_CASE("platform_dispatch_replaces_what_the_system_sets_and_hides_the_key")
+{
+  const auto callers = Headers({ { "Host", "a" },
+                                 { "X-Attempt-Id", "id1" },
+                                 { "X-Credential", "secret" },
+                                 { "X-Tenant", "forged" },
+                                 { "X-Hop-Count", "forged" },
+                                 { "X-Deadline-Ms", "9" },
+                                 { "Connection", "close" },
+                                 { "Last-Event-Id", "4" },
+                                 { "X-Other", "kept" } });
+  wire::dispatch dispatch;
+  dispatch.mExpected = backend_id("i-1");
+  dispatch.mTimeLeft = 1500ms;
+  dispatch.mWorkspace = "t1";
+  dispatch.mPath = { { "10.0.0.1:80", { 0, 20 } }, { "10.0.0.2:80", { 20, 80 } } };
+  dispatch.mLastEvent = 6;
+  const auto sent = wire::EncodeDispatch(callers, dispatch);
+  CHECK(sent.Get("X-Attempt-Id") == "id1");
+  CHECK(sent.Get("X-Other") == "kept");
+  CHECK(!sent.Has("X-Credential"));
+  CHECK(!sent.Has("Connection"));
+  CHECK(sent.Get("X-Tenant") == "t1");
+  CHECK(sent.Get("X-Deadline-Ms") == "1500");
+  CHECK(sent.Get("X-Expect-Instance") == "i-1");
+  CHECK(sent.Get("X-Hop-Count") == "10.0.0.1:80=0-20,10.0.0.2:80=20-80");
+  CHECK(sent.Get("Last-Event-Id") == "6");
+}
+
+TEST_CASE("platform_wish_of_a_stream_is_decoded")
+{
+  const auto wish = wire::DecodeWish(Headers({ { "X-Attempt-Id", "id1" },
+                                               { "Host", "a" },
+                                               { "X-Token-Counts", "1460,80" },
+                                               { "X-Deadline-Ms", "20000" },
+                                               { "Last-Event-Id", "12" },
+                                               { "X-Length-Hint", "33" } }));
+  CHECK(wish.mId.Str() == "id1");
+  CHECK(wish.mPromptTokens == 1460);
+  CHECK(wish.mMostAnswerTokens == 80);
+  CHECK(wish.mPatience == duration(20s));
+  CHECK(wish.mLastEvent == 12U);
+  CHECK(wish.mAnswerGuess == 33.0);
+  CHECK(!wire::DecodeWish(Headers({ { "X-Deadline-Ms", "soon" } })).mPatience);
+}
+
+TEST_CASE("platform_report_lists_stalled_requests")
+{
+  std::string fault;
+  const auto report = wire::DecodeReport(
+    R"({"busy":true,"seq":2,"pace":3.5,"layers":{"from":0,"target":9},"stalled":[{"id":"r","address":"10.0.0.2:80"}]})",
+    fault);
+  REQUIRE(report);
+  CHECK(report->mIsBusy);
+  CHECK(report->mOrders == 2);
+  CHECK(report->mSlowness == 3.5);
+  REQUIRE(report->mStalled.size() == 1);
+  CHECK(report->mStalled[0].mFaultyAddress == "10.0.0.2:80");
+  CHECK(!wire::DecodeReport("[]", fault));
+}
+
+TEST_CASE("platform_changes_and_lists_are_decoded_as_far_as_they_can_be_read")
+{
+  std::string fault;
+  const auto list = wire::DecodeList(
+    R"({"items":[{"metadata":{"name":"a","revision":5},"spec":{"x":1}},"bad"],"truncated":true,"currentRev":9})",
+    fault);
+  REQUIRE(list);
+  REQUIRE(list->mItems.size() == 1);
+  CHECK(list->mItems[0].mSpec == R"({"x":1})");
+  CHECK(list->mIsCut);
+  CHECK(list->mRevision == 9);
+  const auto changes =
+    wire::DecodeChanges(R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a"}}}],"currentRev":10})", fault);
+  REQUIRE(changes);
+  REQUIRE(changes->mChanges.size() == 1);
+  CHECK(changes->mChanges[0].mIsDeleted);
+  CHECK(!wire::DecodeList("{}", fault));
+  CHECK(!wire::DecodeChanges("x", fault));
+}
--- /dev/null
+++ b/tests/unit/policy_event_cursor_test.cpp
@@ -0,0 +1,86 @@
+#include "policy/event_cursor.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace chervilpulley::policy;
+
+namespace {
+
+std::string Event(int aId)
+{
+  return "id: " + std::to_string(aId) + "\ndata: t" + std::to_string(aId) + "\n\n";
+}
+
+struct event_cursor_fixture
+{
+  event_cursor mCursor{ std::nullopt };
+  std::string mOut;
+
+  event_cursor::verdict Take(const std::string& aBytes) { return mCursor.Take(aBytes, mOut); }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(event_cursor_fixture, "event_cursor_hands_on_whole_events_only")
+{
+  Take(Event(1) + "id: 2\nda");
+  CHECK(mOut == Event(1));
+  CHECK(mCursor.IsInEvent());
+  Take("ta: t2\n\n");
+  CHECK(mOut == Event(1) + Event(2));
+  CHECK(!mCursor.IsInEvent());
+}
+
+TEST_CASE_METHOD(event_cursor_fixture, "event_cursor_at_a_new_source_drops_the_torn_event_and_repeated_ones")
+{
+  Take(Event(1) + Event(2) + "id: 3\nda");
+  mCursor.SourceChanged();
+  Take(Event(2) + Event(3));
+  CHECK(mOut == Event(1) + Event(2) + Event(3));
+}
+
+TEST_CASE_METHOD(event_cursor_fixture, "event_cursor_with_a_missing_event_hands_on_nothing_behind_it")
+{
+  CHECK(Take(Event(1)) == event_cursor::verdict::InOrder);
+  CHECK(Take(Event(3)) == event_cursor::verdict::Gap);
+  CHECK(mOut == Event(1));
+}
+
+TEST_CASE_METHOD(event_cursor_fixture, "event_cursor_refuses_an_event_without_an_id")
+{
+  CHECK(Take("data: t\n\n") == event_cursor::verdict::Gap);
+  CHECK(mOut.empty());
+}
+
+TEST_CASE("event_cursor_over_any_cuts_and_sources_gives_each_event_once_and_in_order")
+{
+  REQUIRE(rc::check([] {
+    const int count = *rc::gen::inRange(1, 30);
+    event_cursor cursor(std::nullopt);
+    std::string out;
+    while (!cursor.Last() || *cursor.Last() < static_cast<std::uint64_t>(count)) {
+      const int begin = static_cast<int>(cursor.Last().value_or(0));
+      std::string source;
+      for (int id = std::max(1, begin - *rc::gen::inRange(0, 3)); id <= count; ++id) {
+        source += Event(id);
+      }
+      source.resize(*rc::gen::inRange<std::size_t>(0, source.size() + 1));
+      cursor.SourceChanged();
+      for (std::size_t at = 0; at < source.size();) {
+        const std::size_t size = std::min<std::size_t>(*rc::gen::inRange<std::size_t>(1, 40), source.size() - at);
+        RC_ASSERT(cursor.Take(source.substr(at, size), out) == event_cursor::verdict::InOrder);
+        at += size;
+      }
+      // Else a run of empty sources would never end.
+      if (source.empty()) {
+        RC_ASSERT(cursor.Take(Event(begin + 1), out) == event_cursor::verdict::InOrder);
+      }
+    }
+    std::string all;
+    for (int id = 1; id <= count; ++id) {
+      all += Event(id);
+    }
+    RC_ASSERT(out == all);
+  }));
+}
--- /dev/null
+++ b/tests/unit/policy_member_table_test.cpp
@@ -0,0 +1,86 @@
+#include "policy/member_table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chervilpulley;
+using namespace chervilpulley::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct member_table_fixture
+{
+  member_table mTable{ 2s };
+  instant mNow{ 100s };
+
+  static backend_member Member(const std::string& aId)
+  {
+    backend_member member;
+    member.mId = backend_id(aId);
+    return member;
+  }
+
+  void List(const std::vector<std::string>& aIds)
+  {
+    std::vector<backend_member> members;
+    for (const std::string& id : aIds) {
+      members.push_back(Member(id));
+    }
+    mTable.Listed(std::move(members), mNow);
+  }
+
+  bool Has(const std::string& aId) const { return mTable.Find(backend_id(aId)) != nullptr; }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(member_table_fixture, "member_table_of_a_steady_list_drops_a_removed_server_at_once")
+{
+  List({ "a", "b" });
+  mNow += 5s;
+  mTable.Removed(backend_id("a"), mNow);
+  CHECK(!Has("a"));
+  CHECK(Has("b"));
+}
+
+TEST_CASE_METHOD(member_table_fixture, "member_table_keeps_servers_while_the_list_is_lost")
+{
+  List({ "a" });
+  mTable.ListLost();
+  mNow += 60s;
+  mTable.TimePassed(mNow);
+  CHECK(Has("a"));
+}
+
+TEST_CASE_METHOD(member_table_fixture, "member_table_after_an_outage_waits_for_lapsed_servers_to_return")
+{
+  List({ "a", "b" });
+  mTable.ListLost();
+  mNow += 10s;
+  List({ "b" });
+  CHECK(Has("a"));
+  mNow += 1s;
+  mTable.Changed(member_table_fixture::Member("a"));
+  mNow += 5s;
+  mTable.TimePassed(mNow);
+  CHECK(Has("a"));
+}
+
+TEST_CASE_METHOD(member_table_fixture, "member_table_after_an_outage_drops_what_does_not_return_in_time")
+{
+  List({ "a", "b" });
+  mTable.ListLost();
+  mNow += 10s;
+  List({ "b" });
+  mNow += 2s;
+  mTable.TimePassed(mNow);
+  CHECK(!Has("a"));
+}
+
+TEST_CASE_METHOD(member_table_fixture, "member_table_counts_up_with_every_change")
+{
+  List({ "a" });
+  const auto before = mTable.Version();
+  mTable.Changed(member_table_fixture::Member("b"));
+  CHECK(mTable.Version() > before);
+}
--- /dev/null
+++ b/tests/unit/policy_path_choice_test.cpp
@@ -0,0 +1,172 @@
+#include "policy/path_choice.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace chervilpulley;
+using namespace chervilpulley::policy;
+
+namespace {
+
+struct path_choice_fixture
+{
+  engine_model mModel;
+  std::vector<path_engine> mEngines;
+  path_wish mWish;
+
+  path_choice_fixture()
+  {
+    mModel.mLayers = 80;
+    mModel.mLayerMb = 1750;
+    mModel.mBytesPerTokenAndLayer = 5737;
+    mModel.mStride = 2;
+    mModel.mStep = fine_ms(0.85);
+    mModel.mReadPerSecond = 252'000;
+    mModel.mActivationBytes = 22'900;
+    mModel.mDomainPipeMbps = 7'900;
+    mModel.mDomainDelay = fine_ms(0.25);
+    mModel.mUsualPrompt = 772;
+    mModel.mUsualAnswer = 154;
+    mWish.mPrompt = 772;
+    mWish.mAnswer = 154;
+    mWish.mHome = failure_domain_id("east");
+  }
+
+  void Add(const std::string& aDomain, std::uint32_t aFrom, std::uint32_t aEnd, double aScale = 15)
+  {
+    path_engine engine;
+    engine.mId = backend_id(aDomain + std::to_string(aFrom) + "-" + std::to_string(mEngines.size()));
+    engine.mDomain = failure_domain_id(aDomain);
+    engine.mKind = { "card", (aEnd - aFrom) * 2400.0, aScale, aScale };
+    engine.mHeld = { aFrom, aEnd };
+    mEngines.push_back(engine);
+  }
+
+  std::optional<layer_path> Choose() const { return ChoosePath(mModel, mEngines, mWish); }
+
+  /// Whether the parts cover a span once and in order, each on an engine that holds it, no engine twice.
+  bool IsSound(const layer_path& aPath, layer_span aSpan) const
+  {
+    std::uint32_t next = aSpan.mFrom;
+    std::set<std::size_t> used;
+    for (const path_part& part : aPath.mParts) {
+      const layer_span held = mEngines[part.mEngine].mHeld;
+      if (part.mRange.mFrom != next || part.mRange.IsEmpty() || part.mRange.mFrom < held.mFrom ||
+          part.mRange.mEnd > held.mEnd || !used.insert(part.mEngine).second) {
+        return false;
+      }
+      next = part.mRange.mEnd;
+    }
+    return next == aSpan.mEnd;
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_in_one_domain_runs_each_layer_once_in_order")
+{
+  Add("east", 0, 30);
+  Add("east", 20, 60);
+  Add("east", 55, 80);
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(IsSound(*path, { 0, 80 }));
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_prefers_the_faster_of_two_holders")
+{
+  Add("east", 0, 40, 15);
+  Add("east", 0, 40, 3);
+  Add("east", 40, 80);
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(path->mParts.front().mEngine == 1);
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_stays_at_home_though_others_are_faster")
+{
+  Add("east", 0, 80, 15);
+  Add("west", 0, 80, 3);
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(path->mParts.front().mEngine == 0);
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_borrows_missing_layers_from_another_domain")
+{
+  Add("east", 0, 30);
+  Add("west", 0, 80);
+  Add("east", 40, 80);
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(IsSound(*path, { 0, 80 }));
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_without_room_on_the_pipe_gives_no_path_that_crosses")
+{
+  Add("east", 0, 30);
+  Add("west", 30, 40);
+  Add("east", 40, 80);
+  CHECK(Choose());
+  mWish.mPipeWaits[domain_pair(failure_domain_id("west"), failure_domain_id("east"))] = kMostPipeWait * 2;
+  CHECK(!Choose());
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_without_memory_for_the_request_passes_an_engine_over")
+{
+  Add("east", 0, 80, 3);
+  Add("east", 0, 80, 15);
+  mEngines[0].mPromisedTokenLayers = MemoryForRequests(mModel, mEngines[0].mKind, mEngines[0].mHeld);
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(path->mParts.front().mEngine == 1);
+  mEngines[1].mPromisedTokenLayers = mEngines[0].mPromisedTokenLayers;
+  CHECK(!Choose());
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_of_a_span_replaces_only_its_layers")
+{
+  Add("east", 0, 30);
+  Add("east", 25, 50);
+  Add("east", 20, 60);
+  mWish.mSpan = layer_span{ 30, 48 };
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(IsSound(*path, { 30, 48 }));
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_with_a_layer_that_nobody_holds_gives_nothing")
+{
+  Add("east", 0, 30);
+  Add("east", 31, 80);
+  CHECK(!Choose());
+}
+
+TEST_CASE("path_choice_over_any_engines_is_sound_or_nothing")
+{
+  REQUIRE(rc::check([] {
+    path_choice_fixture fixture;
+    const int count = *rc::gen::inRange(1, 14);
+    for (int each = 0; each < count; ++each) {
+      const auto from = *rc::gen::inRange<std::uint32_t>(0, 79);
+      const auto end = *rc::gen::inRange<std::uint32_t>(from + 1, 81);
+      fixture.Add(*rc::gen::element(std::string("east"), std::string("west")), from, end, *rc::gen::inRange(1, 16));
+      fixture.mEngines.back().mUsable = *rc::gen::inRange(0, 8) != 0;
+    }
+    const auto path = fixture.Choose();
+    std::vector<int> holders(80, 0);
+    for (const path_engine& engine : fixture.mEngines) {
+      for (std::uint32_t layer = engine.mHeld.mFrom; engine.mUsable && layer < engine.mHeld.mEnd; ++layer) {
+        ++holders[layer];
+      }
+    }
+    const bool covered = std::count(holders.begin(), holders.end(), 0) == 0;
+    RC_ASSERT(path.has_value() == covered);
+    if (path) {
+      RC_ASSERT(fixture.IsSound(*path, { 0, 80 }));
+    }
+  }));
+}
--- /dev/null
+++ b/tests/unit/policy_shares_test.cpp
@@ -0,0 +1,133 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <deque>
+
+#include "policy/duty_lease.h"
+#include "policy/key_freshness.h"
+#include "policy/peer_census.h"
+#include "policy/pipe_load.h"
+#include "policy/retry_allowance.h"
+#include "policy/service_choice.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::policy;
+using namespace std::chrono_literals;
+
+TEST_CASE("retry_allowance_of_several_gateways_keeps_the_bound_of_all_in_every_window")
+{
+  REQUIRE(rc::check([] {
+    const retry_bounds bounds{ 0.2, 196, 10s };
+    const auto gateways = *rc::gen::inRange<std::size_t>(1, 7);
+    std::vector<retry_allowance> all(gateways, retry_allowance(bounds));
+    std::deque<instant> repeats;
+    std::deque<instant> requests;
+    instant now{ 0s };
+    for (int step = 0; step < 3000; ++step) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(0, 20));
+      retry_allowance& one = all[*rc::gen::inRange<std::size_t>(0, gateways)];
+      if (*rc::gen::inRange(0, 3) == 0) {
+        one.RequestSent(now);
+        requests.push_back(now);
+      } else if (one.TryRepeat(now, gateways)) {
+        repeats.push_back(now);
+      }
+      while (!repeats.empty() && repeats.front() + 10s <= now) {
+        repeats.pop_front();
+      }
+      while (!requests.empty() && requests.front() + 10s <= now) {
+        requests.pop_front();
+      }
+      // Requests that left the window since a repeat was granted count for it still, as the users' rule says.
+      RC_ASSERT(static_cast<double>(repeats.size()) <= 0.2 * static_cast<double>(requests.size() + 600) + 196);
+    }
+  }));
+}
+
+TEST_CASE("retry_allowance_without_requests_grants_an_equal_part_of_the_slack")
+{
+  retry_allowance one({ 0.2, 100, 10s });
+  int granted = 0;
+  while (one.TryRepeat(instant(1s), 4)) {
+    ++granted;
+  }
+  CHECK(granted == 20);
+  CHECK(!one.TryRepeat(instant(10s), 4));
+  CHECK(one.TryRepeat(instant(11s), 4));
+}
+
+TEST_CASE("key_freshness_ends_before_the_bound_and_counts_from_the_question")
+{
+  key_freshness keys(5s);
+  CHECK(!keys.MayTrustKeys(instant(0s)));
+  keys.Confirmed(instant(10s));
+  CHECK(keys.MayTrustKeys(instant(13'900ms)));
+  CHECK(!keys.MayTrustKeys(instant(14'100ms)));
+  CHECK(!keys.MayTakeCallers(instant(13'100ms)));
+  keys.Confirmed(instant(9s));
+  CHECK(keys.MayTrustKeys(instant(13'900ms)));
+}
+
+TEST_CASE("duty_lease_of_a_silent_holder_ends_before_another_may_take_it")
+{
+  duty_lease holder(3s);
+  duty_lease rival(3s);
+  holder.Written(7, instant(10s), true);
+  rival.Seen(7, instant(10'050ms));
+  for (int step = 0; step < 100; ++step) {
+    const instant now = instant(10s) + step * 50ms;
+    CHECK(!(holder.IsHeld(now) && rival.MayTake(now)));
+  }
+  CHECK(rival.MayTake(instant(13'050ms)));
+}
+
+TEST_CASE("duty_lease_of_a_later_holder_has_a_greater_fence")
+{
+  duty_lease first(3s);
+  first.Written(7, instant(10s), true);
+  first.Written(9, instant(11s), false);
+  CHECK(first.Fence() == 7);
+  duty_lease second(3s);
+  second.Seen(9, instant(11s));
+  second.Written(12, instant(15s), true);
+  CHECK(second.Fence() > first.Fence());
+  first.Lost();
+  CHECK(!first.IsHeld(instant(11s)));
+}
+
+TEST_CASE("peer_census_counts_renewed_objects_and_assumes_many_before_the_first_reading")
+{
+  peer_census census(10s);
+  const failure_domain_id east("east");
+  CHECK(census.All(instant(0s)) == kAssumedPeers);
+  census.Seen(instance_id("a"), east, 1, instant(1s));
+  census.Seen(instance_id("b"), failure_domain_id("west"), 2, instant(1s));
+  census.ListRead(instant(1s));
+  CHECK(census.All(instant(2s)) == 2);
+  CHECK(census.InDomain(east, instant(2s)) == 1);
+  census.Seen(instance_id("a"), east, 3, instant(9s));
+  census.Seen(instance_id("b"), failure_domain_id("west"), 2, instant(9s));
+  CHECK(census.All(instant(12s)) == 1);
+}
+
+TEST_CASE("pipe_load_waits_grow_with_transfers_and_drain_with_time")
+{
+  pipe_load pipes;
+  const domain_pair pair(failure_domain_id("west"), failure_domain_id("east"));
+  CHECK(pair == domain_pair(failure_domain_id("east"), failure_domain_id("west")));
+  pipes.Add(pair, fine_ms(70), 2, instant(1s));
+  pipes.Add(pair, fine_ms(70), 2, instant(1s));
+  CHECK(pipes.Waits(instant(1s)).at(pair).count() == Approx(280));
+  CHECK(pipes.Waits(instant(1'200ms)).at(pair).count() == Approx(80));
+  CHECK(pipes.Waits(instant(2s)).empty());
+}
+
+TEST_CASE("service_choice_takes_the_least_loaded_and_avoids_failing_servers")
+{
+  CHECK(!ChooseService({}, 1));
+  CHECK(ChooseService({ { true, 3, 0, true }, { true, 1, 0, true } }, 0) == 1U);
+  CHECK(ChooseService({ { false, 0, 0, true }, { true, 0, 0, true } }, 0) == 1U);
+  CHECK(ChooseService({ { true, 0, 0.9, true }, { true, 4, 0, true } }, 0) == 1U);
+  CHECK(ChooseService({ { true, 0, 0, false }, { true, 9, 0, true } }, 0) == 1U);
+  CHECK(!ChooseService({ { true, 0, 0, false } }, 0));
+}
