--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -57,7 +57,8 @@
   void Repath(const backend_id& aLost, instant aNow, repath_reason aReason);
   void MoveFromLeaving(instant aNow);
   void RepathAnswered(std::uint64_t aPathNumber,
-                      const chosen_path& aPath,
+                      const chosen_path& aFormer,
+                      repath_reason aReason,
                       const std::optional<net::http_reply>& aReply);
   std::optional<chosen_path> Replace(const backend_id& aLost, instant aNow);
   void Inquire(instant aNow);
