Gateways tell each other of lost engines, and call the store less often

Cause: a loss was repaired by the gateway that has the duty, which saw it at once in its own failure domain only and else about four seconds later, when the list dropped the engine. A hint makes each gateway ask the engine itself, so that one that is cut off misleads nobody.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -201,18 +201,30 @@
   }
 }
 
-bool fleet::BelieveLost(const backend_id& aId, instant aNow)
+void fleet::BelieveLost(const backend_id& aId, instant aNow, loss_source aSource)
 {
   const auto found = mBeliefs.find(aId);
   if (found == mBeliefs.end()) {
-    return false;
+    return;
   }
   const bool isNews = found->second.mLostUntil <= aNow;
   found->second.mLostUntil = aNow + kLossBelief;
-  if (isNews) {
-    log_line("backend_believed_lost", log_rank::Notable).Text("backend", aId.Str());
+  if (!isNews) {
+    return;
+  }
+  log_line("backend_believed_lost", log_rank::Notable)
+    .Text("backend", aId.Str())
+    .Text("found_by", aSource == loss_source::Own ? "own" : "hint");
+  if (aSource == loss_source::Own && mOnLossFound && IsEngine(aId)) {
+    mOnLossFound(aId);
   }
-  return isNews;
+}
+
+bool fleet::IsEngine(const backend_id& aId) const
+{
+  const auto* member = mMembers.Find(aId);
+  const pool* pool = member != nullptr && mConfiguration ? mConfiguration->FindPool(member->mPool) : nullptr;
+  return pool != nullptr && pool->mEngine.has_value();
 }
 
 void fleet::BelieveRefusing(const backend_id& aId, instant aNow)
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,6 +24,13 @@
 /// A server that refused for want of room is not asked for this time.
 inline constexpr duration kRefusalBelief = std::chrono::milliseconds(150);
 
+/// Who found a server lost.
+enum class loss_source
+{
+  Own, ///< a request or inquiry of this gateway
+  Hint ///< another gateway, and then an inquiry of this one
+};
+
 /// What is known of one backend server beside its list entry.
 struct backend_belief
 {
@@ -90,8 +98,12 @@
   /// Outcome of a request at a server, for its share of failures.
   void Outcome(const backend_id& aId, bool aFailed);
 
-  /// A server was found dead or out of reach. Tells whether that is news.
-  bool BelieveLost(const backend_id& aId, instant aNow);
+  /// A server was found dead or out of reach.
+  void BelieveLost(const backend_id& aId, instant aNow, loss_source aSource = loss_source::Own);
+  /// Called when this gateway itself finds a server lost that it took for alive.
+  void OnLossFound(std::function<void(const backend_id&)> aCallback) { mOnLossFound = std::move(aCallback); }
+  /// Whether a server belongs to a pool of model engines.
+  bool IsEngine(const backend_id& aId) const;
   void BelieveRefusing(const backend_id& aId, instant aNow);
   bool IsBelievedLost(const backend_id& aId, instant aNow) const;
 
@@ -113,6 +125,7 @@
   void FillEngines(const pool& aPool);
 
   failure_domain_id mHome;
+  std::function<void(const backend_id&)> mOnLossFound;
   ref<const configuration> mConfiguration;
   policy::member_table mMembers;
   std::map<backend_id, backend_belief> mBeliefs;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -58,6 +58,7 @@
                             RetryBounds(aSettings.gateway())))
     , mCalls(worker_calls::Create(aContext))
     , mInquiries(MakeRef<engine_inquiries>(aContext, mFleet, mCalls))
+    , mHints(MakeRef<peer_hints>(aContext, mFleet, mInquiries))
     , mSignals(aContext, SIGTERM, SIGINT, SIGHUP)
     , mTools{ aContext,
               mFleet,
@@ -87,6 +88,7 @@
     return { aSettings.retry_ratio(), aSettings.retry_slack(), Milliseconds(aSettings.retry_window_s() * 1000) };
   }
 
+  bool StartHints();
   bool IsReady() const;
   /// A request that comes later after SIGTERM would be cut off by SIGKILL.
   duration LastRequestAfter() const
@@ -109,6 +111,7 @@
   ref<fleet> mFleet;
   ref<worker_calls> mCalls;
   ref<engine_inquiries> mInquiries;
+  ref<peer_hints> mHints;
   ref<store_sync> mSync;
   ref<placement_duty> mPlacement;
   ref<gateway_registry> mRegistry;
@@ -162,8 +165,13 @@
   mRegistry = MakeRef<gateway_registry>(mContext,
                                         instance_id(mSettings.instance().id()),
                                         failure_domain_id(mSettings.instance().failure_domain()),
+                                        mSettings.gateway().peers(),
                                         calls,
-                                        mFleet);
+                                        mFleet,
+                                        mHints);
+  if (!StartHints()) {
+    return false;
+  }
   mCallers = caller_listener::Start(mContext, callers.value(), ref<session_host>(this));
   mControl = caller_listener::Start(mContext, ready.value(), MakeRef<control_host>(ref<gateway_process>(this)));
   if (!mCallers || !mControl) {
@@ -183,6 +191,20 @@
   return true;
 }
 
+bool gateway_process::StartHints()
+{
+  if (mSettings.gateway().peers().empty()) {
+    return true;
+  }
+  const auto peers = net::ParseEndpoint(mSettings.gateway().peers());
+  if (!peers || !mHints->Start(peers.value())) {
+    kLog.Error("Can't take datagrams at \"{}\".", mSettings.gateway().peers());
+    return false;
+  }
+  mFleet->OnLossFound([hints = mHints](const backend_id& aEngine) { hints->TellLost(aEngine); });
+  return true;
+}
+
 bool gateway_process::IsReady() const
 {
   return !mIsLeaving && mSync->IsComplete() && mSync->Keys().MayTakeCallers(BootNow());
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 /// Time between two renewals of our object.
-constexpr duration kRenewal = std::chrono::seconds(4);
+constexpr duration kRenewal = std::chrono::seconds(8);
 /// An object that was not renewed for so long counts for nothing.
-constexpr duration kLife = std::chrono::seconds(10);
+constexpr duration kLife = std::chrono::seconds(18);
 /// Time between two readings, and what each gateway adds to it, so that many do not read each other too often.
 constexpr duration kReading = std::chrono::seconds(2);
 constexpr duration kReadingPerGateway = std::chrono::milliseconds(100);
@@ -26,13 +26,17 @@
 gateway_registry::gateway_registry(boost::asio::io_context& aContext,
                                    instance_id aSelf,
                                    failure_domain_id aDomain,
+                                   std::string aAddress,
                                    ref<store_calls> aStore,
-                                   ref<fleet> aFleet)
+                                   ref<fleet> aFleet,
+                                   ref<peer_hints> aHints)
   : mContext(aContext)
   , mSelf(std::move(aSelf))
   , mDomain(std::move(aDomain))
+  , mAddress(std::move(aAddress))
   , mStore(std::move(aStore))
   , mFleet(std::move(aFleet))
+  , mHints(std::move(aHints))
   , mCensus(kLife)
 {
 }
@@ -61,7 +65,7 @@
 
 boost::asio::awaitable<void> gateway_registry::Write()
 {
-  const std::string spec = wire::EncodeGateway({ mDomain, BootNow() });
+  const std::string spec = wire::EncodeGateway({ mDomain, mAddress, BootNow() });
   const auto question = mRevision ? wire::EncodeReplace(wire::object_kind::Gateways, mSelf.Str(), spec, *mRevision)
                                   : wire::EncodeCreate(wire::object_kind::Gateways, mSelf.Str(), spec);
   const auto answer = co_await mStore->Call(question, kStoreTimeout);
@@ -97,6 +101,8 @@
 boost::asio::awaitable<bool> gateway_registry::ReadAll()
 {
   std::string after;
+  std::vector<net::endpoint> before;
+  std::vector<net::endpoint> behind;
   while (true) {
     auto question = wire::EncodeList(wire::object_kind::Gateways, after, true);
     const auto answer = co_await mStore->Call(std::move(question), kStoreTimeout);
@@ -108,9 +114,15 @@
     for (const wire::stored& object : list->mItems) {
       if (const auto gateway = wire::DecodeGateway(object.mSpec, fault)) {
         mCensus.Seen(instance_id(object.mName), gateway->mDomain, object.mRevision, Now());
+        const auto address = net::ParseEndpoint(gateway->mAddress);
+        if (address && object.mName != mSelf.Str()) {
+          (object.mName < mSelf.Str() ? before : behind).push_back(address.value());
+        }
       }
     }
     if (!list->mIsCut || list->mItems.empty()) {
+      behind.insert(behind.end(), before.begin(), before.end());
+      mHints->SetPeers(std::move(behind));
       co_return true;
     }
     after = list->mItems.back().mName;
--- a/src/gateway/gateway_registry.h
+++ b/src/gateway/gateway_registry.h
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "gateway/peer_hints.h"
 #include "gateway/store_sync.h"
 #include "policy/peer_census.h"
 
@@ -15,8 +16,10 @@
   gateway_registry(boost::asio::io_context& aContext,
                    instance_id aSelf,
                    failure_domain_id aDomain,
+                   std::string aAddress,
                    ref<store_calls> aStore,
-                   ref<fleet> aFleet);
+                   ref<fleet> aFleet,
+                   ref<peer_hints> aHints);
 
   void Start();
   /// Removes this gateway's object, so that the others need not wait.
@@ -33,8 +36,10 @@
   boost::asio::io_context& mContext;
   instance_id mSelf;
   failure_domain_id mDomain;
+  std::string mAddress; ///< for datagrams
   ref<store_calls> mStore;
   ref<fleet> mFleet;
+  ref<peer_hints> mHints;
   policy::peer_census mCensus;
   std::optional<std::uint64_t> mRevision; ///< of our object
   std::size_t mCounted = 0;
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -20,7 +20,7 @@
 /// Time between two renewals; two of them may be lost.
 constexpr duration kRenewal = std::chrono::milliseconds(500);
 /// Time between two looks at another's lease.
-constexpr duration kLook = std::chrono::milliseconds(700);
+constexpr duration kLook = std::chrono::milliseconds(900);
 constexpr duration kStoreTimeout = std::chrono::milliseconds(800);
 /// Time between two plans.
 constexpr duration kPlanPause = std::chrono::milliseconds(100);
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -17,9 +17,12 @@
 
 namespace {
 
-/// Parts of the bounds between two questions for the configuration: two may be lost before a bound is missed.
-constexpr int kQuestionsPerConfigurationBound = 3;
-constexpr int kQuestionsPerKeyBound = 6;
+/// Parts of the bounds between two questions for the configuration: one may be lost before a bound is missed. Each
+/// call is paid for.
+constexpr double kConfigurationShare = 0.45;
+constexpr double kKeyShare = 0.28;
+/// Pause after changes came, so that servers that are listed one after the other take few calls.
+constexpr duration kChangesPause = std::chrono::milliseconds(300);
 /// Longest wait of one watch. A connection may fall silent without a sign, and then leaving servers go unseen until
 /// the watch is over.
 constexpr duration kLongestWatch = std::chrono::milliseconds(1500);
@@ -106,8 +109,8 @@
 boost::asio::awaitable<void> store_sync::FollowConfiguration()
 {
   const ref<store_sync> self(this);
-  const duration interval =
-    std::min<duration>(mBounds.mConfiguration / kQuestionsPerConfigurationBound, mBounds.mKeys / kQuestionsPerKeyBound);
+  const auto interval = std::chrono::duration_cast<duration>(
+    std::min(mBounds.mConfiguration * kConfigurationShare, mBounds.mKeys * kKeyShare));
   while (true) {
     const instant asked = Now();
     const instant askedOnBootClock = BootNow();
@@ -250,6 +253,7 @@
   mFleet->Members().TimePassed(Now());
   if (!changes->mChanges.empty()) {
     mFleet->MembersChanged(Now());
+    co_await Pause(kChangesPause);
   }
   co_return true;
 }
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -132,7 +132,8 @@
 struct gateway_note
 {
   failure_domain_id mDomain;
-  instant mRenewed; ///< makes each renewal a change; of the writer's own clock
+  std::string mAddress; ///< for datagrams, ip:port
+  instant mRenewed;     ///< makes each renewal a change; of the writer's own clock
 };
 std::string EncodeGateway(const gateway_note& aNote);
 std::optional<gateway_note> DecodeGateway(std::string_view aSpec, std::string& aFault);
