Stand-in of the users' platform and tests of the gateway as a process

A store with revisions, conditions, watches, 410 and lost answers; engines with ranges of layers, paths, reports and orders; plain services. 19 tests judge by what callers got and servers recorded. Found by them: a conditional inside co_await, which GCC 12 miscompiles, in gateway_registry.cpp (and one in the stand-in).

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 #include "gateway/service_request.h"
 #include "gateway/store_sync.h"
 #include "gateway/stream_request.h"
+#include "runtime/process.h"
 
 namespace chervilpulley::gateway {
 
@@ -178,6 +179,9 @@
     kLog.Error("Can't listen at {} or {}.", callers.value().Str(), ready.value().Str());
     return false;
   }
+  runtime::PrintListening(
+    mSettings, "gateway", { mCallers->LocalEndpoint().Str(), "", "", mControl->LocalEndpoint().Str() });
+  StartDecisionLog(mSettings.instance().id());
   log_line("started", log_rank::Notable)
     .Text("callers", mCallers->LocalEndpoint().Str())
     .Text("ready", mControl->LocalEndpoint().Str())
@@ -385,7 +389,6 @@
 {
   std::signal(SIGPIPE, SIG_IGN);
   SetUpLogs(aSettings.log().level(), aSettings.log().format(), aSettings.instance().id());
-  StartDecisionLog(aSettings.instance().id());
   asio::io_context context(1);
   const auto process = MakeRef<gateway_process>(context, aSettings);
   if (!process->Start()) {
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -59,7 +59,8 @@
   const ref<gateway_registry> self(this);
   while (!mIsLeaving) {
     co_await Write();
-    co_await Pause(mRevision ? kRenewal : kRetryPause);
+    const duration pause = mRevision ? kRenewal : kRetryPause;
+    co_await Pause(pause);
   }
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -141,7 +141,9 @@
     message.method_string(aRequest.mMethod);
     message.target(aRequest.mTarget);
     GiveHeaders(aRequest.mHeaders, message);
-    message.set(http::field::host, aEndpoint.Str());
+    if (message.find(http::field::host) == message.end()) {
+      message.set(http::field::host, aEndpoint.Str());
+    }
     message.body() = std::move(aRequest.mBody);
     message.prepare_payload();
     aConnection.mStream.expires_after(aTimeout);
--- /dev/null
+++ b/tests/processes/gateway_fixture.cpp
@@ -0,0 +1,148 @@
+#include "processes/gateway_fixture.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "net/http_client.h"
+
+namespace chervilpulley::processes {
+
+namespace {
+
+std::vector<std::string> FleetWords(std::vector<std::string> aFlags)
+{
+  aFlags.insert(aFlags.begin(), { StandinPath(), "fleet" });
+  return aFlags;
+}
+
+std::string SettingsText(const std::string& aName, const net::endpoint& aStore, unsigned aDrainMs)
+{
+  return fmt::format("[instance]\nid = {}\nfailure_domain = here\n"
+                     "[platform]\naddress = {}\n"
+                     "[security]\ncluster_key = none\n"
+                     "[gateway]\ncallers = 127.0.0.1:0\nready = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
+                     "drain_bound_ms = {}\n",
+                     aName,
+                     aStore.Str(),
+                     aDrainMs);
+}
+
+} // namespace
+
+gateway_fixture::gateway_fixture(std::vector<std::string> aFlags)
+  : mFleet(FleetWords(std::move(aFlags)), mFolder.File("fleet.log"))
+{
+}
+
+process& gateway_fixture::StartGateway(unsigned aDrainMs)
+{
+  const std::string name = "gateway-" + std::to_string(mGateways.size());
+  const std::string settings = mFolder.Write(name + ".ini", SettingsText(name, mFleet.Address("http"), aDrainMs));
+  mGateways.push_back(std::make_unique<process>(
+    std::vector<std::string>{ BinaryPath(), "gateway", "--settings", settings }, mFolder.File(name + ".log")));
+  process& gateway = *mGateways.back();
+  if (!WaitUntil([&] { return IsReady(gateway); })) {
+    throw std::runtime_error("the gateway is not ready: " + gateway.Log());
+  }
+  // Ready means configured; streams need engines that hold layers.
+  const bool covered = WaitUntil([&] {
+    for (const auto& server : Servers()) {
+      const auto& object = server.as_object();
+      if (object.at("name").as_string().starts_with("engine") && object.at("end").to_number<int>() == 0) {
+        return false;
+      }
+    }
+    return true;
+  });
+  if (!covered) {
+    throw std::runtime_error("the engines hold no layers: " + gateway.Log());
+  }
+  // The gateway itself learns of the layers a moment after they are listed.
+  gateway_call first;
+  first.mMethod = "POST";
+  first.mTarget = "/draft/first";
+  first.mId = name + "-first";
+  first.mTokens = 2;
+  if (!WaitUntil([&] { return Send(first, mGateways.size() - 1).mStatus == 200; })) {
+    throw std::runtime_error("no stream is served: " + gateway.Log());
+  }
+  return gateway;
+}
+
+bool gateway_fixture::IsReady(const process& aGateway) const
+{
+  const auto reply =
+    net::FetchBlocking(aGateway.Address("admin"), { "GET", "/chervilpulley/readyz", {}, "" }, std::chrono::seconds(2));
+  return reply && reply.value().mStatus == 200;
+}
+
+gateway_answer gateway_fixture::Send(const gateway_call& aCall, std::size_t aGateway) const
+{
+  net::http_request request{ aCall.mMethod, aCall.mTarget, {}, aCall.mBody };
+  request.mHeaders.Set("Host", "demo.example");
+  request.mHeaders.Set("X-Attempt-Id", aCall.mId);
+  request.mHeaders.Set("X-Deadline-Ms", std::to_string(aCall.mPatienceMs));
+  if (!aCall.mKey.empty()) {
+    request.mHeaders.Set("X-Credential", aCall.mKey);
+  }
+  if (aCall.mTokens > 0) {
+    request.mHeaders.Set("X-Token-Counts", fmt::format("10,{}", aCall.mTokens));
+  }
+  gateway_answer answer;
+  const auto reply =
+    net::StreamBlocking(mGateways[aGateway]->Address("http"), request, kAmple, [&](std::string_view aPiece) {
+      answer.mBody.append(aPiece);
+      if (aCall.mOnBytes) {
+        aCall.mOnBytes(answer.mBody);
+      }
+      return true;
+    });
+  answer.mIsWhole = reply.has_value();
+  if (reply) {
+    answer.mStatus = reply.value().mStatus;
+    answer.mHeaders = reply.value().mHeaders;
+  }
+  return answer;
+}
+
+std::vector<boost::json::object> gateway_fixture::Records(std::string_view aKind, const std::string& aId) const
+{
+  std::vector<boost::json::object> found;
+  for (boost::json::object& record : RecordsOf(mFleet)) {
+    if (record.at("kind").as_string() == aKind && (aId.empty() || record.at("id").as_string() == aId)) {
+      found.push_back(std::move(record));
+    }
+  }
+  return found;
+}
+
+boost::json::array gateway_fixture::Servers() const
+{
+  return JsonOf(Call(mFleet.Address("http"), "GET", "/servers")).at("servers").as_array();
+}
+
+void gateway_fixture::SetServer(const std::string& aName, const std::string& aState) const
+{
+  Control(mFleet, { { "server", aName }, { "state", aState } });
+}
+
+std::string gateway_fixture::NameAt(const std::string& aAddress) const
+{
+  for (const auto& server : Servers()) {
+    if (server.as_object().at("address").as_string() == aAddress) {
+      return std::string(server.as_object().at("name").as_string());
+    }
+  }
+  return "";
+}
+
+std::string EventsUpTo(unsigned aLast)
+{
+  std::string text;
+  for (unsigned event = 1; event <= aLast; ++event) {
+    text += fmt::format("id: {}\ndata: token {}\n\n", event, event);
+  }
+  return text;
+}
+
+} // namespace chervilpulley::processes
--- /dev/null
+++ b/tests/processes/gateway_test.cpp
@@ -0,0 +1,309 @@
+#include "processes/gateway_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <thread>
+
+using namespace chervilpulley;
+using namespace chervilpulley::processes;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct one_gateway_fixture : gateway_fixture
+{
+  one_gateway_fixture() { StartGateway(); }
+
+  static gateway_call Stream(const std::string& aId, unsigned aTokens)
+  {
+    gateway_call call;
+    call.mMethod = "POST";
+    call.mTarget = "/draft/1";
+    call.mId = aId;
+    call.mBody = "a prompt";
+    call.mTokens = aTokens;
+    return call;
+  }
+
+  static gateway_call Booking(const std::string& aId)
+  {
+    gateway_call call;
+    call.mMethod = "POST";
+    call.mTarget = "/book/winch";
+    call.mId = aId;
+    call.mBody = "winch 3";
+    return call;
+  }
+
+  static gateway_call Lookup(const std::string& aId)
+  {
+    gateway_call call;
+    call.mTarget = "/look/rope";
+    call.mId = aId;
+    return call;
+  }
+
+  /// Names of the engines on a run's path, first to last.
+  std::vector<std::string> EnginesOf(const std::string& aId) const
+  {
+    std::vector<std::string> engines;
+    const auto runs = Records("run", aId);
+    std::string path(runs.back().at("path").as_string());
+    while (!path.empty()) {
+      engines.push_back(NameAt(path.substr(0, path.find('='))));
+      path = path.find(',') == std::string::npos ? "" : path.substr(path.find(',') + 1);
+    }
+    return engines;
+  }
+
+  /// Sends a stream and does something to one of its engines after some events.
+  gateway_answer StreamWithFault(const std::string& aId,
+                                 unsigned aTokens,
+                                 const std::function<std::string(const std::vector<std::string>&)>& aWhich,
+                                 const std::string& aState)
+  {
+    bool isDone = false;
+    gateway_call call = Stream(aId, aTokens);
+    call.mOnBytes = [&](const std::string& aBody) {
+      if (!isDone && aBody.find("id: 5\n") != std::string::npos) {
+        isDone = true;
+        SetServer(aWhich(EnginesOf(aId)), aState);
+      }
+    };
+    return Send(call);
+  }
+
+  static std::string First(const std::vector<std::string>& aEngines) { return aEngines.front(); }
+  static std::string Last(const std::vector<std::string>& aEngines) { return aEngines.back(); }
+
+  void SetAllServices(const std::string& aState) const
+  {
+    SetServer("service-0", aState);
+    SetServer("service-1", aState);
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_stream_through_several_engines_gives_every_event_once_and_in_order")
+{
+  const auto answer = Send(Stream("s1", 40));
+  CHECK(answer.mStatus == 200);
+  CHECK(answer.mIsWhole);
+  CHECK(answer.mBody == EventsUpTo(20));
+  CHECK(answer.mHeaders.Get("X-Response-Stamp") == EnginesOf("s1").front());
+  CHECK(EnginesOf("s1").size() >= 2);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_request_reaches_its_server_unchanged_with_workspace_and_without_key")
+{
+  const auto answer = Send(Booking("b1"));
+  CHECK(answer.mStatus == 200);
+  CHECK(answer.mBody == "answer to b1");
+  const auto runs = Records("run", "b1");
+  REQUIRE(runs.size() == 1);
+  CHECK(runs[0].at("method").as_string() == "POST");
+  CHECK(runs[0].at("target").as_string() == "/book/winch");
+  CHECK(runs[0].at("body").as_string() == "winch 3");
+  CHECK(runs[0].at("workspace").as_string() == "workspace-1");
+  CHECK(runs[0].at("key").as_string().empty());
+  CHECK(runs[0].at("deadline_ms").to_number<unsigned>() <= 8000);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_booking_whose_answer_breaks_off_is_not_sent_again")
+{
+  SetAllServices("cutting");
+  const auto answer = Send(Booking("b2"));
+  CHECK(answer.mStatus == 502);
+  CHECK(Runs("b2") == 1);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_booking_refused_by_all_servers_did_not_run_and_says_when_to_come_back")
+{
+  SetAllServices("refusing");
+  const auto answer = Send(Booking("b3"));
+  CHECK(answer.mStatus == 503);
+  CHECK(!answer.mHeaders.Get("Retry-After").empty());
+  CHECK(Runs("b3") == 0);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_lookup_that_fails_at_one_server_is_answered_by_another")
+{
+  SetServer("service-0", "failing");
+  for (int each = 0; each < 6; ++each) {
+    CHECK(Send(Lookup("l" + std::to_string(each))).mStatus == 200);
+  }
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_lookup_that_fails_everywhere_runs_on_no_more_servers_than_allowed")
+{
+  SetAllServices("failing");
+  const auto answer = Send(Lookup("l9"));
+  CHECK(answer.mStatus == 500);
+  CHECK(answer.mHeaders.Get("X-Response-Stamp").starts_with("service"));
+  CHECK(Runs("l9") == 2);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_request_without_route_or_key_is_refused_and_does_not_run")
+{
+  gateway_call noRoute = Lookup("n1");
+  noRoute.mTarget = "/nowhere/1";
+  CHECK(Send(noRoute).mStatus == 404);
+  gateway_call noKey = Lookup("n2");
+  noKey.mKey = "";
+  CHECK(Send(noKey).mStatus == 401);
+  gateway_call wrongKey = Lookup("n3");
+  wrongKey.mKey = "key-9";
+  CHECK(Send(wrongKey).mStatus == 401);
+  CHECK(Runs("n1") + Runs("n2") + Runs("n3") == 0);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_request_over_the_limits_is_refused")
+{
+  gateway_call large = Booking("m1");
+  large.mBody.assign(20'000, 'x');
+  CHECK(Send(large).mStatus == 413);
+  gateway_call longHead = Lookup("m2");
+  longHead.mKey.assign(8'000, 'k');
+  CHECK(Send(longHead).mStatus == 431);
+  CHECK(Runs("m1") + Runs("m2") == 0);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_stream_whose_later_engine_falls_silent_goes_on_over_another")
+{
+  const auto answer = StreamWithFault("s2", 100, Last, "dark");
+  CHECK(answer.mIsWhole);
+  CHECK(answer.mBody == EventsUpTo(50));
+  CHECK(Records("repath", "s2").size() >= 1);
+  CHECK(Runs("s2") == 1);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_stream_whose_first_engine_falls_silent_is_resumed_at_another")
+{
+  const auto answer = StreamWithFault("s3", 100, First, "dark");
+  CHECK(answer.mIsWhole);
+  CHECK(answer.mBody == EventsUpTo(50));
+  CHECK(Runs("s3") == 2);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_stream_that_breaks_off_in_an_event_is_resumed_without_the_torn_one")
+{
+  const auto answer = StreamWithFault("s4", 100, First, "cutting");
+  INFO(mGateways[0]->Log());
+  CHECK(answer.mIsWhole);
+  CHECK(answer.mBody == EventsUpTo(50));
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_stream_with_an_engine_that_leaves_goes_on_and_new_ones_avoid_it")
+{
+  std::string leaving;
+  const auto answer = StreamWithFault(
+    "s5", 400, [&](const auto& aEngines) { return leaving = aEngines.back(); }, "leaving");
+  CHECK(answer.mBody == EventsUpTo(200));
+  CHECK(Records("repath", "s5").size() >= 1);
+  CHECK(Send(Stream("s6", 10)).mStatus == 200);
+  const auto engines = EnginesOf("s6");
+  CHECK(std::find(engines.begin(), engines.end(), leaving) == engines.end());
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_caller_that_leaves_ends_the_work_at_the_engine")
+{
+  gateway_call call = Stream("s7", 2000);
+  std::thread caller([&] {
+    net::http_request request{ call.mMethod, call.mTarget, {}, call.mBody };
+    request.mHeaders.Set("Host", "demo.example");
+    request.mHeaders.Set("X-Attempt-Id", "s7");
+    request.mHeaders.Set("X-Credential", "key-1");
+    request.mHeaders.Set("X-Token-Counts", "10,2000");
+    static_cast<void>(
+      net::StreamBlocking(mGateways[0]->Address("http"), request, kAmple, [](std::string_view) { return false; }));
+  });
+  caller.join();
+  CHECK(WaitUntil([&] { return !Records("left", "s7").empty(); }));
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_key_taken_away_is_refused_and_the_new_one_served")
+{
+  Control(mFleet, { { "version", 5 }, { "key", "key-2" } });
+  gateway_call old = Lookup("k1");
+  CHECK(WaitUntil([&] { return Send(old).mStatus == 401; }));
+  gateway_call fresh = Lookup("k2");
+  fresh.mKey = "key-2";
+  CHECK(Send(fresh).mStatus == 200);
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_without_the_store_trusts_no_key_after_a_while_and_serves_again_later")
+{
+  Control(mFleet, { { "store", { { "silent", true } } } });
+  CHECK(Send(Lookup("k3")).mStatus == 200);
+  CHECK(WaitUntil([&] { return Send(Lookup("k4")).mStatus == 503; }));
+  CHECK(!IsReady(*mGateways[0]));
+  const std::size_t before = Records("run").size();
+  CHECK(Send(Lookup("k5")).mStatus == 503);
+  CHECK(Records("run").size() == before);
+  Control(mFleet, { { "store", { { "silent", false } } } });
+  CHECK(WaitUntil([&] { return Send(Lookup("k6")).mStatus == 200; }));
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_follows_the_list_after_the_store_forgot_its_history")
+{
+  Control(mFleet, { { "store", { { "forget", true } } } });
+  SetServer("service-0", "gone");
+  CHECK(WaitUntil([&] {
+    bool isAvoided = true;
+    for (int each = 0; each < 4 && isAvoided; ++each) {
+      const std::string id = "f" + std::to_string(each);
+      isAvoided = Send(Lookup(id)).mStatus == 200 && Records("run", id).back().at("server") == "service-1";
+    }
+    return isAvoided;
+  }));
+}
+
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_told_to_end_finishes_its_streams_and_takes_no_new_callers")
+{
+  bool isTold = false;
+  gateway_call call = Stream("s8", 200);
+  call.mOnBytes = [&](const std::string& aBody) {
+    if (!isTold && aBody.find("id: 3\n") != std::string::npos) {
+      isTold = true;
+      mGateways[0]->Terminate();
+      CHECK(WaitUntil([&] { return !IsReady(*mGateways[0]); }));
+    }
+  };
+  const auto answer = Send(call);
+  CHECK(answer.mIsWhole);
+  CHECK(answer.mBody == EventsUpTo(100));
+  CHECK(mGateways[0]->WaitForEnd() == 0);
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateways_give_each_engine_its_layers_once_and_follow_a_killed_holder_of_the_duty")
+{
+  StartGateway();
+  StartGateway();
+  CHECK(Records("place").size() == 4);
+  const auto isPlaced = [&] {
+    const auto servers = Servers();
+    return std::all_of(servers.begin(), servers.end(), [](const auto& aServer) {
+      const auto& server = aServer.as_object();
+      return !server.at("name").as_string().starts_with("engine") || server.at("end").template to_number<int>() > 0;
+    });
+  };
+  // Whichever of the two has the duty, one of the two kills takes it away.
+  mGateways[0]->Kill();
+  SetServer("engine-0", "reborn");
+  CHECK(WaitUntil(isPlaced));
+  StartGateway();
+  mGateways[1]->Kill();
+  SetServer("engine-1", "reborn");
+  CHECK(WaitUntil(isPlaced));
+}
+
+TEST_CASE_METHOD(gateway_fixture, "gateway_whose_write_took_effect_without_an_answer_still_places_layers")
+{
+  Control(mFleet, { { "store", { { "lose_answers", 2 } } } });
+  StartGateway();
+  CHECK(Records("place").size() >= 4);
+}
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -10,6 +10,7 @@
 
 #include "net/http_server.h"
 #include "standin_engine.h"
+#include "standin_fleet.h"
 #include "standin_platform.h"
 #include "standin_relay.h"
 #include "standin_service.h"
@@ -26,6 +27,8 @@
 DEFINE_bool(kv_import, true, "engine: takes KV caches that another engine exported");
 DEFINE_bool(check_fence, true, "engine: refuses load orders with an older fence");
 DEFINE_uint32(max_batch, 64, "engine: orders that run at once");
+DEFINE_uint32(engines, 4, "fleet: engines");
+DEFINE_uint32(services, 2, "fleet: plain services");
 DEFINE_string(target, "", "relay: address that it stands before, ip:port");
 
 namespace {
@@ -105,7 +108,7 @@
 
 int main(int aCount, char** aArguments)
 {
-  gflags::SetUsageMessage("standin platform|engine|service|relay [flags]");
+  gflags::SetUsageMessage("standin platform|engine|service|fleet|relay [flags]");
   gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
   const std::string role = aCount == 2 ? aArguments[1] : "";
   asio::io_context context(1);
@@ -118,10 +121,16 @@
   } else if (role == "service") {
     standin::service service(FLAGS_records_file);
     Serve(context, role, service);
+  } else if (role == "fleet") {
+    standin::fleet_options options;
+    options.mEngines = FLAGS_engines;
+    options.mServices = FLAGS_services;
+    standin::fleet fleet(context, options);
+    Serve(context, role, fleet);
   } else if (role == "relay") {
     ServeRelay(context);
   } else {
-    Fail("the role must be platform, engine, service or relay, not \"" + role + "\"");
+    Fail("the role must be platform, engine, service, fleet or relay, not \"" + role + "\"");
   }
   return 0;
 }
--- /dev/null
+++ b/tests/standin/standin_fleet_server.cpp
@@ -0,0 +1,298 @@
+#include "standin_fleet_server.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+
+#include "json_body.h"
+#include "standin_fleet.h"
+
+namespace chervilpulley::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration kForever = std::chrono::seconds(60);
+/// Work that waits for a lost engine is cut off after this time.
+constexpr duration kStall = std::chrono::milliseconds(2500);
+constexpr duration kPoll = std::chrono::milliseconds(5);
+constexpr std::uint64_t kTokensPerEvent = 2;
+
+std::uint64_t NumberOf(std::string_view aText)
+{
+  std::uint64_t number = 0;
+  std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return number;
+}
+
+} // namespace
+
+fleet_server::fleet_server(asio::io_context& aContext, fleet& aFleet, std::string aName, std::string aPool)
+  : mFleet(aFleet)
+  , mName(std::move(aName))
+  , mPool(std::move(aPool))
+{
+  auto server = net::http_server::Start(
+    aContext, { "127.0.0.1", 0 }, [this](net::http_exchange& aExchange) { return Handle(aExchange); }, {});
+  mServer = server.value();
+  List();
+}
+
+/// Writes this server's entry of the list.
+void fleet_server::List()
+{
+  json::object spec{ { "service", mPool },  { "address", Address() },
+                     { "zone", "here" },    { "version", "v1" },
+                     { "slots", 64 },       { "state", mState == "leaving" ? "draining" : "ready" },
+                     { "coldMs", 0 },       { "seq", 1 },
+                     { "born", mStartedAt } };
+  if (mPool == "engines") {
+    spec["kind"] = "card";
+    if (mEnd > mFrom) {
+      spec["layers"] = json::object{ { "from", mFrom }, { "target", mEnd }, { "version", 1 } };
+    }
+  }
+  mFleet.Store().Write("servers", mName, std::move(spec));
+}
+
+void fleet_server::SetState(const std::string& aState)
+{
+  mState = aState;
+  if (aState == "reborn") {
+    mState = "ok";
+    mFrom = mEnd = 0;
+    mOrders = mFence = 0;
+    ++mStartedAt;
+  }
+  if (aState == "gone") {
+    mFleet.Store().Remove("servers", mName);
+  } else if (aState != "dark") {
+    List();
+  }
+}
+
+asio::awaitable<void> fleet_server::Handle(net::http_exchange& aExchange)
+{
+  if (IsDark()) {
+    co_await SleepFor(kForever);
+    co_return;
+  }
+  const std::string path(net::PathOf(aExchange.Request().mTarget));
+  if (path == "/chervilpulley/report") {
+    co_await aExchange.Reply(Report());
+  } else if (path == "/chervilpulley/order") {
+    co_await aExchange.Reply(Order(aExchange.Request()));
+  } else {
+    co_await Run(aExchange);
+  }
+}
+
+net::http_reply fleet_server::Report() const
+{
+  json::array stalled;
+  for (const auto& [id, stream] : mRunning) {
+    if (!stream.mFaulty.empty()) {
+      stalled.push_back(json::object{ { "id", id }, { "address", stream.mFaulty } });
+    }
+  }
+  return ObjectReply(200,
+                     { { "stage", "unified" },
+                       { "busy", false },
+                       { "seq", mOrders },
+                       { "pace", 1.0 },
+                       { "layers", { { "from", mFrom }, { "target", mEnd }, { "version", 1 } } },
+                       { "stalled", stalled } });
+}
+
+net::http_reply fleet_server::Order(const net::http_request& aRequest)
+{
+  const std::string op = json_body(aRequest.mBody).Text("op");
+  if (op == "place") {
+    return Place(aRequest);
+  }
+  return op == "repath" ? Repath(aRequest) : ErrorReply(400, "no such order");
+}
+
+net::http_reply fleet_server::Place(const net::http_request& aRequest)
+{
+  json_body body(aRequest.mBody);
+  if (body.Number("fence") < mFence) {
+    return ErrorReply(412, "an older fencing number");
+  }
+  mFence = body.Number("fence");
+  if (body.Has("expect") && body.Number("expect") != mOrders) {
+    return ErrorReply(409, "another number of orders");
+  }
+  const auto from = static_cast<std::uint32_t>(body.Number("from"));
+  const auto end = static_cast<std::uint32_t>(body.Number("target"));
+  mFleet.Records().Append(
+    { { "kind", "place" }, { "server", mName }, { "from", from }, { "end", end }, { "fence", mFence } });
+  if (from == mFrom && end == mEnd) {
+    return ObjectReply(200, {});
+  }
+  ++mOrders;
+  mFrom = from;
+  mEnd = end;
+  List();
+  return ObjectReply(202, {});
+}
+
+net::http_reply fleet_server::Repath(const net::http_request& aRequest)
+{
+  json_body body(aRequest.mBody);
+  const auto stream = mRunning.find(body.Text("id"));
+  if (stream == mRunning.end()) {
+    return ErrorReply(404, "no such request");
+  }
+  const auto path = ParsePath(body.Text("path"));
+  const std::string faulty = FaultyOn(path);
+  if (!faulty.empty()) {
+    return NotRun(409, faulty);
+  }
+  stream->second.mPath = path;
+  stream->second.mFaulty.clear();
+  mFleet.Records().Append({ { "kind", "repath" }, { "server", mName }, { "id", body.Text("id") } });
+  return ObjectReply(200, {});
+}
+
+net::http_reply fleet_server::NotRun(unsigned aStatus, const std::string& aFaulty) const
+{
+  net::http_reply reply = ErrorReply(aStatus, "not run");
+  reply.mHeaders.Set("X-Not-Executed", "1");
+  reply.mHeaders.Set("At-Server", aFaulty);
+  return reply;
+}
+
+std::vector<fleet_server::part> fleet_server::ParsePath(std::string_view aText)
+{
+  std::vector<part> path;
+  while (!aText.empty()) {
+    const std::string_view entry = aText.substr(0, aText.find(','));
+    aText.remove_prefix(std::min(aText.size(), entry.size() + 1));
+    const std::size_t equals = entry.find('=');
+    const std::size_t dash = entry.find('-', equals);
+    part each;
+    each.mAddress = std::string(entry.substr(0, equals));
+    each.mFrom = static_cast<std::uint32_t>(NumberOf(entry.substr(equals + 1)));
+    each.mEnd = static_cast<std::uint32_t>(NumberOf(entry.substr(dash + 1)));
+    path.push_back(each);
+  }
+  return path;
+}
+
+/// The first server on a path that does not hold its part; empty when all do.
+std::string fleet_server::FaultyOn(const std::vector<part>& aPath) const
+{
+  for (const part& each : aPath) {
+    const fleet_server* server = mFleet.AtAddress(each.mAddress);
+    if (server == nullptr || !server->Holds(each.mFrom, each.mEnd)) {
+      return each.mAddress;
+    }
+  }
+  return "";
+}
+
+asio::awaitable<void> fleet_server::Run(net::http_exchange& aExchange)
+{
+  const net::http_request request = aExchange.Request();
+  const std::string id(request.mHeaders.Get("X-Attempt-Id"));
+  const std::string path(request.mHeaders.Get("X-Hop-Count"));
+  if (request.mHeaders.Get("X-Expect-Instance") != mName) {
+    net::http_reply reply = NotRun(421, Address());
+    co_await aExchange.Reply(std::move(reply));
+    co_return;
+  }
+  const std::string faulty = FaultyOn(ParsePath(path));
+  if (mState == "refusing" || !faulty.empty()) {
+    net::http_reply reply = NotRun(503, faulty.empty() ? Address() : faulty);
+    co_await aExchange.Reply(std::move(reply));
+    co_return;
+  }
+  mFleet.Records().Append({ { "kind", "run" },
+                            { "server", mName },
+                            { "id", id },
+                            { "method", request.mMethod },
+                            { "target", request.mTarget },
+                            { "body", request.mBody },
+                            { "path", path },
+                            { "workspace", request.mHeaders.Get("X-Tenant") },
+                            { "key", request.mHeaders.Get("X-Credential") },
+                            { "last_event", request.mHeaders.Get("Last-Event-Id") },
+                            { "deadline_ms", NumberOf(request.mHeaders.Get("X-Deadline-Ms")) } });
+  if (mState == "failing") {
+    net::http_reply reply = ErrorReply(500, "failed");
+    reply.mHeaders.Set("X-Attempt-Id", id);
+    reply.mHeaders.Set("X-Response-Stamp", mName);
+    co_await aExchange.Reply(std::move(reply));
+    co_return;
+  }
+  net::http_reply head;
+  head.mHeaders.Set("X-Attempt-Id", id);
+  head.mHeaders.Set("X-Response-Stamp", mName);
+  if (!path.empty()) {
+    mRunning[id] = { ParsePath(path), "" };
+    co_await Stream(aExchange, id, std::move(head));
+    mRunning.erase(id);
+    co_return;
+  }
+  if (mState == "cutting") {
+    co_return;
+  }
+  head.mBody = "answer to " + id;
+  co_await aExchange.Reply(std::move(head));
+}
+
+asio::awaitable<void> fleet_server::Stream(net::http_exchange& aExchange, std::string aId, net::http_reply aHead)
+{
+  const net::http_request& request = aExchange.Request();
+  const std::string_view counts = request.mHeaders.Get("X-Token-Counts");
+  const std::uint64_t events = NumberOf(counts.substr(counts.find(',') + 1)) / kTokensPerEvent;
+  std::uint64_t event = NumberOf(request.mHeaders.Get("Last-Event-Id"));
+  aHead.mHeaders.Set("Content-Type", "text/event-stream");
+  bool hasLeft = false;
+  aExchange.OnHangUp([&hasLeft] { hasLeft = true; });
+  co_await aExchange.Begin(std::move(aHead));
+  while (event < events && !hasLeft) {
+    co_await SleepFor(mFleet.Options().mEventTime);
+    const bool onPath = co_await WaitForPath(aId);
+    if (!onPath || IsDark()) {
+      if (IsDark()) {
+        co_await SleepFor(kForever);
+      }
+      co_return;
+    }
+    ++event;
+    const bool torn = mState == "cutting";
+    std::string text = fmt::format("id: {}\ndata: token {}\n\n", event, event);
+    text.resize(torn ? text.size() / 2 : text.size());
+    const auto written = co_await aExchange.Write(std::move(text));
+    if (torn || !written) {
+      co_return;
+    }
+  }
+  mFleet.Records().Append({ { "kind", hasLeft ? "left" : "end" }, { "server", mName }, { "id", aId } });
+  if (!hasLeft) {
+    co_await aExchange.End();
+  }
+}
+
+/// Waits until all engines of a stream's path work; false when that takes too long.
+asio::awaitable<bool> fleet_server::WaitForPath(const std::string& aId)
+{
+  const instant deadline = Now() + kStall;
+  while (Now() < deadline) {
+    running& stream = mRunning[aId];
+    stream.mFaulty = FaultyOn(stream.mPath);
+    if (stream.mFaulty.empty()) {
+      co_return true;
+    }
+    co_await SleepFor(kPoll);
+  }
+  co_return false;
+}
+
+} // namespace chervilpulley::standin
--- /dev/null
+++ b/tests/standin/standin_fleet_server.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/http_server.h"
+#include "signal.h"
+
+namespace chervilpulley::standin {
+
+class fleet;
+
+/// An engine or a plain service of the fleet.
+class fleet_server
+{
+public:
+  fleet_server(boost::asio::io_context& aContext, fleet& aFleet, std::string aName, std::string aPool);
+
+  const std::string& Name() const { return mName; }
+  std::string Address() const { return mServer->LocalEndpoint().Str(); }
+  std::uint32_t From() const { return mFrom; }
+  std::uint32_t End() const { return mEnd; }
+  /// "ok", "dark" (no answer at all), "refusing", "failing", "cutting" (answers break off), "leaving", "gone" (dark,
+  /// and taken off the list) or "reborn" (started again under its id, knowing nothing of before).
+  void SetState(const std::string& aState);
+  bool Holds(std::uint32_t aFrom, std::uint32_t aEnd) const { return mFrom <= aFrom && aEnd <= mEnd && !IsDark(); }
+
+private:
+  struct part
+  {
+    std::string mAddress;
+    std::uint32_t mFrom = 0;
+    std::uint32_t mEnd = 0;
+  };
+  struct running
+  {
+    std::vector<part> mPath;
+    std::string mFaulty; ///< address of the engine that it waits for
+  };
+
+  bool IsDark() const { return mState == "dark" || mState == "gone"; }
+  boost::asio::awaitable<void> Handle(net::http_exchange& aExchange);
+  boost::asio::awaitable<void> Run(net::http_exchange& aExchange);
+  boost::asio::awaitable<void> Stream(net::http_exchange& aExchange, std::string aId, net::http_reply aHead);
+  boost::asio::awaitable<bool> WaitForPath(const std::string& aId);
+  net::http_reply Report() const;
+  net::http_reply Order(const net::http_request& aRequest);
+  net::http_reply Place(const net::http_request& aRequest);
+  net::http_reply Repath(const net::http_request& aRequest);
+  net::http_reply NotRun(unsigned aStatus, const std::string& aFaulty) const;
+  std::string FaultyOn(const std::vector<part>& aPath) const;
+  static std::vector<part> ParsePath(std::string_view aText);
+  void List();
+
+  fleet& mFleet;
+  std::string mName;
+  std::string mPool;
+  std::string mState = "ok";
+  ref<net::http_server> mServer;
+  std::uint32_t mFrom = 0;
+  std::uint32_t mEnd = 0;
+  std::uint64_t mOrders = 0;
+  std::uint64_t mFence = 0;
+  std::uint64_t mStartedAt = 1;
+  std::map<std::string, running> mRunning;
+};
+
+} // namespace chervilpulley::standin
--- /dev/null
+++ b/tests/standin/standin_store.cpp
@@ -0,0 +1,224 @@
+#include "standin_store.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+#include "json_body.h"
+
+namespace chervilpulley::standin {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kObjects = "/chervilpulley/objects/";
+constexpr duration kForever = std::chrono::seconds(60);
+constexpr std::uint64_t kMostWaitMs = 30'000;
+
+std::uint64_t NumberIn(const net::http_request& aRequest, std::string_view aName, std::uint64_t aDefault)
+{
+  const auto text = net::QueryValue(aRequest.mTarget, aName);
+  std::uint64_t number = aDefault;
+  if (text) {
+    std::from_chars(text->data(), text->data() + text->size(), number);
+  }
+  return number;
+}
+
+net::http_reply Empty(unsigned aStatus)
+{
+  return net::JsonReply(aStatus, "{}");
+}
+
+/// The revision that a write asks for; 0 when it asks for none.
+std::uint64_t Condition(const json::object& aBody)
+{
+  const auto* metadata = aBody.if_contains("metadata");
+  const auto* revision =
+    metadata != nullptr && metadata->is_object() ? metadata->as_object().if_contains("revision") : nullptr;
+  return revision != nullptr && revision->is_number() ? revision->to_number<std::uint64_t>() : 0;
+}
+
+} // namespace
+
+bool object_store::IsCall(std::string_view aTarget)
+{
+  return aTarget.starts_with(kObjects);
+}
+
+json::object object_store::Show(const std::string& aName, const stored& aObject) const
+{
+  return { { "metadata",
+             { { "name", aName },
+               { "revision", aObject.mRevision },
+               { "createRev", aObject.mCreated },
+               { "finalizers", json::array() },
+               { "deleting", false } } },
+           { "spec", aObject.mSpec },
+           { "status", nullptr } };
+}
+
+void object_store::Write(const std::string& aKind, const std::string& aName, json::value aSpec)
+{
+  auto [found, isNew] = mObjects[aKind].try_emplace(aName);
+  stored& object = found->second;
+  if (!isNew && object.mSpec == aSpec) {
+    return;
+  }
+  object.mRevision = ++mRevision;
+  object.mCreated = isNew ? mRevision : object.mCreated;
+  object.mSpec = std::move(aSpec);
+  mChanges.push_back({ mRevision, aKind, Show(aName, object), false });
+  mChanged.NotifyAll();
+}
+
+void object_store::Remove(const std::string& aKind, const std::string& aName)
+{
+  const auto found = mObjects[aKind].find(aName);
+  if (found == mObjects[aKind].end()) {
+    return;
+  }
+  const stored object = found->second;
+  mObjects[aKind].erase(found);
+  mChanges.push_back({ ++mRevision, aKind, Show(aName, object), true });
+  mChanged.NotifyAll();
+}
+
+void object_store::SetFaults(const json::object& aFaults)
+{
+  json_body body(json::serialize(aFaults));
+  mIsDown = body.Flag("down", mIsDown);
+  mIsSilent = body.Flag("silent", mIsSilent);
+  mLoseAnswers = body.Number("lose_answers", mLoseAnswers);
+  if (body.Flag("forget")) {
+    mChanges.clear();
+    mForgotten = mRevision;
+  }
+  mChanged.NotifyAll();
+}
+
+asio::awaitable<void> object_store::Handle(net::http_exchange& aExchange)
+{
+  const net::http_request request = aExchange.Request();
+  if (mIsSilent) {
+    co_await SleepFor(kForever);
+    co_return;
+  }
+  net::http_reply reply;
+  if (mIsDown) {
+    reply = Empty(503);
+  } else {
+    reply = co_await Answer(request);
+  }
+  if (mLoseAnswers > 0 && request.mMethod != "GET") {
+    --mLoseAnswers;
+    co_return; // the connection ends without an answer
+  }
+  co_await aExchange.Reply(std::move(reply));
+}
+
+asio::awaitable<net::http_reply> object_store::Answer(const net::http_request& aRequest)
+{
+  std::string path(net::PathOf(aRequest.mTarget).substr(kObjects.size()));
+  const std::size_t slash = path.find('/');
+  const std::string kind = path.substr(0, slash);
+  const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+  if (aRequest.mMethod == "POST") {
+    co_return Create(kind, aRequest);
+  }
+  if (aRequest.mMethod == "PUT") {
+    co_return Put(kind, name, aRequest);
+  }
+  if (aRequest.mMethod == "DELETE") {
+    Remove(kind, name);
+    co_return Empty(200);
+  }
+  if (net::QueryValue(aRequest.mTarget, "watch")) {
+    net::http_reply reply = co_await Watch(kind, aRequest);
+    co_return reply;
+  }
+  if (name.empty()) {
+    co_return List(kind, aRequest);
+  }
+  const auto found = mObjects[kind].find(name);
+  if (found == mObjects[kind].end()) {
+    co_return Empty(404);
+  }
+  co_return ObjectReply(200, Show(name, found->second));
+}
+
+net::http_reply object_store::Create(const std::string& aKind, const net::http_request& aRequest)
+{
+  json_body body(aRequest.mBody);
+  const auto* metadata = body.Object().if_contains("metadata");
+  if (metadata == nullptr || !metadata->is_object() || !metadata->as_object().contains("name")) {
+    return Empty(400);
+  }
+  const std::string name(metadata->as_object().at("name").as_string());
+  const auto found = mObjects[aKind].find(name);
+  if (found != mObjects[aKind].end()) {
+    return ObjectReply(409, Show(name, found->second));
+  }
+  Write(aKind, name, body.Object().contains("spec") ? body.Object().at("spec") : json::value());
+  return ObjectReply(200, Show(name, mObjects[aKind][name]));
+}
+
+net::http_reply object_store::Put(const std::string& aKind, const std::string& aName, const net::http_request& aRequest)
+{
+  json_body body(aRequest.mBody);
+  const auto found = mObjects[aKind].find(aName);
+  if (found == mObjects[aKind].end()) {
+    return Empty(404);
+  }
+  const std::uint64_t condition = Condition(body.Object());
+  if (condition != 0 && condition != found->second.mRevision) {
+    return ObjectReply(409, Show(aName, found->second));
+  }
+  Write(aKind, aName, body.Object().contains("spec") ? body.Object().at("spec") : json::value());
+  return ObjectReply(200, Show(aName, found->second));
+}
+
+net::http_reply object_store::List(const std::string& aKind, const net::http_request& aRequest)
+{
+  // Pages of three, so that readers must go on.
+  constexpr std::size_t kPage = 3;
+  const std::string after = net::QueryValue(aRequest.mTarget, "after").value_or("");
+  json::array items;
+  bool isCut = false;
+  const kind_objects& objects = mObjects[aKind];
+  for (auto object = objects.upper_bound(after); object != objects.end(); ++object) {
+    if (items.size() == kPage) {
+      isCut = true;
+      break;
+    }
+    items.push_back(Show(object->first, object->second));
+  }
+  return ObjectReply(200, { { "items", items }, { "truncated", isCut }, { "currentRev", mRevision } });
+}
+
+asio::awaitable<net::http_reply> object_store::Watch(const std::string& aKind, const net::http_request& aRequest)
+{
+  const std::uint64_t after = NumberIn(aRequest, "watch", 0);
+  const auto wait = std::chrono::milliseconds(std::min(kMostWaitMs, NumberIn(aRequest, "waitMs", 0)));
+  const instant deadline = Now() + wait;
+  while (true) {
+    if (after < mForgotten) {
+      co_return Empty(410);
+    }
+    json::array events;
+    for (const change& each : mChanges) {
+      if (each.mRevision > after && each.mKind == aKind) {
+        events.push_back(json::object{ { "deleted", each.mIsDeleted }, { "object", each.mObject } });
+      }
+    }
+    if (!events.empty() || Now() >= deadline || mIsDown) {
+      co_return ObjectReply(mIsDown ? 503 : 200, { { "events", events }, { "currentRev", mRevision } });
+    }
+    co_await mChanged.WaitUntil(deadline);
+  }
+}
+
+} // namespace chervilpulley::standin
--- /dev/null
+++ b/tests/standin/standin_store.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "net/http_server.h"
+#include "signal.h"
+
+namespace chervilpulley::standin {
+
+/// The users' platform's store in their form: objects by kind, revisions, conditional writes, watches.
+class object_store
+{
+public:
+  /// Whether a call is one to the store.
+  static bool IsCall(std::string_view aTarget);
+  boost::asio::awaitable<void> Handle(net::http_exchange& aExchange);
+
+  /// Writes an object without a condition, as operators and backend servers do.
+  void Write(const std::string& aKind, const std::string& aName, boost::json::value aSpec);
+  void Remove(const std::string& aKind, const std::string& aName);
+  /// Faults by a control call: "down", "silent", "lose_answers", "forget".
+  void SetFaults(const boost::json::object& aFaults);
+  std::uint64_t Revision() const { return mRevision; }
+
+private:
+  struct stored
+  {
+    std::uint64_t mRevision = 0;
+    std::uint64_t mCreated = 0;
+    boost::json::value mSpec;
+  };
+  struct change
+  {
+    std::uint64_t mRevision = 0;
+    std::string mKind;
+    boost::json::object mObject;
+    bool mIsDeleted = false;
+  };
+  using kind_objects = std::map<std::string, stored>;
+
+  boost::asio::awaitable<net::http_reply> Answer(const net::http_request& aRequest);
+  boost::asio::awaitable<net::http_reply> Watch(const std::string& aKind, const net::http_request& aRequest);
+  net::http_reply List(const std::string& aKind, const net::http_request& aRequest);
+  net::http_reply Put(const std::string& aKind, const std::string& aName, const net::http_request& aRequest);
+  net::http_reply Create(const std::string& aKind, const net::http_request& aRequest);
+  boost::json::object Show(const std::string& aName, const stored& aObject) const;
+
+  std::map<std::string, kind_objects> mObjects;
+  std::deque<change> mChanges;
+  std::uint64_t mRevision = 100;
+  std::uint64_t mForgotten = 100; ///< changes up to this revision are not known any more
+  bool mIsDown = false;
+  bool mIsSilent = false;
+  std::uint64_t mLoseAnswers = 0;
+  signal mChanged;
+};
+
+} // namespace chervilpulley::standin
