--- a/src/gateway/engine_inquiries.cpp
+++ b/src/gateway/engine_inquiries.cpp
@@ -3,12 +3,15 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "base/clock.h"
 #include "base/decision_log.h"
 
 namespace chervilpulley::gateway {
 
 namespace {
 
+/// An engine that refuses again and again is asked at most once in this time.
+constexpr duration kCheckPause = std::chrono::milliseconds(250);
 /// Largest answer of a short call.
 constexpr std::size_t kMostBytes = 1U << 20U;
 
@@ -115,6 +118,21 @@
               [self, aEngine](std::optional<net::http_reply> aReply) { self->Answered(aEngine, aReply); });
 }
 
+void engine_inquiries::Check(const backend_id& aEngine)
+{
+  const instant now = Now();
+  instant& checkedAt = mCheckedAt[aEngine];
+  if (now - checkedAt < kCheckPause || mFleet->IsBelievedLost(aEngine, now)) {
+    return;
+  }
+  checkedAt = now;
+  Ask(aEngine, [self = ref<engine_inquiries>(this), aEngine](const auto& aReport) {
+    if (!aReport) {
+      self->mFleet->BelieveLost(aEngine, Now());
+    }
+  });
+}
+
 void engine_inquiries::Answered(const backend_id& aEngine, const std::optional<net::http_reply>& aReply)
 {
   std::optional<wire::engine_report> report;
@@ -125,6 +143,9 @@
   if (!report) {
     log_line("report_missing", log_rank::Notable).Text("backend", aEngine.Str()).Text("reason", fault);
   }
+  if (report) {
+    mFleet->Reported(aEngine, *report, Now());
+  }
   const auto waiting = std::move(mWaiting[aEngine]);
   mWaiting.erase(aEngine);
   for (const answer& done : waiting) {
--- a/src/gateway/engine_inquiries.h
+++ b/src/gateway/engine_inquiries.h
@@ -40,6 +40,8 @@
 
   /// aDone gets nothing when the engine does not answer.
   void Ask(const backend_id& aEngine, answer aDone);
+  /// Asks an engine that refused, unless it was asked just before; one that does not answer is believed lost.
+  void Check(const backend_id& aEngine);
 
 private:
   void Answered(const backend_id& aEngine, const std::optional<net::http_reply>& aReply);
@@ -48,6 +50,7 @@
   ref<fleet> mFleet;
   ref<worker_calls> mCalls;
   std::map<backend_id, std::vector<answer>> mWaiting;
+  std::map<backend_id, instant> mCheckedAt;
 };
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -28,7 +28,10 @@
   std::map<backend_id, backend_belief> beliefs;
   mByAddress.clear();
   for (const auto& [id, member] : mMembers.Members()) {
-    mByAddress[member.mAddress] = id;
+    const auto [at, isFirst] = mByAddress.try_emplace(member.mAddress, id);
+    if (!isFirst && mMembers.Find(at->second)->mStartedAt < member.mStartedAt) {
+      at->second = id;
+    }
     const auto known = mBeliefs.find(id);
     if (known != mBeliefs.end() && known->second.mStartedAt == member.mStartedAt) {
       backend_belief& kept = beliefs.emplace(id, known->second).first->second;
@@ -78,7 +81,7 @@
   mEngines.clear();
   for (const auto& [id, member] : mMembers.Members()) {
     const policy::accelerator_kind* kind = aPool.mEngine->FindKind(member.mAccelerator);
-    if (member.mPool != aPool.mName || kind == nullptr || member.mLeaving) {
+    if (member.mPool != aPool.mName || kind == nullptr || member.mLeaving || IsReplaced(id)) {
       continue;
     }
     policy::path_engine engine;
@@ -133,7 +136,7 @@
       continue;
     }
     const backend_belief& belief = Belief(id);
-    const bool usable = !member.mLeaving && belief.mLostUntil <= aNow && !aExcluded.contains(id);
+    const bool usable = !member.mLeaving && !IsReplaced(id) && belief.mLostUntil <= aNow && !aExcluded.contains(id);
     const double refusing = belief.mRefusingUntil > aNow ? 1.0 : 0.0;
     candidates.push_back({ member.mDomain == mHome, belief.mRunning, std::max(belief.mFailures, refusing), usable });
     ids.push_back(&id);
@@ -227,12 +230,35 @@
   return pool != nullptr && pool->mEngine.has_value();
 }
 
-void fleet::BelieveRefusing(const backend_id& aId, instant aNow)
+void fleet::BelieveRefusing(const backend_id& aId, instant aNow, duration aTime)
 {
   const auto found = mBeliefs.find(aId);
   if (found != mBeliefs.end()) {
-    found->second.mRefusingUntil = aNow + kRefusalBelief;
+    found->second.mRefusingUntil = std::max(found->second.mRefusingUntil, aNow + aTime);
+  }
+}
+
+void fleet::Reported(const backend_id& aId, const wire::engine_report& aReport, instant aNow)
+{
+  const auto found = mBeliefs.find(aId);
+  const auto* member = mMembers.Find(aId);
+  if (found == mBeliefs.end() || member == nullptr) {
+    return;
+  }
+  found->second.mSlowness = std::max(1.0, aReport.mSlowness);
+  if (aReport.mAllMemory > 0 && aReport.mUsedMemory > kFullShare * aReport.mAllMemory) {
+    BelieveRefusing(aId, aNow, kFullBelief);
   }
+  if (!(aReport.mLayers == member->mLayers)) {
+    BelieveRefusing(aId, aNow, kStaleBelief);
+  }
+}
+
+bool fleet::IsReplaced(const backend_id& aId) const
+{
+  const auto* member = mMembers.Find(aId);
+  const auto at = member == nullptr ? mByAddress.end() : mByAddress.find(member->mAddress);
+  return at != mByAddress.end() && at->second != aId;
 }
 
 bool fleet::IsBelievedLost(const backend_id& aId, instant aNow) const
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gateway/configuration.h"
+#include "gateway/wire.h"
 #include "net/endpoint.h"
 #include "policy/key_freshness.h"
 #include "policy/member_table.h"
@@ -23,6 +24,12 @@
 inline constexpr duration kLossBelief = std::chrono::milliseconds(4000);
 /// A server that refused for want of room is not asked for this time.
 inline constexpr duration kRefusalBelief = std::chrono::milliseconds(150);
+/// One whose memory is full, by its own report: a request gives its memory back after three seconds or so.
+inline constexpr duration kFullBelief = std::chrono::milliseconds(400);
+/// One that does not hold what the list says: the list follows within a second or so.
+inline constexpr duration kStaleBelief = std::chrono::milliseconds(700);
+/// Share of the memory for requests from which an engine counts as full.
+inline constexpr double kFullShare = 0.85;
 
 /// Who found a server lost.
 enum class loss_source
@@ -104,7 +111,9 @@
   void OnLossFound(std::function<void(const backend_id&)> aCallback) { mOnLossFound = std::move(aCallback); }
   /// Whether a server belongs to a pool of model engines.
   bool IsEngine(const backend_id& aId) const;
-  void BelieveRefusing(const backend_id& aId, instant aNow);
+  void BelieveRefusing(const backend_id& aId, instant aNow, duration aTime = kRefusalBelief);
+  /// What an engine says of itself.
+  void Reported(const backend_id& aId, const wire::engine_report& aReport, instant aNow);
   bool IsBelievedLost(const backend_id& aId, instant aNow) const;
 
   /// Since when a server is known to be leaving; nothing when it is not, or is not listed any more.
@@ -112,7 +121,9 @@
 
   /// The address of a server; nothing when it is not listed.
   std::optional<net::endpoint> AddressOf(const backend_id& aId) const;
-  /// The server that is listed at an address.
+  /// Whether a later start of a server is listed at the same address.
+  bool IsReplaced(const backend_id& aId) const;
+  /// The server that is listed at an address; the last one started.
   std::optional<backend_id> AtAddress(const std::string& aAddress) const;
 
   policy::retry_allowance& Retries(const pool_name& aPool);
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -182,7 +182,7 @@
     engine.mDomain = member.mDomain;
     engine.mKind = *kind;
     engine.mHeld = member.mLayers;
-    engine.mGone = member.mLeaving || mFleet->IsBelievedLost(id, aNow);
+    engine.mGone = member.mLeaving || mFleet->IsReplaced(id) || mFleet->IsBelievedLost(id, aNow);
     if (const auto order = mOrders.find(id); order != mOrders.end()) {
       engine.mHeld = order->second.mRange;
       engine.mBusy = true;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -303,8 +303,9 @@
     .Number("after_ms", Milliseconds(aNow - mSentAt));
   --mRuns;
   mExcluded.insert(faulty);
-  if (mStatus == 503) {
-    mTools.mFleet->BelieveRefusing(faulty, aNow);
+  mTools.mFleet->BelieveRefusing(faulty, aNow, mStatus == 421 ? kStaleBelief : kRefusalBelief);
+  if (faulty != first) {
+    mTools.mInquiries->Check(faulty);
   }
   Drop();
   Retry("refused", aNow);
