An engine counts as ended only when the list says so

Now a stream that broke waits, as long as its caller does, until one of its engines has left the list.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -79,6 +79,7 @@
   mEnginesVersion = mMembers.Version();
   mEnginesConfiguration = mConfiguration.get();
   mEngines.clear();
+  mLayersHeld.clear();
   for (const auto& [id, member] : mMembers.Members()) {
     const policy::accelerator_kind* kind = aPool.mEngine->FindKind(member.mAccelerator);
     if (member.mPool != aPool.mName || kind == nullptr || member.mLeaving || IsReplaced(id)) {
@@ -89,10 +90,24 @@
     engine.mDomain = member.mDomain;
     engine.mKind = *kind;
     engine.mHeld = member.mLayers;
+    mLayersHeld[engine.mDomain] += engine.mHeld.Size();
     mEngines.push_back(std::move(engine));
   }
 }
 
+/// What an engine of another failure domain carries for the gateways there, if they have as much to do as those here:
+/// tokens x layers. Without it, a domain that lacks a layer would overload its neighbours.
+double fleet::UsualLoad(const policy::path_engine& aEngine) const
+{
+  const auto held = mLayersHeld.find(aEngine.mDomain);
+  const pool* pool = mConfiguration->FindPool(mEnginesOf);
+  if (held == mLayersHeld.end() || held->second <= 0 || pool == nullptr) {
+    return 0;
+  }
+  const double domainLoad = mTokensInFlight * static_cast<double>(mGatewaysInDomain) * pool->mEngine->mLayers;
+  return domainLoad * aEngine.mHeld.Size() / held->second;
+}
+
 std::optional<chosen_path> fleet::ChoosePath(const path_question& aQuestion, instant aNow)
 {
   const pool* pool = mConfiguration ? mConfiguration->FindPool(aQuestion.mPool) : nullptr;
@@ -164,6 +179,7 @@
 
 void fleet::Promise(const chosen_path& aPath)
 {
+  mTokensInFlight += aPath.mTokens;
   for (const chosen_path::part& part : aPath.mParts) {
     backend_belief& belief = Belief(part.mEngine);
     belief.mPromised += aPath.mTokens * part.mRange.Size();
@@ -173,6 +189,7 @@
 
 void fleet::Release(const chosen_path& aPath)
 {
+  mTokensInFlight = std::max(0.0, mTokensInFlight - aPath.mTokens);
   for (const chosen_path::part& part : aPath.mParts) {
     const auto found = mBeliefs.find(part.mEngine);
     if (found != mBeliefs.end()) {
@@ -230,6 +247,25 @@
   return pool != nullptr && pool->mEngine.has_value();
 }
 
+void fleet::BelieveMoving(const backend_id& aId, instant aNow)
+{
+  const auto found = mBeliefs.find(aId);
+  const auto* member = mMembers.Find(aId);
+  if (found != mBeliefs.end() && member != nullptr) {
+    found->second.mMovingUntil = aNow + kMovingBelief;
+    found->second.mMovingFrom = member->mLayers;
+    log_line("backend_moving", log_rank::Notable).Text("backend", aId.Str());
+  }
+}
+
+bool fleet::IsMoving(const backend_id& aId, instant aNow) const
+{
+  const auto found = mBeliefs.find(aId);
+  const auto* member = mMembers.Find(aId);
+  return found != mBeliefs.end() && member != nullptr && found->second.mMovingUntil > aNow &&
+         found->second.mMovingFrom == member->mLayers;
+}
+
 void fleet::BelieveRefusing(const backend_id& aId, instant aNow, duration aTime)
 {
   const auto found = mBeliefs.find(aId);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -31,6 +31,9 @@
 /// Share of the memory for requests from which an engine counts as full.
 inline constexpr double kFullShare = 0.85;
 
+/// Time for which an engine that moves to other layers is left alone, at most.
+inline constexpr duration kMovingBelief = std::chrono::milliseconds(3000);
+
 /// Who found a server lost.
 enum class loss_source
 {
@@ -50,6 +53,8 @@
   double mSlowness = 1;
   std::uint64_t mStartedAt = 0;
   std::optional<instant> mLeavingSince; ///< when it was first seen leaving
+  instant mMovingUntil;                 ///< it gives up its layers as soon as nothing passes through them
+  policy::layer_span mMovingFrom;       ///< what it held when it was told to
 };
 
 /// A path that was chosen, with what is needed to use it.
@@ -116,6 +121,9 @@
   void Reported(const backend_id& aId, const wire::engine_report& aReport, instant aNow);
   bool IsBelievedLost(const backend_id& aId, instant aNow) const;
 
+  /// An engine was told to give up its layers for others: streams leave it, so that it need not wait for them.
+  void BelieveMoving(const backend_id& aId, instant aNow);
+  bool IsMoving(const backend_id& aId, instant aNow) const;
   /// Since when a server is known to be leaving; nothing when it is not, or is not listed any more.
   std::optional<instant> LeavingSince(const backend_id& aId) const;
 
@@ -134,6 +142,7 @@
 private:
   backend_belief& Belief(const backend_id& aId);
   void FillEngines(const pool& aPool);
+  double UsualLoad(const policy::path_engine& aEngine) const;
 
   failure_domain_id mHome;
   std::function<void(const backend_id&)> mOnLossFound;
@@ -146,7 +155,9 @@
   std::unordered_map<pool_name, policy::retry_allowance> mRetries;
   std::size_t mGateways = 1;
   std::size_t mGatewaysInDomain = 1;
-  std::vector<policy::path_engine> mEngines; ///< of the pool and versions below
+  double mTokensInFlight = 0;                      ///< promised to our own running streams, at each layer
+  std::map<failure_domain_id, double> mLayersHeld; ///< by all engines of a domain
+  std::vector<policy::path_engine> mEngines;       ///< of the pool and versions below
   pool_name mEnginesOf;
   std::uint64_t mEnginesVersion = 0;
   const configuration* mEnginesConfiguration = nullptr;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -162,7 +162,7 @@
   auto calls = MakeRef<store_calls>(mContext, store.value(), mMetrics);
   mSync = MakeRef<store_sync>(mContext, calls, mFleet, mMetrics, bounds);
   mPlacement = MakeRef<placement_duty>(
-    mContext, instance_id(mSettings.instance().id()), calls, mFleet, mCalls, mInquiries, mMetrics);
+    mContext, instance_id(mSettings.instance().id()), calls, mFleet, mCalls, mInquiries, mHints, mMetrics);
   mRegistry = MakeRef<gateway_registry>(mContext,
                                         instance_id(mSettings.instance().id()),
                                         failure_domain_id(mSettings.instance().failure_domain()),
--- a/src/gateway/peer_hints.cpp
+++ b/src/gateway/peer_hints.cpp
@@ -13,6 +13,7 @@
 using udp = asio::ip::udp;
 
 constexpr std::string_view kLostField = "lost";
+constexpr std::string_view kMovingField = "moving";
 /// An engine is asked at most once in this time, however many hints come.
 constexpr duration kAskPause = std::chrono::milliseconds(500);
 
@@ -53,14 +54,25 @@
 
 void peer_hints::TellLost(const backend_id& aEngine)
 {
-  const std::string datagram = boost::json::serialize(boost::json::object{ { kLostField, aEngine.Str() } });
+  Tell(kLostField, aEngine);
+}
+
+void peer_hints::TellMoving(const backend_id& aEngine)
+{
+  Tell(kMovingField, aEngine);
+}
+
+void peer_hints::Tell(std::string_view aField, const backend_id& aEngine)
+{
+  const std::string datagram = boost::json::serialize(boost::json::object{ { aField, aEngine.Str() } });
   std::size_t unsent = 0;
   for (const udp::endpoint& peer : mPeers) {
     boost::system::error_code error;
     mSocket.send_to(asio::buffer(datagram), peer, 0, error);
     unsent += error ? 1 : 0;
   }
-  log_line("loss_told", log_rank::Notable)
+  log_line("hint_told", log_rank::Notable)
+    .Text("hint", aField)
     .Text("backend", aEngine.Str())
     .Count("gateways", mPeers.size())
     .Count("unsent", unsent);
@@ -87,22 +99,33 @@
   boost::system::error_code error;
   const auto value = boost::json::parse(boost::json::string_view(aDatagram.data(), aDatagram.size()), error);
   const auto* object = error ? nullptr : value.if_object();
-  const auto* lost = object == nullptr ? nullptr : object->if_contains(kLostField);
-  if (lost == nullptr || !lost->is_string()) {
+  const auto engineIn = [&](std::string_view aField) {
+    const auto* value = object == nullptr ? nullptr : object->if_contains(aField);
+    return backend_id(value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string());
+  };
+  const backend_id lost = engineIn(kLostField);
+  const backend_id moving = engineIn(kMovingField);
+  if (lost.IsValid()) {
+    TakeLost(lost);
+  } else if (moving.IsValid()) {
+    mFleet->BelieveMoving(moving, Now());
+  } else {
     log_line("hint_unreadable", log_rank::Notable).Count("bytes", aDatagram.size());
-    return;
   }
-  const backend_id engine{ std::string(lost->as_string()) };
+}
+
+void peer_hints::TakeLost(const backend_id& aEngine)
+{
   const instant now = Now();
-  if (!mFleet->IsEngine(engine) || mFleet->IsBelievedLost(engine, now)) {
+  if (!mFleet->IsEngine(aEngine) || mFleet->IsBelievedLost(aEngine, now)) {
     return;
   }
-  instant& askedAt = mAskedAt[engine];
+  instant& askedAt = mAskedAt[aEngine];
   if (now - askedAt < kAskPause) {
     return;
   }
   askedAt = now;
-  mInquiries->Ask(engine, [self = ref<peer_hints>(this), engine](const auto& aReport) {
+  mInquiries->Ask(aEngine, [self = ref<peer_hints>(this), engine = aEngine](const auto& aReport) {
     log_line("loss_hint_checked", log_rank::Notable)
       .Text("backend", engine.Str())
       .Text("outcome", aReport ? "answers" : "lost");
--- a/src/gateway/peer_hints.h
+++ b/src/gateway/peer_hints.h
@@ -9,8 +9,8 @@
 #include "gateway/engine_inquiries.h"
 #include "gateway/fleet.h"
 
-/// Datagrams between gateways about engines that were found lost. A hint is no news by itself: who gets one asks the
-/// engine, so that a gateway that is cut off misleads nobody.
+/// Datagrams between gateways about engines that were found lost, or that are about to move to other layers. Word of a
+/// loss is no news by itself: who gets it asks the engine, so that a gateway that is cut off misleads nobody.
 namespace chervilpulley::gateway {
 
 /// Gateways that are told at most; in larger fleets those listed first behind this one.
@@ -27,10 +27,14 @@
   void SetPeers(std::vector<net::endpoint> aPeers);
   /// This gateway has found an engine lost.
   void TellLost(const backend_id& aEngine);
+  /// This gateway is about to give an engine other layers.
+  void TellMoving(const backend_id& aEngine);
 
 private:
   void Receive();
   void Take(std::string_view aDatagram);
+  void TakeLost(const backend_id& aEngine);
+  void Tell(std::string_view aField, const backend_id& aEngine);
 
   ref<fleet> mFleet;
   ref<engine_inquiries> mInquiries;
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -43,6 +43,7 @@
                                ref<fleet> aFleet,
                                ref<worker_calls> aCalls,
                                ref<engine_inquiries> aInquiries,
+                               ref<peer_hints> aHints,
                                ref<gateway_metrics> aMetrics)
   : mContext(aContext)
   , mSelf(std::move(aSelf))
@@ -50,6 +51,7 @@
   , mFleet(std::move(aFleet))
   , mCalls(std::move(aCalls))
   , mInquiries(std::move(aInquiries))
+  , mHints(std::move(aHints))
   , mMetrics(std::move(aMetrics))
   , mLease(kLeaseLength)
 {
--- a/src/gateway/placement_duty.h
+++ b/src/gateway/placement_duty.h
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "gateway/engine_inquiries.h"
+#include "gateway/peer_hints.h"
 #include "gateway/store_sync.h"
 #include "policy/duty_lease.h"
 
@@ -22,6 +23,7 @@
                  ref<fleet> aFleet,
                  ref<worker_calls> aCalls,
                  ref<engine_inquiries> aInquiries,
+                 ref<peer_hints> aHints,
                  ref<gateway_metrics> aMetrics);
 
   void Start();
@@ -56,6 +58,7 @@
   ref<fleet> mFleet;
   ref<worker_calls> mCalls;
   ref<engine_inquiries> mInquiries;
+  ref<peer_hints> mHints;
   ref<gateway_metrics> mMetrics;
   policy::duty_lease mLease;
   std::map<backend_id, open_order> mOrders;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -170,7 +170,9 @@
     options.mServer = server.value();
   }
   ++mSends;
-  ++mRuns;
+  if (const auto* member = mTools.mFleet->Members().Find(mPath->mParts.front().mEngine)) {
+    mRanAt.push_back(*member);
+  }
   log_line("stream_sent")
     .Text("request", Id())
     .Text("backend", dispatch.mExpected.Str())
@@ -261,7 +263,7 @@
       .Text("request", Id())
       .Text("backend", first.Str())
       .Text("reason", aReason);
-    --mRuns;
+    ForgetLastRun();
     Drop();
     if (mSends < kMostSends) {
       TryPath(now);
@@ -301,7 +303,7 @@
     .Text("asked", first.Str())
     .Count("status", mStatus)
     .Number("after_ms", Milliseconds(aNow - mSentAt));
-  --mRuns;
+  ForgetLastRun();
   mExcluded.insert(faulty);
   mTools.mFleet->BelieveRefusing(faulty, aNow, mStatus == 421 ? kStaleBelief : kRefusalBelief);
   if (faulty != first) {
@@ -323,11 +325,9 @@
     .Number("after_ms", Milliseconds(aNow - mSentAt));
   mTools.mFleet->Outcome(first, true);
   mMayHaveRun = true;
-  // An engine that is lost does not count for the route's bound on attempts.
-  mRuns -= mTools.mFleet->IsBelievedLost(first, aNow) ? 1 : 0;
   mExcluded.insert(first);
   Drop();
-  if (!MayRunAgain() || mRuns >= mAsked.mRoute->mMaxAttempts) {
+  if (!MayRunAgain() || (!mHasBegun && LiveRuns() >= mAsked.mRoute->mMaxAttempts)) {
     if (!mHasBegun && mStatus >= 400) {
       HandOnFailure(aNow);
       return;
@@ -338,18 +338,36 @@
   Retry(aReason, aNow);
 }
 
+/// The engine that it was sent to last did not run it.
+void stream_request::ForgetLastRun()
+{
+  if (!mRanAt.empty()) {
+    mRanAt.pop_back();
+  }
+}
+
+std::size_t stream_request::LiveRuns() const
+{
+  return static_cast<std::size_t>(std::count_if(mRanAt.begin(), mRanAt.end(), [&](const auto& aRun) {
+    const auto* member = mTools.mFleet->Members().Find(aRun.mId);
+    return member != nullptr && member->mStartedAt == aRun.mStartedAt;
+  }));
+}
+
 /// Sends the request once more, as far as the budget for repeats allows.
 void stream_request::Retry(const std::string& aReason, instant aNow)
 {
   mPhase = phase::Waiting;
   const bool maySend = mSends < (mHasBegun ? kMostSendsOnceBegun : kMostSends);
-  if (maySend && mTools.mFleet->Retries(mAsked.mPool).TryRepeat(aNow, mTools.mFleet->Gateways())) {
+  // A broken stream may go on once one of its engines is known to have ended.
+  const bool mayRun = LiveRuns() < mAsked.mRoute->mMaxAttempts;
+  if (maySend && mayRun && mTools.mFleet->Retries(mAsked.mPool).TryRepeat(aNow, mTools.mFleet->Gateways())) {
     mTools.mMetrics->Repaired(mHasBegun ? repair_kind::Resumed : repair_kind::Repeated);
     TryPath(aNow);
     return;
   }
   if (maySend && mHasBegun) {
-    Wait(kBrokenPause, [](stream_request& aRequest) { aRequest.Retry("no budget for repeats", Now()); });
+    Wait(kBrokenPause, [](stream_request& aRequest) { aRequest.Retry("no repeat allowed yet", Now()); });
     return;
   }
   GiveUp("no more repeats: " + aReason, aNow);
@@ -424,7 +442,8 @@
   for (std::size_t index = 1; index < mPath->mParts.size(); ++index) {
     const backend_id engine = mPath->mParts[index].mEngine;
     const auto since = mTools.mFleet->LeavingSince(engine);
-    if (since && aNow - *since > mTools.mDrainBound * kStayShare) {
+    const bool leaves = since && aNow - *since > mTools.mDrainBound * kStayShare;
+    if (leaves || mTools.mFleet->IsMoving(engine, aNow)) {
       mNextMove = aNow + kMovePause;
       Repath(engine, aNow, repath_reason::Leaving);
       return;
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -68,6 +68,8 @@
   void End(request_end aEnd, unsigned aStatus, const std::string& aReason);
   duration TimeLeft(instant aNow) const { return mAsked.mDeadline - aNow; }
   bool MayRunAgain() const { return mAsked.mRoute->mIsResumable; }
+  std::size_t LiveRuns() const;
+  void ForgetLastRun();
 
   request_tools& mTools;
   admitted_request mAsked;
@@ -78,7 +80,8 @@
   std::uint64_t mPathNumber = 0;
   ref<worker_call> mCall;
   std::set<backend_id> mExcluded;
-  unsigned mRuns = 0;       ///< live engines that run it or may have run it
+  /// Engines that run it or may have run it. Those that have ended do not count for the route's bound on attempts.
+  std::vector<policy::backend_member> mRanAt;
   bool mMayHaveRun = false; ///< somewhere, also on an engine that is lost
   unsigned mSends = 0;
   bool mHasBegun = false;     ///< the caller has the head of an answer
--- a/src/policy/layer_plan.cpp
+++ b/src/policy/layer_plan.cpp
@@ -165,27 +165,39 @@
     mOrders.push_back({ aEngine.mId, aRange });
   }
 
-  /// An engine moves when a gap that it fills is worth more than all that it would leave, and it leaves no gap.
+  /// An engine moves when a gap that it fills is worth more than all that it would leave, and it leaves no gap. Those
+  /// at the beginning of paths go last: streams can leave all others while they run.
   void MoveIntoGaps()
+  {
+    MoveIntoGaps([](const plan_engine& aEngine) { return aEngine.mHeld.mFrom > 0; });
+    MoveIntoGaps([](const plan_engine& aEngine) { return aEngine.mHeld.mFrom == 0; });
+  }
+
+  template<class Condition>
+  void MoveIntoGaps(Condition aCondition)
   {
     // The smallest engines first: they double the least.
     for (auto engine = mEngines.rbegin(); engine != mEngines.rend(); ++engine) {
-      if (!MayBeOrdered(*engine) || !mCoverage.HasGap(engine->mDomain)) {
-        continue;
-      }
-      if (mCoverage.WorthHeld(*engine) >= kWorthOfGap) {
-        continue;
-      }
-      mCoverage.Add(engine->mDomain, engine->mHeld, -1);
-      const auto [range, worth] =
-        mCoverage.BestRange(engine->mDomain, LayerCapacity(mModel, engine->mKind, kWeightShare));
-      mCoverage.Add(engine->mDomain, engine->mHeld, 1);
-      if (worth >= kWorthOfGap && !(range == engine->mHeld)) {
-        Order(*engine, range);
+      if (MayBeOrdered(*engine) && aCondition(*engine) && mCoverage.HasGap(engine->mDomain)) {
+        MoveIntoGap(*engine);
       }
     }
   }
 
+  void MoveIntoGap(plan_engine& aEngine)
+  {
+    if (mCoverage.WorthHeld(aEngine) >= kWorthOfGap) {
+      return;
+    }
+    mCoverage.Add(aEngine.mDomain, aEngine.mHeld, -1);
+    const auto [range, worth] =
+      mCoverage.BestRange(aEngine.mDomain, LayerCapacity(mModel, aEngine.mKind, kWeightShare));
+    mCoverage.Add(aEngine.mDomain, aEngine.mHeld, 1);
+    if (worth >= kWorthOfGap && !(range == aEngine.mHeld)) {
+      Order(aEngine, range);
+    }
+  }
+
   /// Layers that no engine anywhere holds are taken by neighbours, at the cost of memory for requests.
   void ExtendOverUnheld()
   {
--- a/tests/processes/process.cpp
+++ b/tests/processes/process.cpp
@@ -228,7 +228,8 @@
     }
     line.append(piece, static_cast<std::size_t>(size));
   }
-  mListening = boost::json::parse(line).as_object().at("listening").as_object();
+  // Lines of the log may have come with it.
+  mListening = boost::json::parse(line.substr(0, line.find('\n'))).as_object().at("listening").as_object();
 }
 
 void process::Signal(int aSignal)
