--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -281,6 +281,10 @@
     .Count("fence", mLease.Fence())
     .Count("orders", orders)
     .Count("members_version", mFleet->Members().Version());
+  if (!member->mLayers.IsEmpty()) {
+    mFleet->BelieveMoving(aOrder.mEngine, aNow);
+    mHints->TellMoving(aOrder.mEngine);
+  }
   CallShortly(mContext,
               mCalls,
               *address,
