--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -139,6 +139,39 @@
   return chosen;
 }
 
+engine_supply fleet::Supply(const pool_name& aPool, instant aNow)
+{
+  engine_supply supply;
+  const pool* pool = mConfiguration ? mConfiguration->FindPool(aPool) : nullptr;
+  if (pool == nullptr || !pool->mEngine) {
+    return supply;
+  }
+  FillEngines(*pool);
+  std::vector<bool> here(pool->mEngine->mLayers, false);
+  std::vector<bool> anywhere(pool->mEngine->mLayers, false);
+  for (const policy::path_engine& engine : mEngines) {
+    const backend_belief& belief = Belief(engine.mId);
+    const bool lost = belief.mLostUntil > aNow;
+    const bool refusing = belief.mRefusingUntil > aNow;
+    const bool moving = IsMoving(engine.mId, aNow);
+    supply.mLost += lost ? 1 : 0;
+    supply.mRefusing += refusing ? 1 : 0;
+    supply.mMoving += moving ? 1 : 0;
+    if (lost || refusing || moving) {
+      continue;
+    }
+    ++supply.mUsable;
+    for (std::uint32_t layer = engine.mHeld.mFrom; layer < std::min(engine.mHeld.mEnd, pool->mEngine->mLayers);
+         ++layer) {
+      anywhere[layer] = true;
+      here[layer] = here[layer] || engine.mDomain == mHome;
+    }
+  }
+  supply.mUncoveredHere = static_cast<std::size_t>(std::count(here.begin(), here.end(), false));
+  supply.mUncoveredAnywhere = static_cast<std::size_t>(std::count(anywhere.begin(), anywhere.end(), false));
+  return supply;
+}
+
 std::optional<backend_id> fleet::ChooseService(const pool_name& aPool,
                                                const std::set<backend_id>& aExcluded,
                                                std::uint64_t aRandom,
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -72,6 +72,17 @@
   policy::path_cost mCost;
 };
 
+/// Engines of a pool as this gateway believes them to be, for logs and metrics.
+struct engine_supply
+{
+  std::size_t mUsable = 0;
+  std::size_t mLost = 0;
+  std::size_t mRefusing = 0; ///< for want of room, or as the list is old
+  std::size_t mMoving = 0;
+  std::size_t mUncoveredHere = 0;     ///< layers that no usable engine of our failure domain holds
+  std::size_t mUncoveredAnywhere = 0; ///< layers that no usable engine holds
+};
+
 /// What a path is asked for.
 struct path_question
 {
@@ -95,6 +106,7 @@
   void MembersChanged(instant aNow);
 
   std::optional<chosen_path> ChoosePath(const path_question& aQuestion, instant aNow);
+  engine_supply Supply(const pool_name& aPool, instant aNow);
   std::optional<backend_id> ChooseService(const pool_name& aPool,
                                           const std::set<backend_id>& aExcluded,
                                           std::uint64_t aRandom,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -91,6 +91,7 @@
 
   bool StartHints();
   bool IsReady() const;
+  std::size_t UncoveredLayers() const;
   /// A request that comes later after SIGTERM would be cut off by SIGKILL.
   duration LastRequestAfter() const
   {
@@ -214,6 +215,18 @@
   return !mIsLeaving && mSync->IsComplete() && mSync->Keys().MayTakeCallers(BootNow());
 }
 
+/// Layers without a usable holder in this failure domain, over all pools of engines.
+std::size_t gateway_process::UncoveredLayers() const
+{
+  std::size_t uncovered = 0;
+  if (const auto& configuration = mFleet->Configuration()) {
+    for (const pool& each : configuration->mPools) {
+      uncovered += mFleet->Supply(each.mName, Now()).mUncoveredHere;
+    }
+  }
+  return uncovered;
+}
+
 net::http_reply gateway_process::AnswerControl(const net::http_request& aRequest)
 {
   net::http_reply reply;
@@ -316,7 +329,7 @@
     if (configuration) {
       mMetrics->Configuration(configuration->mVersion, mSync->Keys().Age(BootNow()).value_or(duration::zero()));
     }
-    mMetrics->Backends(mFleet->Members().Members().size(), 0);
+    mMetrics->Backends(mFleet->Members().Members().size(), UncoveredLayers());
     mMetrics->LogLinesDropped(DroppedLogLines());
   }
 }
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -119,6 +119,7 @@
   }
   const auto most = std::chrono::duration_cast<duration>(mAsked.mRoute->mObjective * kWaitShareOfObjective);
   if (!mHasBegun && aNow - mAsked.mArrived > most) {
+    LogSupply(aNow);
     GiveUp("no_path", aNow);
     return;
   }
@@ -128,6 +129,22 @@
   });
 }
 
+/// Says why there was no path.
+void stream_request::LogSupply(instant aNow)
+{
+  const engine_supply supply = mTools.mFleet->Supply(mAsked.mPool, aNow);
+  log_line("no_path", log_rank::Notable)
+    .Text("request", Id())
+    .Count("engines_usable", supply.mUsable)
+    .Count("engines_lost", supply.mLost)
+    .Count("engines_refusing", supply.mRefusing)
+    .Count("engines_moving", supply.mMoving)
+    .Count("layers_uncovered_here", supply.mUncoveredHere)
+    .Count("layers_uncovered_anywhere", supply.mUncoveredAnywhere)
+    .Number("tokens", mAsked.mWish.mPromptTokens + AnswerGuess())
+    .Count("members_version", mTools.mFleet->Members().Version());
+}
+
 /// Goes on after a pause, unless the request has ended or runs by then.
 void stream_request::Wait(duration aTime, void (*aGoOn)(stream_request&))
 {
--- a/tests/unit/policy_member_table_test.cpp
+++ b/tests/unit/policy_member_table_test.cpp
@@ -23,6 +23,7 @@
   void List(const std::vector<std::string>& aIds)
   {
     std::vector<backend_member> members;
+    members.reserve(aIds.size());
     for (const std::string& id : aIds) {
       members.push_back(Member(id));
     }
