--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/decision_log.h"
 #include "gateway/engine_inquiries.h"
+#include "policy/come_back.h"
 
 namespace chervilpulley::gateway {
 
@@ -29,9 +30,6 @@
 constexpr duration kFirstInquiryPause = std::chrono::milliseconds(250);
 /// A caller that has not taken so many bytes is not sent more until it has.
 constexpr std::size_t kMostBacklog = 256U << 10U;
-/// When a caller that was refused for want of room is told to come back: streams run for about three seconds, so that
-/// within one second a third of the places is free again.
-constexpr duration kComeBack = std::chrono::milliseconds(1000);
 /// How long a request may wait for room: most of an objective of 500 ms is left for reading the prompt.
 constexpr double kWaitShareOfObjective = 0.3;
 /// Pause between two tries to find room.
@@ -129,6 +127,20 @@
   });
 }
 
+/// When a caller that is refused now is served most likely.
+duration stream_request::ComeBack(instant aNow)
+{
+  const pool* pool = mAsked.mConfiguration->FindPool(mAsked.mPool);
+  policy::shortage shortage;
+  if (pool != nullptr && pool->mEngine) {
+    shortage.mUncoveredLayers = mTools.mFleet->Supply(mAsked.mPool, aNow).mUncoveredHere;
+    shortage.mLayers = pool->mEngine->mLayers;
+    shortage.mLoad = pool->mEngine->mLoad;
+  }
+  const duration patience = mAsked.mWish.mPatience.value_or(TimeLeft(aNow)) - (aNow - mAsked.mArrived);
+  return policy::ComeBackAfter(shortage, patience, mTools.mRandom());
+}
+
 /// Says why there was no path.
 void stream_request::LogSupply(instant aNow)
 {
@@ -416,7 +428,8 @@
     End(timedOut ? request_end::TimedOut : request_end::Unknown, timedOut ? 504 : 502, aReason);
     return;
   }
-  mAsked.mSession->Answer(OwnAnswer(503, kComeBack));
+  const duration comeBack = ComeBack(aNow);
+  mAsked.mSession->Answer(OwnAnswer(503, comeBack));
   End(request_end::Refused, 503, aReason);
 }
 
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -47,6 +47,7 @@
 
   void TryPath(instant aNow);
   void LogSupply(instant aNow);
+  duration ComeBack(instant aNow);
   void Wait(duration aTime, void (*aGoOn)(stream_request&));
   void Send(chosen_path aPath, instant aNow);
   void Drop();
--- /dev/null
+++ b/src/policy/come_back.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "policy/engine_model.h"
+
+/// When a caller that was refused is told to come back. It answers to a failure domain that lacks layers until a repair
+/// is done, and to a moment without room; times are spread, so that those refused together do not return together.
+namespace chervilpulley::policy {
+
+/// What is known where a request found no path.
+struct shortage
+{
+  std::size_t mUncoveredLayers = 0; ///< layers without a usable holder in our failure domain
+  std::size_t mLayers = 0;          ///< of the model
+  fine_ms mLoad{ 0 };               ///< loading all layers
+};
+
+/// @param aPatience how long the caller waits in all from now; it comes back only within a third of that.
+/// @param aRandom spreads the times.
+duration ComeBackAfter(const shortage& aShortage, duration aPatience, std::uint64_t aRandom);
+
+} // namespace chervilpulley::policy
--- /dev/null
+++ b/tests/unit/policy_come_back_test.cpp
@@ -0,0 +1,54 @@
+#include "policy/come_back.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace chervilpulley;
+using namespace chervilpulley::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A failure domain lacks 9 of 80 layers from the loss at 0 until they are loaded and listed again.
+struct come_back_fixture
+{
+  shortage mShortage{ 9, 80, fine_ms(14'000) };
+  duration mRepaired = 3s;
+  std::mt19937_64 mRandom{ 20261204 };
+
+  /// Share of the callers that are refused during the shortage and are served when they come back once.
+  double ServedAtReturn(const shortage& aTold)
+  {
+    int refused = 0;
+    int served = 0;
+    for (duration arrival = 300ms; arrival < mRepaired; arrival += 10ms) {
+      ++refused;
+      served += arrival + ComeBackAfter(aTold, 20s, mRandom()) >= mRepaired ? 1 : 0;
+    }
+    return static_cast<double>(served) / refused;
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(come_back_fixture, "come_back_during_a_repair_finds_most_callers_served_at_their_return")
+{
+  CHECK(ServedAtReturn(mShortage) >= 0.9);
+  // Told the time of a moment without room, most would come too early.
+  CHECK(ServedAtReturn({ 0, 80, fine_ms(14'000) }) < 0.5);
+}
+
+TEST_CASE_METHOD(come_back_fixture, "come_back_times_are_spread_and_within_a_third_of_the_patience")
+{
+  duration earliest = 60s;
+  duration latest = 0s;
+  for (int each = 0; each < 1000; ++each) {
+    const duration time = ComeBackAfter(mShortage, 20s, mRandom());
+    earliest = std::min(earliest, time);
+    latest = std::max(latest, time);
+  }
+  CHECK(latest - earliest >= 1s);
+  CHECK(ComeBackAfter(mShortage, 3s, ~0ULL) == 1s);
+  CHECK(ComeBackAfter(mShortage, -1s, 0) == 0s);
+}
