--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/decision_log.h"
 #include "gateway/engine_inquiries.h"
+#include "gateway/stream_request_p.h"
 #include "policy/come_back.h"
 
 namespace chervilpulley::gateway {
@@ -15,19 +16,8 @@
 
 /// Longest wait for a connection to an engine; a live one takes one within a millisecond.
 constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
-/// Shortest silence that counts as a stall. Steps of busy engines take up to 100 ms.
-constexpr duration kStallFloor = std::chrono::milliseconds(220);
-/// Longest silence before somebody is asked: a caller gives up after two seconds.
-constexpr duration kStallCeiling = std::chrono::milliseconds(500);
 /// Silence added to the predicted first token before somebody is asked.
 constexpr duration kFirstEventSlack = std::chrono::milliseconds(350);
-/// Silence after which the word of others that an engine on the path is lost is acted on.
-constexpr duration kSilenceBesideLoss = std::chrono::milliseconds(100);
-/// Time that a replaced part gets beside its reading.
-constexpr duration kRepathSlack = std::chrono::milliseconds(300);
-constexpr duration kRepathTimeout = std::chrono::milliseconds(300);
-/// Pauses between two inquiries about one stream.
-constexpr duration kFirstInquiryPause = std::chrono::milliseconds(250);
 /// A caller that has not taken so many bytes is not sent more until it has.
 constexpr std::size_t kMostBacklog = 256U << 10U;
 /// How long a request may wait for room: most of an objective of 500 ms is left for reading the prompt.
@@ -40,30 +30,6 @@
 /// Times that a request is sent at most, also where no engine has run it: before its first event, and in all.
 constexpr unsigned kMostSends = 5;
 constexpr unsigned kMostSendsOnceBegun = 12;
-/// Part of the time for which a leaving engine serves after which streams are moved away from it.
-constexpr double kStayShare = 0.5;
-/// Pause after a stream could not be moved.
-constexpr duration kMovePause = std::chrono::milliseconds(500);
-
-duration ToDuration(policy::fine_ms aTime)
-{
-  return std::chrono::duration_cast<duration>(aTime);
-}
-
-double Milliseconds(duration aTime)
-{
-  return std::chrono::duration<double, std::milli>(aTime).count();
-}
-
-std::vector<wire::hop> HopsOf(const chosen_path& aPath)
-{
-  std::vector<wire::hop> hops;
-  for (const chosen_path::part& part : aPath.mParts) {
-    hops.push_back({ part.mAddress, part.mRange });
-  }
-  return hops;
-}
-
 } // namespace
 
 stream_request::stream_request(request_tools& aTools, admitted_request aRequest)
@@ -275,11 +241,6 @@
   }
 }
 
-duration stream_request::Allowance() const
-{
-  return std::clamp<duration>(std::max<duration>(mGaps.Unusual(), mGaps.Mean() * 3), kStallFloor, kStallCeiling);
-}
-
 void stream_request::OnEnd(call_end aEnd, const std::string& aReason)
 {
   const ref<stream_request> self(this);
@@ -433,204 +394,6 @@
   End(request_end::Refused, 503, aReason);
 }
 
-void stream_request::TimePassed(instant aNow)
-{
-  const ref<stream_request> self(this);
-  if (mPhase == phase::Ended) {
-    return;
-  }
-  if (TimeLeft(aNow) <= duration::zero()) {
-    mMayHaveRun = mMayHaveRun || mPhase == phase::Running;
-    GiveUp("deadline", aNow);
-    return;
-  }
-  if (mPhase != phase::Running || mIsPaused || mIsRepathing || !mPath) {
-    return;
-  }
-  const instant since = mHasBegun ? std::max(mLastEvent, mSentAt) : mSentAt;
-  if (aNow - since > kSilenceBesideLoss) {
-    for (const chosen_path::part& part : mPath->mParts) {
-      if (mTools.mFleet->IsBelievedLost(part.mEngine, aNow)) {
-        Stalled(part.mEngine, aNow);
-        return;
-      }
-    }
-  }
-  if (aNow >= mQuietUntil && !mIsAsking) {
-    Inquire(aNow);
-    return;
-  }
-  MoveFromLeaving(aNow);
-}
-
-/// Moves a running stream from an engine that will end before the stream does. The first engine can't be replaced.
-void stream_request::MoveFromLeaving(instant aNow)
-{
-  if (!mHasBegun || aNow < mNextMove) {
-    return;
-  }
-  for (std::size_t index = 1; index < mPath->mParts.size(); ++index) {
-    const backend_id engine = mPath->mParts[index].mEngine;
-    const auto since = mTools.mFleet->LeavingSince(engine);
-    const bool leaves = since && aNow - *since > mTools.mDrainBound * kStayShare;
-    if (leaves || mTools.mFleet->IsMoving(engine, aNow)) {
-      mNextMove = aNow + kMovePause;
-      Repath(engine, aNow, repath_reason::Leaving);
-      return;
-    }
-  }
-}
-
-/// Asks the first engine whether the stream waits for another one.
-void stream_request::Inquire(instant aNow)
-{
-  mIsAsking = true;
-  mQuietUntil = aNow + mInquiryPause;
-  mInquiryPause = std::min<duration>(mInquiryPause * 2, std::chrono::seconds(1));
-  const backend_id first = mPath->mParts.front().mEngine;
-  log_line("stall_suspected", log_rank::Notable)
-    .Text("request", Id())
-    .Text("backend", first.Str())
-    .Number("silent_ms", Milliseconds(aNow - (mHasBegun ? mLastEvent : mSentAt)));
-  mTools.mInquiries->Ask(first, [self = ref<stream_request>(this), first, number = mPathNumber](const auto& aReport) {
-    self->mIsAsking = false;
-    if (self->mPhase != phase::Running || number != self->mPathNumber) {
-      return;
-    }
-    const instant now = Now();
-    if (!aReport) {
-      self->mTools.mFleet->BelieveLost(first, now);
-      self->Stalled(first, now);
-      return;
-    }
-    for (const auto& stalled : aReport->mStalled) {
-      const auto engine = self->mTools.mFleet->AtAddress(stalled.mFaultyAddress);
-      if (engine && *engine != first) {
-        self->mTools.mFleet->BelieveLost(*engine, now);
-      }
-      if (engine && stalled.mRequest == self->Id()) {
-        self->Stalled(*engine, now);
-        return;
-      }
-    }
-  });
-}
-
-void stream_request::Stalled(const backend_id& aEngine, instant aNow)
-{
-  const ref<stream_request> self(this);
-  if (mPhase != phase::Running || mIsRepathing || !mPath) {
-    return;
-  }
-  if (mPath->mParts.front().mEngine == aEngine) {
-    TakeFailure("first engine is lost", aNow);
-    return;
-  }
-  Repath(aEngine, aNow, repath_reason::Lost);
-}
-
-/// The present path with other engines for the layers of a lost one.
-std::optional<chosen_path> stream_request::Replace(const backend_id& aLost, instant aNow)
-{
-  chosen_path path;
-  path.mTokens = mPath->mTokens;
-  for (const chosen_path::part& part : mPath->mParts) {
-    const bool lost = part.mEngine == aLost || mTools.mFleet->IsBelievedLost(part.mEngine, aNow);
-    if (!lost) {
-      path.mParts.push_back(part);
-      continue;
-    }
-    path_question question;
-    question.mPool = mAsked.mPool;
-    question.mPrompt = mAsked.mWish.mPromptTokens + static_cast<double>(mCursor.Count());
-    question.mAnswer = TokensLeft();
-    question.mSpan = part.mRange;
-    question.mExcluded = mExcluded;
-    question.mExcluded.insert(aLost);
-    for (const chosen_path::part& other : mPath->mParts) {
-      question.mExcluded.insert(other.mEngine);
-    }
-    for (const chosen_path::part& other : path.mParts) {
-      question.mExcluded.insert(other.mEngine);
-    }
-    const auto replacement = mTools.mFleet->ChoosePath(question, aNow);
-    if (!replacement) {
-      return std::nullopt;
-    }
-    path.mCost.mFirstToken += replacement->mCost.mFirstToken;
-    path.mParts.insert(path.mParts.end(), replacement->mParts.begin(), replacement->mParts.end());
-  }
-  return path;
-}
-
-/// Replaces the parts of lost engines while the stream goes on at its first one.
-void stream_request::Repath(const backend_id& aLost, instant aNow, repath_reason aReason)
-{
-  auto path = Replace(aLost, aNow);
-  const auto first = mTools.mFleet->AddressOf(mPath->mParts.front().mEngine);
-  if (!path || !first) {
-    if (aReason == repath_reason::Lost) {
-      TakeFailure("no other engine for a part", aNow);
-    }
-    return;
-  }
-  const chosen_path former = *mPath;
-  mIsRepathing = true;
-  mTools.mFleet->Release(*mPath);
-  mTools.mFleet->CountCrossings(mAsked.mPool, *path, path->mTokens, aNow);
-  mPath = *path;
-  mTools.mFleet->Promise(*mPath);
-  ++mPathNumber;
-  const auto hops = HopsOf(*mPath);
-  log_line("stream_repathed", log_rank::Notable)
-    .Text("request", Id())
-    .Text(aReason == repath_reason::Lost ? "lost" : "leaving", aLost.Str())
-    .Text("path", wire::EncodePath(hops))
-    .Count("events", mCursor.Count());
-  CallShortly(mTools.mContext,
-              mTools.mCalls,
-              *first,
-              wire::EncodeNewPath(Id(), hops),
-              kRepathTimeout,
-              [self = ref<stream_request>(this), number = mPathNumber, former, aReason](const auto& aReply) {
-                self->RepathAnswered(number, former, aReason, aReply);
-              });
-}
-
-void stream_request::RepathAnswered(std::uint64_t aPathNumber,
-                                    const chosen_path& aFormer,
-                                    repath_reason aReason,
-                                    const std::optional<net::http_reply>& aReply)
-{
-  if (aPathNumber != mPathNumber || mPhase != phase::Running) {
-    return;
-  }
-  mIsRepathing = false;
-  const instant now = Now();
-  if (aReply && aReply->mStatus < 300) {
-    mTools.mMetrics->Repaired(repair_kind::Repathed);
-    mQuietUntil = now + ToDuration(mPath->mCost.mFirstToken) * 2 + kRepathSlack;
-    mLastEvent = mHasBegun ? mLastEvent : now;
-    return;
-  }
-  log_line("repath_refused", log_rank::Notable).Text("request", Id()).Count("status", aReply ? aReply->mStatus : 0);
-  if (aReply && aReply->mStatus == 409) {
-    const auto faulty = mTools.mFleet->AtAddress(wire::DecodeNote(aReply->mHeaders).mFaultyAddress);
-    if (faulty) {
-      mTools.mFleet->BelieveRefusing(*faulty, now);
-      mExcluded.insert(*faulty);
-    }
-  }
-  if (aReason == repath_reason::Leaving && aReply) {
-    // The engine refused, and the former path still serves.
-    mTools.mFleet->Release(*mPath);
-    mPath = aFormer;
-    mTools.mFleet->Promise(*mPath);
-    return;
-  }
-  TakeFailure("path not replaced", now);
-}
-
 void stream_request::OnTaken()
 {
   if (mIsPaused && mCall) {
