--- a/tests/unit/policy_path_choice_test.cpp
+++ b/tests/unit/policy_path_choice_test.cpp
@@ -170,3 +170,13 @@
     }
   }));
 }
+
+TEST_CASE_METHOD(path_choice_fixture,
+                 "path_choice_with_a_fast_engine_in_the_middle_of_a_slow_one_names_no_engine_twice")
+{
+  Add("east", 0, 80, 15);
+  Add("east", 30, 50, 1);
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(IsSound(*path, { 0, 80 }));
+}
