--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,7 +28,7 @@
 
 constexpr part_log kLog("gateway");
 
-/// Answers of requests without a deadline of their own.
+/// How long a caller waits that does not say so.
 constexpr duration kLongestPatience = std::chrono::seconds(60);
 /// When a caller is told to come back to an instance that can't trust its configuration: another one takes it.
 constexpr duration kComeBackElsewhere = std::chrono::milliseconds(100);
@@ -46,7 +46,7 @@
   return std::chrono::duration_cast<duration>(policy::fine_ms(aTime));
 }
 
-/// The route and workspace that a request's head asks for, or the status that it is refused with.
+/// All parts of one gateway, and what it does with each request before its work begins.
 class gateway_process : public session_host
 {
 public:
