A replaced part counts the pipes next to it

Ruled out: the memory of the engines (refusals for want of room came later), the search for whole paths (it counts its hops).

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -115,7 +115,14 @@
     return std::nullopt;
   }
   FillEngines(*pool);
-  policy::path_wish wish{ aQuestion.mPrompt, aQuestion.mAnswer, mHome, mPipes.Waits(aNow), aQuestion.mSpan };
+  policy::path_wish wish;
+  wish.mPrompt = aQuestion.mPrompt;
+  wish.mAnswer = aQuestion.mAnswer;
+  wish.mHome = aQuestion.mBefore.value_or(mHome);
+  wish.mPipeWaits = mPipes.Waits(aNow);
+  wish.mSpan = aQuestion.mSpan;
+  wish.mBefore = aQuestion.mBefore;
+  wish.mAfter = aQuestion.mAfter;
   for (policy::path_engine& engine : mEngines) {
     const backend_belief& belief = Belief(engine.mId);
     const double sharers = engine.mDomain == mHome ? static_cast<double>(mGatewaysInDomain) : 1.0;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -91,6 +91,9 @@
   double mAnswer = 0;
   std::set<backend_id> mExcluded;
   std::optional<policy::layer_span> mSpan; ///< only these layers
+  /// The parts of a running path next to these layers: the one before is in the domain where a replacement is best.
+  std::optional<failure_domain_id> mBefore;
+  std::optional<failure_domain_id> mAfter;
 };
 
 class fleet : public ref_counted
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -127,7 +127,8 @@
 {
   chosen_path path;
   path.mTokens = mPath->mTokens;
-  for (const chosen_path::part& part : mPath->mParts) {
+  for (std::size_t index = 0; index < mPath->mParts.size(); ++index) {
+    const chosen_path::part& part = mPath->mParts[index];
     const bool lost = part.mEngine == aLost || mTools.mFleet->IsBelievedLost(part.mEngine, aNow);
     if (!lost) {
       path.mParts.push_back(part);
@@ -138,6 +139,12 @@
     question.mPrompt = mAsked.mWish.mPromptTokens + static_cast<double>(mCursor.Count());
     question.mAnswer = TokensLeft();
     question.mSpan = part.mRange;
+    if (!path.mParts.empty()) {
+      question.mBefore = path.mParts.back().mDomain;
+    }
+    if (index + 1 < mPath->mParts.size()) {
+      question.mAfter = mPath->mParts[index + 1].mDomain;
+    }
     question.mExcluded = mExcluded;
     question.mExcluded.insert(aLost);
     for (const chosen_path::part& other : mPath->mParts) {
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -60,6 +60,7 @@
     std::size_t mFromEngine = kNone;
   };
   static constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
+  static constexpr std::pair<double, double> kNoHop{ 0, 0 };
 
   void Select(bool aHomeOnly)
   {
@@ -136,15 +137,16 @@
   bool BestEntry(std::size_t aCut, std::size_t aNext, state& aEntry)
   {
     if (aCut == 0) {
-      aEntry = { 0, 0, 0, kNone };
-      return true;
+      const auto [once, each] = mWish.mBefore ? HopCost(*mWish.mBefore, DomainOf(aNext)) : kNoHop;
+      aEntry = { once + each * mWish.mAnswer, once + each, 0, kNone };
+      return once < kMax;
     }
     for (std::size_t last = 0; last < mChosen.size(); ++last) {
       const state& at = At(aCut, last);
       if (last == aNext || at.mCost == kMax || Visits(aCut, last, aNext)) {
         continue;
       }
-      const auto [once, each] = HopCost(last, aNext);
+      const auto [once, each] = HopCost(DomainOf(last), DomainOf(aNext));
       if (once == kMax) {
         continue;
       }
@@ -170,15 +172,15 @@
     return false;
   }
 
+  const failure_domain_id& DomainOf(std::size_t aEngine) const { return mEngines[mChosen[aEngine].mIndex].mDomain; }
+
   /// Cost of a change of engines: once for the prompt, and for each token.
-  std::pair<double, double> HopCost(std::size_t aLeft, std::size_t aRight) const
+  std::pair<double, double> HopCost(const failure_domain_id& aLeft, const failure_domain_id& aRight) const
   {
-    const path_engine& left = mEngines[mChosen[aLeft].mIndex];
-    const path_engine& right = mEngines[mChosen[aRight].mIndex];
-    if (left.mDomain == right.mDomain || mModel.mDomainPipeMbps <= 0) {
+    if (aLeft == aRight || mModel.mDomainPipeMbps <= 0) {
       return { 0, kHop.count() };
     }
-    const auto wait = mWish.mPipeWaits.find(domain_pair(left.mDomain, right.mDomain));
+    const auto wait = mWish.mPipeWaits.find(domain_pair(aLeft, aRight));
     const double waiting = wait == mWish.mPipeWaits.end() ? 0 : wait->second.count();
     if (waiting > kMostPipeWait.count()) {
       return { kMax, 0 };
@@ -193,8 +195,13 @@
     std::size_t last = kNone;
     double best = kMax;
     for (std::size_t engine = 0; engine < mChosen.size(); ++engine) {
-      if (At(cut, engine).mCost < best) {
-        best = At(cut, engine).mCost;
+      if (At(cut, engine).mCost == kMax) {
+        continue;
+      }
+      const auto [once, each] = mWish.mAfter ? HopCost(DomainOf(engine), *mWish.mAfter) : kNoHop;
+      const double cost = At(cut, engine).mCost + once + each * mWish.mAnswer;
+      if (once < kMax && cost < best) {
+        best = cost;
         last = engine;
       }
     }
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -45,6 +45,9 @@
   failure_domain_id mHome;
   pipe_waits mPipeWaits;
   std::optional<layer_span> mSpan; ///< only these layers, as where a part of a running path is replaced; else all
+  /// Where the parts next to the span are: what passes between them and the span may cross a pipe as well.
+  std::optional<failure_domain_id> mBefore;
+  std::optional<failure_domain_id> mAfter;
 };
 
 /// Tokens x layers that an engine can hold beside its weights.
--- a/tests/unit/policy_path_choice_test.cpp
+++ b/tests/unit/policy_path_choice_test.cpp
@@ -180,3 +180,31 @@
   REQUIRE(path);
   CHECK(IsSound(*path, { 0, 80 }));
 }
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_for_a_replaced_part_stays_in_the_domain_of_its_neighbours")
+{
+  Add("west", 30, 40);
+  Add("east", 30, 40, 3);
+  mWish.mSpan = layer_span{ 30, 40 };
+  mWish.mHome = mEngines[0].mDomain;
+  mWish.mBefore = mEngines[0].mDomain;
+  mWish.mAfter = mEngines[0].mDomain;
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(path->mParts.front().mEngine == 0);
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_for_a_replaced_part_does_not_cross_a_full_pipe")
+{
+  Add("east", 30, 40);
+  const failure_domain_id east("east");
+  const failure_domain_id west("west");
+  mWish.mSpan = layer_span{ 30, 40 };
+  mWish.mBefore = west;
+  mWish.mAfter = east;
+  CHECK(Choose());
+  mWish.mPipeWaits[domain_pair(west, east)] = kMostPipeWait * 2;
+  CHECK(!Choose());
+  std::swap(mWish.mBefore, mWish.mAfter);
+  CHECK(!Choose());
+}
