Engines that give up layers get no new paths

Cause: an engine that was told to hold other layers takes nothing new for those it gives up, and waits until what passes through it has ended. Ruled out: want of room (the refusing engines were those of layers_ordered), late reports (21 of 1,940 refusals were 421). Now they are left alone until the order is done; the holder of the duty tells the others again each 1.5 s while it is open. Orders that only add layers no longer count as moves. The refused part of a new path is in the log.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -127,8 +127,8 @@
     engine.mPromisedTokenLayers = belief.mPromised * sharers;
     engine.mRunning = belief.mRunning * sharers;
     engine.mSlowness = belief.mSlowness;
-    engine.mUsable =
-      belief.mLostUntil <= aNow && belief.mRefusingUntil <= aNow && !aQuestion.mExcluded.contains(engine.mId);
+    engine.mUsable = belief.mLostUntil <= aNow && belief.mRefusingUntil <= aNow && !IsMoving(engine.mId, aNow) &&
+                     !aQuestion.mExcluded.contains(engine.mId);
   }
   const auto path = policy::ChoosePath(*pool->mEngine, mEngines, wish);
   if (!path) {
@@ -290,9 +290,12 @@
   const auto found = mBeliefs.find(aId);
   const auto* member = mMembers.Find(aId);
   if (found != mBeliefs.end() && member != nullptr) {
+    const bool isNews = !IsMoving(aId, aNow);
     found->second.mMovingUntil = aNow + kMovingBelief;
     found->second.mMovingFrom = member->mLayers;
-    log_line("backend_moving", log_rank::Notable).Text("backend", aId.Str());
+    if (isNews) {
+      log_line("backend_moving", log_rank::Notable).Text("backend", aId.Str());
+    }
   }
 }
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -31,7 +31,7 @@
 /// Share of the memory for requests from which an engine counts as full.
 inline constexpr double kFullShare = 0.85;
 
-/// Time for which an engine that moves to other layers is left alone, at most.
+/// Time for which an engine that moves to other layers is left alone after the last word of it.
 inline constexpr duration kMovingBelief = std::chrono::milliseconds(3000);
 
 /// Who found a server lost.
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -215,6 +215,9 @@
       order->second.mUntil = aNow + kOrderSlack;
       AskAgain(order->first);
     }
+    if (!isGone && !isDone && order->second.mTellAgain <= aNow) {
+      TellMoving(order->first, aNow);
+    }
     if (isGone) {
       mOrderCounts.erase(order->first);
     } else if (isDone) {
@@ -227,6 +230,17 @@
   }
 }
 
+/// All gateways leave an engine alone that gives up layers: it takes nothing new, and waits for what passes through it.
+void placement_duty::TellMoving(const backend_id& aEngine, instant aNow)
+{
+  open_order& order = mOrders[aEngine];
+  order.mTellAgain = aNow + kMovingBelief / 2;
+  if (order.mGivesUp) {
+    mFleet->BelieveMoving(aEngine, aNow);
+    mHints->TellMoving(aEngine);
+  }
+}
+
 void placement_duty::AskAgain(const backend_id& aEngine)
 {
   mInquiries->Ask(aEngine, [self = ref<placement_duty>(this), aEngine](const auto& aReport) {
@@ -271,7 +285,7 @@
   const std::uint64_t orders = known == mOrderCounts.end() ? 0 : known->second;
   const double share = static_cast<double>(aOrder.mRange.Size()) / aModel.mLayers;
   const auto load = std::chrono::duration_cast<duration>(aModel.mLoad * share);
-  mOrders[aOrder.mEngine] = { aOrder.mRange, member->mStartedAt, aNow + load * 2 + kOrderSlack };
+  mOrders[aOrder.mEngine] = { aOrder.mRange, member->mStartedAt, aNow + load * 2 + kOrderSlack, false, aNow };
   log_line("layers_ordered", log_rank::Notable)
     .Text("backend", aOrder.mEngine.Str())
     .Count("from", aOrder.mRange.mFrom)
@@ -281,10 +295,10 @@
     .Count("fence", mLease.Fence())
     .Count("orders", orders)
     .Count("members_version", mFleet->Members().Version());
-  if (!member->mLayers.IsEmpty()) {
-    mFleet->BelieveMoving(aOrder.mEngine, aNow);
-    mHints->TellMoving(aOrder.mEngine);
-  }
+  const bool givesUp = !member->mLayers.IsEmpty() &&
+                       (aOrder.mRange.mFrom > member->mLayers.mFrom || aOrder.mRange.mEnd < member->mLayers.mEnd);
+  mOrders[aOrder.mEngine].mGivesUp = givesUp;
+  TellMoving(aOrder.mEngine, aNow);
   CallShortly(mContext,
               mCalls,
               *address,
--- a/src/gateway/placement_duty.h
+++ b/src/gateway/placement_duty.h
@@ -37,6 +37,8 @@
     policy::layer_span mRange;
     std::uint64_t mStartedAt = 0; ///< of the engine
     instant mUntil;               ///< then the engine is asked what became of it
+    bool mGivesUp = false;        ///< layers that it held before
+    instant mTellAgain;           ///< the other gateways
   };
 
   boost::asio::awaitable<void> Run();
@@ -50,6 +52,7 @@
   void Answered(const policy::layer_order& aOrder, const std::optional<net::http_reply>& aReply);
   /// Asks an engine how many orders it has had.
   void AskCount(const backend_id& aEngine);
+  void TellMoving(const backend_id& aEngine, instant aNow);
   void AskAgain(const backend_id& aEngine);
 
   boost::asio::io_context& mContext;
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -213,9 +213,13 @@
     mLastEvent = mHasBegun ? mLastEvent : now;
     return;
   }
-  log_line("repath_refused", log_rank::Notable).Text("request", Id()).Count("status", aReply ? aReply->mStatus : 0);
+  const auto faulty =
+    aReply ? mTools.mFleet->AtAddress(wire::DecodeNote(aReply->mHeaders).mFaultyAddress) : std::nullopt;
+  log_line("repath_refused", log_rank::Notable)
+    .Text("request", Id())
+    .Text("backend", faulty ? faulty->Str() : "")
+    .Count("status", aReply ? aReply->mStatus : 0);
   if (aReply && aReply->mStatus == 409) {
-    const auto faulty = mTools.mFleet->AtAddress(wire::DecodeNote(aReply->mHeaders).mFaultyAddress);
     if (faulty) {
       mTools.mFleet->BelieveRefusing(*faulty, now);
       mExcluded.insert(*faulty);
