Engines on the way of slow streams are asked how slow they are

Once found slow it was taken for slow for ever; now it is asked again each 1.5 s. First event and longest gap are in the lines of the end.

--- a/src/gateway/engine_inquiries.cpp
+++ b/src/gateway/engine_inquiries.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// An engine that refuses again and again is asked at most once in this time.
+/// An engine that refuses again and again, or is on the way of slow streams, is asked at most once in this time.
 constexpr duration kCheckPause = std::chrono::milliseconds(250);
 /// Largest answer of a short call.
 constexpr std::size_t kMostBytes = 1U << 20U;
--- a/src/gateway/engine_inquiries.h
+++ b/src/gateway/engine_inquiries.h
@@ -40,7 +40,8 @@
 
   /// aDone gets nothing when the engine does not answer.
   void Ask(const backend_id& aEngine, answer aDone);
-  /// Asks an engine that refused, unless it was asked just before; one that does not answer is believed lost.
+  /// Asks an engine that refused or may be slow, unless it was asked just before; one that does not answer is believed
+  /// lost.
   void Check(const backend_id& aEngine);
 
 private:
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -322,7 +322,12 @@
   if (found == mBeliefs.end() || member == nullptr) {
     return;
   }
-  found->second.mSlowness = std::max(1.0, aReport.mSlowness);
+  const double slowness = std::max(1.0, aReport.mSlowness);
+  if ((slowness >= kSlow) != (found->second.mSlowness >= kSlow)) {
+    log_line("backend_pace", log_rank::Notable).Text("backend", aId.Str()).Number("times_slower", slowness);
+  }
+  found->second.mSlowness = slowness;
+  found->second.mSlownessSeen = aNow;
   if (aReport.mAllMemory > 0 && aReport.mUsedMemory > kFullShare * aReport.mAllMemory) {
     BelieveRefusing(aId, aNow, kFullBelief);
   }
@@ -344,6 +349,17 @@
   return found == mBeliefs.end() || found->second.mLostUntil > aNow;
 }
 
+std::vector<backend_id> fleet::SlowSoFar(instant aNow) const
+{
+  std::vector<backend_id> slow;
+  for (const auto& [id, belief] : mBeliefs) {
+    if (belief.mSlowness >= kSlow && aNow - belief.mSlownessSeen > kSlownessBelief) {
+      slow.push_back(id);
+    }
+  }
+  return slow;
+}
+
 std::optional<instant> fleet::LeavingSince(const backend_id& aId) const
 {
   const auto found = mBeliefs.find(aId);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -28,6 +28,11 @@
 inline constexpr duration kFullBelief = std::chrono::milliseconds(400);
 /// One that does not hold what the list says: the list follows within a second or so.
 inline constexpr duration kStaleBelief = std::chrono::milliseconds(700);
+/// An engine that was slow is asked again after this time, as nothing else would show that it is quick again: slow ones
+/// get no work.
+inline constexpr duration kSlownessBelief = std::chrono::milliseconds(1500);
+/// Times the usual from which an engine counts as slow.
+inline constexpr double kSlow = 1.25;
 /// Share of the memory for requests from which an engine counts as full.
 inline constexpr double kFullShare = 0.85;
 
@@ -51,6 +56,7 @@
   instant mRefusingUntil;
   double mFailures = 0; ///< recent share of failed requests
   double mSlowness = 1;
+  instant mSlownessSeen; ///< when it was last reported
   std::uint64_t mStartedAt = 0;
   std::optional<instant> mLeavingSince; ///< when it was first seen leaving
   instant mMovingUntil;                 ///< it gives up its layers as soon as nothing passes through them
@@ -135,6 +141,8 @@
   /// What an engine says of itself.
   void Reported(const backend_id& aId, const wire::engine_report& aReport, instant aNow);
   bool IsBelievedLost(const backend_id& aId, instant aNow) const;
+  /// Engines that were slow when they last reported, a while ago.
+  std::vector<backend_id> SlowSoFar(instant aNow) const;
 
   /// An engine was told to give up its layers for others: streams leave it, so that it need not wait for them.
   void BelieveMoving(const backend_id& aId, instant aNow);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -331,6 +331,9 @@
     }
     mMetrics->Backends(mFleet->Members().Members().size(), UncoveredLayers());
     mMetrics->LogLinesDropped(DroppedLogLines());
+    for (const backend_id& slow : mFleet->SlowSoFar(Now())) {
+      mInquiries->Check(slow);
+    }
   }
 }
 
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -217,11 +217,13 @@
       net::http_reply head;
       head.mStatus = mStatus;
       head.mHeaders = EndToEnd(mHeaders);
-      mTools.mMetrics->FirstEvent(now - mAsked.mArrived);
+      mFirstEventAfter = now - mAsked.mArrived;
+      mTools.mMetrics->FirstEvent(mFirstEventAfter);
       mAsked.mSession->Begin(head, events);
     } else {
       mTools.mMetrics->Gap(now - mLastEvent);
       mGaps.Observed(now - mLastEvent);
+      mLongestGap = std::max(mLongestGap, now - mLastEvent);
       mAsked.mSession->Write(events);
     }
     mLastEvent = now;
@@ -435,6 +437,8 @@
     .Count("events", mCursor.Count())
     .Count("sends", mSends)
     .Count("configuration", mAsked.mConfiguration->mVersion)
+    .Number("first_event_ms", Milliseconds(mFirstEventAfter))
+    .Number("longest_gap_ms", Milliseconds(mLongestGap))
     .Number("after_ms", Milliseconds(now - mAsked.mArrived));
   if (is_linked()) {
     unlink();
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -64,6 +64,7 @@
                       const std::optional<net::http_reply>& aReply);
   std::optional<chosen_path> Replace(const backend_id& aLost, instant aNow);
   void Inquire(instant aNow);
+  void CheckPath();
   duration Allowance() const;
   double AnswerGuess() const;
   double TokensLeft() const;
@@ -99,6 +100,8 @@
   bool mIsAsking = false;
   bool mIsRepathing = false;
   policy::gap_statistics mGaps;
+  duration mLongestGap{ 0 };
+  duration mFirstEventAfter{ 0 };
   bool mIsPaused = false;
   instant mNextMove;
 };
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -106,9 +106,18 @@
         return;
       }
     }
+    self->CheckPath();
   });
 }
 
+/// The stream waits for nobody that is lost, so one of its engines may be slow: each says so itself.
+void stream_request::CheckPath()
+{
+  for (std::size_t index = 1; index < mPath->mParts.size(); ++index) {
+    mTools.mInquiries->Check(mPath->mParts[index].mEngine);
+  }
+}
+
 void stream_request::Stalled(const backend_id& aEngine, instant aNow)
 {
   const ref<stream_request> self(this);
