Engines that are too slow are passed over as long as there is another path

Cause: an engine that works twelve times as long stands in a queue without end, which the cost of one request does not show; and a path at home went before any cost. Two tests of the choice without the bench.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -121,6 +121,7 @@
   wish.mSpan = aQuestion.mSpan;
   wish.mBefore = aQuestion.mBefore;
   wish.mAfter = aQuestion.mAfter;
+  wish.mQuickOnly = aQuestion.mQuickOnly;
   for (policy::path_engine& engine : mEngines) {
     const backend_belief& belief = Belief(engine.mId);
     const double sharers = engine.mDomain == mHome ? static_cast<double>(mGatewaysInDomain) : 1.0;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -100,6 +100,7 @@
   /// The parts of a running path next to these layers: the one before is in the domain where a replacement is best.
   std::optional<failure_domain_id> mBefore;
   std::optional<failure_domain_id> mAfter;
+  bool mQuickOnly = false;
 };
 
 class fleet : public ref_counted
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -32,9 +32,10 @@
   }
 
   /// @param aHomeOnly engines of other failure domains are left out.
-  std::optional<layer_path> Run(bool aHomeOnly)
+  /// @param aMostSlowness slower engines are left out.
+  std::optional<layer_path> Run(bool aHomeOnly, double aMostSlowness)
   {
-    Select(aHomeOnly);
+    Select(aHomeOnly, aMostSlowness);
     CutAtRangeEnds();
     mBest.assign(mCuts.size() * mChosen.size(), {});
     for (std::size_t cut = 0; cut + 1 < mCuts.size(); ++cut) {
@@ -62,12 +63,13 @@
   static constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
   static constexpr std::pair<double, double> kNoHop{ 0, 0 };
 
-  void Select(bool aHomeOnly)
+  void Select(bool aHomeOnly, double aMostSlowness)
   {
     mChosen.clear();
     for (std::size_t index = 0; index < mEngines.size(); ++index) {
       const path_engine& engine = mEngines[index];
-      if (!engine.mUsable || engine.mHeld.IsEmpty() || (aHomeOnly && engine.mDomain != mWish.mHome)) {
+      if (!engine.mUsable || engine.mHeld.IsEmpty() || engine.mSlowness > aMostSlowness ||
+          (aHomeOnly && engine.mDomain != mWish.mHome)) {
         continue;
       }
       const double room =
@@ -256,10 +258,17 @@
     return std::nullopt;
   }
   path_search search(aModel, aEngines, aWish);
-  if (auto path = search.Run(true)) {
-    return path;
+  for (const double mostSlowness : { kTooSlow, kMax }) {
+    for (const bool homeOnly : { true, false }) {
+      if (auto path = search.Run(homeOnly, mostSlowness)) {
+        return path;
+      }
+    }
+    if (aWish.mQuickOnly) {
+      break;
+    }
   }
-  return search.Run(false);
+  return std::nullopt;
 }
 
 } // namespace chervilpulley::policy
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -18,6 +18,10 @@
 /// does less harm than what stops all streams on the pipe.
 inline constexpr fine_ms kMostPipeWait{ 150 };
 
+/// Times the usual from which an engine is too slow for a path as long as there is another one. A work load that fills
+/// a third of an engine's time, as the users' sheets give it, stands in a queue without end there.
+inline constexpr double kTooSlow = 2.5;
+
 /// An engine as path choice sees it.
 struct path_engine
 {
@@ -48,6 +52,7 @@
   /// Where the parts next to the span are: what passes between them and the span may cross a pipe as well.
   std::optional<failure_domain_id> mBefore;
   std::optional<failure_domain_id> mAfter;
+  bool mQuickOnly = false; ///< no path is better than one through an engine that is too slow
 };
 
 /// Tokens x layers that an engine can hold beside its weights.
--- a/tests/unit/policy_path_choice_test.cpp
+++ b/tests/unit/policy_path_choice_test.cpp
@@ -208,3 +208,22 @@
   std::swap(mWish.mBefore, mWish.mAfter);
   CHECK(!Choose());
 }
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_with_a_slow_engine_at_home_goes_to_a_quick_domain")
+{
+  Add("east", 0, 80);
+  Add("west", 0, 80);
+  mEngines[0].mSlowness = 12;
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(path->mParts.front().mEngine == 1);
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_with_slow_engines_only_still_gives_a_path")
+{
+  Add("east", 0, 80);
+  mEngines[0].mSlowness = 12;
+  CHECK(Choose());
+  mWish.mQuickOnly = true;
+  CHECK(!Choose());
+}
