Callers that come during a start wait for the configuration

Ruled out: the store (its answers took 4 ms), readiness (the balancer's question plays no part here). Now the socket listens at once, and connections are taken when configuration and list are read, after 330 ms at the latest.

--- /dev/null
+++ b/src/gateway/caller_listener.cpp
@@ -0,0 +1,86 @@
+#include "base/decision_log.h"
+#include "gateway/caller_session_p.h"
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+/// Pause after a connection could not be accepted, as when there are no descriptors left.
+constexpr duration kAcceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+bool listener_impl::Bind(const net::endpoint& aEndpoint)
+{
+  error_code error;
+  const auto address = net::ToTcp(aEndpoint.mAddress, aEndpoint.mPort);
+  mAcceptor.open(address.protocol(), error);
+  mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  mAcceptor.bind(address, error);
+  if (!error) {
+    mAcceptor.listen(1024, error);
+  }
+  return !error;
+}
+
+void listener_impl::Accept()
+{
+  mAcceptor.async_accept([self = ref<listener_impl>(this)](const error_code& aError, tcp::socket aSocket) {
+    if (!self->mAcceptor.is_open()) {
+      return;
+    }
+    if (aError) {
+      log_line("accept_failed", log_rank::Notable).Text("reason", aError.message());
+      self->mPause.expires_after(kAcceptPause);
+      self->mPause.async_wait([self](const error_code&) { self->Accept(); });
+      return;
+    }
+    MakeRef<session_impl>(self, std::move(aSocket))->WaitForRequest();
+    self->Accept();
+  });
+}
+
+net::endpoint listener_impl::LocalEndpoint() const
+{
+  error_code ignored;
+  const auto local = mAcceptor.local_endpoint(ignored);
+  return { local.address().to_string(), local.port() };
+}
+
+void listener_impl::StopAccepting()
+{
+  error_code ignored;
+  mAcceptor.close(ignored);
+}
+
+void listener_impl::CloseIdle()
+{
+  for (auto session = mSessions.begin(); session != mSessions.end();) {
+    const ref<session_impl> kept(&*session);
+    ++session;
+    kept->CloseIfIdle();
+  }
+}
+
+std::size_t listener_impl::Busy() const
+{
+  std::size_t busy = 0;
+  for (const session_impl& session : mSessions) {
+    busy += session.IsBusy() ? 1 : 0;
+  }
+  return busy;
+}
+
+ref<caller_listener> caller_listener::Open(asio::io_context& aContext,
+                                           const net::endpoint& aEndpoint,
+                                           ref<session_host> aHost)
+{
+  auto listener = MakeRef<listener_impl>(aContext, std::move(aHost));
+  return listener->Bind(aEndpoint) ? ref<caller_listener>(listener) : nullptr;
+}
+
+} // namespace chervilpulley::gateway
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,15 +1,8 @@
-#include "gateway/caller_session.h"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/intrusive/list.hpp>
+#include "gateway/caller_session_p.h"
 
 #include <fmt/format.h>
 
-#include <optional>
-
 #include "base/decision_log.h"
-#include "net/http_p.h"
 
 namespace chervilpulley::gateway {
 
@@ -20,104 +13,10 @@
 using tcp = asio::ip::tcp;
 using error_code = boost::system::error_code;
 
-/// Pause after a connection could not be accepted, as when there are no descriptors left.
-constexpr duration kAcceptPause = std::chrono::milliseconds(50);
 /// Times the limit for a head that a body may take.
 constexpr int kBodyTimeFactor = 5;
 
-class listener_impl;
-
-enum class session_phase
-{
-  Idle,    ///< waits for a request
-  Reading, ///< a request has begun to come
-  Answering,
-  Closed
-};
-
-class session_impl
-  : public caller_session
-  , public boost::intrusive::list_base_hook<>
-{
-public:
-  session_impl(ref<listener_impl> aListener, tcp::socket aSocket);
-  ~session_impl() override;
-
-  void WaitForRequest();
-  void CloseIfIdle();
-  bool IsBusy() const { return mPhase == session_phase::Reading || mPhase == session_phase::Answering; }
-
-  void SetWork(ref<request_work> aWork) override;
-  void Answer(net::http_reply aReply) override;
-  void Begin(const net::http_reply& aHead, std::string_view aBytes) override;
-  void Write(std::string_view aBytes) override;
-  void Finish() override;
-  void Cut() override;
-  std::size_t Backlog() const override { return mOut.size() - mOutTaken; }
-
-private:
-  void ReadHead();
-  void ReadBody();
-  void TakeRequest();
-  void Refuse(const error_code& aError);
-  std::string HeadOf(const net::http_reply& aReply, std::string_view aFraming);
-  void AnswerDone();
-  void Flush();
-  void AfterFlush();
-  void WatchCaller();
-  void CallerGone();
-  void Close();
-  void Limit(duration aTime);
-
-  ref<listener_impl> mListener;
-  tcp::socket mSocket;
-  asio::steady_timer mTimer;
-  boost::beast::flat_buffer mBuffer;
-  std::optional<http::request_parser<http::string_body>> mParser;
-  session_phase mPhase = session_phase::Idle;
-  ref<request_work> mWork;
-  std::string mOut;
-  std::size_t mOutTaken = 0;
-  bool mIsWriting = false;
-  bool mIsWatching = false;
-  bool mKeepAlive = true;
-  bool mIsHead = false; ///< the request's method is HEAD
-  bool mIsBegun = false;
-  bool mIsDone = false; ///< the answer is written, though perhaps not taken yet
-  unsigned mRound = 0;  ///< counts requests, so that an old timer finds itself out of date
-};
-
-class listener_impl : public caller_listener
-{
-public:
-  listener_impl(asio::io_context& aContext, ref<session_host> aHost)
-    : mContext(aContext)
-    , mAcceptor(aContext)
-    , mPause(aContext)
-    , mHost(std::move(aHost))
-  {
-  }
-
-  bool Bind(const net::endpoint& aEndpoint);
-  void Accept();
-  net::endpoint LocalEndpoint() const override;
-  void StopAccepting() override;
-  void CloseIdle() override;
-  std::size_t Busy() const override;
-  std::size_t Open() const override { return mSessions.size(); }
-
-  void Add(session_impl& aSession) { mSessions.push_back(aSession); }
-  void Remove(session_impl& aSession) { mSessions.erase(mSessions.iterator_to(aSession)); }
-  asio::io_context& Context() { return mContext; }
-  session_host& Host() { return *mHost; }
-
-private:
-  asio::io_context& mContext;
-  tcp::acceptor mAcceptor;
-  asio::steady_timer mPause;
-  ref<session_host> mHost;
-  boost::intrusive::list<session_impl> mSessions;
-};
+} // namespace
 
 session_impl::session_impl(ref<listener_impl> aListener, tcp::socket aSocket)
   : mListener(std::move(aListener))
@@ -457,79 +356,4 @@
   mSocket.close(ignored);
 }
 
-bool listener_impl::Bind(const net::endpoint& aEndpoint)
-{
-  error_code error;
-  const auto address = net::ToTcp(aEndpoint.mAddress, aEndpoint.mPort);
-  mAcceptor.open(address.protocol(), error);
-  mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
-  mAcceptor.bind(address, error);
-  if (!error) {
-    mAcceptor.listen(1024, error);
-  }
-  return !error;
-}
-
-void listener_impl::Accept()
-{
-  mAcceptor.async_accept([self = ref<listener_impl>(this)](const error_code& aError, tcp::socket aSocket) {
-    if (!self->mAcceptor.is_open()) {
-      return;
-    }
-    if (aError) {
-      log_line("accept_failed", log_rank::Notable).Text("reason", aError.message());
-      self->mPause.expires_after(kAcceptPause);
-      self->mPause.async_wait([self](const error_code&) { self->Accept(); });
-      return;
-    }
-    MakeRef<session_impl>(self, std::move(aSocket))->WaitForRequest();
-    self->Accept();
-  });
-}
-
-net::endpoint listener_impl::LocalEndpoint() const
-{
-  error_code ignored;
-  const auto local = mAcceptor.local_endpoint(ignored);
-  return { local.address().to_string(), local.port() };
-}
-
-void listener_impl::StopAccepting()
-{
-  error_code ignored;
-  mAcceptor.close(ignored);
-}
-
-void listener_impl::CloseIdle()
-{
-  for (auto session = mSessions.begin(); session != mSessions.end();) {
-    const ref<session_impl> kept(&*session);
-    ++session;
-    kept->CloseIfIdle();
-  }
-}
-
-std::size_t listener_impl::Busy() const
-{
-  std::size_t busy = 0;
-  for (const session_impl& session : mSessions) {
-    busy += session.IsBusy() ? 1 : 0;
-  }
-  return busy;
-}
-
-} // namespace
-
-ref<caller_listener> caller_listener::Start(asio::io_context& aContext,
-                                            const net::endpoint& aEndpoint,
-                                            ref<session_host> aHost)
-{
-  auto listener = MakeRef<listener_impl>(aContext, std::move(aHost));
-  if (!listener->Bind(aEndpoint)) {
-    return nullptr;
-  }
-  listener->Accept();
-  return listener;
-}
-
 } // namespace chervilpulley::gateway
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -59,10 +59,12 @@
 class caller_listener : public ref_counted
 {
 public:
-  /// Binds; nothing when the address can't be had.
-  static ref<caller_listener> Start(boost::asio::io_context& aContext,
-                                    const net::endpoint& aEndpoint,
-                                    ref<session_host> aHost);
+  /// Binds; nothing when the address can't be had. Connections wait until Accept is called.
+  static ref<caller_listener> Open(boost::asio::io_context& aContext,
+                                   const net::endpoint& aEndpoint,
+                                   ref<session_host> aHost);
+  /// Takes connections from now on.
+  virtual void Accept() = 0;
   virtual net::endpoint LocalEndpoint() const = 0;
   /// Takes no new connections.
   virtual void StopAccepting() = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,6 +39,10 @@
 /// Part of the grace within which requests are still taken: streams run for three seconds, slow ones for five.
 constexpr double kShareForNewRequests = 0.4;
 constexpr duration kLookAgain = std::chrono::milliseconds(50);
+/// How long callers may wait for the configuration after a start: a third of the time after which they give up on a
+/// connection that nobody reads.
+constexpr duration kWaitForConfiguration = std::chrono::milliseconds(330);
+constexpr duration kLookForConfiguration = std::chrono::milliseconds(4);
 constexpr duration kReport = std::chrono::milliseconds(1000);
 
 duration Milliseconds(double aTime)
@@ -101,6 +105,7 @@
               const wire::caller_wish& aWish,
               unsigned aStatus,
               const std::string& aReason);
+  asio::awaitable<void> AcceptCallers();
   asio::awaitable<void> Tick();
   asio::awaitable<void> Report();
   asio::awaitable<void> FollowSignals();
@@ -174,8 +179,8 @@
   if (!StartHints()) {
     return false;
   }
-  mCallers = caller_listener::Start(mContext, callers.value(), ref<session_host>(this));
-  mControl = caller_listener::Start(mContext, ready.value(), MakeRef<control_host>(ref<gateway_process>(this)));
+  mCallers = caller_listener::Open(mContext, callers.value(), ref<session_host>(this));
+  mControl = caller_listener::Open(mContext, ready.value(), MakeRef<control_host>(ref<gateway_process>(this)));
   if (!mCallers || !mControl) {
     kLog.Error("Can't listen at {} or {}.", callers.value().Str(), ready.value().Str());
     return false;
@@ -187,7 +192,9 @@
     .Text("callers", mCallers->LocalEndpoint().Str())
     .Text("ready", mControl->LocalEndpoint().Str())
     .Text("failure_domain", mSettings.instance().failure_domain());
+  mControl->Accept();
   mSync->Start();
+  asio::co_spawn(mContext, AcceptCallers(), asio::detached);
   mPlacement->Start();
   mRegistry->Start();
   asio::co_spawn(mContext, Tick(), asio::detached);
@@ -303,6 +310,20 @@
   }
 }
 
+/// Callers that come while the configuration is read wait for it: it takes some ten milliseconds, and after a restart
+/// of all gateways hundreds stand before the door. Where the store does not answer they are sent on instead.
+asio::awaitable<void> gateway_process::AcceptCallers()
+{
+  const instant begun = Now();
+  while (!mSync->IsComplete() && Now() - begun < kWaitForConfiguration) {
+    co_await Pause(kLookForConfiguration);
+  }
+  log_line("callers_accepted", log_rank::Notable)
+    .Text("configuration", mSync->IsComplete() ? "in force" : "missing")
+    .Number("after_ms", std::chrono::duration<double, std::milli>(Now() - begun).count());
+  mCallers->Accept();
+}
+
 asio::awaitable<void> gateway_process::Tick()
 {
   while (true) {
