The other gateways are counted before the first caller is taken

Now the first reading comes before the first caller, and for 2 s a count below the assumed one is not believed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -310,12 +310,13 @@
   }
 }
 
-/// Callers that come while the configuration is read wait for it: it takes some ten milliseconds, and after a restart
-/// of all gateways hundreds stand before the door. Where the store does not answer they are sent on instead.
+/// Callers that come while the configuration and the other gateways are read wait for it: it takes some ten
+/// milliseconds, and after a restart of all gateways hundreds stand before the door. Where the store does not answer
+/// they are sent on instead.
 asio::awaitable<void> gateway_process::AcceptCallers()
 {
   const instant begun = Now();
-  while (!mSync->IsComplete() && Now() - begun < kWaitForConfiguration) {
+  while (!(mSync->IsComplete() && mRegistry->IsRead()) && Now() - begun < kWaitForConfiguration) {
     co_await Pause(kLookForConfiguration);
   }
   log_line("callers_accepted", log_rank::Notable)
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "base/clock.h"
 #include "base/decision_log.h"
 
@@ -19,6 +21,8 @@
 constexpr duration kReading = std::chrono::seconds(2);
 constexpr duration kReadingPerGateway = std::chrono::milliseconds(100);
 constexpr duration kRetryPause = std::chrono::milliseconds(700);
+/// Time after a start within which a low count is not believed: others that start as well are not listed yet.
+constexpr duration kSettling = std::chrono::seconds(2);
 constexpr duration kStoreTimeout = std::chrono::milliseconds(800);
 
 } // namespace
@@ -89,13 +93,18 @@
 boost::asio::awaitable<void> gateway_registry::Follow()
 {
   const ref<gateway_registry> self(this);
-  co_await Pause(kRetryPause);
+  mStartedAt = Now();
   while (!mIsLeaving) {
+    // The objects of gateways that were all killed at once are still there, and tell those that start again of each
+    // other.
     if (co_await ReadAll()) {
       mCensus.ListRead(Now());
+      mIsRead = true;
     }
     Count();
-    co_await Pause(kReading + kReadingPerGateway * static_cast<int>(mCounted));
+    const bool settling = Now() - mStartedAt < kSettling;
+    const duration pause = kReading + kReadingPerGateway * static_cast<int>(mCounted);
+    co_await Pause(settling ? kRetryPause : pause);
   }
 }
 
@@ -132,7 +141,8 @@
 
 void gateway_registry::Count()
 {
-  const std::size_t all = mCensus.All(Now());
+  const bool settling = Now() - mStartedAt < kSettling;
+  const std::size_t all = std::max(mCensus.All(Now()), settling ? policy::kAssumedPeers : 1);
   const std::size_t inDomain = mCensus.InDomain(mDomain, Now());
   if (all != mCounted) {
     log_line("gateways_counted", log_rank::Notable).Count("all", all).Count("in_domain", inDomain);
--- a/src/gateway/gateway_registry.h
+++ b/src/gateway/gateway_registry.h
@@ -24,6 +24,8 @@
   void Start();
   /// Removes this gateway's object, so that the others need not wait.
   void Leave();
+  /// Whether the other gateways have been read once.
+  bool IsRead() const { return mIsRead; }
 
 private:
   boost::asio::awaitable<void> Renew();
@@ -43,6 +45,8 @@
   policy::peer_census mCensus;
   std::optional<std::uint64_t> mRevision; ///< of our object
   std::size_t mCounted = 0;
+  instant mStartedAt;
+  bool mIsRead = false;
   bool mIsLeaving = false;
 };
 
