Requests without room wait for their turn as long as it comes in time

Cause: a request that found no room was refused after 0.3 of its objective. Now one queue a gateway: fresh ones first, then by age; a forecast from those ahead and those that run decides between waiting and refusing at once. At most three searches for a path each 40 ms, where each waiting request made one each 30 ms.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -15,6 +15,7 @@
 #include "gateway/gateway_registry.h"
 #include "gateway/placement_duty.h"
 #include "gateway/request_context.h"
+#include "gateway/room_queue.h"
 #include "gateway/service_request.h"
 #include "gateway/store_sync.h"
 #include "gateway/stream_request.h"
@@ -65,12 +66,14 @@
     , mInquiries(MakeRef<engine_inquiries>(aContext, mFleet, mCalls))
     , mHints(MakeRef<peer_hints>(aContext, mFleet, mInquiries))
     , mSignals(aContext, SIGTERM, SIGINT, SIGHUP)
+    , mRoom(mStreams)
     , mTools{ aContext,
               mFleet,
               mCalls,
               mInquiries,
               mMetrics,
               mStreams,
+              mRoom,
               Milliseconds(aSettings.gateway().drain_bound_ms()),
               std::mt19937_64(std::random_device{}()) }
   {
@@ -126,6 +129,7 @@
   ref<caller_listener> mControl;
   asio::signal_set mSignals;
   stream_list mStreams;
+  room_queue mRoom;
   request_tools mTools;
   caller_limits mDefaultLimits;
   bool mIsLeaving = false;
@@ -335,6 +339,7 @@
       ++stream;
       kept->TimePassed(now);
     }
+    mRoom.TimePassed(now);
   }
 }
 
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -20,6 +20,7 @@
 using stream_list = boost::intrusive::list<stream_request, boost::intrusive::constant_time_size<false>>;
 
 class engine_inquiries;
+class room_queue;
 
 /// Shared by all requests of one gateway.
 struct request_tools
@@ -30,6 +31,7 @@
   ref<engine_inquiries> mInquiries;
   ref<gateway_metrics> mMetrics;
   stream_list& mStreams;
+  room_queue& mRoom;
   duration mDrainBound{ 0 }; ///< a leaving backend server serves for so long at least
   std::mt19937_64 mRandom;
 };
--- /dev/null
+++ b/src/gateway/room_queue.cpp
@@ -0,0 +1,69 @@
+#include "gateway/room_queue.h"
+
+#include <algorithm>
+
+#include "gateway/stream_request.h"
+
+namespace chervilpulley::gateway {
+
+namespace {
+
+/// Requests that may fail to find room before the rest is not tried: small ones fit where a big one does not, and each
+/// try costs a search for a path.
+constexpr std::size_t kMostMisses = 3;
+/// Time that a request is taken to run before one has: 140 tokens at 20 ms.
+constexpr duration kFirstGuess = std::chrono::seconds(3);
+/// Weight of the newest time in the usual one.
+constexpr int kUsualTimeParts = 16;
+
+} // namespace
+
+policy::waiting_room room_queue::Room(std::size_t aAhead) const
+{
+  policy::waiting_room room;
+  room.mAhead = aAhead;
+  room.mRunning = static_cast<std::size_t>(
+    std::count_if(mStreams.begin(), mStreams.end(), [](const stream_request& aStream) { return aStream.IsRunning(); }));
+  room.mUsualTime = mUsualTime > duration::zero() ? mUsualTime : kFirstGuess;
+  return room;
+}
+
+void room_queue::Add(const ref<stream_request>& aRequest, instant aNow)
+{
+  if (policy::MayWait(aRequest->AsWaiting(), Room(mWaiting.size()), aNow)) {
+    mWaiting.push_back(aRequest);
+  } else {
+    aRequest->RefuseForRoom(aNow);
+  }
+}
+
+void room_queue::TimePassed(instant aNow)
+{
+  if (mWaiting.empty()) {
+    return;
+  }
+  std::vector<ref<stream_request>> waiting = std::exchange(mWaiting, {});
+  std::stable_sort(waiting.begin(), waiting.end(), [&](const auto& aLeft, const auto& aRight) {
+    return policy::GoesFirst(aLeft->AsWaiting(), aRight->AsWaiting(), aNow);
+  });
+  std::size_t misses = 0;
+  for (const ref<stream_request>& request : waiting) {
+    if (!request->IsWaiting()) {
+      continue;
+    }
+    if (misses < kMostMisses) {
+      if (request->SendIfRoom(aNow)) {
+        continue;
+      }
+      ++misses;
+    }
+    Add(request, aNow);
+  }
+}
+
+void room_queue::Ran(duration aTime)
+{
+  mUsualTime = mUsualTime > duration::zero() ? mUsualTime + (aTime - mUsualTime) / kUsualTimeParts : aTime;
+}
+
+} // namespace chervilpulley::gateway
--- /dev/null
+++ b/src/gateway/room_queue.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <vector>
+
+#include "gateway/request_context.h"
+#include "policy/room_wait.h"
+
+/// Requests of one gateway that wait for room on engines.
+namespace chervilpulley::gateway {
+
+class room_queue
+{
+public:
+  explicit room_queue(const stream_list& aStreams)
+    : mStreams(aStreams)
+  {
+  }
+
+  /// Takes a request that found no room; it is refused at once when its turn would come too late.
+  void Add(const ref<stream_request>& aRequest, instant aNow);
+  /// Gives free room to those who wait, and refuses those whose turn has moved too far away.
+  void TimePassed(instant aNow);
+  /// A request ran from its first sending to its end in so long.
+  void Ran(duration aTime);
+  std::size_t Size() const { return mWaiting.size(); }
+
+private:
+  policy::waiting_room Room(std::size_t aAhead) const;
+
+  const stream_list& mStreams;
+  std::vector<ref<stream_request>> mWaiting;
+  duration mUsualTime;
+};
+
+} // namespace chervilpulley::gateway
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/decision_log.h"
 #include "gateway/engine_inquiries.h"
+#include "gateway/room_queue.h"
 #include "gateway/stream_request_p.h"
 #include "policy/come_back.h"
 
@@ -20,10 +21,6 @@
 constexpr duration kFirstEventSlack = std::chrono::milliseconds(350);
 /// A caller that has not taken so many bytes is not sent more until it has.
 constexpr std::size_t kMostBacklog = 256U << 10U;
-/// How long a request may wait for room: most of an objective of 500 ms is left for reading the prompt.
-constexpr double kWaitShareOfObjective = 0.3;
-/// Pause between two tries to find room.
-constexpr duration kRoomPause = std::chrono::milliseconds(30);
 /// Pause before a broken stream is tried again where the budget or the engines gave nothing. A caller that has a part
 /// of its answer decides itself how long it waits for the rest.
 constexpr duration kBrokenPause = std::chrono::milliseconds(120);
@@ -70,27 +67,51 @@
     GiveUp("deadline", aNow);
     return;
   }
+  if (SendIfRoom(aNow)) {
+    return;
+  }
+  if (!mHasBegun) {
+    mTools.mRoom.Add(ref<stream_request>(this), aNow);
+    return;
+  }
+  Wait(kBrokenPause, [](stream_request& aRequest) { aRequest.TryPath(Now()); });
+}
+
+bool stream_request::SendIfRoom(instant aNow)
+{
   path_question question;
   question.mPool = mAsked.mPool;
   // What was written already must be read again.
   question.mPrompt = mAsked.mWish.mPromptTokens + static_cast<double>(mCursor.Count());
   question.mAnswer = TokensLeft();
   question.mExcluded = mExcluded;
-  if (auto path = mTools.mFleet->ChoosePath(question, aNow)) {
-    mTools.mFleet->CountCrossings(mAsked.mPool, *path, path->mTokens, aNow);
-    Send(std::move(*path), aNow);
-    return;
+  auto path = mTools.mFleet->ChoosePath(question, aNow);
+  if (!path) {
+    // An engine that failed it once may be tried again where others can't take it.
+    mExcluded.clear();
+    return false;
   }
-  const auto most = std::chrono::duration_cast<duration>(mAsked.mRoute->mObjective * kWaitShareOfObjective);
-  if (!mHasBegun && aNow - mAsked.mArrived > most) {
-    LogSupply(aNow);
-    GiveUp("no_path", aNow);
-    return;
+  if (mOwesRepeat) {
+    if (!mTools.mFleet->Retries(mAsked.mPool).TryRepeat(aNow, mTools.mFleet->Gateways())) {
+      return false;
+    }
+    mOwesRepeat = false;
+    mTools.mMetrics->Repaired(repair_kind::Repeated);
   }
-  Wait(mHasBegun ? kBrokenPause : kRoomPause, [](stream_request& aRequest) {
-    aRequest.mExcluded.clear();
-    aRequest.TryPath(Now());
-  });
+  mTools.mFleet->CountCrossings(mAsked.mPool, *path, path->mTokens, aNow);
+  Send(std::move(*path), aNow);
+  return true;
+}
+
+policy::waiting_request stream_request::AsWaiting() const
+{
+  return { mAsked.mArrived, mAsked.mRoute->mObjective, mAsked.mDeadline - mAsked.mArrived };
+}
+
+void stream_request::RefuseForRoom(instant aNow)
+{
+  LogSupply(aNow);
+  GiveUp("no_path", aNow);
 }
 
 /// When a caller that is refused now is served most likely.
@@ -362,6 +383,11 @@
     Wait(kBrokenPause, [](stream_request& aRequest) { aRequest.Retry("no repeat allowed yet", Now()); });
     return;
   }
+  if (maySend && mayRun) {
+    mOwesRepeat = true;
+    mTools.mRoom.Add(ref<stream_request>(this), aNow);
+    return;
+  }
   GiveUp("no more repeats: " + aReason, aNow);
 }
 
@@ -423,6 +449,7 @@
   const bool served = aEnd == request_end::Served;
   if (served && mPath) {
     mTools.mFleet->Outcome(mPath->mParts.front().mEngine, false);
+    mTools.mRoom.Ran(now - mSentAt);
   }
   Drop();
   mPhase = phase::Ended;
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -4,6 +4,7 @@
 
 #include "gateway/request_context.h"
 #include "policy/event_cursor.h"
+#include "policy/room_wait.h"
 #include "policy/stall_detector.h"
 
 /// A request that is answered with events by a path of engines. It is sent, repaired and resumed until its events are
@@ -21,6 +22,12 @@
   void Start();
   /// Looks for a stall; called every kStreamTick.
   void TimePassed(instant aNow);
+  bool IsWaiting() const { return mPhase == phase::Waiting; }
+  bool IsRunning() const { return mPhase == phase::Running; }
+  policy::waiting_request AsWaiting() const;
+  /// False when no engines have room for it.
+  bool SendIfRoom(instant aNow);
+  void RefuseForRoom(instant aNow);
   const std::string& Id() const { return mAsked.mWish.mId.Str(); }
   /// The first engine says that this stream waits for another one.
   void Stalled(const backend_id& aEngine, instant aNow);
@@ -87,6 +94,7 @@
   std::vector<policy::backend_member> mRanAt;
   bool mMayHaveRun = false; ///< somewhere, also on an engine that is lost
   unsigned mSends = 0;
+  bool mOwesRepeat = false;   ///< the next sending must be allowed by the budget for repeats
   bool mHasBegun = false;     ///< the caller has the head of an answer
   bool mSourceIsGood = false; ///< the present answer is a stream of events
   unsigned mStatus = 0;
--- /dev/null
+++ b/src/policy/room_wait.cpp
@@ -0,0 +1,41 @@
+#include "policy/room_wait.h"
+
+#include <algorithm>
+
+namespace chervilpulley::policy {
+
+namespace {
+
+/// How long a request may wait whatever the forecast says: rooms are free by chance, and most of an objective is left.
+constexpr double kChanceShareOfObjective = 0.3;
+/// Part of a caller's patience that waiting may take; its answer takes some seconds of the rest.
+constexpr int kPatienceParts = 4;
+/// Objectives that waiting may take: callers were seen to leave when there was no first event after four of them.
+constexpr int kMostObjectives = 3;
+
+} // namespace
+
+duration WaitForecast(const waiting_room& aRoom)
+{
+  const auto places = static_cast<duration::rep>(std::max<std::size_t>(1, aRoom.mRunning));
+  return aRoom.mUsualTime * static_cast<duration::rep>(aRoom.mAhead + 1) / places;
+}
+
+bool MayWait(const waiting_request& aRequest, const waiting_room& aRoom, instant aNow)
+{
+  const duration waited = aNow - aRequest.mArrived;
+  if (waited <= std::chrono::duration_cast<duration>(aRequest.mObjective * kChanceShareOfObjective)) {
+    return true;
+  }
+  const duration most = std::min(aRequest.mPatience / kPatienceParts, aRequest.mObjective * kMostObjectives);
+  return waited + WaitForecast(aRoom) <= most;
+}
+
+bool GoesFirst(const waiting_request& aLeft, const waiting_request& aRight, instant aNow)
+{
+  const bool left = aLeft.IsFresh(aNow);
+  const bool right = aRight.IsFresh(aNow);
+  return left != right ? left : aLeft.mArrived < aRight.mArrived;
+}
+
+} // namespace chervilpulley::policy
--- /dev/null
+++ b/src/policy/room_wait.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "chervilpulley/policy_types.h"
+
+/// Whether a request that finds no room waits for it or is refused, and who is served first. It answers to a wave:
+/// after a restart of many gateways, or the loss of a failure domain, as many requests as usually come in seconds stand
+/// at the door at once, and most callers come back only once. Who can still be served on time goes first; who can't is
+/// better served late than refused, as long as its turn comes in time.
+namespace chervilpulley::policy {
+
+/// Share of an objective within which a request is sent at least, so that its first event may be on time.
+inline constexpr double kFreshShare = 0.6;
+
+/// What a request that must wait sees before it.
+struct waiting_room
+{
+  std::size_t mAhead = 0;   ///< requests that are served before it
+  std::size_t mRunning = 0; ///< requests under way; each leaves its place to one that waits
+  duration mUsualTime{ 0 }; ///< for which one runs
+};
+
+/// A request that waits.
+struct waiting_request
+{
+  instant mArrived;
+  duration mObjective{ 0 };
+  duration mPatience{ 0 }; ///< how long its caller waits for the whole answer
+
+  bool IsFresh(instant aNow) const
+  {
+    return aNow - mArrived <= std::chrono::duration_cast<duration>(mObjective * kFreshShare);
+  }
+};
+
+/// Time until there is room for a request.
+duration WaitForecast(const waiting_room& aRoom);
+/// False when the request is to be refused now.
+bool MayWait(const waiting_request& aRequest, const waiting_room& aRoom, instant aNow);
+/// Whether one is served before the other: fresh ones first, then by age.
+bool GoesFirst(const waiting_request& aLeft, const waiting_request& aRight, instant aNow);
+
+} // namespace chervilpulley::policy
--- /dev/null
+++ b/tests/unit/policy_room_wait_test.cpp
@@ -0,0 +1,120 @@
+#include "policy/room_wait.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace chervilpulley;
+using namespace chervilpulley::policy;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A gateway with so many places, each taken for three seconds, and callers that leave when nothing has come within
+/// four objectives and don't come back.
+struct room_wait_fixture
+{
+  static constexpr std::size_t kPlaces = 40;
+  static constexpr duration kUsualTime = milliseconds(3000);
+  static constexpr duration kObjective = milliseconds(500);
+  static constexpr duration kTick = milliseconds(40);
+
+  const instant mBegin{};
+  std::vector<instant> mFreeAt = std::vector<instant>(kPlaces, mBegin);
+  std::vector<waiting_request> mWaiting;
+  std::size_t mOnTime = 0;
+  std::size_t mLate = 0;
+  std::size_t mRefused = 0;
+  std::size_t mLeft = 0;
+
+  void Arrive(instant aNow, std::size_t aCount)
+  {
+    mWaiting.insert(mWaiting.end(), aCount, { aNow, kObjective, milliseconds(20'000) });
+  }
+
+  template<class May>
+  void Serve(instant aNow, May aMayWait)
+  {
+    std::stable_sort(mWaiting.begin(), mWaiting.end(), [&](const auto& aLeft, const auto& aRight) {
+      return GoesFirst(aLeft, aRight, aNow);
+    });
+    std::vector<waiting_request> still;
+    for (const waiting_request& request : mWaiting) {
+      const auto place = std::min_element(mFreeAt.begin(), mFreeAt.end());
+      const duration waited = aNow - request.mArrived;
+      if (*place <= aNow) {
+        *place = aNow + kUsualTime;
+        (waited < kObjective ? mOnTime : mLate) += 1;
+      } else if (waited > kObjective * 4) {
+        ++mLeft;
+      } else if (aMayWait(request, waiting_room{ still.size(), kPlaces, kUsualTime }, aNow)) {
+        still.push_back(request);
+      } else {
+        ++mRefused;
+      }
+    }
+    mWaiting = still;
+  }
+
+  /// A wave at the beginning, then requests one by one, for ten seconds.
+  template<class May>
+  void Play(std::size_t aWave, duration aPause, May aMayWait)
+  {
+    Arrive(mBegin, aWave);
+    instant next = mBegin + aPause;
+    for (instant now = mBegin; now < mBegin + std::chrono::seconds(10); now += kTick) {
+      for (; next <= now; next += aPause) {
+        Arrive(next, 1);
+      }
+      Serve(now, aMayWait);
+    }
+  }
+};
+
+bool RefusesSoon(const waiting_request& aRequest, const waiting_room&, instant aNow)
+{
+  return aNow - aRequest.mArrived <= aRequest.mObjective * 3 / 10;
+}
+
+} // namespace
+
+TEST_CASE_METHOD(room_wait_fixture, "room_wait_in_a_wave_serves_more_than_refusing_soon_and_nobody_waits_in_vain")
+{
+  Play(60, milliseconds(100), MayWait);
+  const std::size_t served = mOnTime + mLate;
+  CHECK(mLeft == 0);
+  room_wait_fixture before;
+  before.Play(60, milliseconds(100), RefusesSoon);
+  CHECK(served > before.mOnTime + before.mLate);
+}
+
+TEST_CASE_METHOD(room_wait_fixture, "room_wait_in_lasting_overload_keeps_those_on_time_and_refuses_the_rest")
+{
+  // 20 requests a second for 13 places a second.
+  Play(60, milliseconds(50), MayWait);
+  room_wait_fixture before;
+  before.Play(60, milliseconds(50), RefusesSoon);
+  CHECK(mOnTime + mLate >= before.mOnTime + before.mLate);
+  CHECK(mOnTime * 10 >= before.mOnTime * 9);
+  CHECK(mLeft == 0);
+  CHECK(mRefused > 0);
+}
+
+TEST_CASE("room_wait_forecast_counts_those_ahead_over_those_that_run")
+{
+  CHECK(WaitForecast({ 9, 20, milliseconds(3000) }) == milliseconds(1500));
+  CHECK(WaitForecast({ 0, 0, milliseconds(3000) }) == milliseconds(3000));
+}
+
+TEST_CASE("room_wait_lets_fresh_requests_go_first_and_then_the_oldest")
+{
+  const instant now = instant() + std::chrono::seconds(10);
+  const auto waiting = [&](int aAgo) {
+    return waiting_request{ now - milliseconds(aAgo), milliseconds(500), milliseconds(20'000) };
+  };
+  CHECK(GoesFirst(waiting(100), waiting(900), now));
+  CHECK(GoesFirst(waiting(200), waiting(100), now));
+  CHECK(GoesFirst(waiting(900), waiting(800), now));
+}
