--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -406,28 +406,6 @@
 
 } // namespace
 
-net::http_reply OwnAnswer(unsigned aStatus, std::optional<duration> aComeBack)
-{
-  net::http_reply reply;
-  reply.mStatus = aStatus;
-  if (aComeBack) {
-    const net::http_header header = wire::ComeBackAfter(*aComeBack);
-    reply.mHeaders.Add(header.mName, header.mValue);
-  }
-  return reply;
-}
-
-net::http_headers EndToEnd(const net::http_headers& aHeaders)
-{
-  net::http_headers headers;
-  for (const net::http_header& header : aHeaders.All()) {
-    if (!net::IsOfConnection(header.mName)) {
-      headers.Add(header.mName, header.mValue);
-    }
-  }
-  return headers;
-}
-
 int Run(const settings::settings& aSettings)
 {
   std::signal(SIGPIPE, SIG_IGN);
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -50,6 +50,8 @@
   instant mDeadline; ///< the caller's, or the route's, whichever is first
 };
 
+/// What a backend server gets: the caller's request, with what aDispatch says, the workspace and the time that is left.
+net::http_request Outgoing(const admitted_request& aAsked, wire::dispatch aDispatch, instant aNow);
 /// A final answer of our own. What a request that did not run is told says when to come back.
 net::http_reply OwnAnswer(unsigned aStatus, std::optional<duration> aComeBack);
 /// The worker's headers less those of its connection.
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -64,20 +64,13 @@
   mBody.clear();
   wire::dispatch dispatch;
   dispatch.mExpected = aServer;
-  dispatch.mTimeLeft = mAsked.mDeadline - aNow;
-  dispatch.mWorkspace = mAsked.mWorkspace;
-  net::http_request request;
-  request.mMethod = mAsked.mRequest.mMethod;
-  request.mTarget = mAsked.mRequest.mTarget;
-  request.mHeaders = wire::EncodeDispatch(mAsked.mRequest.mHeaders, dispatch);
-  request.mBody = mAsked.mRequest.mBody;
   call_options options;
   options.mServer = aAddress;
   options.mRequestId = Id();
   options.mConnectTimeout = kConnectTimeout;
   options.mNewConnection = !IsIdempotent();
   ++mSends;
-  mCall = mTools.mCalls->Start(options, std::move(request), *this);
+  mCall = mTools.mCalls->Start(options, Outgoing(mAsked, std::move(dispatch), aNow), *this);
   instant until = mAsked.mDeadline;
   if (IsIdempotent() && mRuns + 1 < mAsked.mRoute->mMaxAttempts) {
     const auto wait = std::chrono::duration_cast<duration>(mAsked.mRoute->mObjective * kTryShareOfObjective);
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -170,15 +170,8 @@
   mInquiryPause = kFirstInquiryPause;
   wire::dispatch dispatch;
   dispatch.mExpected = mPath->mParts.front().mEngine;
-  dispatch.mTimeLeft = TimeLeft(aNow);
-  dispatch.mWorkspace = mAsked.mWorkspace;
   dispatch.mPath = HopsOf(*mPath);
   dispatch.mLastEvent = mCursor.Last();
-  net::http_request request;
-  request.mMethod = mAsked.mRequest.mMethod;
-  request.mTarget = mAsked.mRequest.mTarget;
-  request.mHeaders = wire::EncodeDispatch(mAsked.mRequest.mHeaders, dispatch);
-  request.mBody = mAsked.mRequest.mBody;
   call_options options;
   options.mRequestId = Id();
   options.mConnectTimeout = kConnectTimeout;
@@ -196,7 +189,7 @@
     .Count("send", mSends)
     .Count("members_version", mTools.mFleet->Members().Version())
     .Number("predicted_first_ms", mPath->mCost.mFirstToken.count());
-  mCall = mTools.mCalls->Start(options, std::move(request), *this);
+  mCall = mTools.mCalls->Start(options, Outgoing(mAsked, std::move(dispatch), aNow), *this);
 }
 
 /// Lets go of the present call and of what was promised for it.
