--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -77,7 +77,6 @@
   mEnginesVersion = mMembers.Version();
   mEnginesConfiguration = mConfiguration.get();
   mEngines.clear();
-  mLayersHeld.clear();
   for (const auto& [id, member] : mMembers.Members()) {
     const policy::accelerator_kind* kind = aPool.mEngine->FindKind(member.mAccelerator);
     if (member.mPool != aPool.mName || kind == nullptr || member.mLeaving || IsReplaced(id)) {
@@ -88,24 +87,10 @@
     engine.mDomain = member.mDomain;
     engine.mKind = *kind;
     engine.mHeld = member.mLayers;
-    mLayersHeld[engine.mDomain] += engine.mHeld.Size();
     mEngines.push_back(std::move(engine));
   }
 }
 
-/// What an engine of another failure domain carries for the gateways there, if they have as much to do as those here:
-/// tokens x layers. Without it, a domain that lacks a layer would overload its neighbours.
-double fleet::UsualLoad(const policy::path_engine& aEngine) const
-{
-  const auto held = mLayersHeld.find(aEngine.mDomain);
-  const pool* pool = mConfiguration->FindPool(mEnginesOf);
-  if (held == mLayersHeld.end() || held->second <= 0 || pool == nullptr) {
-    return 0;
-  }
-  const double domainLoad = mTokensInFlight * static_cast<double>(mGatewaysInDomain) * pool->mEngine->mLayers;
-  return domainLoad * aEngine.mHeld.Size() / held->second;
-}
-
 std::optional<chosen_path> fleet::ChoosePath(const path_question& aQuestion, instant aNow)
 {
   const pool* pool = mConfiguration ? mConfiguration->FindPool(aQuestion.mPool) : nullptr;
@@ -218,7 +203,6 @@
 
 void fleet::Promise(const chosen_path& aPath)
 {
-  mTokensInFlight += aPath.mTokens;
   for (const chosen_path::part& part : aPath.mParts) {
     backend_belief& belief = Belief(part.mEngine);
     belief.mPromised += aPath.mTokens * part.mRange.Size();
@@ -228,7 +212,6 @@
 
 void fleet::Release(const chosen_path& aPath)
 {
-  mTokensInFlight = std::max(0.0, mTokensInFlight - aPath.mTokens);
   for (const chosen_path::part& part : aPath.mParts) {
     const auto found = mBeliefs.find(part.mEngine);
     if (found != mBeliefs.end()) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -166,7 +166,6 @@
 private:
   backend_belief& Belief(const backend_id& aId);
   void FillEngines(const pool& aPool);
-  double UsualLoad(const policy::path_engine& aEngine) const;
 
   failure_domain_id mHome;
   std::function<void(const backend_id&)> mOnLossFound;
@@ -179,9 +178,7 @@
   std::unordered_map<pool_name, policy::retry_allowance> mRetries;
   std::size_t mGateways = 1;
   std::size_t mGatewaysInDomain = 1;
-  double mTokensInFlight = 0;                      ///< promised to our own running streams, at each layer
-  std::map<failure_domain_id, double> mLayersHeld; ///< by all engines of a domain
-  std::vector<policy::path_engine> mEngines;       ///< of the pool and versions below
+  std::vector<policy::path_engine> mEngines; ///< of the pool and versions below
   pool_name mEnginesOf;
   std::uint64_t mEnginesVersion = 0;
   const configuration* mEnginesConfiguration = nullptr;
