Idle connections to servers that nobody asks for any more are closed

Ruled out: callers' connections (the middle gateway has 39). The store of idle connections is a class of its own with given time.

--- a/src/gateway/worker_call.cpp
+++ b/src/gateway/worker_call.cpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/kept_connections.h"
 #include "gateway/wire.h"
 #include "net/http_p.h"
 
@@ -27,8 +28,6 @@
 
 /// A kept connection that has been idle for longer is not used: servers drop idle ones without notice.
 constexpr duration kMostIdle = std::chrono::milliseconds(900);
-/// Kept connections to one server.
-constexpr std::size_t kMostKept = 64;
 constexpr std::size_t kReadBytes = 64U << 10U;
 /// Answers to other requests that are passed over on one connection before it is given up.
 constexpr unsigned kMostForeignAnswers = 2;
@@ -36,11 +35,17 @@
 /// Filled and used up within one read; all calls share it, as there is one thread.
 std::array<char, kReadBytes> sReadBuffer;
 
-struct kept_connection
+struct idle_socket
 {
   tcp::socket mSocket;
-  instant mSince;
-  duration mKeepFor;
+
+  bool IsQuiet()
+  {
+    char byte = 0;
+    error_code error;
+    mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+  }
 };
 
 class calls_impl;
@@ -95,14 +100,13 @@
   ref<worker_call> Start(const call_options& aOptions, net::http_request aRequest, call_owner& aOwner) override;
   std::uint64_t ConnectionsOpened() const override { return mOpened; }
 
-  std::optional<tcp::socket> TakeKept(const net::endpoint& aServer);
-  void Keep(const net::endpoint& aServer, tcp::socket aSocket, duration aKeepFor);
+  kept_connections<idle_socket>& Kept() { return mKept; }
   asio::io_context& Context() { return mContext; }
   void CountOpened() { ++mOpened; }
 
 private:
   asio::io_context& mContext;
-  std::unordered_map<net::endpoint, std::vector<kept_connection>> mKept;
+  kept_connections<idle_socket> mKept;
   std::uint64_t mOpened = 0;
 };
 
@@ -134,8 +138,8 @@
 void call_impl::Start()
 {
   if (!mOptions.mNewConnection) {
-    if (auto kept = mCalls->TakeKept(mOptions.mServer)) {
-      mSocket = std::move(*kept);
+    if (auto kept = mCalls->Kept().Take(mOptions.mServer, Now())) {
+      mSocket = std::move(kept->mSocket);
       asio::post(mCalls->Context(), [self = ref<call_impl>(this)] { self->Send(); });
       return;
     }
@@ -329,7 +333,7 @@
 {
   const bool mayKeep = aRest.empty() && mParser->get().keep_alive() && !mParser->need_eof() && mBytes.empty();
   if (mayKeep) {
-    mCalls->Keep(mOptions.mServer, std::move(mSocket), mKeepFor);
+    mCalls->Kept().Keep(mOptions.mServer, idle_socket{ std::move(mSocket) }, mKeepFor, Now());
   }
   End(call_end::Whole, aRest.empty() ? "" : "bytes came behind the answer");
 }
@@ -386,38 +390,6 @@
   return call;
 }
 
-std::optional<tcp::socket> calls_impl::TakeKept(const net::endpoint& aServer)
-{
-  const auto found = mKept.find(aServer);
-  if (found == mKept.end()) {
-    return std::nullopt;
-  }
-  auto& kept = found->second;
-  while (!kept.empty()) {
-    kept_connection last = std::move(kept.back());
-    kept.pop_back();
-    if (Now() - last.mSince > last.mKeepFor) {
-      kept.clear(); // the others have been idle for longer
-      break;
-    }
-    char byte = 0;
-    error_code error;
-    last.mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    if (error == asio::error::would_block) {
-      return std::move(last.mSocket);
-    }
-  }
-  return std::nullopt;
-}
-
-void calls_impl::Keep(const net::endpoint& aServer, tcp::socket aSocket, duration aKeepFor)
-{
-  auto& kept = mKept[aServer];
-  if (kept.size() < kMostKept) {
-    kept.push_back({ std::move(aSocket), Now(), aKeepFor });
-  }
-}
-
 } // namespace
 
 ref<worker_calls> worker_calls::Create(asio::io_context& aContext)
