A request that ends its servers reaches three of them

Cause: gateways did not recognise it; it would have been sent to two servers at each return, through any gateway. Now a run that is cut off before anything came of it is held against its request when the list shows that server started anew or gone; gateways tell each other (with the request's digest), three such servers condemn it, and any good answer to the same request clears it. It is answered 503 without a time to come back: it has not run, and will not. Ruled out: the sidecars' crash_suspects, which isolates suspects on a server of its own: engines run a hundred streams that others sent. Tests: five of the decision, one over two gateways and a stand-in server that ends. That test found that gateways which listen for hints at port 0 told each other an address without a port: no test so far had any hints between gateways; mended. Metrics: gateways counted, requests waiting, servers ended.

--- /dev/null
+++ b/src/gateway/crash_watch.cpp
@@ -0,0 +1,56 @@
+#include "gateway/crash_watch.h"
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+#include "base/random.h"
+
+namespace chervilpulley::gateway {
+
+crash_watch::crash_watch(ref<fleet> aFleet, ref<peer_hints> aHints)
+  : mFleet(std::move(aFleet))
+  , mHints(std::move(aHints))
+{
+  // Both live as long as the process.
+  mHints->OnCrash([this](const policy::crash_finding& aFinding) { mRecord.Crashed(aFinding, Now()); },
+                  [this](request_digest aDigest) { mRecord.Cleared(aDigest); });
+}
+
+request_digest crash_watch::DigestOf(const admitted_request& aRequest)
+{
+  // No field holds a line end but the body, which comes last.
+  return request_digest(StableHash(aRequest.mRequest.mMethod + "\n" + aRequest.mRequest.mTarget + "\n" +
+                                   aRequest.mWorkspace + "\n" + aRequest.mRequest.mBody));
+}
+
+void crash_watch::RunCut(request_digest aDigest, const policy::backend_member& aServer, instant aNow)
+{
+  mRecord.RunCut(aDigest, { aServer.mId, aServer.mStartedAt }, aNow);
+}
+
+void crash_watch::Served(request_digest aDigest)
+{
+  if (mRecord.Cleared(aDigest)) {
+    log_line("crash_suspect_cleared", log_rank::Notable).Count("digest", aDigest.Value());
+    mHints->TellCleared(aDigest);
+  }
+}
+
+std::size_t crash_watch::TimePassed(instant aNow)
+{
+  const auto isUp = [&](const policy::server_start& aStart) {
+    const auto* member = mFleet->Members().Find(aStart.mId);
+    return member != nullptr && member->mStartedAt == aStart.mStartedAt;
+  };
+  const auto found = mRecord.TimePassed(isUp, aNow);
+  for (const policy::crash_finding& finding : found) {
+    log_line("crash_suspected", log_rank::Notable)
+      .Count("digest", finding.mDigest.Value())
+      .Text("backend", finding.mServer.mId.Str())
+      .Count("started_at", finding.mServer.mStartedAt)
+      .Text("condemned", mRecord.IsCondemned(finding.mDigest) ? "yes" : "no");
+    mHints->TellCrash(finding);
+  }
+  return found.size();
+}
+
+} // namespace chervilpulley::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "base/decision_log.h"
 #include "base/log.h"
 #include "base/random.h"
+#include "gateway/crash_watch.h"
 #include "gateway/gateway_registry.h"
 #include "gateway/placement_duty.h"
 #include "gateway/request_context.h"
@@ -65,12 +66,14 @@
     , mCalls(worker_calls::Create(aContext))
     , mInquiries(MakeRef<engine_inquiries>(aContext, mFleet, mCalls))
     , mHints(MakeRef<peer_hints>(aContext, mFleet, mInquiries))
+    , mCrashes(MakeRef<crash_watch>(mFleet, mHints))
     , mSignals(aContext, SIGTERM, SIGINT, SIGHUP)
     , mRoom(mStreams)
     , mTools{ aContext,
               mFleet,
               mCalls,
               mInquiries,
+              mCrashes,
               mMetrics,
               mStreams,
               mRoom,
@@ -122,6 +125,7 @@
   ref<worker_calls> mCalls;
   ref<engine_inquiries> mInquiries;
   ref<peer_hints> mHints;
+  ref<crash_watch> mCrashes;
   ref<store_sync> mSync;
   ref<placement_duty> mPlacement;
   ref<gateway_registry> mRegistry;
@@ -169,6 +173,9 @@
   const store_bounds bounds{ Milliseconds(mSettings.gateway().configuration_bound_ms()),
                              Milliseconds(mSettings.gateway().key_bound_ms()),
                              Milliseconds(mSettings.gateway().drain_bound_ms()) };
+  if (!StartHints()) {
+    return false;
+  }
   auto calls = MakeRef<store_calls>(mContext, store.value(), mMetrics);
   mSync = MakeRef<store_sync>(mContext, calls, mFleet, mMetrics, bounds);
   mPlacement = MakeRef<placement_duty>(
@@ -176,13 +183,10 @@
   mRegistry = MakeRef<gateway_registry>(mContext,
                                         instance_id(mSettings.instance().id()),
                                         failure_domain_id(mSettings.instance().failure_domain()),
-                                        mSettings.gateway().peers(),
+                                        mHints->LocalAddress(),
                                         calls,
                                         mFleet,
                                         mHints);
-  if (!StartHints()) {
-    return false;
-  }
   mCallers = caller_listener::Open(mContext, callers.value(), ref<session_host>(this));
   mControl = caller_listener::Open(mContext, ready.value(), MakeRef<control_host>(ref<gateway_process>(this)));
   if (!mCallers || !mControl) {
@@ -306,6 +310,16 @@
   asked.mDeadline = asked.mArrived + std::min(patience, asked.mRoute->mTimeout);
   asked.mSession = aSession;
   asked.mRequest = std::move(aRequest);
+  asked.mDigest = crash_watch::DigestOf(asked);
+  if (mCrashes->IsCondemned(asked.mDigest)) {
+    log_line("request_condemned", log_rank::Notable)
+      .Text("request", asked.mWish.mId.Str())
+      .Count("digest", asked.mDigest.Value());
+    // It has not run, and there is no time at which it would.
+    mMetrics->Ended(request_end::Refused, duration::zero());
+    aSession->Answer(OwnAnswer(503, std::nullopt));
+    return;
+  }
   const pool* pool = asked.mConfiguration->FindPool(asked.mPool);
   if (asked.mRoute->mKind == request_kind::Stream && pool != nullptr && pool->mEngine) {
     MakeRef<stream_request>(mTools, std::move(asked))->Start();
@@ -361,6 +375,8 @@
     for (const backend_id& slow : mFleet->SlowSoFar(Now())) {
       mInquiries->Check(slow);
     }
+    mMetrics->CrashesFound(mCrashes->TimePassed(Now()));
+    mMetrics->Sharing(mFleet->Gateways(), mRoom.Size());
   }
 }
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -40,6 +40,9 @@
     , mUncovered(Gauge("gateway_uncovered_layers", "Layers without a holder in this failure domain"))
     , mVersion(Gauge("gateway_configuration_version", "Version of the configuration in force"))
     , mAge(Gauge("gateway_configuration_age_seconds", "Time since the configuration was confirmed as the newest"))
+    , mGateways(Gauge("gateway_gateways", "Gateways that share what is bounded for all, this one too"))
+    , mWaiting(Gauge("gateway_waiting_requests", "Requests that wait for room on engines"))
+    , mCrashes(Counters("gateway_crashes_total", "Servers that were ended by a request of this gateway").Add({}))
     , mDropped(Gauge("gateway_log_lines_dropped", "Log lines dropped since the start"))
   {
     for (std::size_t index = 0; index < kEnds.size(); ++index) {
@@ -75,6 +78,12 @@
     mVersion.Set(static_cast<double>(aVersion));
     mAge.Set(Seconds(aAge));
   }
+  void Sharing(std::size_t aGateways, std::size_t aWaiting) override
+  {
+    mGateways.Set(static_cast<double>(aGateways));
+    mWaiting.Set(static_cast<double>(aWaiting));
+  }
+  void CrashesFound(std::size_t aCount) override { mCrashes.Increment(static_cast<double>(aCount)); }
   void LogLinesDropped(std::uint64_t aLines) override { mDropped.Set(static_cast<double>(aLines)); }
   std::string Text() const override { return prometheus::TextSerializer().Serialize(mRegistry.Collect()); }
 
@@ -103,6 +112,9 @@
   prometheus::Gauge& mUncovered;
   prometheus::Gauge& mVersion;
   prometheus::Gauge& mAge;
+  prometheus::Gauge& mGateways;
+  prometheus::Gauge& mWaiting;
+  prometheus::Counter& mCrashes;
   prometheus::Gauge& mDropped;
   std::array<Histogram*, kEnds.size()> mEnds{};
   std::array<prometheus::Counter*, kRepairs.size()> mByRepair{};
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -41,6 +41,10 @@
   virtual void OrderGiven(bool aAccepted) = 0;
   virtual void Backends(std::size_t aListed, std::size_t aUncoveredLayers) = 0;
   virtual void Configuration(std::uint64_t aVersion, duration aAge) = 0;
+  /// Gateways that are counted, this one too, and requests that wait for room on engines.
+  virtual void Sharing(std::size_t aGateways, std::size_t aWaiting) = 0;
+  /// Servers that were found ended by a request.
+  virtual void CrashesFound(std::size_t aCount) = 0;
   virtual void LogLinesDropped(std::uint64_t aLines) = 0;
   virtual std::string Text() const = 0;
 };
--- a/src/gateway/peer_hints.cpp
+++ b/src/gateway/peer_hints.cpp
@@ -14,6 +14,11 @@
 
 constexpr std::string_view kLostField = "lost";
 constexpr std::string_view kMovingField = "moving";
+/// Digest of a request, and the start of the server that it ended.
+constexpr std::string_view kCrashedByField = "crashed_by";
+constexpr std::string_view kServerField = "server";
+constexpr std::string_view kStartedAtField = "started_at";
+constexpr std::string_view kClearedField = "cleared";
 /// An engine is asked at most once in this time, however many hints come.
 constexpr duration kAskPause = std::chrono::milliseconds(500);
 
@@ -40,6 +45,13 @@
   return true;
 }
 
+std::string peer_hints::LocalAddress() const
+{
+  boost::system::error_code error;
+  const auto local = mSocket.local_endpoint(error);
+  return error ? "" : net::endpoint{ local.address().to_string(), local.port() }.Str();
+}
+
 void peer_hints::SetPeers(std::vector<net::endpoint> aPeers)
 {
   mPeers.clear();
@@ -54,17 +66,36 @@
 
 void peer_hints::TellLost(const backend_id& aEngine)
 {
-  Tell(kLostField, aEngine);
+  Tell({ { kLostField, aEngine.Str() } });
 }
 
 void peer_hints::TellMoving(const backend_id& aEngine)
 {
-  Tell(kMovingField, aEngine);
+  Tell({ { kMovingField, aEngine.Str() } });
+}
+
+void peer_hints::TellCrash(const policy::crash_finding& aFinding)
+{
+  Tell({ { kCrashedByField, aFinding.mDigest.Value() },
+         { kServerField, aFinding.mServer.mId.Str() },
+         { kStartedAtField, aFinding.mServer.mStartedAt } });
+}
+
+void peer_hints::TellCleared(request_digest aDigest)
+{
+  Tell({ { kClearedField, aDigest.Value() } });
+}
+
+void peer_hints::OnCrash(std::function<void(const policy::crash_finding&)> aCrashed,
+                         std::function<void(request_digest)> aCleared)
+{
+  mOnCrash = std::move(aCrashed);
+  mOnCleared = std::move(aCleared);
 }
 
-void peer_hints::Tell(std::string_view aField, const backend_id& aEngine)
+void peer_hints::Tell(const boost::json::object& aHint)
 {
-  const std::string datagram = boost::json::serialize(boost::json::object{ { aField, aEngine.Str() } });
+  const std::string datagram = boost::json::serialize(aHint);
   std::size_t unsent = 0;
   for (const udp::endpoint& peer : mPeers) {
     boost::system::error_code error;
@@ -72,8 +103,7 @@
     unsent += error ? 1 : 0;
   }
   log_line("hint_told", log_rank::Notable)
-    .Text("hint", aField)
-    .Text("backend", aEngine.Str())
+    .Text("hint", datagram)
     .Count("gateways", mPeers.size())
     .Count("unsent", unsent);
 }
@@ -109,11 +139,34 @@
     TakeLost(lost);
   } else if (moving.IsValid()) {
     mFleet->BelieveMoving(moving, Now());
-  } else {
+  } else if (object == nullptr || !TakeCrash(*object)) {
     log_line("hint_unreadable", log_rank::Notable).Count("bytes", aDatagram.size());
   }
 }
 
+bool peer_hints::TakeCrash(const boost::json::object& aHint)
+{
+  const auto numberIn = [&](std::string_view aField) -> std::optional<std::uint64_t> {
+    const auto* value = aHint.if_contains(aField);
+    if (value == nullptr || !(value->is_int64() || value->is_uint64())) {
+      return std::nullopt;
+    }
+    return value->to_number<std::uint64_t>();
+  };
+  if (const auto cleared = numberIn(kClearedField); cleared && mOnCleared) {
+    mOnCleared(request_digest(*cleared));
+    return true;
+  }
+  const auto crashedBy = numberIn(kCrashedByField);
+  const auto startedAt = numberIn(kStartedAtField);
+  const auto* server = aHint.if_contains(kServerField);
+  if (!crashedBy || !startedAt || server == nullptr || !server->is_string() || !mOnCrash) {
+    return false;
+  }
+  mOnCrash({ request_digest(*crashedBy), { backend_id(std::string(server->as_string())), *startedAt } });
+  return true;
+}
+
 void peer_hints::TakeLost(const backend_id& aEngine)
 {
   const instant now = Now();
--- a/src/gateway/peer_hints.h
+++ b/src/gateway/peer_hints.h
@@ -1,15 +1,19 @@
 #pragma once
 
 #include <boost/asio/ip/udp.hpp>
+#include <boost/json/object.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <vector>
 
 #include "gateway/engine_inquiries.h"
 #include "gateway/fleet.h"
+#include "policy/crash_record.h"
 
-/// Datagrams between gateways about engines that were found lost, or that are about to move to other layers. Word of a
+/// Datagrams between gateways about engines that were found lost, or that are about to move to other layers, and about
+/// requests that end their servers. Word of a
 /// loss is no news by itself: who gets it asks the engine, so that a gateway that is cut off misleads nobody.
 namespace chervilpulley::gateway {
 
@@ -23,18 +27,28 @@
 
   /// Binds; false when the address can't be had.
   bool Start(const net::endpoint& aAddress);
+  /// Where others reach it; empty when it was not started.
+  std::string LocalAddress() const;
   /// Who is told from now on.
   void SetPeers(std::vector<net::endpoint> aPeers);
   /// This gateway has found an engine lost.
   void TellLost(const backend_id& aEngine);
   /// This gateway is about to give an engine other layers.
   void TellMoving(const backend_id& aEngine);
+  /// A request has ended a server.
+  void TellCrash(const policy::crash_finding& aFinding);
+  /// A request that was held for one that ends servers was answered.
+  void TellCleared(request_digest aDigest);
+  /// What is done with such hints of others.
+  void OnCrash(std::function<void(const policy::crash_finding&)> aCrashed,
+               std::function<void(request_digest)> aCleared);
 
 private:
   void Receive();
   void Take(std::string_view aDatagram);
   void TakeLost(const backend_id& aEngine);
-  void Tell(std::string_view aField, const backend_id& aEngine);
+  bool TakeCrash(const boost::json::object& aHint);
+  void Tell(const boost::json::object& aHint);
 
   ref<fleet> mFleet;
   ref<engine_inquiries> mInquiries;
@@ -43,6 +57,8 @@
   std::array<char, 512> mBuffer{}; ///< a hint has some forty bytes
   std::vector<boost::asio::ip::udp::endpoint> mPeers;
   std::map<backend_id, instant> mAskedAt;
+  std::function<void(const policy::crash_finding&)> mOnCrash;
+  std::function<void(request_digest)> mOnCleared;
 };
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -19,6 +19,7 @@
 /// Streams under way, for repairs that concern many at once.
 using stream_list = boost::intrusive::list<stream_request, boost::intrusive::constant_time_size<false>>;
 
+class crash_watch;
 class engine_inquiries;
 class room_queue;
 
@@ -29,6 +30,7 @@
   ref<fleet> mFleet;
   ref<worker_calls> mCalls;
   ref<engine_inquiries> mInquiries;
+  ref<crash_watch> mCrashes;
   ref<gateway_metrics> mMetrics;
   stream_list& mStreams;
   room_queue& mRoom;
@@ -46,6 +48,7 @@
   const route* mRoute = nullptr;
   pool_name mPool;
   std::string mWorkspace;
+  request_digest mDigest; ///< the same for requests that would do the same
   instant mArrived;
   instant mDeadline; ///< the caller's, or the route's, whichever is first
 };
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/decision_log.h"
+#include "gateway/crash_watch.h"
 
 namespace chervilpulley::gateway {
 
@@ -136,6 +137,10 @@
     return;
   }
   if (aEnd == call_end::Cut) {
+    const auto* member = mTools.mFleet->Members().Find(*mServer);
+    if (!mHasHead && member != nullptr) {
+      mTools.mCrashes->RunCut(mAsked.mDigest, *member, now);
+    }
     TakeFailure(aReason, now);
     return;
   }
@@ -163,7 +168,8 @@
 
 bool service_request::MayRepeat(instant aNow)
 {
-  return IsIdempotent() && mRuns < mAsked.mRoute->mMaxAttempts && mSends < kMostSends && aNow < mAsked.mDeadline &&
+  return !mTools.mCrashes->IsCondemned(mAsked.mDigest) && IsIdempotent() && mRuns < mAsked.mRoute->mMaxAttempts &&
+         mSends < kMostSends && aNow < mAsked.mDeadline &&
          mTools.mFleet->Retries(mAsked.mPool).TryRepeat(aNow, mTools.mFleet->Gateways());
 }
 
@@ -226,6 +232,9 @@
   reply.mBody = std::move(mBody);
   const unsigned status = mStatus;
   const bool failed = status >= 500;
+  if (!failed) {
+    mTools.mCrashes->Served(mAsked.mDigest);
+  }
   Drop(failed);
   mAsked.mSession->Answer(std::move(reply));
   End(failed ? request_end::BackendFailed : request_end::Served, status, "");
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/decision_log.h"
+#include "gateway/crash_watch.h"
 #include "gateway/engine_inquiries.h"
 #include "gateway/room_queue.h"
 #include "gateway/stream_request_p.h"
@@ -279,6 +280,9 @@
     return;
   }
   if (aEnd == call_end::Cut) {
+    if (!mHasBegun && !mRanAt.empty()) {
+      mTools.mCrashes->RunCut(mAsked.mDigest, mRanAt.back(), now);
+    }
     TakeFailure(aReason, now);
     return;
   }
@@ -364,6 +368,10 @@
 void stream_request::Retry(const std::string& aReason, instant aNow)
 {
   mPhase = phase::Waiting;
+  if (mTools.mCrashes->IsCondemned(mAsked.mDigest)) {
+    GiveUp("ends its servers", aNow);
+    return;
+  }
   const bool maySend = mSends < (mHasBegun ? kMostSendsOnceBegun : kMostSends);
   // A broken stream may go on once one of its engines is known to have ended.
   const bool mayRun = LiveRuns() < mAsked.mRoute->mMaxAttempts;
@@ -443,6 +451,7 @@
   if (served && mPath) {
     mTools.mFleet->Outcome(mPath->mParts.front().mEngine, false);
     mTools.mRoom.Ran(now - mSentAt);
+    mTools.mCrashes->Served(mAsked.mDigest);
   }
   Drop();
   mPhase = phase::Ended;
--- a/tests/processes/gateway_fixture.cpp
+++ b/tests/processes/gateway_fixture.cpp
@@ -34,13 +34,19 @@
 {
 }
 
-process& gateway_fixture::StartGateway(unsigned aDrainMs)
+process& gateway_fixture::LaunchGateway(unsigned aDrainMs)
 {
   const std::string name = "gateway-" + std::to_string(mGateways.size());
   const std::string settings = mFolder.Write(name + ".ini", SettingsText(name, mFleet.Address("http"), aDrainMs));
   mGateways.push_back(std::make_unique<process>(
     std::vector<std::string>{ BinaryPath(), "gateway", "--settings", settings }, mFolder.File(name + ".log")));
-  process& gateway = *mGateways.back();
+  return *mGateways.back();
+}
+
+process& gateway_fixture::StartGateway(unsigned aDrainMs)
+{
+  process& gateway = LaunchGateway(aDrainMs);
+  const std::string name = "gateway-" + std::to_string(mGateways.size() - 1);
   if (!WaitUntil([&] { return IsReady(gateway); })) {
     throw std::runtime_error("the gateway is not ready: " + gateway.Log());
   }
@@ -105,6 +111,13 @@
   return answer;
 }
 
+double gateway_fixture::Metric(std::size_t aGateway, std::string_view aName) const
+{
+  const std::string text = Call(mGateways[aGateway]->Address("admin"), "GET", "/metrics").mBody;
+  const auto at = text.find("\n" + std::string(aName) + " ");
+  return at == std::string::npos ? 0 : std::stod(text.substr(at + aName.size() + 2));
+}
+
 std::vector<boost::json::object> gateway_fixture::Records(std::string_view aKind, const std::string& aId) const
 {
   std::vector<boost::json::object> found;
--- a/tests/processes/gateway_fixture.h
+++ b/tests/processes/gateway_fixture.h
@@ -44,11 +44,15 @@
   /// @param aFlags of the fleet.
   explicit gateway_fixture(std::vector<std::string> aFlags = {});
 
+  /// Starts a gateway, which listens when this returns.
+  process& LaunchGateway(unsigned aDrainMs = 2000);
   /// Starts a gateway and waits until it is ready.
   process& StartGateway(unsigned aDrainMs = 2000);
   bool IsReady(const process& aGateway) const;
   gateway_answer Send(const gateway_call& aCall, std::size_t aGateway = 0) const;
 
+  /// Value of a gateway's metric that has no labels; 0 when it has none.
+  double Metric(std::size_t aGateway, std::string_view aName) const;
   std::vector<boost::json::object> Records(std::string_view aKind, const std::string& aId = {}) const;
   std::size_t Runs(const std::string& aId) const { return Records("run", aId).size(); }
   /// Servers whose state can be set, with the layers that they hold.
--- a/tests/processes/gateway_test.cpp
+++ b/tests/processes/gateway_test.cpp
@@ -113,6 +113,14 @@
   CHECK(runs[0].at("deadline_ms").to_number<unsigned>() <= 8000);
 }
 
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_that_has_just_started_lets_callers_wait_for_its_configuration")
+{
+  LaunchGateway();
+  for (int each = 0; each < 4; ++each) {
+    CHECK(Send(Booking("just-started-" + std::to_string(each)), mGateways.size() - 1).mStatus == 200);
+  }
+}
+
 TEST_CASE_METHOD(one_gateway_fixture, "gateway_booking_whose_answer_breaks_off_is_not_sent_again")
 {
   SetAllServices("cutting");
@@ -130,6 +138,23 @@
   CHECK(Runs("b3") == 0);
 }
 
+TEST_CASE_METHOD(one_gateway_fixture,
+                 "gateways_tell_each_other_of_a_request_that_ends_its_servers_and_send_it_to_three")
+{
+  StartGateway();
+  REQUIRE(WaitUntil([&] { return Metric(0, "gateway_gateways") == 2; }));
+  gateway_call faulty = Booking("faulty");
+  faulty.mBody = "ends its server";
+  for (std::size_t run = 0; run < 3; ++run) {
+    CHECK(Send(faulty, run == 2 ? 1 : 0).mStatus == 502);
+    REQUIRE(
+      WaitUntil([&] { return Metric(0, "gateway_crashes_total") + Metric(1, "gateway_crashes_total") == run + 1; }));
+  }
+  CHECK(Send(faulty, 1).mStatus == 503);
+  CHECK(Runs("faulty") == 3);
+  CHECK(Send(Booking("sound"), 1).mStatus == 200);
+}
+
 TEST_CASE_METHOD(one_gateway_fixture, "gateway_lookup_that_fails_at_one_server_is_answered_by_another")
 {
   SetServer("service-0", "failing");
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+/// Body of a request that ends each server which begins to run it; the server is back at once as a new start.
+constexpr std::string_view kEndsItsServer = "ends its server";
 constexpr duration kForever = std::chrono::seconds(60);
 /// Work that waits for a lost engine is cut off after this time.
 constexpr duration kStall = std::chrono::milliseconds(2500);
@@ -223,6 +225,10 @@
                             { "key", request.mHeaders.Get("X-Credential") },
                             { "last_event", request.mHeaders.Get("Last-Event-Id") },
                             { "deadline_ms", NumberOf(request.mHeaders.Get("X-Deadline-Ms")) } });
+  if (request.mBody == kEndsItsServer) {
+    SetState("reborn");
+    co_return;
+  }
   if (mState == "failing") {
     net::http_reply reply = ErrorReply(500, "failed");
     reply.mHeaders.Set("X-Attempt-Id", id);
--- /dev/null
+++ b/tests/unit/policy_crash_record_test.cpp
@@ -0,0 +1,83 @@
+#include "policy/crash_record.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chervilpulley;
+using namespace chervilpulley::policy;
+
+namespace {
+
+struct crash_record_fixture
+{
+  const request_digest mFaulty{ 7 };
+  const request_digest mInnocent{ 8 };
+  instant mNow = instant() + std::chrono::hours(1);
+  crash_record mRecord;
+
+  static server_start Server(int aNumber) { return { backend_id("server-" + std::to_string(aNumber)), 1 }; }
+
+  /// A run is cut off, and its server is down a second later.
+  std::size_t Crash(request_digest aDigest, int aServer)
+  {
+    mRecord.RunCut(aDigest, Server(aServer), mNow);
+    mNow += std::chrono::seconds(1);
+    return mRecord.TimePassed([](const server_start&) { return false; }, mNow).size();
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(crash_record_fixture, "crash_record_of_a_request_that_ended_three_servers_condemns_it")
+{
+  for (int server = 0; server < 3; ++server) {
+    CHECK(!mRecord.IsCondemned(mFaulty));
+    CHECK(Crash(mFaulty, server) == 1);
+  }
+  CHECK(mRecord.IsCondemned(mFaulty));
+  CHECK(!mRecord.IsCondemned(mInnocent));
+}
+
+TEST_CASE_METHOD(crash_record_fixture, "crash_record_of_cut_runs_on_servers_that_are_up_holds_nothing_against_them")
+{
+  for (int server = 0; server < 5; ++server) {
+    mRecord.RunCut(mInnocent, Server(server), mNow);
+  }
+  CHECK(mRecord.TimePassed([](const server_start&) { return true; }, mNow + std::chrono::seconds(5)).empty());
+  CHECK(mRecord.TimePassed([](const server_start&) { return true; }, mNow + kCrashConfirmed * 2).empty());
+  CHECK(mRecord.TimePassed([](const server_start&) { return false; }, mNow + kCrashConfirmed * 3).empty());
+  CHECK(!mRecord.IsCondemned(mInnocent));
+}
+
+TEST_CASE_METHOD(crash_record_fixture, "crash_record_of_one_crash_seen_by_many_gateways_counts_it_once")
+{
+  CHECK(Crash(mFaulty, 1) == 1);
+  CHECK(!mRecord.Crashed({ mFaulty, Server(1) }, mNow));
+  CHECK(!mRecord.Crashed({ mFaulty, Server(1) }, mNow));
+  CHECK(!mRecord.IsCondemned(mFaulty));
+  CHECK(mRecord.Crashed({ mFaulty, Server(2) }, mNow));
+  CHECK(mRecord.Crashed({ mFaulty, Server(3) }, mNow));
+  CHECK(mRecord.IsCondemned(mFaulty));
+}
+
+TEST_CASE_METHOD(crash_record_fixture, "crash_record_of_a_request_that_is_answered_in_between_is_empty")
+{
+  Crash(mInnocent, 1);
+  Crash(mInnocent, 2);
+  CHECK(mRecord.Cleared(mInnocent));
+  Crash(mInnocent, 3);
+  CHECK(!mRecord.IsCondemned(mInnocent));
+  CHECK(!mRecord.Cleared(mFaulty));
+}
+
+TEST_CASE_METHOD(crash_record_fixture, "crash_record_forgets_after_a_while_and_keeps_the_condemned_in_a_flood")
+{
+  for (int server = 0; server < 3; ++server) {
+    Crash(mFaulty, server);
+  }
+  for (std::uint64_t digest = 100; digest < 100 + kMostCrashRecords * 2; ++digest) {
+    mRecord.Crashed({ request_digest(digest), Server(9) }, mNow);
+  }
+  CHECK(mRecord.IsCondemned(mFaulty));
+  mRecord.TimePassed([](const server_start&) { return true; }, mNow + kCrashMemory * 2);
+  CHECK(!mRecord.IsCondemned(mFaulty));
+}
