--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -103,8 +103,9 @@
     }
     Count();
     const bool settling = Now() - mStartedAt < kSettling;
-    const duration pause = kReading + kReadingPerGateway * static_cast<int>(mCounted);
-    co_await Pause(settling ? kRetryPause : pause);
+    const duration settled = kReading + kReadingPerGateway * static_cast<int>(mCounted);
+    const duration pause = settling ? kRetryPause : settled;
+    co_await Pause(pause);
   }
 }
 
