An engine that failed a stream is not tried again with it at once

The log of a failing run: the stream broke off after event 5, the other holder of the layers was not listed yet at the gateway (changes are read each 300 ms), so the excluded engine was taken back after 120 ms, cut the stream again, and with two attempts used nothing was left: it ended at its deadline. Now an engine stays excluded for 600 ms. New metric: layers with a single holder. Metrics are taken when they are asked for.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -138,7 +138,7 @@
     return supply;
   }
   FillEngines(*pool);
-  std::vector<bool> here(pool->mEngine->mLayers, false);
+  std::vector<std::uint32_t> here(pool->mEngine->mLayers, 0);
   std::vector<bool> anywhere(pool->mEngine->mLayers, false);
   for (const policy::path_engine& engine : mEngines) {
     const backend_belief& belief = Belief(engine.mId);
@@ -155,10 +155,11 @@
     for (std::uint32_t layer = engine.mHeld.mFrom; layer < std::min(engine.mHeld.mEnd, pool->mEngine->mLayers);
          ++layer) {
       anywhere[layer] = true;
-      here[layer] = here[layer] || engine.mDomain == mHome;
+      here[layer] += engine.mDomain == mHome ? 1 : 0;
     }
   }
-  supply.mUncoveredHere = static_cast<std::size_t>(std::count(here.begin(), here.end(), false));
+  supply.mUncoveredHere = static_cast<std::size_t>(std::count(here.begin(), here.end(), 0U));
+  supply.mHeldOnceHere = static_cast<std::size_t>(std::count(here.begin(), here.end(), 1U));
   supply.mUncoveredAnywhere = static_cast<std::size_t>(std::count(anywhere.begin(), anywhere.end(), false));
   return supply;
 }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -87,6 +87,7 @@
   std::size_t mMoving = 0;
   std::size_t mUncoveredHere = 0;     ///< layers that no usable engine of our failure domain holds
   std::size_t mUncoveredAnywhere = 0; ///< layers that no usable engine holds
+  std::size_t mHeldOnceHere = 0;      ///< layers that a single usable engine of our failure domain holds
 };
 
 /// What a path is asked for.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -101,7 +101,7 @@
 
   bool StartHints();
   bool IsReady() const;
-  std::size_t UncoveredLayers() const;
+  void TakeStock();
   /// A request that comes later after SIGTERM would be cut off by SIGKILL.
   duration LastRequestAfter() const
   {
@@ -230,16 +230,22 @@
   return !mIsLeaving && mSync->IsComplete() && mSync->Keys().MayTakeCallers(BootNow());
 }
 
-/// Layers without a usable holder in this failure domain, over all pools of engines.
-std::size_t gateway_process::UncoveredLayers() const
+/// Sets the metrics that tell how things stand.
+void gateway_process::TakeStock()
 {
   std::size_t uncovered = 0;
+  std::size_t heldOnce = 0;
   if (const auto& configuration = mFleet->Configuration()) {
     for (const pool& each : configuration->mPools) {
-      uncovered += mFleet->Supply(each.mName, Now()).mUncoveredHere;
+      const engine_supply supply = mFleet->Supply(each.mName, Now());
+      uncovered += supply.mUncoveredHere;
+      heldOnce += supply.mHeldOnceHere;
     }
+    mMetrics->Configuration(configuration->mVersion, mSync->Keys().Age(BootNow()).value_or(duration::zero()));
   }
-  return uncovered;
+  mMetrics->Backends(mFleet->Members().Members().size(), uncovered, heldOnce);
+  mMetrics->Sharing(mFleet->Gateways(), mRoom.Size());
+  mMetrics->LogLinesDropped(DroppedLogLines());
 }
 
 net::http_reply gateway_process::AnswerControl(const net::http_request& aRequest)
@@ -249,6 +255,7 @@
     reply.mStatus = IsReady() ? 200 : 503;
   } else if (net::PathOf(aRequest.mTarget) == "/metrics") {
     reply.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
+    TakeStock();
     reply.mBody = mMetrics->Text();
   } else {
     reply.mStatus = 404;
@@ -366,17 +373,10 @@
       log_line(ready ? "ready" : "not_ready", log_rank::Notable);
       mWasReady = ready;
     }
-    const auto& configuration = mFleet->Configuration();
-    if (configuration) {
-      mMetrics->Configuration(configuration->mVersion, mSync->Keys().Age(BootNow()).value_or(duration::zero()));
-    }
-    mMetrics->Backends(mFleet->Members().Members().size(), UncoveredLayers());
-    mMetrics->LogLinesDropped(DroppedLogLines());
     for (const backend_id& slow : mFleet->SlowSoFar(Now())) {
       mInquiries->Check(slow);
     }
     mMetrics->CrashesFound(mCrashes->TimePassed(Now()));
-    mMetrics->Sharing(mFleet->Gateways(), mRoom.Size());
   }
 }
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -38,6 +38,7 @@
     , mOrders(Counters("gateway_orders_total", "Orders to engines, by outcome"))
     , mBackends(Gauge("gateway_backends", "Backend servers listed"))
     , mUncovered(Gauge("gateway_uncovered_layers", "Layers without a holder in this failure domain"))
+    , mHeldOnce(Gauge("gateway_layers_held_once", "Layers with a single holder in this failure domain"))
     , mVersion(Gauge("gateway_configuration_version", "Version of the configuration in force"))
     , mAge(Gauge("gateway_configuration_age_seconds", "Time since the configuration was confirmed as the newest"))
     , mGateways(Gauge("gateway_gateways", "Gateways that share what is bounded for all, this one too"))
@@ -68,10 +69,11 @@
   {
     mOrders.Add({ { "outcome", aAccepted ? "accepted" : "refused" } }).Increment();
   }
-  void Backends(std::size_t aListed, std::size_t aUncoveredLayers) override
+  void Backends(std::size_t aListed, std::size_t aUncoveredLayers, std::size_t aLayersHeldOnce) override
   {
     mBackends.Set(static_cast<double>(aListed));
     mUncovered.Set(static_cast<double>(aUncoveredLayers));
+    mHeldOnce.Set(static_cast<double>(aLayersHeldOnce));
   }
   void Configuration(std::uint64_t aVersion, duration aAge) override
   {
@@ -110,6 +112,7 @@
   prometheus::Family<prometheus::Counter>& mOrders;
   prometheus::Gauge& mBackends;
   prometheus::Gauge& mUncovered;
+  prometheus::Gauge& mHeldOnce;
   prometheus::Gauge& mVersion;
   prometheus::Gauge& mAge;
   prometheus::Gauge& mGateways;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -25,6 +25,9 @@
 /// Pause before a broken stream is tried again where the budget or the engines gave nothing. A caller that has a part
 /// of its answer decides itself how long it waits for the rest.
 constexpr duration kBrokenPause = std::chrono::milliseconds(120);
+/// Time after which an engine that failed a request is tried again with it: longer than a change takes to be listed
+/// here.
+constexpr duration kSameEngineAfter = std::chrono::milliseconds(600);
 /// Times that a request is sent at most, also where no engine has run it: before its first event, and in all.
 constexpr unsigned kMostSends = 5;
 constexpr unsigned kMostSendsOnceBegun = 12;
@@ -88,8 +91,11 @@
   question.mExcluded = mExcluded;
   auto path = mTools.mFleet->ChoosePath(question, aNow);
   if (!path) {
-    // An engine that failed it once may be tried again where others can't take it.
-    mExcluded.clear();
+    // An engine that failed it once may be tried again where others can't take it. The list of engines may be old by
+    // some hundred milliseconds, and a request has few attempts: another holder may be listed any moment.
+    if (aNow - mExcludedAt > kSameEngineAfter) {
+      mExcluded.clear();
+    }
     return false;
   }
   if (mOwesRepeat) {
@@ -314,7 +320,7 @@
     .Count("status", mStatus)
     .Number("after_ms", Milliseconds(aNow - mSentAt));
   ForgetLastRun();
-  mExcluded.insert(faulty);
+  Exclude(faulty, aNow);
   mTools.mFleet->BelieveRefusing(faulty, aNow, mStatus == 421 ? kStaleBelief : kRefusalBelief);
   if (faulty != first) {
     mTools.mInquiries->Check(faulty);
@@ -335,7 +341,7 @@
     .Number("after_ms", Milliseconds(aNow - mSentAt));
   mTools.mFleet->Outcome(first, true);
   mMayHaveRun = true;
-  mExcluded.insert(first);
+  Exclude(first, aNow);
   Drop();
   if (!MayRunAgain() || (!mHasBegun && LiveRuns() >= mAsked.mRoute->mMaxAttempts)) {
     if (!mHasBegun && mStatus >= 400) {
@@ -348,6 +354,12 @@
   Retry(aReason, aNow);
 }
 
+void stream_request::Exclude(const backend_id& aEngine, instant aNow)
+{
+  mExcluded.insert(aEngine);
+  mExcludedAt = aNow;
+}
+
 /// The engine that it was sent to last did not run it.
 void stream_request::ForgetLastRun()
 {
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -80,6 +80,7 @@
   bool MayRunAgain() const { return mAsked.mRoute->mIsResumable; }
   std::size_t LiveRuns() const;
   void ForgetLastRun();
+  void Exclude(const backend_id& aEngine, instant aNow);
 
   request_tools& mTools;
   admitted_request mAsked;
@@ -89,7 +90,8 @@
   std::optional<chosen_path> mPath;
   std::uint64_t mPathNumber = 0;
   ref<worker_call> mCall;
-  std::set<backend_id> mExcluded;
+  std::set<backend_id> mExcluded; ///< engines that failed or refused it
+  instant mExcludedAt;            ///< the last of them
   /// Engines that run it or may have run it. Those that have ended do not count for the route's bound on attempts.
   std::vector<policy::backend_member> mRanAt;
   bool mMayHaveRun = false; ///< somewhere, also on an engine that is lost
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -231,7 +231,7 @@
   if (aReply && aReply->mStatus == 409) {
     if (faulty) {
       mTools.mFleet->BelieveRefusing(*faulty, now);
-      mExcluded.insert(*faulty);
+      Exclude(*faulty, now);
     }
   }
   if (aReason == repath_reason::Leaving && aReply) {
--- a/tests/processes/gateway_fixture.cpp
+++ b/tests/processes/gateway_fixture.cpp
@@ -63,7 +63,15 @@
   if (!covered) {
     throw std::runtime_error("the engines hold no layers: " + gateway.Log());
   }
-  // The gateway itself learns of the layers a moment after they are listed.
+  // The gateway itself learns of the layers a moment after they are listed; each has two holders.
+  const std::size_t index = mGateways.size() - 1;
+  const auto knowsAll = [&] {
+    return Metric(index, "gateway_backends") > 0 && Metric(index, "gateway_uncovered_layers") == 0 &&
+           Metric(index, "gateway_layers_held_once") == 0;
+  };
+  if (!WaitUntil(knowsAll)) {
+    throw std::runtime_error("the gateway does not know two holders of each layer: " + gateway.Log());
+  }
   gateway_call first;
   first.mMethod = "POST";
   first.mTarget = "/draft/first";
