--- /dev/null
+++ b/tests/contract/config_store_spread_test.cpp
@@ -0,0 +1,232 @@
+#include "contract/config_store_fixture.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::config;
+using namespace chervilpulley::test;
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_accepted_change_is_in_force_everywhere")
+{
+  AddNine();
+  REQUIRE(JudgeSpread() == "");
+  const auto repeated = Apply(mNodes[5], Put("c", Workspace("w")));
+  REQUIRE(repeated.value().mRepeated);
+  REQUIRE(repeated.value().mRevision == revision_number(1));
+  REQUIRE_FALSE(repeated.value().mSpreadPending);
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_rollout_counts_all_instances_that_have_a_revision")
+{
+  AddNine();
+  REQUIRE(JudgeSpread() == "");
+  std::optional<admin::rollout_reply> reply;
+  const bool complete = RunUntil([&] {
+    reply.reset();
+    auto run = [](ref<config_store> aStore,
+                  std::optional<admin::rollout_reply>& aReply) -> boost::asio::awaitable<void> {
+      aReply.emplace(co_await aStore->Rollout(revision_number(1)));
+    };
+    boost::asio::co_spawn(mContext, run(mNodes[8].mStore, reply), boost::asio::detached);
+    REQUIRE(RunUntil([&] { return reply.has_value(); }));
+    return reply->in_force() == 9;
+  });
+  CAPTURE(reply->DebugString());
+  REQUIRE(complete);
+  REQUIRE(reply->live() == 9);
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_started_in_outage_takes_the_highest_revision_before_it_is_ready")
+{
+  mSpreadTimeout = std::chrono::milliseconds(50);
+  AddNine();
+  // Only failure domain c has the change.
+  for (auto& node : mNodes) {
+    if (node.mDomain != "c") {
+      node.mObjects->mCutOff = true;
+      mPeers->mCutInstances.insert(node.mName);
+    }
+  }
+  REQUIRE(Apply(mNodes[6], Put("c", Workspace("w"))).value().mSpreadPending);
+  mPlatform.mDown = true;
+  auto& late = Add("late", "b");
+  REQUIRE(RunUntil([&] { return late.mStore->Ready(); }));
+  REQUIRE(late.mStore->Current()->Revision() == revision_number(1));
+  REQUIRE(late.mStore->Current()->FindWorkspace(workspace_id("w")) != nullptr);
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_started_in_outage_without_ready_peers_is_not_ready")
+{
+  mPlatform.mDown = true;
+  Add("one", "a");
+  Add("two", "b");
+  Add("three", "c");
+  REQUIRE_FALSE(
+    RunUntil([&] { return mNodes[0].mStore->Ready() || mNodes[1].mStore->Ready(); }, std::chrono::milliseconds(300)));
+  mPlatform.mDown = false;
+  REQUIRE(RunUntil([&] { return AllReady(); }));
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_outage_right_after_acceptance_does_not_stop_the_spread")
+{
+  AddNine();
+  // The failure domains b and c lose the platform first, so that they must learn the change from domain a.
+  for (auto& node : mNodes) {
+    node.mObjects->mCutOff = node.mDomain != "a";
+  }
+  const auto applied = Apply(mNodes[0], Put("c", Workspace("w")));
+  mPlatform.mDown = true;
+  REQUIRE_FALSE(applied.value().mSpreadPending);
+  REQUIRE(RunUntil([&] { return AllAt(1); }));
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_spread_that_is_not_confirmed_is_said_to_be_pending")
+{
+  mSpreadTimeout = std::chrono::milliseconds(50);
+  AddNine();
+  for (const auto& node : mNodes) {
+    if (node.mDomain != "a") {
+      mPeers->mCut.insert(node.mPort);
+    }
+  }
+  REQUIRE(Apply(mNodes[0], Put("c", Workspace("w"))).value().mSpreadPending);
+}
+
+TEST_CASE_METHOD(config_store_fixture,
+                 "config_store_frozen_node_woken_with_old_state_catches_up_and_changes_nothing_back")
+{
+  AddNine();
+  auto& frozen = mNodes[4];
+  frozen.mObjects->mCutOff = true;
+  mPeers->mCutInstances.insert(frozen.mName);
+  REQUIRE(Apply(mNodes[0], Put("c1", Workspace("w"))).has_value());
+  REQUIRE(Apply(mNodes[0], Put("c2", Workspace("w", 2), 1)).has_value());
+  REQUIRE(frozen.mStore->Current()->Revision() == revision_number(0));
+  frozen.mObjects->mCutOff = false;
+  mPeers->mCutInstances.clear();
+  const auto stale = Apply(frozen, Put("c3", Workspace("w", 9), 1));
+  REQUIRE(stale.error().mCode == config_errc::Conflict);
+  REQUIRE(stale.error().mMessage.find("has version 2, expected 1") != std::string::npos);
+  REQUIRE(RunUntil([&] { return AllAt(2); }));
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_revision_seen_on_traffic_is_fetched")
+{
+  AddNine();
+  auto& late = mNodes[2];
+  late.mObjects->mCutOff = true;
+  mPeers->mCutInstances.insert(late.mName);
+  REQUIRE(Apply(mNodes[0], Put("c", Workspace("w"))).has_value());
+  mPeers->mCutInstances.clear();
+  for (const auto& node : mNodes) {
+    if (node.mDomain == late.mDomain) {
+      mPeers->mCut.insert(node.mPort);
+    }
+  }
+  late.mStore->NoteRevision(instance_id("b0"), failure_domain_id("b"), revision_number(1));
+  REQUIRE(RunUntil([&] { return late.mStore->Current()->Revision() == revision_number(1); }));
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_change_reaches_all_nodes_when_a_relay_is_lost")
+{
+  AddNine();
+  for (const auto& relay : policy::spread_plan({ instance_id("a0"), failure_domain_id("a") },
+                                               { { instance_id("a1"), failure_domain_id("a") },
+                                                 { instance_id("a2"), failure_domain_id("a") } })
+                             .RelaysOf(failure_domain_id("a"))) {
+    auto lost =
+      std::find_if(mNodes.begin(), mNodes.end(), [&](const node& aNode) { return aNode.mName == relay.Str(); });
+    mPeers->mCut.insert(lost->mPort);
+  }
+  REQUIRE(JudgeSpread() == "");
+}
+
+TEST_CASE("config_store_unreadable_object_in_the_platform_is_named_and_changes_nothing")
+{
+  struct row
+  {
+    std::string mKey;
+    std::string mBody;
+  };
+  admin::log_entry misplaced;
+  misplaced.set_revision(7);
+  const row rows[] = {
+    { LogKey(revision_number(2)), "\xff\xff" },
+    { LogKey(revision_number(2)), "" },
+    { LogKey(revision_number(2)), misplaced.SerializeAsString() },
+    { kSnapshotHeadKey, "{" },
+    { kSnapshotHeadKey, EncodeHead({ { revision_number(9), "9-none", 1 }, {} }) },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mKey, row.mBody);
+    config_store_fixture cluster;
+    cluster.AddNine();
+    REQUIRE(cluster.JudgeSpread() == "");
+    cluster.mPlatform.mObjects[row.mKey] = { row.mBody, cluster.mPlatform.mSequence.Next() };
+    const auto applied = cluster.Apply(cluster.mNodes[0], Put("d", Workspace("x")));
+    if (row.mKey != kSnapshotHeadKey) {
+      REQUIRE(applied.error().mCode == config_errc::Unavailable);
+      REQUIRE(applied.error().mMessage.find(row.mKey) != std::string::npos);
+    }
+    REQUIRE(cluster.RunUntil([&] { return cluster.AllAt(applied.has_value() ? 2 : 1); }));
+    auto& late = cluster.Add("late", "a");
+    REQUIRE(cluster.RunUntil([&] { return late.mStore->Ready(); })); // from its peers
+    REQUIRE(late.mStore->Current()->Revision().Value() >= 1);
+  }
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_live_list_comes_from_the_relays")
+{
+  AddNine();
+  std::size_t readers = 0;
+  std::size_t told = 0;
+  REQUIRE(RunUntil([&] {
+    readers =
+      std::count_if(mNodes.begin(), mNodes.end(), [](const node& aNode) { return aNode.mStore->ReadsLiveList(); });
+    return readers == 3 * policy::kRelaysPerDomain;
+  }));
+  std::vector<platform::live_instance> list(1);
+  list[0].mInstance = instance_id("new");
+  list[0].mFailureDomain = failure_domain_id("a");
+  for (auto& node : mNodes) {
+    node.mStore->OnInstances([&](const std::vector<platform::live_instance>& aList) {
+      told += aList.size() == 1 && aList[0].mInstance == instance_id("new") ? 1 : 0;
+    });
+  }
+  for (auto& node : mNodes) {
+    if (node.mStore->ReadsLiveList()) {
+      node.mStore->NoteInstances(list);
+    }
+  }
+  REQUIRE(RunUntil([&] { return told == mNodes.size() - readers; }));
+}
+
+TEST_CASE_METHOD(config_store_fixture, "config_store_new_node_reads_a_snapshot_in_parts_instead_of_the_log")
+{
+  mSnapshotInterval = 4;
+  AddNine();
+  for (int i = 0; i < 4; ++i) {
+    admin::change change;
+    change.set_change_id("c" + std::to_string(i));
+    for (int j = 0; j < 200; ++j) {
+      auto object = Workspace("w" + std::to_string(i) + "-" + std::to_string(j));
+      for (int k = 0; k < 16; ++k) {
+        object.mutable_workspace()->add_api_key_hashes(std::string(64, 'a') + "$" + std::string(64, '0'));
+      }
+      AddPut(change, object);
+    }
+    REQUIRE(Apply(mNodes[0], change).has_value());
+  }
+  REQUIRE(RunUntil([&] { return mPlatform.mObjects.count(kSnapshotHeadKey) > 0; }));
+  REQUIRE(mPlatform.mLargest <= kMaxObjectBytes);
+  const auto head = DecodeHead(mPlatform.mObjects[kSnapshotHeadKey].mBody).value();
+  REQUIRE(head.mNewest.mRevision == revision_number(4));
+  REQUIRE(head.mNewest.mParts > 1);
+  REQUIRE(Apply(mNodes[0], Put("after", Workspace("after"))).has_value());
+  for (std::uint64_t revision = 1; revision <= 4; ++revision) {
+    mPlatform.mObjects.erase(LogKey(revision_number(revision)));
+  }
+  auto& late = Add("late", "d");
+  REQUIRE(RunUntil([&] { return late.mStore->Ready(); }));
+  REQUIRE(late.mStore->Current()->Revision() == revision_number(5));
+  REQUIRE(late.mStore->Current()->List(admin::OBJECT_KIND_WORKSPACE).size() == 801);
+  REQUIRE(Apply(late, Put("c0", Workspace("x"))).value().mRepeated);
+}
