What did not run is decided in the adapter; one piece serves both kinds of requests, and both who look at a pool's engines

Found while the same lines were joined: both kinds of requests took any 429 for "not run". The users' pages say so of a header and of 421 only; a booking answered 429 without the header could have been sent again. A test says it (it fails with 429 in the condition). An order under way is whole when it is made, where it was completed a few lines below.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -77,18 +77,16 @@
   mEnginesVersion = mMembers.Version();
   mEnginesConfiguration = mConfiguration.get();
   mEngines.clear();
-  for (const auto& [id, member] : mMembers.Members()) {
-    const policy::accelerator_kind* kind = aPool.mEngine->FindKind(member.mAccelerator);
-    if (member.mPool != aPool.mName || kind == nullptr || member.mLeaving || IsReplaced(id)) {
-      continue;
+  ForEachEngine(aPool, [&](const policy::backend_member& aMember, const policy::accelerator_kind& aKind) {
+    if (!aMember.mLeaving) {
+      policy::path_engine engine;
+      engine.mId = aMember.mId;
+      engine.mDomain = aMember.mDomain;
+      engine.mKind = aKind;
+      engine.mHeld = aMember.mLayers;
+      mEngines.push_back(std::move(engine));
     }
-    policy::path_engine engine;
-    engine.mId = id;
-    engine.mDomain = member.mDomain;
-    engine.mKind = *kind;
-    engine.mHeld = member.mLayers;
-    mEngines.push_back(std::move(engine));
-  }
+  });
 }
 
 std::optional<chosen_path> fleet::ChoosePath(const path_question& aQuestion, instant aNow)
@@ -263,6 +261,18 @@
   }
 }
 
+void fleet::BelieveUnreachable(const backend_id& aId,
+                               const std::string& aRequest,
+                               const std::string& aReason,
+                               instant aNow)
+{
+  log_line("backend_unreachable", log_rank::Notable)
+    .Text("request", aRequest)
+    .Text("backend", aId.Str())
+    .Text("reason", aReason);
+  BelieveLost(aId, aNow);
+}
+
 bool fleet::IsEngine(const backend_id& aId) const
 {
   const auto* member = mMembers.Find(aId);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -135,8 +135,22 @@
 
   /// A server was found dead or out of reach.
   void BelieveLost(const backend_id& aId, instant aNow, loss_source aSource = loss_source::Own);
+  /// No connection to a server could be made for a request, which was not sent.
+  void BelieveUnreachable(const backend_id& aId, const std::string& aRequest, const std::string& aReason, instant aNow);
   /// Called when this gateway itself finds a server lost that it took for alive.
   void OnLossFound(std::function<void(const backend_id&)> aCallback) { mOnLossFound = std::move(aCallback); }
+  /// Calls aVisit(member, kind) for each listed engine of a pool whose kind of accelerator is known; the last start of
+  /// each address only.
+  template<class Visit>
+  void ForEachEngine(const pool& aPool, Visit aVisit) const
+  {
+    for (const auto& [id, member] : mMembers.Members()) {
+      const policy::accelerator_kind* kind = aPool.mEngine->FindKind(member.mAccelerator);
+      if (member.mPool == aPool.mName && kind != nullptr && !IsReplaced(id)) {
+        aVisit(member, *kind);
+      }
+    }
+  }
   /// Whether a server belongs to a pool of model engines.
   bool IsEngine(const backend_id& aId) const;
   void BelieveRefusing(const backend_id& aId, instant aNow, duration aTime = kRefusalBelief);
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -174,24 +174,20 @@
 {
   std::vector<policy::plan_engine> engines;
   bool anyHolds = false;
-  for (const auto& [id, member] : mFleet->Members().Members()) {
-    const policy::accelerator_kind* kind = aPool.mEngine->FindKind(member.mAccelerator);
-    if (member.mPool != aPool.mName || kind == nullptr) {
-      continue;
-    }
+  mFleet->ForEachEngine(aPool, [&](const policy::backend_member& aMember, const policy::accelerator_kind& aKind) {
     policy::plan_engine engine;
-    engine.mId = id;
-    engine.mDomain = member.mDomain;
-    engine.mKind = *kind;
-    engine.mHeld = member.mLayers;
-    engine.mGone = member.mLeaving || mFleet->IsReplaced(id) || mFleet->IsBelievedLost(id, aNow);
-    if (const auto order = mOrders.find(id); order != mOrders.end()) {
+    engine.mId = aMember.mId;
+    engine.mDomain = aMember.mDomain;
+    engine.mKind = aKind;
+    engine.mHeld = aMember.mLayers;
+    engine.mGone = aMember.mLeaving || mFleet->IsBelievedLost(aMember.mId, aNow);
+    if (const auto order = mOrders.find(aMember.mId); order != mOrders.end()) {
       engine.mHeld = order->second.mRange;
       engine.mBusy = true;
     }
-    anyHolds = anyHolds || !member.mLayers.IsEmpty();
+    anyHolds = anyHolds || !aMember.mLayers.IsEmpty();
     engines.push_back(std::move(engine));
-  }
+  });
   if (!anyHolds && aNow - mMembersChangedAt < kStillList) {
     return;
   }
@@ -285,7 +281,9 @@
   const std::uint64_t orders = known == mOrderCounts.end() ? 0 : known->second;
   const double share = static_cast<double>(aOrder.mRange.Size()) / aModel.mLayers;
   const auto load = std::chrono::duration_cast<duration>(aModel.mLoad * share);
-  mOrders[aOrder.mEngine] = { aOrder.mRange, member->mStartedAt, aNow + load * 2 + kOrderSlack, false, aNow };
+  const bool givesUp = !member->mLayers.IsEmpty() &&
+                       (aOrder.mRange.mFrom > member->mLayers.mFrom || aOrder.mRange.mEnd < member->mLayers.mEnd);
+  mOrders[aOrder.mEngine] = { aOrder.mRange, member->mStartedAt, aNow + load * 2 + kOrderSlack, givesUp, aNow };
   log_line("layers_ordered", log_rank::Notable)
     .Text("backend", aOrder.mEngine.Str())
     .Count("from", aOrder.mRange.mFrom)
@@ -295,9 +293,6 @@
     .Count("fence", mLease.Fence())
     .Count("orders", orders)
     .Count("members_version", mFleet->Members().Version());
-  const bool givesUp = !member->mLayers.IsEmpty() &&
-                       (aOrder.mRange.mFrom > member->mLayers.mFrom || aOrder.mRange.mEnd < member->mLayers.mEnd);
-  mOrders[aOrder.mEngine].mGivesUp = givesUp;
   TellMoving(aOrder.mEngine, aNow);
   CallShortly(mContext,
               mCalls,
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -105,7 +105,7 @@
   mHasHead = true;
   mStatus = aStatus;
   mHeaders = std::move(aHeaders);
-  mNote = wire::DecodeNote(mHeaders);
+  mNote = wire::DecodeNote(mStatus, mHeaders);
 }
 
 void service_request::OnBody(std::string_view aBytes)
@@ -123,11 +123,7 @@
   const instant now = Now();
   mCall.reset();
   if (aEnd == call_end::Unsent) {
-    log_line("backend_unreachable", log_rank::Notable)
-      .Text("request", Id())
-      .Text("backend", mServer->Str())
-      .Text("reason", aReason);
-    mTools.mFleet->BelieveLost(*mServer, now);
+    mTools.mFleet->BelieveUnreachable(*mServer, Id(), aReason, now);
     Drop(true);
     if (mSends < kMostSends) {
       TryServer(now);
@@ -144,7 +140,7 @@
     TakeFailure(aReason, now);
     return;
   }
-  if (mNote.mDidNotRun || mStatus == 421 || mStatus == 429) {
+  if (mNote.mDidNotRun) {
     log_line("server_refused", log_rank::Notable)
       .Text("request", Id())
       .Text("backend", mServer->Str())
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -218,7 +218,7 @@
 {
   mStatus = aStatus;
   mHeaders = std::move(aHeaders);
-  mNote = wire::DecodeNote(mHeaders);
+  mNote = wire::DecodeNote(mStatus, mHeaders);
   mSourceIsGood = aStatus == 200 && mNote.mIsSigned && !mHeaders.Has("Content-Encoding");
 }
 
@@ -270,12 +270,7 @@
   const instant now = Now();
   mCall.reset();
   if (aEnd == call_end::Unsent) {
-    const backend_id first = mPath->mParts.front().mEngine;
-    mTools.mFleet->BelieveLost(first, now);
-    log_line("backend_unreachable", log_rank::Notable)
-      .Text("request", Id())
-      .Text("backend", first.Str())
-      .Text("reason", aReason);
+    mTools.mFleet->BelieveUnreachable(mPath->mParts.front().mEngine, Id(), aReason, now);
     ForgetLastRun();
     Drop();
     if (mSends < kMostSends) {
@@ -301,7 +296,7 @@
     End(request_end::Served, mStatus, "");
     return;
   }
-  if (mNote.mDidNotRun || mStatus == 421 || mStatus == 429) {
+  if (mNote.mDidNotRun) {
     TakeRefusal(now);
     return;
   }
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -222,8 +222,9 @@
     mLastEvent = mHasBegun ? mLastEvent : now;
     return;
   }
-  const auto faulty =
-    aReply ? mTools.mFleet->AtAddress(wire::DecodeNote(aReply->mHeaders).mFaultyAddress) : std::nullopt;
+  const auto faulty = aReply
+                        ? mTools.mFleet->AtAddress(wire::DecodeNote(aReply->mStatus, aReply->mHeaders).mFaultyAddress)
+                        : std::nullopt;
   log_line("repath_refused", log_rank::Notable)
     .Text("request", Id())
     .Text("backend", faulty ? faulty->Str() : "")
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -44,7 +44,7 @@
   std::optional<std::uint64_t> mLastEvent; ///< events up to this one are not wanted again
 };
 
-/// What a backend server's answer says beside its status.
+/// What the head of a backend server's answer says.
 struct answer_note
 {
   std::string mRequest;       ///< id of the request that it answers, as the server gives it
@@ -75,7 +75,7 @@
 caller_wish DecodeWish(const net::http_headers& aHeaders);
 /// The headers for the backend server: the caller's, less those of the connection and of the system, and the dispatch.
 net::http_headers EncodeDispatch(const net::http_headers& aCallers, const dispatch& aDispatch);
-answer_note DecodeNote(const net::http_headers& aHeaders);
+answer_note DecodeNote(unsigned aStatus, const net::http_headers& aHeaders);
 /// A header that tells a caller when to come back.
 net::http_header ComeBackAfter(duration aTime);
 /// The path of a request to a backend server, as sent.
--- a/src/gateway/worker_call.cpp
+++ b/src/gateway/worker_call.cpp
@@ -309,7 +309,7 @@
     const auto value = field.value();
     headers.Add(std::string_view(name.data(), name.size()), std::string_view(value.data(), value.size()));
   }
-  const std::string answered = wire::DecodeNote(headers).mRequest;
+  const std::string answered = wire::DecodeNote(head.result_int(), headers).mRequest;
   mIsForeign = !mOptions.mRequestId.empty() && !answered.empty() && answered != mOptions.mRequestId;
   if (mIsForeign) {
     if (++mForeignAnswers > kMostForeignAnswers || mParser->need_eof()) {
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -185,3 +185,11 @@
   CHECK(!wire::DecodeList("{}", fault));
   CHECK(!wire::DecodeChanges("x", fault));
 }
+
+TEST_CASE("platform_answer_says_that_it_did_not_run_only_by_its_header_or_421")
+{
+  CHECK(wire::DecodeNote(503, Headers({ { "X-Not-Executed", "full" } })).mDidNotRun);
+  CHECK(wire::DecodeNote(421, Headers({})).mDidNotRun);
+  CHECK(!wire::DecodeNote(429, Headers({})).mDidNotRun);
+  CHECK(!wire::DecodeNote(503, Headers({})).mDidNotRun);
+}
