A call waits a moment for a sidecar that is listed and not linked yet

The operator's procedure of OPERATIONS goes on to the last other sidecar as soon as the restarted one says that it is up; an entry that has no link to it yet then has nobody to ask, for some milliseconds. Ruled out: a refusal by a leaving sidecar that is not repeated (the answer then carries its reason); the backend server (its state is reported when it changes). Now such a call waits 500 ms at most, only while a sidecar that is not leaving is listed, not linked, and has failed fewer than three times. Tests: one that has to wait, one that must not.

--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -1,5 +1,7 @@
 #include "entry/request_router.h"
 
+#include <algorithm>
+
 #include "base/clock.h"
 #include "base/random.h"
 
@@ -49,4 +51,12 @@
   return chosen ? providers[*chosen] : nullptr;
 }
 
+bool request_router::IsAwaited(const provider_wish& aWish) const
+{
+  const auto providers = mLinks->OfPool(aWish.mPool);
+  return std::any_of(providers.begin(), providers.end(), [&](const auto& aKnown) {
+    return aKnown->IsAwaited() && !aWish.mExcluded.contains(aKnown->Instance().Str());
+  });
+}
+
 } // namespace chervilpulley::entry
--- a/src/entry/request_router.h
+++ b/src/entry/request_router.h
@@ -53,6 +53,8 @@
   void OnProviderLost(const ref<link::provider>& aProvider);
   /// The sidecar to ask; null when none takes such work.
   ref<link::provider> Choose(const provider_wish& aWish) const;
+  /// Whether a sidecar that may take such work is listed and not linked yet.
+  bool IsAwaited(const provider_wish& aWish) const;
   std::size_t InProgress() const { return mMailboxes.Size(); }
 
 private:
--- a/src/entry/service_run.cpp
+++ b/src/entry/service_run.cpp
@@ -12,6 +12,10 @@
 constexpr part_log kLog("entry");
 constexpr duration kSilenceCheck = std::chrono::milliseconds(100);
 constexpr duration kRetryAfter = std::chrono::seconds(1);
+/// How long a call waits for a sidecar that is listed and not linked yet, as in a roll-out, when the last of the others
+/// has just begun to leave. A link is made within milliseconds, and tried again after 100.
+constexpr duration kLinkWait = std::chrono::milliseconds(500);
+constexpr duration kLinkPause = std::chrono::milliseconds(10);
 
 /// Refusals that say something of the call, not of the sidecar: no other sidecar would decide otherwise.
 bool IsFinal(const link::refusal& aRefusal)
@@ -47,6 +51,11 @@
   for (std::uint32_t i = 0; i < kMaxAttempts; ++i) {
     const provider_wish wish{ mOrder.mPool, "", 0, 1, mExcluded, {} };
     mProvider = mRouter.Choose(wish);
+    const instant until = std::min(Now() + kLinkWait, mOrder.mDeadline);
+    while (!mProvider && Now() < until && mRouter.IsAwaited(wish)) {
+      co_await mMailbox->Pop(Now() + kLinkPause);
+      mProvider = mRouter.Choose(wish);
+    }
     if (!mProvider) {
       break;
     }
--- a/src/link/provider_links.cpp
+++ b/src/link/provider_links.cpp
@@ -16,6 +16,8 @@
 constexpr part_log kLog("links");
 constexpr duration kFirstRetry = std::chrono::milliseconds(100);
 constexpr duration kLongestRetry = std::chrono::seconds(2);
+/// Failed connections after which a sidecar is not waited for: it has ended, and the list does not say so yet.
+constexpr std::uint32_t kAwaitedFailures = 3;
 constexpr duration kSilenceBeforeProbe = std::chrono::milliseconds(300);
 
 duration RetryDelay(std::uint32_t aFailures)
@@ -37,6 +39,13 @@
   return mReport;
 }
 
+bool provider::IsAwaited() const
+{
+  std::lock_guard lock(mMutex);
+  const bool hasReported = mLink && mReportAt != instant{};
+  return mWanted && !mListedLeaving && !hasReported && mFailures < kAwaitedFailures;
+}
+
 policy::route_candidate provider::Candidate(instant aNow) const
 {
   std::lock_guard lock(mMutex);
--- a/src/link/provider_links.h
+++ b/src/link/provider_links.h
@@ -34,6 +34,8 @@
   ref<connection> Link() const;
   /// The last load report; its instance is empty before the first one.
   load_report Report() const;
+  /// Whether it is listed for work and its link, or its first report, is still to come; not when it can't be reached.
+  bool IsAwaited() const;
   /// What the choice of a route may know of it now.
   policy::route_candidate Candidate(instant aNow) const;
   /// Counts work that this process has in progress there.
--- a/tests/contract/entry_service_run_test.cpp
+++ b/tests/contract/entry_service_run_test.cpp
@@ -200,6 +200,25 @@
   }
 }
 
+TEST_CASE_METHOD(service_run_fixture, "service_run_waits_for_a_sidecar_that_is_listed_and_not_linked_yet")
+{
+  // A call that comes at the same moment as the list finds no link.
+  mLinks->SetWanted({ StartSidecar("sidecar-4") }, Now());
+  const auto got = Call({ reaction::Reply }, false, "");
+  REQUIRE(got);
+  CHECK(got.value().status() == 201);
+}
+
+TEST_CASE_METHOD(service_run_fixture, "service_run_without_any_sidecar_listed_is_refused_at_once")
+{
+  mLinks->SetWanted({}, Now());
+  const instant begun = Now();
+  const auto got = Call({}, false, "");
+  REQUIRE(!got);
+  CHECK(got.error().mOutcome == link::OUTCOME_NOT_RUN);
+  CHECK(Now() - begun < std::chrono::milliseconds(400));
+}
+
 TEST_CASE_METHOD(service_run_fixture, "service_run_link_replaced_without_notice_counts_as_lost")
 {
   mTellsOfLoss = false;
