Servers that stop take the callers whose connections are already made

The system makes connections before the server takes them; closing the acceptor resets those, and their requests with them. So it is in the entry's server and in the gateway's. Now both take what waits before they close, and the gateway does not close an idle connection on which a request has come. Test: eight callers whose connections are made while the server's loop stands still, then it stops; all are answered.

--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -53,8 +53,17 @@
 
 void listener_impl::StopAccepting()
 {
-  error_code ignored;
-  mAcceptor.close(ignored);
+  // Callers whose connections the system has made have sent their requests: closing the acceptor would reset them.
+  error_code error;
+  mAcceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(mContext);
+    mAcceptor.accept(socket, error);
+    if (!error) {
+      MakeRef<session_impl>(ref<listener_impl>(this), std::move(socket))->WaitForRequest();
+    }
+  }
+  mAcceptor.close(error);
 }
 
 void listener_impl::CloseIdle()
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -342,7 +342,9 @@
 
 void session_impl::CloseIfIdle()
 {
-  if (mPhase == session_phase::Idle) {
+  // A request that has come and was not read yet would be reset.
+  error_code error;
+  if (mPhase == session_phase::Idle && mSocket.available(error) == 0) {
     Close();
   }
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -107,6 +107,9 @@
   auto AcceptorExecutor() { return mAcceptor.get_executor(); }
 
 private:
+  void Serve(tcp::socket aSocket);
+  void ServeWaiting();
+
   asio::io_context& mContext;
   tcp::acceptor mAcceptor;
   http_handler mHandler;
@@ -395,23 +398,39 @@
     if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
       co_return;
     }
-    if (error) {
-      continue;
+    if (!error) {
+      Serve(std::move(socket));
     }
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    bool isFull = false;
-    {
-      std::lock_guard lock(mMutex);
-      isFull = mConnections.size() >= mLimits.mMaxConnections;
+  }
+}
+
+void server_impl::Serve(tcp::socket aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  {
+    std::lock_guard lock(mMutex);
+    if (mConnections.size() >= mLimits.mMaxConnections) {
+      return;
     }
-    if (isFull) {
-      continue;
+  }
+  const auto strand = aSocket.get_executor();
+  auto connection = MakeRef<server_connection>(ref<server_impl>(this), std::move(aSocket));
+  asio::co_spawn(
+    strand, [connection]() -> asio::awaitable<void> { co_await connection->Run(); }, asio::detached);
+}
+
+/// Callers whose connections the system has made have sent their requests: closing the acceptor would reset them.
+void server_impl::ServeWaiting()
+{
+  boost::system::error_code error;
+  mAcceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(asio::make_strand(mContext));
+    mAcceptor.accept(socket, error);
+    if (!error) {
+      Serve(std::move(socket));
     }
-    const auto strand = socket.get_executor();
-    auto connection = MakeRef<server_connection>(aSelf, std::move(socket));
-    asio::co_spawn(
-      strand, [connection]() -> asio::awaitable<void> { co_await connection->Run(); }, asio::detached);
   }
 }
 
@@ -419,6 +438,7 @@
 {
   mStopping = true;
   asio::post(mAcceptor.get_executor(), [self = ref<server_impl>(this)] {
+    self->ServeWaiting();
     boost::system::error_code ignored;
     self->mAcceptor.close(ignored);
   });
--- a/tests/contract/net_http_server_test.cpp
+++ b/tests/contract/net_http_server_test.cpp
@@ -2,9 +2,12 @@
 #include "net/http_server.h"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <arpa/inet.h>
@@ -14,6 +17,7 @@
 #include <atomic>
 #include <future>
 #include <thread>
+#include <vector>
 
 #include "base/clock.h"
 
@@ -138,6 +142,40 @@
   close(caller);
 }
 
+TEST_CASE("http_server_that_stops_answers_callers_whose_connections_it_has_not_taken_yet")
+{
+  boost::asio::io_context context;
+  const auto answer = [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+    co_await aExchange.Reply(net::JsonReply(200, "{}"));
+  };
+  const auto server = net::http_server::Start(context, { "127.0.0.1", 0 }, answer, {}).value();
+  // The system makes the connections while the server's loop stands still.
+  std::vector<std::future<unsigned>> callers;
+  std::atomic<std::size_t> connected{ 0 };
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(std::async(std::launch::async, [&] {
+      boost::asio::io_context own;
+      boost::asio::ip::tcp::socket socket(own);
+      socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server->LocalEndpoint().mPort });
+      boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+      ++connected;
+      std::string text;
+      boost::system::error_code error;
+      boost::asio::read_until(socket, boost::asio::dynamic_buffer(text), "\r\n", error);
+      return error ? 0U : static_cast<unsigned>(std::stoul(text.substr(text.find(' ') + 1)));
+    }));
+  }
+  while (connected < callers.size()) {
+    std::this_thread::yield();
+  }
+  server->StopAccepting();
+  std::thread loop([&] { context.run(); });
+  for (auto& caller : callers) {
+    CHECK(caller.get() == 200);
+  }
+  loop.join();
+}
+
 TEST_CASE_METHOD(http_server_fixture, "http_server_body_over_the_limit_is_413")
 {
   for (const std::size_t size : { 101UL, 100'000UL, 20'000'000UL }) {
