--- a/tests/processes/gateway_test.cpp
+++ b/tests/processes/gateway_test.cpp
@@ -260,6 +260,20 @@
   CHECK(Send(fresh).mStatus == 200);
 }
 
+TEST_CASE_METHOD(one_gateway_fixture, "gateway_that_is_shown_an_older_configuration_keeps_its_own")
+{
+  Control(mFleet, { { "version", 5 }, { "key", "key-2" } });
+  REQUIRE(WaitUntil([&] { return Metric(0, "gateway_configuration_version") == 5; }));
+  Control(mFleet, { { "version", 4 }, { "key", "key-3" } });
+  // It has read the older one when it can't confirm its own any more.
+  REQUIRE(WaitUntil([&] { return Metric(0, "gateway_configuration_age_seconds") > 2; }));
+  gateway_call older = Lookup("o1");
+  older.mKey = "key-3";
+  CHECK(Send(older).mStatus != 200);
+  CHECK(Runs("o1") == 0);
+  CHECK(Metric(0, "gateway_configuration_version") == 5);
+}
+
 TEST_CASE_METHOD(one_gateway_fixture, "gateway_without_the_store_trusts_no_key_after_a_while_and_serves_again_later")
 {
   Control(mFleet, { { "store", { { "silent", true } } } });
