A catalogue of the log's events, and commands that tell a request's story from it

Now: an event is an enumerator of log_event with name, rank, fields and meaning in src/base/log_events.cpp. docs/EVENTS.md is printed from it (events-reference), and a test compares page, catalogue and the statements in src/gateway. `explain ID FILE...` prints a request's lines and, between them, what its gateway came to believe of what it needed; `requests FILE...` finds ids. The flags differ from the issue's sketch (files are arguments, so that the shell can expand them). Ruled out: sending stories to a collector; the lines are enough, and files of several machines can be read together.

--- a/src/base/decision_log.cpp
+++ b/src/base/decision_log.cpp
@@ -123,11 +123,11 @@
   return sDropped;
 }
 
-log_line::log_line(std::string_view aEvent, log_rank aRank)
-  : mIsKept(sLogger != nullptr && sBudget.Take(aRank))
+log_line::log_line(log_event aEvent)
+  : mIsKept(sLogger != nullptr && sBudget.Take(EntryOf(aEvent).mRank))
 {
   if (mIsKept) {
-    mFields = fmt::format(R"("event":"{}")", aEvent);
+    mFields = fmt::format(R"("event":"{}")", EntryOf(aEvent).mName);
   }
 }
 
--- a/src/base/decision_log.h
+++ b/src/base/decision_log.h
@@ -4,18 +4,13 @@
 #include <string>
 #include <string_view>
 
+#include "base/log_events.h"
+
 /// Structured lines on standard output: one JSON object for each decision about a request and for each change of what
 /// the process believes. Never blocks and is bounded: what the reader does not take, and what goes over a budget a
 /// second, is dropped and counted.
 namespace chervilpulley {
 
-/// Which lines are kept when there are too many.
-enum class log_rank
-{
-  Routine, ///< a request that went well
-  Notable  ///< a refusal, failure, repeat or repair, or a change of beliefs
-};
-
 /// Starts the log; lines before this are dropped.
 void StartDecisionLog(const std::string& aInstance);
 /// Lines dropped so far.
@@ -25,7 +20,7 @@
 class log_line
 {
 public:
-  explicit log_line(std::string_view aEvent, log_rank aRank = log_rank::Routine);
+  explicit log_line(log_event aEvent);
   log_line(const log_line&) = delete;
   log_line& operator=(const log_line&) = delete;
   ~log_line();
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -107,7 +107,7 @@
   for (const role_command& role : aRoles) {
     all.push_back(RoleCommand(role));
   }
-  for (auto group : { ChangeCommands(), OperatorCommands(), LocalCommands() }) {
+  for (auto group : { ChangeCommands(), OperatorCommands(), LogCommands(), LocalCommands() }) {
     all.insert(all.end(), group.begin(), group.end());
   }
   all.push_back(LoadCommand());
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -12,6 +12,8 @@
 std::vector<command> ChangeCommands();
 /// get, watch, audit, status, rollout, drain.
 std::vector<command> OperatorCommands();
+/// explain, requests, events-reference.
+std::vector<command> LogCommands();
 /// load.
 command LoadCommand();
 /// A process in a role.
--- /dev/null
+++ b/src/cli/commands_logs.cpp
@@ -0,0 +1,105 @@
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <ostream>
+
+#include "base/log_events.h"
+#include "cli/commands.h"
+#include "cli/exit_code.h"
+#include "cli/explain.h"
+
+DEFINE_string(logs_reason, "", "Only those whose reason holds this text.");
+DEFINE_string(logs_workspace, "", "Only those of this workspace.");
+DEFINE_string(logs_since, "", "Only those that ended then or later; a time as the lines write it, or its beginning.");
+DEFINE_double(logs_late, 0, "Only streams whose first event came after so many milliseconds or later, served or not.");
+DEFINE_bool(logs_all, false, "Also those that were served.");
+
+namespace chervilpulley::cli {
+
+namespace {
+
+/// Reads the files named from one position on.
+/// @return false when one can't be read, which is printed.
+bool ReadFiles(const std::vector<std::string>& aArguments, std::size_t aFirst, read_log& aLog, streams aStreams)
+{
+  for (std::size_t at = aFirst; at < aArguments.size(); ++at) {
+    std::ifstream in(aArguments[at]);
+    if (!in) {
+      aStreams.mErr << fmt::format("{}: {}\n", aArguments[at], std::strerror(errno));
+      return false;
+    }
+    ReadLines(in, aLog);
+  }
+  OrderLines(aLog);
+  if (aLog.mLines.empty()) {
+    aStreams.mErr << fmt::format("no line of a gateway's log in these files ({} others)\n", aLog.mPassedOver);
+    return false;
+  }
+  return true;
+}
+
+int Explain(const std::vector<std::string>& aArguments, streams aStreams)
+{
+  read_log log;
+  if (!ReadFiles(aArguments, 1, log, aStreams)) {
+    return ExitRefused;
+  }
+  const std::string told = ExplainRequest(log, aArguments[0]);
+  if (told.empty()) {
+    aStreams.mErr << fmt::format("{}: no line names this request\n", aArguments[0]);
+    return ExitRefused;
+  }
+  aStreams.mOut << told;
+  return ExitOk;
+}
+
+int Requests(const std::vector<std::string>& aArguments, streams aStreams)
+{
+  read_log log;
+  if (!ReadFiles(aArguments, 0, log, aStreams)) {
+    return ExitRefused;
+  }
+  request_search search;
+  search.mReason = FLAGS_logs_reason;
+  search.mWorkspace = FLAGS_logs_workspace;
+  search.mSince = FLAGS_logs_since;
+  search.mFirstEventMs = FLAGS_logs_late;
+  search.mWithServed = FLAGS_logs_all;
+  aStreams.mOut << FindRequests(log, search);
+  return ExitOk;
+}
+
+int PrintEventsReference(const std::vector<std::string>&, streams aStreams)
+{
+  aStreams.mOut << EventsReference();
+  return ExitOk;
+}
+
+/// Files of a deployment's logs that one command may read.
+constexpr std::size_t kMostFiles = 10'000;
+
+} // namespace
+
+std::vector<command> LogCommands()
+{
+  return {
+    { "explain", "ID FILE...", "Tells a request's story from gateways' logs.", {}, 2, kMostFiles, Explain },
+    { "requests",
+      "FILE...",
+      "Finds requests that failed, or were late, in gateways' logs.",
+      { { "reason", "logs_reason" },
+        { "workspace", "logs_workspace" },
+        { "since", "logs_since" },
+        { "late", "logs_late" },
+        { "all", "logs_all" } },
+      1,
+      kMostFiles,
+      Requests },
+    { "events-reference", "", "Prints the reference page of all events of the log.", {}, 0, 0, PrintEventsReference },
+  };
+}
+
+} // namespace chervilpulley::cli
--- /dev/null
+++ b/src/cli/explain.cpp
@@ -0,0 +1,281 @@
+#include "cli/explain.h"
+
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "base/log_events.h"
+
+namespace chervilpulley::cli {
+
+namespace {
+
+using std::chrono::system_clock;
+
+/// How long before a request's first line a change of beliefs may be its cause: servers that are lost are taken for
+/// lost until the list says more, which takes some seconds.
+constexpr std::chrono::seconds kBefore{ 5 };
+
+bool IsOneOf(const read_line& aLine, std::initializer_list<log_event> aEvents)
+{
+  const auto event = EventNamed(aLine.mEvent);
+  return event && std::find(aEvents.begin(), aEvents.end(), *event) != aEvents.end();
+}
+
+bool IsServed(const read_line& aLine)
+{
+  return IsOneOf(aLine, { log_event::StreamServed, log_event::CallServed });
+}
+
+bool IsEnd(const read_line& aLine)
+{
+  return IsServed(aLine) ||
+         IsOneOf(
+           aLine,
+           { log_event::StreamEnded, log_event::CallEnded, log_event::RequestRefused, log_event::RequestCondemned });
+}
+
+/// What a gateway as a whole believes and does, whatever the request.
+bool IsOfWholeGateway(const read_line& aLine)
+{
+  return IsOneOf(aLine,
+                 { log_event::Started,
+                   log_event::CallersAccepted,
+                   log_event::NotReady,
+                   log_event::Signal,
+                   log_event::Stopped,
+                   log_event::StoreLost,
+                   log_event::StoreRegained,
+                   log_event::ConfigurationInForce,
+                   log_event::ConfigurationOlder,
+                   log_event::ConfigurationUnreadable });
+}
+
+bool IsOfLayers(const read_line& aLine)
+{
+  return IsOneOf(aLine,
+                 { log_event::LayersOrdered,
+                   log_event::LayersHeld,
+                   log_event::OrderRefused,
+                   log_event::OrderWithoutEffect,
+                   log_event::DutyTaken,
+                   log_event::DutyLeft });
+}
+
+/// Fields that each line has, or that are the same in all of a story.
+bool IsShownApart(std::string_view aName)
+{
+  return aName == "time" || aName == "instance" || aName == "event" || aName == "request";
+}
+
+std::string Shown(const boost::json::value& aValue)
+{
+  if (aValue.is_string()) {
+    return std::string(aValue.as_string());
+  }
+  return aValue.is_number() ? fmt::format("{:.10g}", aValue.to_number<double>()) : boost::json::serialize(aValue);
+}
+
+/// Collects what a request's own lines name, and picks the others that belong to its story.
+class story
+{
+public:
+  story(const read_log& aLog, const std::string& aRequest)
+    : mLog(aLog)
+    , mRequest(aRequest)
+  {
+    for (const read_line& line : mLog.mLines) {
+      if (IsOwn(line)) {
+        TakeOwn(line);
+      } else if (IsOneOf(line, { log_event::BackendSeen })) {
+        mAddresses.emplace(line.Text("address"), line.Text("backend"));
+      }
+    }
+    for (const std::string& path : mPaths) {
+      TakePath(path);
+    }
+  }
+
+  bool IsEmpty() const { return !mBegin; }
+
+  std::string Print() const
+  {
+    std::string text;
+    std::set<std::string> events;
+    for (const read_line& line : mLog.mLines) {
+      if (Belongs(line)) {
+        events.insert(line.mEvent);
+        PrintLine(line, text);
+      }
+    }
+    return Headline() + text + Meanings(events) + Gaps();
+  }
+
+private:
+  bool IsOwn(const read_line& aLine) const { return aLine.Text("request") == mRequest; }
+
+  void TakeOwn(const read_line& aLine)
+  {
+    if (!mBegin) {
+      mBegin = aLine.mTime;
+    }
+    mEnd = aLine.mTime;
+    mLast = &aLine;
+    mInstances.insert(aLine.mInstance);
+    mBackends.insert(aLine.Text("backend"));
+    mPaths.insert(aLine.Text("path"));
+    mLacksRoom = mLacksRoom || IsOneOf(aLine, { log_event::NoPath });
+  }
+
+  /// "10.1.64.44:8688=54-63,..."
+  void TakePath(const std::string& aPath)
+  {
+    std::size_t begin = 0;
+    while (begin < aPath.size()) {
+      const std::size_t end = std::min(aPath.find(',', begin), aPath.size());
+      const std::string part = aPath.substr(begin, end - begin);
+      const auto known = mAddresses.find(part.substr(0, part.find('=')));
+      if (known != mAddresses.end()) {
+        mBackends.insert(known->second);
+      }
+      begin = end + 1;
+    }
+  }
+
+  bool Belongs(const read_line& aLine) const
+  {
+    if (IsOwn(aLine)) {
+      return true;
+    }
+    if (aLine.mTime < *mBegin - kBefore || aLine.mTime > mEnd || !aLine.Text("request").empty()) {
+      return false;
+    }
+    // Before the request it says only that a server was known.
+    if (aLine.mTime < *mBegin && IsOneOf(aLine, { log_event::BackendSeen })) {
+      return false;
+    }
+    const bool isHere = mInstances.count(aLine.mInstance) > 0;
+    const std::string backend = aLine.Text("backend");
+    return (isHere && IsOfWholeGateway(aLine)) || (mLacksRoom && IsOfLayers(aLine)) ||
+           (!backend.empty() && mBackends.count(backend) > 0 && (isHere || IsOfLayers(aLine)));
+  }
+
+  void PrintLine(const read_line& aLine, std::string& aText) const
+  {
+    const double after = std::chrono::duration<double, std::milli>(aLine.mTime - *mBegin).count();
+    fmt::format_to(std::back_inserter(aText),
+                   "{} {:>+9.0f} ms  {}  {:<22}",
+                   IsOwn(aLine) ? '*' : ' ',
+                   after,
+                   aLine.mInstance,
+                   aLine.mEvent);
+    for (const auto& field : aLine.mFields) {
+      if (!IsShownApart(field.key())) {
+        fmt::format_to(std::back_inserter(aText), " {}={}", std::string(field.key()), Shown(field.value()));
+      }
+    }
+    aText += '\n';
+  }
+
+  std::string Headline() const
+  {
+    std::string end = "no line says how it ended";
+    if (IsEnd(*mLast)) {
+      const std::string reason = mLast->Text("reason");
+      end = fmt::format(
+        "{}{}{} (status {:.0f})", mLast->mEvent, reason.empty() ? "" : ", ", reason, mLast->Number("status"));
+    }
+    return fmt::format("request {}: {}\nfirst line at {}; * marks its own lines\n\n", mRequest, end, BeginText());
+  }
+
+  std::string BeginText() const
+  {
+    const auto first =
+      std::find_if(mLog.mLines.begin(), mLog.mLines.end(), [this](const read_line& aLine) { return IsOwn(aLine); });
+    return first->mTimeText;
+  }
+
+  static std::string Meanings(const std::set<std::string>& aEvents)
+  {
+    std::string text = "\n";
+    for (const std::string& name : aEvents) {
+      const auto event = EventNamed(name);
+      fmt::format_to(std::back_inserter(text),
+                     "{}: {}\n",
+                     name,
+                     event ? EntryOf(*event).mMeaning : "not in this release's catalogue");
+    }
+    return text;
+  }
+
+  /// Says which of its gateways dropped lines, as a step may be missing then.
+  std::string Gaps() const
+  {
+    std::map<std::string, double> dropped;
+    for (const read_line& line : mLog.mLines) {
+      if (mInstances.count(line.mInstance) > 0 && line.Number("log_lines_dropped") > 0) {
+        dropped[line.mInstance] = line.Number("log_lines_dropped");
+      }
+    }
+    std::string text;
+    for (const auto& [instance, count] : dropped) {
+      fmt::format_to(std::back_inserter(text), "\n{} dropped {:.0f} lines; a step may be missing\n", instance, count);
+    }
+    return text;
+  }
+
+  const read_log& mLog;
+  const std::string mRequest;
+  std::optional<system_clock::time_point> mBegin;
+  system_clock::time_point mEnd;
+  const read_line* mLast = nullptr;
+  std::set<std::string> mInstances;
+  std::set<std::string> mBackends;
+  std::set<std::string> mPaths;
+  std::map<std::string, std::string> mAddresses; ///< address to backend server
+  bool mLacksRoom = false;
+};
+
+bool Matches(const read_line& aLine, const request_search& aSearch)
+{
+  return IsEnd(aLine) && (aSearch.mWithServed || aSearch.mFirstEventMs > 0 || !IsServed(aLine)) &&
+         aLine.Text("reason").find(aSearch.mReason) != std::string::npos &&
+         (aSearch.mWorkspace.empty() || aLine.Text("workspace") == aSearch.mWorkspace) &&
+         aLine.mTimeText >= aSearch.mSince && aLine.Number("first_event_ms") >= aSearch.mFirstEventMs;
+}
+
+} // namespace
+
+std::string ExplainRequest(const read_log& aLog, const std::string& aRequest)
+{
+  const story told(aLog, aRequest);
+  return told.IsEmpty() ? std::string() : told.Print();
+}
+
+std::string FindRequests(const read_log& aLog, const request_search& aSearch)
+{
+  std::string text;
+  for (const read_line& line : aLog.mLines) {
+    if (Matches(line, aSearch)) {
+      fmt::format_to(std::back_inserter(text),
+                     "{} {} {} {} status={:.0f} after_ms={:.0f} workspace={} reason={}\n",
+                     line.Text("request"),
+                     line.mTimeText,
+                     line.mInstance,
+                     line.mEvent,
+                     line.Number("status"),
+                     line.Number("after_ms"),
+                     line.Text("workspace"),
+                     line.Text("reason"));
+    }
+  }
+  return text;
+}
+
+} // namespace chervilpulley::cli
--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -34,7 +34,7 @@
       return;
     }
     if (aError) {
-      log_line("accept_failed", log_rank::Notable).Text("reason", aError.message());
+      log_line(log_event::AcceptFailed).Text("reason", aError.message());
       self->mPause.expires_after(kAcceptPause);
       self->mPause.async_wait([self](const error_code&) { self->Accept(); });
       return;
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -158,7 +158,7 @@
     Close();
     return;
   }
-  log_line("request_unreadable", log_rank::Notable).Text("reason", aError.message()).Count("status", reply.mStatus);
+  log_line(log_event::RequestUnreadable).Text("reason", aError.message()).Count("status", reply.mStatus);
   mKeepAlive = false;
   mPhase = session_phase::Answering;
   Answer(std::move(reply));
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -30,7 +30,7 @@
 void crash_watch::Served(request_digest aDigest)
 {
   if (mRecord.Cleared(aDigest)) {
-    log_line("crash_suspect_cleared", log_rank::Notable).Count("digest", aDigest.Value());
+    log_line(log_event::CrashSuspectCleared).Count("digest", aDigest.Value());
     mHints->TellCleared(aDigest);
   }
 }
@@ -43,7 +43,7 @@
   };
   const auto found = mRecord.TimePassed(isUp, aNow);
   for (const policy::crash_finding& finding : found) {
-    log_line("crash_suspected", log_rank::Notable)
+    log_line(log_event::CrashSuspected)
       .Count("digest", finding.mDigest.Value())
       .Text("backend", finding.mServer.mId.Str())
       .Count("started_at", finding.mServer.mStartedAt)
--- a/src/gateway/engine_inquiries.cpp
+++ b/src/gateway/engine_inquiries.cpp
@@ -141,7 +141,7 @@
     report = wire::DecodeReport(aReply->mBody, fault);
   }
   if (!report) {
-    log_line("report_missing", log_rank::Notable).Text("backend", aEngine.Str()).Text("reason", fault);
+    log_line(log_event::ReportMissing).Text("backend", aEngine.Str()).Text("reason", fault);
   }
   if (report) {
     mFleet->Reported(aEngine, *report, Now());
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -35,7 +35,7 @@
       backend_belief& kept = beliefs.emplace(id, known->second).first->second;
       if (member.mLeaving && !kept.mLeavingSince) {
         kept.mLeavingSince = aNow;
-        log_line("backend_leaving", log_rank::Notable).Text("backend", id.Str());
+        log_line(log_event::BackendLeaving).Text("backend", id.Str());
       }
       continue;
     }
@@ -48,7 +48,7 @@
       fresh.mAddress = address.value();
     }
     beliefs.emplace(id, fresh);
-    log_line("backend_seen", log_rank::Notable)
+    log_line(log_event::BackendSeen)
       .Text("backend", id.Str())
       .Text("pool", member.mPool.Str())
       .Text("address", member.mAddress)
@@ -56,7 +56,7 @@
   }
   for (const auto& [id, belief] : mBeliefs) {
     if (!beliefs.contains(id)) {
-      log_line("backend_gone", log_rank::Notable).Text("backend", id.Str());
+      log_line(log_event::BackendGone).Text("backend", id.Str());
     }
   }
   mBeliefs = std::move(beliefs);
@@ -253,7 +253,7 @@
   if (!isNews) {
     return;
   }
-  log_line("backend_believed_lost", log_rank::Notable)
+  log_line(log_event::BackendBelievedLost)
     .Text("backend", aId.Str())
     .Text("found_by", aSource == loss_source::Own ? "own" : "hint");
   if (aSource == loss_source::Own && mOnLossFound && IsEngine(aId)) {
@@ -266,10 +266,7 @@
                                const std::string& aReason,
                                instant aNow)
 {
-  log_line("backend_unreachable", log_rank::Notable)
-    .Text("request", aRequest)
-    .Text("backend", aId.Str())
-    .Text("reason", aReason);
+  log_line(log_event::BackendUnreachable).Text("request", aRequest).Text("backend", aId.Str()).Text("reason", aReason);
   BelieveLost(aId, aNow);
 }
 
@@ -289,7 +286,7 @@
     found->second.mMovingUntil = aNow + kMovingBelief;
     found->second.mMovingFrom = member->mLayers;
     if (isNews) {
-      log_line("backend_moving", log_rank::Notable).Text("backend", aId.Str());
+      log_line(log_event::BackendMoving).Text("backend", aId.Str());
     }
   }
 }
@@ -319,7 +316,7 @@
   }
   const double slowness = std::max(1.0, aReport.mSlowness);
   if ((slowness >= kSlow) != (found->second.mSlowness >= kSlow)) {
-    log_line("backend_pace", log_rank::Notable).Text("backend", aId.Str()).Number("times_slower", slowness);
+    log_line(log_event::BackendPace).Text("backend", aId.Str()).Number("times_slower", slowness);
   }
   found->second.mSlowness = slowness;
   found->second.mSlownessSeen = aNow;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -196,7 +196,7 @@
   runtime::PrintListening(
     mSettings, "gateway", { mCallers->LocalEndpoint().Str(), "", "", mControl->LocalEndpoint().Str() });
   StartDecisionLog(mSettings.instance().id());
-  log_line("started", log_rank::Notable)
+  log_line(log_event::Started)
     .Text("callers", mCallers->LocalEndpoint().Str())
     .Text("ready", mControl->LocalEndpoint().Str())
     .Text("failure_domain", mSettings.instance().failure_domain());
@@ -270,7 +270,7 @@
 {
   const auto& configuration = mFleet->Configuration();
   const auto age = mSync->Keys().Age(BootNow());
-  log_line("request_refused", log_rank::Notable)
+  log_line(log_event::RequestRefused)
     .Text("request", aWish.mId.Str())
     .Text("reason", aReason)
     .Count("status", aStatus)
@@ -319,9 +319,7 @@
   asked.mRequest = std::move(aRequest);
   asked.mDigest = crash_watch::DigestOf(asked);
   if (mCrashes->IsCondemned(asked.mDigest)) {
-    log_line("request_condemned", log_rank::Notable)
-      .Text("request", asked.mWish.mId.Str())
-      .Count("digest", asked.mDigest.Value());
+    log_line(log_event::RequestCondemned).Text("request", asked.mWish.mId.Str()).Count("digest", asked.mDigest.Value());
     // It has not run, and there is no time at which it would.
     mMetrics->Ended(request_end::Refused, duration::zero());
     aSession->Answer(OwnAnswer(503, std::nullopt));
@@ -344,7 +342,7 @@
   while (!(mSync->IsComplete() && mRegistry->IsRead()) && Now() - begun < kWaitForConfiguration) {
     co_await Pause(kLookForConfiguration);
   }
-  log_line("callers_accepted", log_rank::Notable)
+  log_line(log_event::CallersAccepted)
     .Text("configuration", mSync->IsComplete() ? "in force" : "missing")
     .Number("after_ms", std::chrono::duration<double, std::milli>(Now() - begun).count());
   mCallers->Accept();
@@ -370,7 +368,7 @@
     co_await Pause(kReport);
     const bool ready = IsReady();
     if (ready != mWasReady) {
-      log_line(ready ? "ready" : "not_ready", log_rank::Notable);
+      log_line(ready ? log_event::Ready : log_event::NotReady);
       mWasReady = ready;
     }
     for (const backend_id& slow : mFleet->SlowSoFar(Now())) {
@@ -384,7 +382,7 @@
 {
   while (true) {
     const int number = co_await mSignals.async_wait(asio::use_awaitable);
-    log_line("signal", log_rank::Notable).Count("number", static_cast<std::uint64_t>(number));
+    log_line(log_event::Signal).Count("number", static_cast<std::uint64_t>(number));
     if (number == SIGHUP) {
       Reload();
     } else if (!mIsLeaving) {
@@ -398,7 +396,7 @@
 void gateway_process::Reload()
 {
   // Addresses and bounds hold for the life of a process; the platform replaces processes to change them.
-  log_line("reloaded", log_rank::Notable);
+  log_line(log_event::SettingsReloaded);
 }
 
 asio::awaitable<void> gateway_process::Leave()
@@ -414,7 +412,7 @@
     co_await Pause(kLookAgain);
     mCallers->CloseIdle();
   }
-  log_line("stopped", log_rank::Notable)
+  log_line(log_event::Stopped)
     .Count("cut", mCallers->Busy())
     .Number("after_ms", std::chrono::duration<double, std::milli>(Now() - begun).count());
   mContext.stop();
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -146,7 +146,7 @@
   const std::size_t all = std::max(mCensus.All(Now()), settling ? policy::kAssumedPeers : 1);
   const std::size_t inDomain = mCensus.InDomain(mDomain, Now());
   if (all != mCounted) {
-    log_line("gateways_counted", log_rank::Notable).Count("all", all).Count("in_domain", inDomain);
+    log_line(log_event::GatewaysCounted).Count("all", all).Count("in_domain", inDomain);
   }
   mCounted = all;
   mFleet->SetGateways(all, inDomain);
--- a/src/gateway/peer_hints.cpp
+++ b/src/gateway/peer_hints.cpp
@@ -102,10 +102,7 @@
     mSocket.send_to(asio::buffer(datagram), peer, 0, error);
     unsent += error ? 1 : 0;
   }
-  log_line("hint_told", log_rank::Notable)
-    .Text("hint", datagram)
-    .Count("gateways", mPeers.size())
-    .Count("unsent", unsent);
+  log_line(log_event::HintTold).Text("hint", datagram).Count("gateways", mPeers.size()).Count("unsent", unsent);
 }
 
 void peer_hints::Receive()
@@ -140,7 +137,7 @@
   } else if (moving.IsValid()) {
     mFleet->BelieveMoving(moving, Now());
   } else if (object == nullptr || !TakeCrash(*object)) {
-    log_line("hint_unreadable", log_rank::Notable).Count("bytes", aDatagram.size());
+    log_line(log_event::HintUnreadable).Count("bytes", aDatagram.size());
   }
 }
 
@@ -179,9 +176,7 @@
   }
   askedAt = now;
   mInquiries->Ask(aEngine, [self = ref<peer_hints>(this), engine = aEngine](const auto& aReport) {
-    log_line("loss_hint_checked", log_rank::Notable)
-      .Text("backend", engine.Str())
-      .Text("outcome", aReport ? "answers" : "lost");
+    log_line(log_event::LossHintChecked).Text("backend", engine.Str()).Text("outcome", aReport ? "answers" : "lost");
     if (!aReport) {
       self->mFleet->BelieveLost(engine, Now(), loss_source::Hint);
     }
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -70,7 +70,7 @@
     co_await Pause(kPlanPause);
     const bool held = mLease.IsHeld(BootNow()) && !mIsLeaving;
     if (held != mWasHeld) {
-      log_line(held ? "duty_taken" : "duty_left", log_rank::Notable)
+      log_line(held ? log_event::DutyTaken : log_event::DutyLeft)
         .Text("duty", kDutyName)
         .Count("fence", mLease.Fence());
       mWasHeld = held;
@@ -105,7 +105,7 @@
   }
   if (mLease.IsHeld(BootNow())) {
     const auto answer = co_await mStore->Call(wire::EncodeDelete(wire::object_kind::Duties, kDutyName), kStoreTimeout);
-    log_line("duty_given_up", log_rank::Notable).Text("duty", kDutyName).Count("status", answer.mStatus);
+    log_line(log_event::DutyGivenUp).Text("duty", kDutyName).Count("status", answer.mStatus);
   }
 }
 
@@ -217,7 +217,7 @@
     if (isGone) {
       mOrderCounts.erase(order->first);
     } else if (isDone) {
-      log_line("layers_held", log_rank::Notable)
+      log_line(log_event::LayersHeld)
         .Text("backend", order->first.Str())
         .Count("from", order->second.mRange.mFrom)
         .Count("end", order->second.mRange.mEnd);
@@ -246,7 +246,7 @@
     }
     self->mOrderCounts[aEngine] = aReport->mOrders;
     if (!(aReport->mLayers == order->second.mRange)) {
-      log_line("order_without_effect", log_rank::Notable)
+      log_line(log_event::OrderWithoutEffect)
         .Text("backend", aEngine.Str())
         .Count("from", aReport->mLayers.mFrom)
         .Count("end", aReport->mLayers.mEnd)
@@ -284,7 +284,7 @@
   const bool givesUp = !member->mLayers.IsEmpty() &&
                        (aOrder.mRange.mFrom > member->mLayers.mFrom || aOrder.mRange.mEnd < member->mLayers.mEnd);
   mOrders[aOrder.mEngine] = { aOrder.mRange, member->mStartedAt, aNow + load * 2 + kOrderSlack, givesUp, aNow };
-  log_line("layers_ordered", log_rank::Notable)
+  log_line(log_event::LayersOrdered)
     .Text("backend", aOrder.mEngine.Str())
     .Count("from", aOrder.mRange.mFrom)
     .Count("end", aOrder.mRange.mEnd)
@@ -312,7 +312,7 @@
   if (status == 200 || status == 202) {
     return;
   }
-  log_line("order_refused", log_rank::Notable)
+  log_line(log_event::OrderRefused)
     .Text("backend", aOrder.mEngine.Str())
     .Count("status", status)
     .Text("answer", aReply ? std::string_view(aReply->mBody).substr(0, kMostQuoted) : "");
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -141,10 +141,7 @@
     return;
   }
   if (mNote.mDidNotRun) {
-    log_line("server_refused", log_rank::Notable)
-      .Text("request", Id())
-      .Text("backend", mServer->Str())
-      .Count("status", mStatus);
+    log_line(log_event::ServerRefused).Text("request", Id()).Text("backend", mServer->Str()).Count("status", mStatus);
     mTools.mFleet->BelieveRefusing(*mServer, now);
     Drop(false);
     if (mSends < kMostSends && mTools.mFleet->Retries(mAsked.mPool).TryRepeat(now, mTools.mFleet->Gateways())) {
@@ -173,7 +170,7 @@
 void service_request::TakeFailure(const std::string& aReason, instant aNow)
 {
   ++mRuns;
-  log_line("server_failed", log_rank::Notable)
+  log_line(log_event::ServerFailed)
     .Text("request", Id())
     .Text("backend", mServer->Str())
     .Text("reason", aReason)
@@ -213,7 +210,7 @@
     return;
   }
   ++mRuns;
-  log_line("server_slow", log_rank::Notable).Text("request", Id()).Text("backend", mServer->Str());
+  log_line(log_event::ServerSlow).Text("request", Id()).Text("backend", mServer->Str());
   Drop(true);
   mTools.mMetrics->Repaired(repair_kind::Repeated);
   TryServer(now);
@@ -233,7 +230,7 @@
   }
   Drop(failed);
   mAsked.mSession->Answer(std::move(reply));
-  End(failed ? request_end::BackendFailed : request_end::Served, status, "");
+  End(failed ? request_end::BackendFailed : request_end::Served, status, failed ? "handed on" : "");
 }
 
 void service_request::GiveUp(const std::string& aReason, instant aNow)
@@ -262,7 +259,7 @@
   mIsEnded = true;
   const bool served = aEnd == request_end::Served;
   mTools.mMetrics->Ended(aEnd, now - mAsked.mArrived);
-  log_line(served ? "call_served" : "call_ended", served ? log_rank::Routine : log_rank::Notable)
+  log_line(served ? log_event::CallServed : log_event::CallEnded)
     .Text("request", Id())
     .Text("route", mAsked.mRoute->mName.Str())
     .Text("workspace", mAsked.mWorkspace)
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -78,9 +78,9 @@
   const bool answered = result.IsGood() || result.mStatus == 404 || result.mStatus == 409 || result.mStatus == 410;
   mMetrics->StoreCall(answered, Now() - begun);
   if (!answered && !mIsLost) {
-    log_line("store_lost", log_rank::Notable).Text("call", target).Text("reason", reason);
+    log_line(log_event::StoreLost).Text("call", target).Text("reason", reason);
   } else if (answered && mIsLost) {
-    log_line("store_regained", log_rank::Notable).Text("call", target);
+    log_line(log_event::StoreRegained).Text("call", target);
   }
   mIsLost = !answered;
   co_return result;
@@ -134,20 +134,18 @@
   const auto object = wire::DecodeStored(aBody, fault);
   const auto made = object ? wire::DecodeConfiguration(object->mSpec, fault) : nullptr;
   if (!made) {
-    log_line("configuration_unreadable", log_rank::Notable).Text("reason", fault);
+    log_line(log_event::ConfigurationUnreadable).Text("reason", fault);
     return;
   }
   const auto& present = mFleet->Configuration();
   if (present && made->mVersion < present->mVersion) {
-    log_line("configuration_older", log_rank::Notable)
-      .Count("version", made->mVersion)
-      .Count("in_force", present->mVersion);
+    log_line(log_event::ConfigurationOlder).Count("version", made->mVersion).Count("in_force", present->mVersion);
     return;
   }
   mLastBody = aBody;
   mKeys.Confirmed(aAsked);
   if (!present || made->mVersion > present->mVersion) {
-    log_line("configuration_in_force", log_rank::Notable)
+    log_line(log_event::ConfigurationInForce)
       .Count("version", made->mVersion)
       .Count("routes", made->mRoutes.size())
       .Count("workspaces", made->mWorkspaces.size())
@@ -188,7 +186,7 @@
     std::string fault;
     const auto list = wire::DecodeList(answer.mBody, fault);
     if (!list) {
-      log_line("list_unreadable", log_rank::Notable).Text("reason", fault);
+      log_line(log_event::ListUnreadable).Text("reason", fault);
       co_return std::nullopt;
     }
     // Changes since the first page are seen by the watch that follows.
@@ -213,7 +211,7 @@
     aMembers.push_back(std::move(*member));
     return;
   }
-  log_line("list_entry_unreadable", log_rank::Notable).Text("name", aObject.mName).Text("reason", fault);
+  log_line(log_event::ListEntryUnreadable).Text("name", aObject.mName).Text("reason", fault);
 }
 
 /// Waits for changes once; false when the list must be read anew.
@@ -231,7 +229,7 @@
   std::string fault;
   const auto changes = wire::DecodeChanges(answer.mBody, fault);
   if (!changes) {
-    log_line("changes_unreadable", log_rank::Notable).Text("reason", fault);
+    log_line(log_event::ChangesUnreadable).Text("reason", fault);
     co_return false;
   }
   std::vector<policy::backend_member> changed;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -139,7 +139,7 @@
 void stream_request::LogSupply(instant aNow)
 {
   const engine_supply supply = mTools.mFleet->Supply(mAsked.mPool, aNow);
-  log_line("no_path", log_rank::Notable)
+  log_line(log_event::NoPath)
     .Text("request", Id())
     .Count("engines_usable", supply.mUsable)
     .Count("engines_lost", supply.mLost)
@@ -189,7 +189,7 @@
   if (const auto* member = mTools.mFleet->Members().Find(mPath->mParts.front().mEngine)) {
     mRanAt.push_back(*member);
   }
-  log_line("stream_sent")
+  log_line(log_event::StreamSent)
     .Text("request", Id())
     .Text("backend", dispatch.mExpected.Str())
     .Text("path", wire::EncodePath(dispatch.mPath))
@@ -308,7 +308,7 @@
 {
   const backend_id first = mPath->mParts.front().mEngine;
   const backend_id faulty = mTools.mFleet->AtAddress(mNote.mFaultyAddress).value_or(first);
-  log_line("engine_refused", log_rank::Notable)
+  log_line(log_event::EngineRefused)
     .Text("request", Id())
     .Text("backend", faulty.Str())
     .Text("asked", first.Str())
@@ -328,7 +328,7 @@
 void stream_request::TakeFailure(const std::string& aReason, instant aNow)
 {
   const backend_id first = mPath->mParts.front().mEngine;
-  log_line("stream_failed", log_rank::Notable)
+  log_line(log_event::StreamFailed)
     .Text("request", Id())
     .Text("backend", first.Str())
     .Text("reason", aReason)
@@ -464,7 +464,7 @@
   mPhase = phase::Ended;
   mTimer.cancel();
   mTools.mMetrics->Ended(aEnd, now - mAsked.mArrived);
-  log_line(served ? "stream_served" : "stream_ended", served ? log_rank::Routine : log_rank::Notable)
+  log_line(served ? log_event::StreamServed : log_event::StreamEnded)
     .Text("request", Id())
     .Text("route", mAsked.mRoute->mName.Str())
     .Text("workspace", mAsked.mWorkspace)
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -81,7 +81,7 @@
   mQuietUntil = aNow + mInquiryPause;
   mInquiryPause = std::min<duration>(mInquiryPause * 2, std::chrono::seconds(1));
   const backend_id first = mPath->mParts.front().mEngine;
-  log_line("stall_suspected", log_rank::Notable)
+  log_line(log_event::StallSuspected)
     .Text("request", Id())
     .Text("backend", first.Str())
     .Number("silent_ms", Milliseconds(aNow - (mHasBegun ? mLastEvent : mSentAt)));
@@ -191,7 +191,7 @@
   mTools.mFleet->Promise(*mPath);
   ++mPathNumber;
   const auto hops = HopsOf(*mPath);
-  log_line("stream_repathed", log_rank::Notable)
+  log_line(log_event::StreamRepathed)
     .Text("request", Id())
     .Text(aReason == repath_reason::Lost ? "lost" : "leaving", aLost.Str())
     .Text("path", wire::EncodePath(hops))
@@ -225,7 +225,7 @@
   const auto faulty = aReply
                         ? mTools.mFleet->AtAddress(wire::DecodeNote(aReply->mStatus, aReply->mHeaders).mFaultyAddress)
                         : std::nullopt;
-  log_line("repath_refused", log_rank::Notable)
+  log_line(log_event::RepathRefused)
     .Text("request", Id())
     .Text("backend", faulty ? faulty->Str() : "")
     .Count("status", aReply ? aReply->mStatus : 0);
