A refused new path is tried again without the engine that refused, and without all that join no new path

The platform names the engine at fault in the body of its 409, and we looked for a header. So each stream repeated the refused path twice a second, and a stream that stood still was given up and read anew elsewhere ("path not replaced"). Refused are also parts that stay as they are, on engines that leave or give up layers, and a refusal without a name is a part without room. Now: the body is decoded in the adapter; Replace() takes out the lost engine and all that join no new path; after a refusal the engine named (or else the new ones) is left out and up to three more paths are tried, from the former path; no stream is moved while its first engine joins no new path. Ruled out: that the engine is silent or the order late (each answer came within 5 ms, with status 409).

--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -52,6 +52,13 @@
     Leaving ///< the stream goes on meanwhile
   };
 
+  struct repath_cause
+  {
+    backend_id mEngine;
+    repath_reason mReason;
+    int mTries = 0; ///< new paths that were refused
+  };
+
   void TryPath(instant aNow);
   void LogSupply(instant aNow);
   duration ComeBack(instant aNow);
@@ -63,12 +70,15 @@
   void Retry(const std::string& aReason, instant aNow);
   void GiveUp(const std::string& aReason, instant aNow);
   void HandOnFailure(instant aNow);
-  void Repath(const backend_id& aLost, instant aNow, repath_reason aReason);
+  void Repath(const repath_cause& aCause, instant aNow);
   void MoveFromLeaving(instant aNow);
   void RepathAnswered(std::uint64_t aPathNumber,
                       const chosen_path& aFormer,
-                      repath_reason aReason,
+                      const repath_cause& aCause,
                       const std::optional<net::http_reply>& aReply);
+  void TakePathRefusal(const chosen_path& aFormer, std::string_view aAnswer, instant aNow);
+  void TakePath(const chosen_path& aPath);
+  bool JoinsNewPath(const backend_id& aEngine, instant aNow) const;
   std::optional<chosen_path> Replace(const backend_id& aLost, instant aNow);
   void Inquire(instant aNow);
   void CheckPath();
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -18,6 +18,11 @@
 constexpr duration kSilenceBesideLoss = std::chrono::milliseconds(100);
 /// Time that a replaced part gets beside its reading.
 constexpr duration kRepathSlack = std::chrono::milliseconds(300);
+/// New paths that are tried before the stream is taken up elsewhere: each refusal takes one crossing, and names one
+/// engine.
+constexpr int kMostRepathTries = 4;
+/// Bytes of an answer that go into a line of the log.
+constexpr std::size_t kMostQuoted = 200;
 constexpr duration kRepathTimeout = std::chrono::milliseconds(300);
 /// Part of the time for which a leaving engine serves after which streams are moved away from it.
 constexpr double kStayShare = 0.5;
@@ -59,7 +64,7 @@
 /// Moves a running stream from an engine that will end before the stream does. The first engine can't be replaced.
 void stream_request::MoveFromLeaving(instant aNow)
 {
-  if (!mHasBegun || aNow < mNextMove) {
+  if (!mHasBegun || aNow < mNextMove || !JoinsNewPath(mPath->mParts.front().mEngine, aNow)) {
     return;
   }
   for (std::size_t index = 1; index < mPath->mParts.size(); ++index) {
@@ -68,7 +73,7 @@
     const bool leaves = since && aNow - *since > mTools.mDrainBound * kStayShare;
     if (leaves || mTools.mFleet->IsMoving(engine, aNow)) {
       mNextMove = aNow + kMovePause;
-      Repath(engine, aNow, repath_reason::Leaving);
+      Repath({ engine, repath_reason::Leaving }, aNow);
       return;
     }
   }
@@ -128,18 +133,26 @@
     TakeFailure("first engine is lost", aNow);
     return;
   }
-  Repath(aEngine, aNow, repath_reason::Lost);
+  Repath({ aEngine, repath_reason::Lost }, aNow);
 }
 
-/// The present path with other engines for the layers of a lost one.
+/// An engine that leaves, or gives up layers, serves on as it does, and refuses a new path even where it was on the
+/// former one.
+bool stream_request::JoinsNewPath(const backend_id& aEngine, instant aNow) const
+{
+  return !mTools.mFleet->IsBelievedLost(aEngine, aNow) && !mTools.mFleet->IsMoving(aEngine, aNow) &&
+         !mTools.mFleet->LeavingSince(aEngine) && !mExcluded.contains(aEngine);
+}
+
+/// The present path with other engines for the layers of a lost one, and of all that join no new path.
 std::optional<chosen_path> stream_request::Replace(const backend_id& aLost, instant aNow)
 {
   chosen_path path;
   path.mTokens = mPath->mTokens;
   for (std::size_t index = 0; index < mPath->mParts.size(); ++index) {
     const chosen_path::part& part = mPath->mParts[index];
-    const bool lost = part.mEngine == aLost || mTools.mFleet->IsBelievedLost(part.mEngine, aNow);
-    if (!lost) {
+    // The first engine can't be replaced; where it refuses, the stream is taken up elsewhere.
+    if (index == 0 || (part.mEngine != aLost && JoinsNewPath(part.mEngine, aNow))) {
       path.mParts.push_back(part);
       continue;
     }
@@ -173,42 +186,49 @@
 }
 
 /// Replaces the parts of lost engines while the stream goes on at its first one.
-void stream_request::Repath(const backend_id& aLost, instant aNow, repath_reason aReason)
+void stream_request::Repath(const repath_cause& aCause, instant aNow)
 {
-  auto path = Replace(aLost, aNow);
+  auto path = Replace(aCause.mEngine, aNow);
   const auto first = mTools.mFleet->AddressOf(mPath->mParts.front().mEngine);
   if (!path || !first) {
-    if (aReason == repath_reason::Lost) {
+    if (aCause.mReason == repath_reason::Lost) {
       TakeFailure("no other engine for a part", aNow);
     }
     return;
   }
   const chosen_path former = *mPath;
   mIsRepathing = true;
-  mTools.mFleet->Release(*mPath);
   mTools.mFleet->CountCrossings(mAsked.mPool, *path, path->mTokens, aNow);
-  mPath = *path;
-  mTools.mFleet->Promise(*mPath);
+  TakePath(*path);
   ++mPathNumber;
   const auto hops = HopsOf(*mPath);
   log_line(log_event::StreamRepathed)
     .Text("request", Id())
-    .Text(aReason == repath_reason::Lost ? "lost" : "leaving", aLost.Str())
+    .Text(aCause.mReason == repath_reason::Lost ? "lost" : "leaving", aCause.mEngine.Str())
     .Text("path", wire::EncodePath(hops))
+    .Count("refused_before", static_cast<std::uint64_t>(aCause.mTries))
     .Count("events", mCursor.Count());
   CallShortly(mTools.mContext,
               mTools.mCalls,
               *first,
               wire::EncodeNewPath(Id(), hops),
               kRepathTimeout,
-              [self = ref<stream_request>(this), number = mPathNumber, former, aReason](const auto& aReply) {
-                self->RepathAnswered(number, former, aReason, aReply);
+              [self = ref<stream_request>(this), number = mPathNumber, former, aCause](const auto& aReply) {
+                self->RepathAnswered(number, former, aCause, aReply);
               });
 }
 
+/// Promises room on a path in place of the present one.
+void stream_request::TakePath(const chosen_path& aPath)
+{
+  mTools.mFleet->Release(*mPath);
+  mPath = aPath;
+  mTools.mFleet->Promise(*mPath);
+}
+
 void stream_request::RepathAnswered(std::uint64_t aPathNumber,
                                     const chosen_path& aFormer,
-                                    repath_reason aReason,
+                                    const repath_cause& aCause,
                                     const std::optional<net::http_reply>& aReply)
 {
   if (aPathNumber != mPathNumber || mPhase != phase::Running) {
@@ -222,29 +242,48 @@
     mLastEvent = mHasBegun ? mLastEvent : now;
     return;
   }
-  const auto faulty = aReply
-                        ? mTools.mFleet->AtAddress(wire::DecodeNote(aReply->mStatus, aReply->mHeaders).mFaultyAddress)
-                        : std::nullopt;
-  log_line(log_event::RepathRefused)
-    .Text("request", Id())
-    .Text("backend", faulty ? faulty->Str() : "")
-    .Count("status", aReply ? aReply->mStatus : 0);
-  if (aReply && aReply->mStatus == 409) {
-    if (faulty) {
-      mTools.mFleet->BelieveRefusing(*faulty, now);
-      Exclude(*faulty, now);
-    }
+  const bool refused = aReply && aReply->mStatus == 409;
+  if (refused) {
+    TakePathRefusal(aFormer, aReply->mBody, now);
+  } else {
+    log_line(log_event::RepathRefused).Text("request", Id()).Count("status", aReply ? aReply->mStatus : 0);
   }
-  if (aReason == repath_reason::Leaving && aReply) {
+  if (aCause.mReason == repath_reason::Leaving && aReply) {
     // The engine refused, and the former path still serves.
-    mTools.mFleet->Release(*mPath);
-    mPath = aFormer;
-    mTools.mFleet->Promise(*mPath);
+    TakePath(aFormer);
+    return;
+  }
+  if (refused && aCause.mTries + 1 < kMostRepathTries) {
+    TakePath(aFormer);
+    Repath({ aCause.mEngine, aCause.mReason, aCause.mTries + 1 }, now);
     return;
   }
   TakeFailure("path not replaced", now);
 }
 
+/// The engine that is named joins no new path; where none is named, one of the new ones has no room.
+void stream_request::TakePathRefusal(const chosen_path& aFormer, std::string_view aAnswer, instant aNow)
+{
+  const auto faulty = mTools.mFleet->AtAddress(wire::DecodePathRefusal(aAnswer));
+  log_line(log_event::RepathRefused)
+    .Text("request", Id())
+    .Text("backend", faulty ? faulty->Str() : "")
+    .Count("status", 409)
+    .Text("answer", aAnswer.substr(0, kMostQuoted));
+  if (faulty) {
+    mTools.mFleet->BelieveRefusing(*faulty, aNow);
+    Exclude(*faulty, aNow);
+    return;
+  }
+  for (const chosen_path::part& part : mPath->mParts) {
+    const bool wasThere = std::any_of(
+      aFormer.mParts.begin(), aFormer.mParts.end(), [&](const auto& aPart) { return aPart.mEngine == part.mEngine; });
+    if (!wasThere) {
+      Exclude(part.mEngine, aNow);
+    }
+  }
+}
+
 duration stream_request::Allowance() const
 {
   return std::clamp<duration>(std::max<duration>(mGaps.Unusual(), mGaps.Mean() * 3), kStallFloor, kStallCeiling);
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -91,6 +91,8 @@
 /// Requests to an engine for orders and reports.
 net::http_request EncodeLayerOrder(const policy::layer_order& aOrder, std::uint64_t aFence, std::uint64_t aOrders);
 net::http_request EncodeNewPath(const std::string& aRequest, const std::vector<hop>& aPath);
+/// Address of the engine because of which a new path was refused; empty when the answer names none.
+std::string DecodePathRefusal(std::string_view aBody);
 net::http_request EncodeReportQuestion();
 /// The target at which the platform's balancer asks whether this instance takes callers.
 bool IsReadyQuestion(std::string_view aTarget);
--- a/tests/processes/gateway_test.cpp
+++ b/tests/processes/gateway_test.cpp
@@ -15,7 +15,11 @@
 
 struct one_gateway_fixture : gateway_fixture
 {
-  one_gateway_fixture() { StartGateway(); }
+  explicit one_gateway_fixture(std::vector<std::string> aFlags = {})
+    : gateway_fixture(std::move(aFlags))
+  {
+    StartGateway();
+  }
 
   static gateway_call Stream(const std::string& aId, unsigned aTokens)
   {
@@ -86,6 +90,15 @@
   }
 };
 
+/// Streams pass through three engines, and each range of layers has three holders.
+struct three_parts_fixture : one_gateway_fixture
+{
+  three_parts_fixture()
+    : one_gateway_fixture({ "--engines=9", "--fleet_layers=12" })
+  {
+  }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(one_gateway_fixture, "gateway_stream_through_several_engines_gives_every_event_once_and_in_order")
@@ -206,6 +219,22 @@
   CHECK(Runs("s2") == 1);
 }
 
+TEST_CASE_METHOD(three_parts_fixture, "gateway_stream_that_loses_one_engine_while_another_leaves_goes_on_over_others")
+{
+  const auto answer = StreamWithFault(
+    "s2b",
+    200,
+    [&](const auto& aEngines) {
+      SetServer(aEngines.at(1), "leaving");
+      return aEngines.at(2);
+    },
+    "dark");
+  CHECK(answer.mIsWhole);
+  CHECK(answer.mBody == EventsUpTo(100));
+  CHECK(Records("repath", "s2b").size() >= 1);
+  CHECK(Runs("s2b") == 1);
+}
+
 TEST_CASE_METHOD(one_gateway_fixture, "gateway_stream_whose_first_engine_falls_silent_is_resumed_at_another")
 {
   const auto answer = StreamWithFault("s3", 100, First, "dark");
--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -28,6 +28,8 @@
 DEFINE_bool(check_fence, true, "engine: refuses load orders with an older fence");
 DEFINE_uint32(max_batch, 64, "engine: orders that run at once");
 DEFINE_uint32(engines, 4, "fleet: engines");
+DEFINE_uint32(fleet_layers, 8, "fleet: layers of the engines' model");
+DEFINE_uint32(layers_that_fit, 4, "fleet: layers that fit on one engine");
 DEFINE_uint32(services, 2, "fleet: plain services");
 DEFINE_string(target, "", "relay: address that it stands before, ip:port");
 
@@ -125,6 +127,8 @@
     standin::fleet_options options;
     options.mEngines = FLAGS_engines;
     options.mServices = FLAGS_services;
+    options.mLayers = FLAGS_fleet_layers;
+    options.mLayersThatFit = FLAGS_layers_that_fit;
     standin::fleet fleet(context, options);
     Serve(context, role, fleet);
   } else if (role == "relay") {
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -151,9 +151,14 @@
     return ErrorReply(404, "no such request");
   }
   const auto path = ParsePath(body.Text("path"));
-  const std::string faulty = FaultyOn(path);
-  if (!faulty.empty()) {
-    return NotRun(409, faulty);
+  // An engine that leaves lets streams go on as they are, and is on no new path, also where it was on the former one.
+  const auto isFaulty = [this](const part& aPart) {
+    const fleet_server* server = mFleet.AtAddress(aPart.mAddress);
+    return server == nullptr || server->mState == "leaving" || !server->Holds(aPart.mFrom, aPart.mEnd);
+  };
+  const auto faulty = std::find_if(path.begin(), path.end(), isFaulty);
+  if (faulty != path.end()) {
+    return ObjectReply(409, { { "address", faulty->mAddress } });
   }
   stream->second.mPath = path;
   stream->second.mFaulty.clear();
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -193,3 +193,11 @@
   CHECK(!wire::DecodeNote(429, Headers({})).mDidNotRun);
   CHECK(!wire::DecodeNote(503, Headers({})).mDidNotRun);
 }
+
+TEST_CASE("platform_refusal_of_a_new_path_names_the_engine_in_its_body_or_nobody")
+{
+  CHECK(wire::DecodePathRefusal(R"({"address":"10.0.0.1:80"})") == "10.0.0.1:80");
+  CHECK(wire::DecodePathRefusal("").empty());
+  CHECK(wire::DecodePathRefusal("[]").empty());
+  CHECK(wire::DecodePathRefusal(R"({"address":7})").empty());
+}
