Gateways tell each other of slow engines

Who is told asks the engine itself. Metric gateway_slow_engines. Ruled out: asking all engines at a start (price of probes, and nothing for those already running). Test without the bench: gateways_tell_each_other_of_a_slow_engine_and_send_it_no_streams, failed with the telling switched off, passes 3 of 3.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -320,6 +320,9 @@
   }
   found->second.mSlowness = slowness;
   found->second.mSlownessSeen = aNow;
+  if (slowness >= kSlow && mOnSlowFound) {
+    mOnSlowFound(aId);
+  }
   if (aReport.mAllMemory > 0 && aReport.mUsedMemory > kFullShare * aReport.mAllMemory) {
     BelieveRefusing(aId, aNow, kFullBelief);
   }
@@ -341,6 +344,12 @@
   return found == mBeliefs.end() || found->second.mLostUntil > aNow;
 }
 
+std::size_t fleet::SlowEngines() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mBeliefs.begin(), mBeliefs.end(), [](const auto& aBelief) { return aBelief.second.mSlowness >= kSlow; }));
+}
+
 std::vector<backend_id> fleet::SlowSoFar(instant aNow) const
 {
   std::vector<backend_id> slow;
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -139,6 +139,10 @@
   void BelieveUnreachable(const backend_id& aId, const std::string& aRequest, const std::string& aReason, instant aNow);
   /// Called when this gateway itself finds a server lost that it took for alive.
   void OnLossFound(std::function<void(const backend_id&)> aCallback) { mOnLossFound = std::move(aCallback); }
+  /// Called with each engine that has said that it is slow.
+  void OnSlowFound(std::function<void(const backend_id&)> aCallback) { mOnSlowFound = std::move(aCallback); }
+  /// Engines that are believed slow.
+  std::size_t SlowEngines() const;
   /// Calls aVisit(member, kind) for each listed engine of a pool whose kind of accelerator is known; the last start of
   /// each address only.
   template<class Visit>
@@ -184,6 +188,7 @@
 
   failure_domain_id mHome;
   std::function<void(const backend_id&)> mOnLossFound;
+  std::function<void(const backend_id&)> mOnSlowFound;
   ref<const configuration> mConfiguration;
   policy::member_table mMembers;
   std::map<backend_id, backend_belief> mBeliefs;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -222,6 +222,7 @@
     return false;
   }
   mFleet->OnLossFound([hints = mHints](const backend_id& aEngine) { hints->TellLost(aEngine); });
+  mFleet->OnSlowFound([hints = mHints](const backend_id& aEngine) { hints->TellSlow(aEngine); });
   return true;
 }
 
@@ -244,6 +245,7 @@
     mMetrics->Configuration(configuration->mVersion, mSync->Keys().Age(BootNow()).value_or(duration::zero()));
   }
   mMetrics->Backends(mFleet->Members().Members().size(), uncovered, heldOnce);
+  mMetrics->SlowEngines(mFleet->SlowEngines());
   mMetrics->Sharing(mFleet->Gateways(), mRoom.Size());
   mMetrics->LogLinesDropped(DroppedLogLines());
 }
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -39,6 +39,7 @@
     , mBackends(Gauge("gateway_backends", "Backend servers listed"))
     , mUncovered(Gauge("gateway_uncovered_layers", "Layers without a holder in this failure domain"))
     , mHeldOnce(Gauge("gateway_layers_held_once", "Layers with a single holder in this failure domain"))
+    , mSlowEngines(Gauge("gateway_slow_engines", "Engines that say that they are slow"))
     , mVersion(Gauge("gateway_configuration_version", "Version of the configuration in force"))
     , mAge(Gauge("gateway_configuration_age_seconds", "Time since the configuration was confirmed as the newest"))
     , mGateways(Gauge("gateway_gateways", "Gateways that share what is bounded for all, this one too"))
@@ -69,6 +70,7 @@
   {
     mOrders.Add({ { "outcome", aAccepted ? "accepted" : "refused" } }).Increment();
   }
+  void SlowEngines(std::size_t aCount) override { mSlowEngines.Set(static_cast<double>(aCount)); }
   void Backends(std::size_t aListed, std::size_t aUncoveredLayers, std::size_t aLayersHeldOnce) override
   {
     mBackends.Set(static_cast<double>(aListed));
@@ -113,6 +115,7 @@
   prometheus::Gauge& mBackends;
   prometheus::Gauge& mUncovered;
   prometheus::Gauge& mHeldOnce;
+  prometheus::Gauge& mSlowEngines;
   prometheus::Gauge& mVersion;
   prometheus::Gauge& mAge;
   prometheus::Gauge& mGateways;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -40,6 +40,7 @@
   virtual void StoreCall(bool aSucceeded, duration aTime) = 0;
   virtual void OrderGiven(bool aAccepted) = 0;
   virtual void Backends(std::size_t aListed, std::size_t aUncoveredLayers, std::size_t aLayersHeldOnce) = 0;
+  virtual void SlowEngines(std::size_t aCount) = 0;
   virtual void Configuration(std::uint64_t aVersion, duration aAge) = 0;
   /// Gateways that are counted, this one too, and requests that wait for room on engines.
   virtual void Sharing(std::size_t aGateways, std::size_t aWaiting) = 0;
--- a/src/gateway/peer_hints.cpp
+++ b/src/gateway/peer_hints.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::string_view kLostField = "lost";
 constexpr std::string_view kMovingField = "moving";
+constexpr std::string_view kSlowField = "slow";
 /// Digest of a request, and the start of the server that it ended.
 constexpr std::string_view kCrashedByField = "crashed_by";
 constexpr std::string_view kServerField = "server";
@@ -21,6 +22,9 @@
 constexpr std::string_view kClearedField = "cleared";
 /// An engine is asked at most once in this time, however many hints come.
 constexpr duration kAskPause = std::chrono::milliseconds(500);
+/// A gateway that has heard of a slow engine from another tells nobody for so long; twice the pause after which it is
+/// asked again, so that one of those who know it tells the rest.
+constexpr duration kSlowToldPause = kSlownessBelief * 2;
 
 } // namespace
 
@@ -69,6 +73,14 @@
   Tell({ { kLostField, aEngine.Str() } });
 }
 
+void peer_hints::TellSlow(const backend_id& aEngine)
+{
+  // Told again as long as it lasts, for gateways that start meanwhile, by whoever has not just heard it.
+  if (Now() - mSlowHeardAt[aEngine] >= kSlowToldPause) {
+    Tell({ { kSlowField, aEngine.Str() } });
+  }
+}
+
 void peer_hints::TellMoving(const backend_id& aEngine)
 {
   Tell({ { kMovingField, aEngine.Str() } });
@@ -132,10 +144,13 @@
   };
   const backend_id lost = engineIn(kLostField);
   const backend_id moving = engineIn(kMovingField);
+  const backend_id slow = engineIn(kSlowField);
   if (lost.IsValid()) {
     TakeLost(lost);
   } else if (moving.IsValid()) {
     mFleet->BelieveMoving(moving, Now());
+  } else if (slow.IsValid()) {
+    TakeSlow(slow);
   } else if (object == nullptr || !TakeCrash(*object)) {
     log_line(log_event::HintUnreadable).Count("bytes", aDatagram.size());
   }
@@ -164,6 +179,14 @@
   return true;
 }
 
+void peer_hints::TakeSlow(const backend_id& aEngine)
+{
+  if (mFleet->IsEngine(aEngine)) {
+    mSlowHeardAt[aEngine] = Now();
+    mInquiries->Check(aEngine);
+  }
+}
+
 void peer_hints::TakeLost(const backend_id& aEngine)
 {
   const instant now = Now();
--- a/src/gateway/peer_hints.h
+++ b/src/gateway/peer_hints.h
@@ -12,9 +12,9 @@
 #include "gateway/fleet.h"
 #include "policy/crash_record.h"
 
-/// Datagrams between gateways about engines that were found lost, or that are about to move to other layers, and about
-/// requests that end their servers. Word of a
-/// loss is no news by itself: who gets it asks the engine, so that a gateway that is cut off misleads nobody.
+/// Datagrams between gateways about engines that were found lost or slow, or that are about to move to other layers,
+/// and about requests that end their servers. Word of a loss or of slowness is no news by itself: who gets it asks the
+/// engine, so that a gateway that is cut off misleads nobody.
 namespace chervilpulley::gateway {
 
 /// Gateways that are told at most; in larger fleets those listed first behind this one.
@@ -33,6 +33,8 @@
   void SetPeers(std::vector<net::endpoint> aPeers);
   /// This gateway has found an engine lost.
   void TellLost(const backend_id& aEngine);
+  /// An engine has told this gateway that it is slow.
+  void TellSlow(const backend_id& aEngine);
   /// This gateway is about to give an engine other layers.
   void TellMoving(const backend_id& aEngine);
   /// A request has ended a server.
@@ -47,6 +49,7 @@
   void Receive();
   void Take(std::string_view aDatagram);
   void TakeLost(const backend_id& aEngine);
+  void TakeSlow(const backend_id& aEngine);
   bool TakeCrash(const boost::json::object& aHint);
   void Tell(const boost::json::object& aHint);
 
@@ -57,6 +60,7 @@
   std::array<char, 512> mBuffer{}; ///< a hint has some forty bytes
   std::vector<boost::asio::ip::udp::endpoint> mPeers;
   std::map<backend_id, instant> mAskedAt;
+  std::map<backend_id, instant> mSlowHeardAt; ///< from other gateways
   std::function<void(const policy::crash_finding&)> mOnCrash;
   std::function<void(request_digest)> mOnCleared;
 };
--- a/tests/processes/gateway_test.cpp
+++ b/tests/processes/gateway_test.cpp
@@ -168,6 +168,24 @@
   CHECK(Send(Booking("sound"), 1).mStatus == 200);
 }
 
+TEST_CASE_METHOD(one_gateway_fixture, "gateways_tell_each_other_of_a_slow_engine_and_send_it_no_streams")
+{
+  StartGateway();
+  REQUIRE(WaitUntil([&] { return Metric(0, "gateway_gateways") == 2; }));
+  std::string slow;
+  const auto answer = StreamWithFault(
+    "t1", 20, [&](const auto& aEngines) { return slow = aEngines.back(); }, "slow");
+  CHECK(answer.mIsWhole);
+  // The second gateway has sent no stream, so that it can know this only from the first.
+  REQUIRE(WaitUntil([&] { return Metric(1, "gateway_slow_engines") == 1; }));
+  for (int each = 0; each < 6; ++each) {
+    const std::string id = "t2-" + std::to_string(each);
+    CHECK(Send(Stream(id, 10), 1).mStatus == 200);
+    const auto engines = EnginesOf(id);
+    CHECK(std::find(engines.begin(), engines.end(), slow) == engines.end());
+  }
+}
+
 TEST_CASE_METHOD(one_gateway_fixture, "gateway_lookup_that_fails_at_one_server_is_answered_by_another")
 {
   SetServer("service-0", "failing");
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 /// Body of a request that ends each server which begins to run it; the server is back at once as a new start.
+/// Of an engine in state "slow": pace that it reports, and time that it takes for an event besides.
+constexpr double kSlowPace = 12;
+constexpr duration kSlowEventTime = std::chrono::milliseconds(700);
 constexpr std::string_view kEndsItsServer = "ends its server";
 constexpr duration kForever = std::chrono::seconds(60);
 /// Work that waits for a lost engine is cut off after this time.
@@ -105,7 +108,7 @@
                      { { "stage", "unified" },
                        { "busy", false },
                        { "seq", mOrders },
-                       { "pace", 1.0 },
+                       { "pace", mState == "slow" ? kSlowPace : 1.0 },
                        { "layers", { { "from", mFrom }, { "target", mEnd }, { "version", 1 } } },
                        { "stalled", stalled } });
 }
@@ -269,6 +272,9 @@
   co_await aExchange.Begin(std::move(aHead));
   while (event < events && !hasLeft) {
     co_await SleepFor(mFleet.Options().mEventTime);
+    if (HasSlowPart(aId)) {
+      co_await SleepFor(kSlowEventTime);
+    }
     const bool onPath = co_await WaitForPath(aId);
     if (!onPath || IsDark()) {
       if (IsDark()) {
@@ -292,6 +298,16 @@
   }
 }
 
+bool fleet_server::HasSlowPart(const std::string& aId) const
+{
+  const auto stream = mRunning.find(aId);
+  return stream != mRunning.end() &&
+         std::any_of(stream->second.mPath.begin(), stream->second.mPath.end(), [this](const part& aPart) {
+           const fleet_server* server = mFleet.AtAddress(aPart.mAddress);
+           return server != nullptr && server->mState == "slow";
+         });
+}
+
 /// Waits until all engines of a stream's path work; false when that takes too long.
 asio::awaitable<bool> fleet_server::WaitForPath(const std::string& aId)
 {
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -48,6 +48,7 @@
   boost::asio::awaitable<void> Handle(net::http_exchange& aExchange);
   boost::asio::awaitable<void> Run(net::http_exchange& aExchange);
   boost::asio::awaitable<void> Stream(net::http_exchange& aExchange, std::string aId, net::http_reply aHead);
+  bool HasSlowPart(const std::string& aId) const;
   boost::asio::awaitable<bool> WaitForPath(const std::string& aId);
   net::http_reply Report() const;
   net::http_reply Order(const net::http_request& aRequest);
