--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -398,7 +398,7 @@
 void gateway_process::Reload()
 {
   // Addresses and bounds hold for the life of a process; the platform replaces processes to change them.
-  log_line{ log_event::SettingsReloaded };
+  log_line(log_event::SettingsReloaded).Text("in_force", "from the next start");
 }
 
 asio::awaitable<void> gateway_process::Leave()
