--- a/src/base/decision_log.cpp
+++ b/src/base/decision_log.cpp
@@ -24,6 +24,9 @@
 constexpr std::uint32_t kRoutineLinesPerSecond = 150;
 constexpr std::uint32_t kNotableLinesPerSecond = 400;
 
+/// Of an answer; refusals of engines say what is wrong in fewer.
+constexpr std::size_t kMostQuotedBytes = 200;
+
 std::uint64_t sDropped = 0;
 
 /// Writes to standard output without waiting; a line that the pipe does not take is dropped whole, and the rest of one
@@ -152,6 +155,11 @@
   return *this;
 }
 
+log_line& log_line::Quote(std::string_view aName, std::string_view aValue)
+{
+  return Text(aName, aValue.substr(0, kMostQuotedBytes));
+}
+
 log_line& log_line::Number(std::string_view aName, double aValue)
 {
   if (mIsKept) {
--- a/src/base/decision_log.h
+++ b/src/base/decision_log.h
@@ -26,6 +26,8 @@
   ~log_line();
 
   log_line& Text(std::string_view aName, std::string_view aValue);
+  /// The beginning of a text from outside, which may have any length.
+  log_line& Quote(std::string_view aName, std::string_view aValue);
   log_line& Number(std::string_view aName, double aValue);
   log_line& Count(std::string_view aName, std::uint64_t aValue);
 
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -31,8 +31,6 @@
 constexpr duration kOrderSlack = std::chrono::milliseconds(2500);
 /// Pause after a refused order: reports are some hundred milliseconds old.
 constexpr duration kRefusedPause = std::chrono::milliseconds(500);
-/// Bytes of an engine's refusal that go into the log.
-constexpr std::size_t kMostQuoted = 200;
 const std::string kDutyName = "placement";
 
 } // namespace
@@ -315,7 +313,7 @@
   log_line(log_event::OrderRefused)
     .Text("backend", aOrder.mEngine.Str())
     .Count("status", status)
-    .Text("answer", aReply ? std::string_view(aReply->mBody).substr(0, kMostQuoted) : "");
+    .Quote("answer", aReply ? std::string_view(aReply->mBody) : "");
   const auto order = mOrders.find(aOrder.mEngine);
   if (order == mOrders.end()) {
     return;
--- a/tests/processes/gateway_test.cpp
+++ b/tests/processes/gateway_test.cpp
@@ -253,6 +253,24 @@
   CHECK(Runs("s2b") == 1);
 }
 
+TEST_CASE_METHOD(three_parts_fixture,
+                 "gateway_stream_whose_first_engine_leaves_is_resumed_at_another_when_a_later_one_is_lost")
+{
+  const auto answer = StreamWithFault(
+    "s2c",
+    200,
+    [&](const auto& aEngines) {
+      SetServer(aEngines.at(0), "leaving");
+      return aEngines.at(2);
+    },
+    "dark");
+  CHECK(answer.mIsWhole);
+  CHECK(answer.mBody == EventsUpTo(100));
+  CHECK(Runs("s2c") == 2);
+  // Each new path holds the first engine, so that more of them would be refused as well.
+  CHECK(Records("path_refused", "s2c").size() <= 1);
+}
+
 TEST_CASE_METHOD(one_gateway_fixture, "gateway_stream_whose_first_engine_falls_silent_is_resumed_at_another")
 {
   const auto answer = StreamWithFault("s3", 100, First, "dark");
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -161,6 +161,7 @@
   };
   const auto faulty = std::find_if(path.begin(), path.end(), isFaulty);
   if (faulty != path.end()) {
+    mFleet.Records().Append({ { "kind", "path_refused" }, { "server", mName }, { "id", body.Text("id") } });
     return ObjectReply(409, { { "address", faulty->mAddress } });
   }
   stream->second.mPath = path;
--- a/tests/unit/log_events_test.cpp
+++ b/tests/unit/log_events_test.cpp
@@ -32,7 +32,7 @@
   {
     const std::regex statement(R"(log_line\(([^;]*?)\)(\s*\.[^;]*)?;)");
     const std::regex event(R"(log_event::(\w+))");
-    const std::regex field(R"rx(\.(?:Text|Count|Number)\(([^;]*?"([a-z_]+)"(?:\s*:\s*"([a-z_]+)")?))rx");
+    const std::regex field(R"rx(\.(?:Text|Quote|Count|Number)\(([^;]*?"([a-z_]+)"(?:\s*:\s*"([a-z_]+)")?))rx");
     std::map<std::string, std::set<std::string>> fields;
     for (const auto& each : std::filesystem::directory_iterator(mSource + "/src/gateway")) {
       const std::string text = Read(each.path());
