What a line is about stands in the catalogue; an address that two servers had stands for both

Now: log_topic is a field of each entry. The test of engines on a path has a server of earlier at the same address. Left as it is: the catalogue's entries have one shape, being a table.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -16,6 +16,17 @@
   Notable  ///< a refusal, failure, repeat or repair, or a change of beliefs
 };
 
+/// What a line is about, for who reads a request's story.
+enum class log_topic
+{
+  Request,    ///< one request, which it names
+  RequestEnd, ///< how a request ended
+  Backend,    ///< what is believed of a backend server, which it names
+  Layers,     ///< who holds which layers, and who has that duty
+  Gateway,    ///< whether this gateway serves at all: its start and end, configuration and store
+  Other       ///< nothing that decides about a request
+};
+
 /// In the order of the catalogue.
 enum class log_event : std::uint8_t
 {
@@ -81,6 +92,7 @@
   log_event mEvent;
   std::string_view mName;
   log_rank mRank;
+  log_topic mTopic;
   std::string_view mFields; ///< names, with a space between
   std::string_view mMeaning;
 };
--- a/src/cli/explain.cpp
+++ b/src/cli/explain.cpp
@@ -22,50 +22,21 @@
 /// lost until the list says more, which takes some seconds.
 constexpr std::chrono::seconds kBefore{ 5 };
 
-bool IsOneOf(const read_line& aLine, std::initializer_list<log_event> aEvents)
+bool Is(const read_line& aLine, log_event aEvent)
 {
-  const auto event = EventNamed(aLine.mEvent);
-  return event && std::find(aEvents.begin(), aEvents.end(), *event) != aEvents.end();
-}
-
-bool IsServed(const read_line& aLine)
-{
-  return IsOneOf(aLine, { log_event::StreamServed, log_event::CallServed });
+  return EventNamed(aLine.mEvent) == aEvent;
 }
 
-bool IsEnd(const read_line& aLine)
+/// Lines of another release may be about anything.
+bool IsAbout(const read_line& aLine, log_topic aTopic)
 {
-  return IsServed(aLine) ||
-         IsOneOf(
-           aLine,
-           { log_event::StreamEnded, log_event::CallEnded, log_event::RequestRefused, log_event::RequestCondemned });
-}
-
-/// What a gateway as a whole believes and does, whatever the request.
-bool IsOfWholeGateway(const read_line& aLine)
-{
-  return IsOneOf(aLine,
-                 { log_event::Started,
-                   log_event::CallersAccepted,
-                   log_event::NotReady,
-                   log_event::Signal,
-                   log_event::Stopped,
-                   log_event::StoreLost,
-                   log_event::StoreRegained,
-                   log_event::ConfigurationInForce,
-                   log_event::ConfigurationOlder,
-                   log_event::ConfigurationUnreadable });
+  const auto event = EventNamed(aLine.mEvent);
+  return event && EntryOf(*event).mTopic == aTopic;
 }
 
-bool IsOfLayers(const read_line& aLine)
+bool IsServed(const read_line& aLine)
 {
-  return IsOneOf(aLine,
-                 { log_event::LayersOrdered,
-                   log_event::LayersHeld,
-                   log_event::OrderRefused,
-                   log_event::OrderWithoutEffect,
-                   log_event::DutyTaken,
-                   log_event::DutyLeft });
+  return Is(aLine, log_event::StreamServed) || Is(aLine, log_event::CallServed);
 }
 
 /// Fields that each line has, or that are the same in all of a story.
@@ -93,8 +64,8 @@
     for (const read_line& line : mLog.mLines) {
       if (IsOwn(line)) {
         TakeOwn(line);
-      } else if (IsOneOf(line, { log_event::BackendSeen })) {
-        mAddresses.emplace(line.Text("address"), line.Text("backend"));
+      } else if (Is(line, log_event::BackendSeen)) {
+        mAddresses[line.Text("address")].insert(line.Text("backend"));
       }
     }
     for (const std::string& path : mPaths) {
@@ -130,7 +101,7 @@
     mInstances.insert(aLine.mInstance);
     mBackends.insert(aLine.Text("backend"));
     mPaths.insert(aLine.Text("path"));
-    mLacksRoom = mLacksRoom || IsOneOf(aLine, { log_event::NoPath });
+    mLacksRoom = mLacksRoom || Is(aLine, log_event::NoPath);
   }
 
   /// "10.1.64.44:8688=54-63,..."
@@ -142,7 +113,7 @@
       const std::string part = aPath.substr(begin, end - begin);
       const auto known = mAddresses.find(part.substr(0, part.find('=')));
       if (known != mAddresses.end()) {
-        mBackends.insert(known->second);
+        mBackends.insert(known->second.begin(), known->second.end());
       }
       begin = end + 1;
     }
@@ -157,13 +128,13 @@
       return false;
     }
     // Before the request it says only that a server was known.
-    if (aLine.mTime < *mBegin && IsOneOf(aLine, { log_event::BackendSeen })) {
+    if (aLine.mTime < *mBegin && Is(aLine, log_event::BackendSeen)) {
       return false;
     }
     const bool isHere = mInstances.count(aLine.mInstance) > 0;
     const std::string backend = aLine.Text("backend");
-    return (isHere && IsOfWholeGateway(aLine)) || (mLacksRoom && IsOfLayers(aLine)) ||
-           (!backend.empty() && mBackends.count(backend) > 0 && (isHere || IsOfLayers(aLine)));
+    return (isHere && IsAbout(aLine, log_topic::Gateway)) || (mLacksRoom && IsAbout(aLine, log_topic::Layers)) ||
+           (!backend.empty() && mBackends.count(backend) > 0 && (isHere || IsAbout(aLine, log_topic::Layers)));
   }
 
   void PrintLine(const read_line& aLine, std::string& aText) const
@@ -186,7 +157,7 @@
   std::string Headline() const
   {
     std::string end = "no line says how it ended";
-    if (IsEnd(*mLast)) {
+    if (IsAbout(*mLast, log_topic::RequestEnd)) {
       const std::string reason = mLast->Text("reason");
       end = fmt::format(
         "{}{}{} (status {:.0f})", mLast->mEvent, reason.empty() ? "" : ", ", reason, mLast->Number("status"));
@@ -238,13 +209,14 @@
   std::set<std::string> mInstances;
   std::set<std::string> mBackends;
   std::set<std::string> mPaths;
-  std::map<std::string, std::string> mAddresses; ///< address to backend server
+  std::map<std::string, std::set<std::string>> mAddresses; ///< backend servers that were seen at each
   bool mLacksRoom = false;
 };
 
 bool Matches(const read_line& aLine, const request_search& aSearch)
 {
-  return IsEnd(aLine) && (aSearch.mWithServed || aSearch.mFirstEventMs > 0 || !IsServed(aLine)) &&
+  return IsAbout(aLine, log_topic::RequestEnd) &&
+         (aSearch.mWithServed || aSearch.mFirstEventMs > 0 || !IsServed(aLine)) &&
          aLine.Text("reason").find(aSearch.mReason) != std::string::npos &&
          (aSearch.mWorkspace.empty() || aLine.Text("workspace") == aSearch.mWorkspace) &&
          aLine.mTimeText >= aSearch.mSince && aLine.Number("first_event_ms") >= aSearch.mFirstEventMs;
--- a/tests/unit/cli_explain_test.cpp
+++ b/tests/unit/cli_explain_test.cpp
@@ -41,6 +41,7 @@
 
 TEST_CASE_METHOD(explain_fixture, "explain_shows_what_its_gateway_believed_of_engines_on_its_path")
 {
+  Add("08:00:00.000+00:00", "g1", R"("event":"backend_seen","backend":"e0","address":"10.0.0.2:1")");
   Add("09:00:00.000+00:00", "g1", R"("event":"backend_seen","backend":"e2","address":"10.0.0.2:1")");
   Add("09:00:07.000+00:00",
       "g1",
