What a leaving sidecar does itself has tests: calls are refused as not run, and streams end where they began

Cause: two mutations had no test that failed (leaving_sidecars_take_calls, sidecars_end_with_work): entries avoid a leaving sidecar, and streams of one that ends are taken up elsewhere, so that callers notice neither. Now: service_calls_of_a_sidecar_that_leaves_are_refused_as_not_run (contract), and sidecar_terminated_with_streams_running_cuts_nothing also requires from the engine's records that what began there ended there. Requests of the cluster's start are left out: they have one or two tokens (seen in a first version of the check, which failed for them alone).

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -74,7 +74,7 @@
     ("known_positions_run_again", "src/policy/stage_progress.cpp", "if (kept->second.mDigest == aDigest)", "if (false)", "unit", "stage_progress_*"),
     ("lost_sidecars_did_not_run_it", "src/entry/service_run.cpp", "  mMayHaveRun = true;\n", "", "contract", "service_run_faults_*"),
     ("event_ids_not_signed", "src/entry/event_id.cpp", "if (!EqualConstantTime(Sign(signedText, aKey), parts.back()))", "if (false)", "unit", "event_id_*"),
-    ("leaving_sidecars_take_calls", "src/sidecar/service_calls.cpp", "if (mLeaving) {", "if (false) {", "processes", "sidecar_drained_*,sidecar_on_the_*"),
+    ("leaving_sidecars_take_calls", "src/sidecar/service_calls.cpp", "if (mLeaving) {", "if (false) {", "contract", "service_calls_of_a_sidecar_*"),
     ("sidecars_end_with_work", "src/sidecar/sidecar_server.cpp", "InProgress() == 0 ? mIdleTicks + 1 : 0", "mIdleTicks + 1", "processes", "sidecar_terminated_*"),
     ("lost_writes_not_looked_for", "src/policy/config_writer.cpp", "if (auto revision = aLog.AcceptedAt(change_id(mChange.change_id())))", "if (std::optional<revision_number> revision; revision)", "contract", "config_store_write_with_fault_*"),
     ("suspects_never_refused", "src/policy/crash_suspects.cpp", "if (level == suspicion::Refused) {", "if (false) {", "unit", "crash_suspects_*"),
--- a/tests/processes/shutdown_test.cpp
+++ b/tests/processes/shutdown_test.cpp
@@ -1,7 +1,10 @@
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <atomic>
 #include <future>
+#include <map>
+#include <set>
 #include <thread>
 
 #include "processes/cluster.h"
@@ -50,6 +53,18 @@
     }
   }
 
+  /// Positions that an engine ran, by request.
+  std::map<std::string, std::set<std::uint64_t>> PositionsAt(std::size_t aEngine)
+  {
+    std::map<std::string, std::set<std::uint64_t>> positions;
+    for (const engine_run& run : mCluster.RunsOf(mCluster.Engine(aEngine))) {
+      if (!run.mPrefill) {
+        positions[run.mRequest].insert(run.mPosition);
+      }
+    }
+    return positions;
+  }
+
   static std::uint64_t NowUs()
   {
     const auto now = std::chrono::steady_clock::now().time_since_epoch();
@@ -96,10 +111,20 @@
 
 TEST_CASE_METHOD(shutdown_fixture, "sidecar_terminated_with_streams_running_cuts_nothing")
 {
+  // Of the requests that showed that the cluster was up.
+  std::array<std::map<std::string, std::set<std::uint64_t>>, 4> earlier;
+  for (std::size_t engine = 0; engine < earlier.size(); ++engine) {
+    earlier.at(engine) = PositionsAt(engine);
+  }
   std::vector<std::future<answer>> streams = StartStreams(0);
   const std::size_t leaving = mCluster.ServingEngine(4);
   mCluster.Engine(leaving).mSidecar->Terminate();
   CheckAll(streams);
+  // Not even taken up elsewhere: what the engine began, it ended.
+  for (const auto& [request, positions] : PositionsAt(leaving)) {
+    INFO(request);
+    CHECK((earlier.at(leaving).contains(request) || positions.size() == kTokens));
+  }
   CHECK(mCluster.Engine(leaving).mSidecar->WaitForEnd().value_or(kStillRuns) == 0);
   CHECK(mCluster.CallerAt(0).Complete({ "After it has left", 4 }).mStream.mDone);
 }
