An entry that ends waits for all whose connections are made

Found by reading; besides, the three counts were read against the order in which a request moves through them, so that one on its way from one to the next could be missed. Now the steps that may still take connections count as open while the server stops, and the counts are read in the order of the way.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -55,7 +55,9 @@
   asio::awaitable<void> RefuseRequest(const boost::system::error_code& aError);
   asio::awaitable<void> Linger();
   asio::awaitable<void> Answer();
+  void SetFresh();
   void SetNotFresh();
+  bool HasUnreadBytes();
   void WatchForHangUp();
   void CheckForHangUp();
   void HungUp();
@@ -69,7 +71,7 @@
   http_request mRequest;
   bool mRequestKeepAlive = false;
   bool mIsHead = false;
-  bool mIsFresh = true; ///< no request has come yet
+  bool mIsFresh = true; ///< no request has come yet, or one is coming while the server stops
   bool mBusy = false;
   bool mAnswered = false;
   bool mFailed = false;
@@ -94,7 +96,7 @@
 
   endpoint LocalEndpoint() const override { return mLocal; }
   void StopAccepting() override;
-  std::size_t OpenExchanges() const override { return mOpenExchanges + mAwaitingFirst; }
+  std::size_t OpenExchanges() const override;
 
   void Add(server_connection& aConnection);
   void Remove(server_connection& aConnection);
@@ -102,8 +104,11 @@
   const http_handler& Handler() const { return mHandler; }
   const http_limits& Limits() const { return mLimits; }
   std::atomic<std::size_t> mOpenExchanges{ 0 };
-  /// Connections whose first request has not come yet.
+  /// Connections that are fresh.
   std::atomic<std::size_t> mAwaitingFirst{ 0 };
+  /// Steps that may still take connections: the loop, and the last look at what waits. While the server stops they
+  /// count as open, since its owner ends the process once nothing is.
+  std::atomic<std::size_t> mAccepting{ 1 };
   auto AcceptorExecutor() { return mAcceptor.get_executor(); }
 
 private:
@@ -138,6 +143,9 @@
 {
   const ref<server_connection> self(this);
   mServer->Add(*this);
+  if (mServer->IsStopping()) {
+    CloseWithoutRequest();
+  }
   // The first request is read even by a server that stops: its caller had connected before.
   while ((mIsFresh || !mServer->IsStopping()) && co_await ReadRequest()) {
     co_await Answer();
@@ -152,6 +160,13 @@
   mServer->Remove(*this);
 }
 
+void server_connection::SetFresh()
+{
+  if (!std::exchange(mIsFresh, true)) {
+    mServer->mAwaitingFirst.fetch_add(1);
+  }
+}
+
 void server_connection::SetNotFresh()
 {
   if (std::exchange(mIsFresh, false)) {
@@ -352,14 +367,27 @@
 void server_connection::CloseIfIdle()
 {
   asio::post(mStream.get_executor(), [self = ref<server_connection>(this)] {
+    if (self->mBusy) {
+      return;
+    }
+    // A request that has come and was not read yet would be reset.
+    if (self->HasUnreadBytes()) {
+      self->SetFresh();
+    }
     if (self->mIsFresh) {
       self->CloseWithoutRequest();
-    } else if (!self->mBusy) {
+    } else {
       self->mStream.cancel();
     }
   });
 }
 
+bool server_connection::HasUnreadBytes()
+{
+  boost::system::error_code error;
+  return mBuffer.size() > 0 || mStream.socket().available(error) > 0;
+}
+
 void server_connection::CloseWithoutRequest()
 {
   auto timer = std::make_shared<asio::steady_timer>(mStream.get_executor(), kFirstRequestTime);
@@ -396,12 +424,13 @@
   while (!mStopping) {
     auto [error, socket] = co_await mAcceptor.async_accept(asio::make_strand(mContext), kAwait);
     if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
-      co_return;
+      break;
     }
     if (!error) {
       Serve(std::move(socket));
     }
   }
+  mAccepting.fetch_sub(1);
 }
 
 void server_impl::Serve(tcp::socket aSocket)
@@ -436,11 +465,13 @@
 
 void server_impl::StopAccepting()
 {
+  mAccepting.fetch_add(1);
   mStopping = true;
   asio::post(mAcceptor.get_executor(), [self = ref<server_impl>(this)] {
     self->ServeWaiting();
     boost::system::error_code ignored;
     self->mAcceptor.close(ignored);
+    self->mAccepting.fetch_sub(1);
   });
   std::lock_guard lock(mMutex);
   for (server_connection& connection : mConnections) {
@@ -448,6 +479,14 @@
   }
 }
 
+std::size_t server_impl::OpenExchanges() const
+{
+  // Read in the order in which a request moves on, or one that moves meanwhile would not be counted.
+  const std::size_t accepting = mStopping ? mAccepting.load() : 0;
+  const std::size_t awaiting = mAwaitingFirst.load();
+  return accepting + awaiting + mOpenExchanges.load();
+}
+
 void server_impl::Add(server_connection& aConnection)
 {
   std::lock_guard lock(mMutex);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -62,7 +62,8 @@
   /// Stops accepting and closes idle connections. Answers in progress go on, then their connections close; a caller
   /// that has connected and sent nothing yet has a second for its request.
   virtual void StopAccepting() = 0;
-  /// Number of requests that are being answered, and of connections whose first request has not come yet.
+  /// Number of requests that are being answered, and of connections whose first request has not come yet. Not 0 while
+  /// a server that stops may still take connections.
   virtual std::size_t OpenExchanges() const = 0;
 };
 
--- a/tests/contract/net_http_server_test.cpp
+++ b/tests/contract/net_http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -170,11 +171,69 @@
     std::this_thread::yield();
   }
   server->StopAccepting();
+  // Who ends the process once nothing is open would cut off the eight.
+  CHECK(server->OpenExchanges() > 0);
   std::thread loop([&] { context.run(); });
   for (auto& caller : callers) {
     CHECK(caller.get() == 200);
   }
   loop.join();
+  CHECK(server->OpenExchanges() == 0);
+}
+
+TEST_CASE("http_server_that_stops_gives_a_silent_caller_a_moment_only")
+{
+  boost::asio::io_context context;
+  const auto answer = [](net::http_exchange&) -> boost::asio::awaitable<void> { co_return; };
+  const auto server = net::http_server::Start(context, { "127.0.0.1", 0 }, answer, {}).value();
+  // Connected before the server stops, and taken after that.
+  boost::asio::io_context own;
+  boost::asio::ip::tcp::socket silent(own);
+  silent.connect({ boost::asio::ip::make_address("127.0.0.1"), server->LocalEndpoint().mPort });
+  server->StopAccepting();
+  std::thread loop([&] { context.run(); });
+  const instant limit = Now() + kLimit;
+  while (server->OpenExchanges() > 0 && Now() < limit) {
+    std::this_thread::yield();
+  }
+  CHECK(server->OpenExchanges() == 0);
+  silent.close();
+  loop.join();
+}
+
+TEST_CASE("http_server_that_stops_answers_a_request_that_has_come_on_an_idle_connection")
+{
+  boost::asio::io_context context;
+  const auto answer = [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+    co_await aExchange.Reply(net::JsonReply(200, "{}"));
+  };
+  const auto server = net::http_server::Start(context, { "127.0.0.1", 0 }, answer, {}).value();
+  boost::asio::io_context own;
+  boost::asio::ip::tcp::socket socket(own);
+  socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server->LocalEndpoint().mPort });
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  const auto send = [&] { boost::asio::write(socket, boost::asio::buffer(request)); };
+  send();
+  std::string text;
+  while (text.find("{}") == std::string::npos) {
+    context.poll();
+    context.restart();
+    char piece[512];
+    boost::system::error_code none;
+    if (socket.available(none) > 0) {
+      text.append(piece, socket.read_some(boost::asio::buffer(piece)));
+    }
+  }
+  // The second request has come while the server's loop stands still.
+  send();
+  server->StopAccepting();
+  std::thread loop([&] { context.run(); });
+  text.clear();
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(text), error);
+  CHECK(error == boost::asio::error::eof);
+  CHECK(text.substr(0, 12) == "HTTP/1.1 200");
+  loop.join();
 }
 
 TEST_CASE_METHOD(http_server_fixture, "http_server_body_over_the_limit_is_413")
