--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -24,6 +24,8 @@
 /// Time after a start within which a low count is not believed: others that start as well are not listed yet.
 constexpr duration kSettling = std::chrono::seconds(2);
 constexpr duration kStoreTimeout = std::chrono::milliseconds(800);
+/// Removals of our object that are tried: one finds the last renewal, the next one has its revision.
+constexpr int kMostRemovals = 2;
 
 } // namespace
 
@@ -87,7 +89,18 @@
 boost::asio::awaitable<void> gateway_registry::Remove()
 {
   const ref<gateway_registry> self(this);
-  co_await mStore->Call(wire::EncodeDelete(wire::object_kind::Gateways, mSelf.Str()), kStoreTimeout);
+  // Only as we know it: a removal that is carried out late would else count for nothing the process that follows us
+  // under this name. A conflict shows a renewal of ours whose answer was lost.
+  for (int tries = 0; tries < kMostRemovals && mRevision; ++tries) {
+    const auto question = wire::EncodeDelete(wire::object_kind::Gateways, mSelf.Str(), *mRevision);
+    const auto answer = co_await mStore->Call(question, kStoreTimeout);
+    std::string fault;
+    const auto object = wire::DecodeStored(answer.mBody, fault);
+    if (answer.mStatus != 409 || !object) {
+      break;
+    }
+    mRevision = object->mRevision;
+  }
 }
 
 boost::asio::awaitable<void> gateway_registry::Follow()
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -101,8 +101,10 @@
       co_await LookAtLease();
     }
   }
-  if (mLease.IsHeld(BootNow())) {
-    const auto answer = co_await mStore->Call(wire::EncodeDelete(wire::object_kind::Duties, kDutyName), kStoreTimeout);
+  if (const auto held = mLease.HeldRevision(); held && mLease.IsHeld(BootNow())) {
+    // Only as we know it: a removal that is carried out late would else take the duty from the next holder.
+    const auto answer =
+      co_await mStore->Call(wire::EncodeDelete(wire::object_kind::Duties, kDutyName, *held), kStoreTimeout);
     log_line(log_event::DutyGivenUp).Text("duty", kDutyName).Count("status", answer.mStatus);
   }
 }
@@ -122,31 +124,22 @@
 
 boost::asio::awaitable<void> placement_duty::WriteLease()
 {
-  const instant sent = BootNow();
-  const bool held = mLease.IsHeld(sent);
-  const auto revision = held ? mLease.HeldRevision() : mLease.SeenRevision();
+  const policy::lease_attempt attempt = mLease.Attempt(BootNow());
   // The time makes each renewal a change; a write that changes nothing gets no new revision.
   const std::string spec =
-    fmt::format(R"({{"holder":"{}","renewed":{}}})", mSelf.Str(), sent.time_since_epoch().count());
-  const auto question = revision ? wire::EncodeReplace(wire::object_kind::Duties, kDutyName, spec, *revision)
-                                 : wire::EncodeCreate(wire::object_kind::Duties, kDutyName, spec);
+    fmt::format(R"({{"holder":"{}","renewed":{}}})", mSelf.Str(), attempt.mSent.time_since_epoch().count());
+  const auto question = attempt.mCondition
+                          ? wire::EncodeReplace(wire::object_kind::Duties, kDutyName, spec, *attempt.mCondition)
+                          : wire::EncodeCreate(wire::object_kind::Duties, kDutyName, spec);
   const auto answer = co_await mStore->Call(question, kStoreTimeout);
   std::string fault;
-  if (answer.IsGood()) {
-    if (const auto object = wire::DecodeStored(answer.mBody, fault)) {
-      mLease.Written(object->mRevision, sent, !held);
-    }
-    co_return;
-  }
-  if (answer.mStatus != 409 && answer.mStatus != 404) {
-    co_return;
-  }
-  // A renewal of ours whose answer was lost looks like a rival's write; then we begin anew with a higher number.
-  mLease.Lost();
-  if (const auto object = wire::DecodeStored(answer.mBody, fault); answer.mStatus == 409 && object) {
-    mLease.Seen(object->mRevision, BootNow());
-  } else {
-    mLease.SeenNone();
+  const auto object = wire::DecodeStored(answer.mBody, fault);
+  if (answer.IsGood() && object) {
+    mLease.Accepted(attempt, object->mRevision);
+  } else if (answer.mStatus == 409 && object) {
+    mLease.Refused(object->mRevision, BootNow());
+  } else if (answer.mStatus == 409 || answer.mStatus == 404) {
+    mLease.Refused(std::nullopt, BootNow());
   }
 }
 
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -149,7 +149,7 @@
                                 const std::string& aName,
                                 const std::string& aSpec,
                                 std::uint64_t aRevision);
-net::http_request EncodeDelete(object_kind aKind, const std::string& aName);
+net::http_request EncodeDelete(object_kind aKind, const std::string& aName, std::uint64_t aRevision);
 std::optional<stored> DecodeStored(std::string_view aBody, std::string& aFault);
 std::optional<stored_list> DecodeList(std::string_view aBody, std::string& aFault);
 std::optional<stored_changes> DecodeChanges(std::string_view aBody, std::string& aFault);
--- a/src/policy/duty_lease.h
+++ b/src/policy/duty_lease.h
@@ -11,6 +11,14 @@
 /// before another one starts.
 namespace chervilpulley::policy {
 
+/// A write of the lease object, as it was sent.
+struct lease_attempt
+{
+  instant mSent;
+  bool mRenews = false;                    ///< the sender held the duty then
+  std::optional<std::uint64_t> mCondition; ///< revision that it replaces; nothing: it creates the object
+};
+
 class duty_lease
 {
 public:
@@ -30,15 +38,32 @@
   }
   /// There is no lease object.
   void SeenNone() { mSeenRevision.reset(); }
-  /// A write of ours made this revision; it was sent at aSent.
-  void Written(std::uint64_t aRevision, instant aSent, bool aIsNew)
+  /// The write that renews the lease, or takes it.
+  lease_attempt Attempt(instant aNow) const
+  {
+    const bool held = IsHeld(aNow);
+    return { aNow, held, held ? mHeldRevision : mSeenRevision };
+  }
+  /// Our write made this revision.
+  void Accepted(const lease_attempt& aAttempt, std::uint64_t aRevision)
   {
-    mHeldSince = aSent;
-    if (aIsNew || !mFence) {
+    mHeldSince = aAttempt.mSent;
+    if (!aAttempt.mRenews || !mFence) {
       mFence = aRevision;
     }
     mHeldRevision = aRevision;
-    Seen(aRevision, aSent);
+    Seen(aRevision, aAttempt.mSent);
+  }
+  /// Our write found another revision, or no object. A renewal of ours whose answer was lost looks like a rival's write;
+  /// then we begin anew, with a greater fence.
+  void Refused(std::optional<std::uint64_t> aPresent, instant aNow)
+  {
+    Lost();
+    if (aPresent) {
+      Seen(*aPresent, aNow);
+    } else {
+      SeenNone();
+    }
   }
   /// Another instance has it.
   void Lost()
--- a/tests/standin/standin_store.cpp
+++ b/tests/standin/standin_store.cpp
@@ -133,8 +133,7 @@
     co_return Put(kind, name, aRequest);
   }
   if (aRequest.mMethod == "DELETE") {
-    Remove(kind, name);
-    co_return Empty(200);
+    co_return Delete(kind, name, aRequest);
   }
   if (net::QueryValue(aRequest.mTarget, "watch")) {
     net::http_reply reply = co_await Watch(kind, aRequest);
@@ -181,6 +180,22 @@
   return ObjectReply(200, Show(aName, found->second));
 }
 
+net::http_reply object_store::Delete(const std::string& aKind,
+                                     const std::string& aName,
+                                     const net::http_request& aRequest)
+{
+  const auto found = mObjects[aKind].find(aName);
+  if (found == mObjects[aKind].end()) {
+    return Empty(404);
+  }
+  const auto condition = net::QueryValue(aRequest.mTarget, "revision");
+  if (condition && *condition != std::to_string(found->second.mRevision)) {
+    return ObjectReply(409, Show(aName, found->second));
+  }
+  Remove(aKind, aName);
+  return Empty(200);
+}
+
 net::http_reply object_store::List(const std::string& aKind, const net::http_request& aRequest)
 {
   // Pages of three, so that readers must go on.
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -49,6 +49,7 @@
   boost::asio::awaitable<net::http_reply> Watch(const std::string& aKind, const net::http_request& aRequest);
   net::http_reply List(const std::string& aKind, const net::http_request& aRequest);
   net::http_reply Put(const std::string& aKind, const std::string& aName, const net::http_request& aRequest);
+  net::http_reply Delete(const std::string& aKind, const std::string& aName, const net::http_request& aRequest);
   net::http_reply Create(const std::string& aKind, const net::http_request& aRequest);
   boost::json::object Show(const std::string& aName, const stored& aObject) const;
 
--- a/tests/unit/policy_shares_test.cpp
+++ b/tests/unit/policy_shares_test.cpp
@@ -72,7 +72,7 @@
 {
   duty_lease holder(3s);
   duty_lease rival(3s);
-  holder.Written(7, instant(10s), true);
+  holder.Accepted({ instant(10s), false, {} }, 7);
   rival.Seen(7, instant(10'050ms));
   for (int step = 0; step < 100; ++step) {
     const instant now = instant(10s) + step * 50ms;
@@ -87,7 +87,7 @@
   duty_lease rival(3s);
   for (int second = 10; second < 30; ++second) {
     const instant now = instant(std::chrono::seconds(second));
-    holder.Written(static_cast<std::uint64_t>(second), now, second == 10);
+    holder.Accepted({ now, second != 10, {} }, static_cast<std::uint64_t>(second));
     rival.Seen(static_cast<std::uint64_t>(second), now + 900ms);
     CHECK(holder.IsHeld(now + 999ms));
     CHECK_FALSE(rival.MayTake(now + 999ms));
@@ -98,12 +98,12 @@
 TEST_CASE("duty_lease_of_a_later_holder_has_a_greater_fence")
 {
   duty_lease first(3s);
-  first.Written(7, instant(10s), true);
-  first.Written(9, instant(11s), false);
+  first.Accepted({ instant(10s), false, {} }, 7);
+  first.Accepted({ instant(11s), true, {} }, 9);
   CHECK(first.Fence() == 7);
   duty_lease second(3s);
   second.Seen(9, instant(11s));
-  second.Written(12, instant(15s), true);
+  second.Accepted({ instant(15s), false, {} }, 12);
   CHECK(second.Fence() > first.Fence());
   first.Lost();
   CHECK(!first.IsHeld(instant(11s)));
