Requests that wait go by priority and age; who is refused in a wave comes back when it has been served

Cause: priorities of routes and workspaces were read and not used; a workspace without one counted as the most urgent. The time to come back was one second wherever layers were not missing, also behind a queue of several. And room_queue took its average run time from uninitialised memory: the first forecasts of a gateway were whatever the heap held. Now: among fresh requests, and among the others, one of the next lower priority stands behind those that come 0.2 of an objective later (waiting makes up for it, so nobody starves); engines get the rank too; without one a route has that which engines assume (5). The time to come back is at least the queue's forecast. The average is a decision with a defined start (run_time). Tests, each plays the load: room_wait_in_lasting_overload_serves_the_urgent_first_and_starves_nobody, come_back_after_a_wave_..., run_time_before_the_first_run_...

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -99,6 +99,16 @@
     ("leaving_engines_eligible", "src/policy/route_choice.cpp", "aCandidate.mLeaving || aCandidate.mAvoid || !aCandidate.mBackendUp", "false", "unit", "route_choice_*"),
     ("one_workspace_takes_the_queue", "src/policy/admission_queue.cpp", "return free > 0 && (queue == nullptr || queue->mCount < free);", "return free > 0;", "unit", "admission_queue_*"),
     ("suspects_run_on_all_engines", "src/entry/request_guard.cpp", "    case policy::suspicion::Refused:\n      return guard_verdict::Refused;", "    case policy::suspicion::Refused:\n      return guard_verdict::RunAsSuspect;", "processes", "crashing_request_costs_*"),
+    ("waiting_connections_do_not_count", "src/net/http_server.cpp", "const std::size_t accepting = mStopping ? mAccepting.load() : 0;", "const std::size_t accepting = 0;", "contract", "http_server_that_stops_*"),
+    ("requests_on_idle_connections_reset", "src/net/http_server.cpp", "if (self->HasUnreadBytes()) {", "if (false) {", "contract", "http_server_that_stops_*"),
+    ("silent_callers_hold_up_the_end", "src/net/http_server.cpp", "  if (mServer->IsStopping()) {\n    CloseWithoutRequest();\n  }\n", "", "contract", "http_server_that_stops_*"),
+    ("removals_take_any_revision", "platform/store_objects.cpp", "{}?revision={}", "{}?any={}", "unit", "platform_removal_*"),
+    ("fence_of_an_earlier_holding_kept", "src/policy/duty_lease.h", "if (!aAttempt.mRenews || !mFence) {", "if (!mFence) {", "unit", "duty_lease_in_*"),
+    ("conflicts_of_the_lease_not_noticed", "src/policy/duty_lease.h", "    Lost();\n    if (aPresent) {", "    if (aPresent) {", "unit", "duty_lease_in_*"),
+    ("urgent_requests_wait_like_others", "src/policy/room_wait.cpp", "(kPriorityStep * steps)", "(0 * steps)", "unit", "room_wait_*"),
+    ("queue_not_in_the_time_to_come_back", "src/policy/come_back.cpp", "std::max(kUntilRoom, aShortage.mQueue)", "kUntilRoom", "unit", "come_back_*"),
+    ("run_time_not_initialised", "src/policy/room_wait.h", "duration mAverage{ 0 };", "duration mAverage;", "unit", "run_time_*"),
+    ("priority_of_the_workspace_unused", "platform/configuration_objects.cpp", "Priority(tenant) });", "std::nullopt });", "unit", "platform_configuration_*"),
     ("clerks_read_everything", "src/admin/principal.cpp", "aCaller.mRole == ROLE_CLERK && IsOwnRoute(aCaller, aRef)", "aCaller.mRole == ROLE_CLERK", "unit", "check_read_*"),
 ]
 
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -52,7 +52,7 @@
 struct workspace
 {
   workspace_id mName;
-  std::uint32_t mPriority = 0;
+  std::optional<std::uint32_t> mPriority; ///< goes before that of the route
 };
 
 /// Bounds on what callers may send.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -301,6 +301,7 @@
     Refuse(aSession, asked.mWish, trustsKeys ? 404 : 503, "no route");
     return;
   }
+  asked.mPriority = asked.mRoute->mPriority;
   if (asked.mRoute->mNeedsKey && !asked.mConfiguration->mWorkspaces.empty()) {
     if (!trustsKeys) {
       Refuse(aSession, asked.mWish, 503, "configuration not confirmed");
@@ -312,6 +313,7 @@
       return;
     }
     asked.mWorkspace = workspace->mName.Str();
+    asked.mPriority = workspace->mPriority.value_or(asked.mPriority);
   }
   asked.mPool = DrawPool(*asked.mRoute, mTools.mRandom());
   asked.mArrived = Now();
--- a/src/gateway/request_context.cpp
+++ b/src/gateway/request_context.cpp
@@ -6,6 +6,7 @@
 {
   aDispatch.mTimeLeft = aAsked.mDeadline - aNow;
   aDispatch.mWorkspace = aAsked.mWorkspace;
+  aDispatch.mPriority = aAsked.mPriority;
   net::http_request request;
   request.mMethod = aAsked.mRequest.mMethod;
   request.mTarget = aAsked.mRequest.mTarget;
--- a/src/gateway/room_queue.cpp
+++ b/src/gateway/room_queue.cpp
@@ -11,10 +11,6 @@
 /// Requests that may fail to find room before the rest is not tried: small ones fit where a big one does not, and each
 /// try costs a search for a path.
 constexpr std::size_t kMostMisses = 3;
-/// Time that a request is taken to run before one has: 140 tokens at 20 ms.
-constexpr duration kFirstGuess = std::chrono::seconds(3);
-/// Weight of the newest time in the usual one.
-constexpr int kUsualTimeParts = 16;
 
 } // namespace
 
@@ -24,7 +20,7 @@
   room.mAhead = aAhead;
   room.mRunning = static_cast<std::size_t>(
     std::count_if(mStreams.begin(), mStreams.end(), [](const stream_request& aStream) { return aStream.IsRunning(); }));
-  room.mUsualTime = mUsualTime > duration::zero() ? mUsualTime : kFirstGuess;
+  room.mUsualTime = mRunTime.Usual();
   return room;
 }
 
@@ -61,9 +57,4 @@
   }
 }
 
-void room_queue::Ran(duration aTime)
-{
-  mUsualTime = mUsualTime > duration::zero() ? mUsualTime + (aTime - mUsualTime) / kUsualTimeParts : aTime;
-}
-
 } // namespace chervilpulley::gateway
--- a/src/gateway/room_queue.h
+++ b/src/gateway/room_queue.h
@@ -21,15 +21,17 @@
   /// Gives free room to those who wait, and refuses those whose turn has moved too far away.
   void TimePassed(instant aNow);
   /// A request ran from its first sending to its end in so long.
-  void Ran(duration aTime);
+  void Ran(duration aTime) { mRunTime.Ran(aTime); }
   std::size_t Size() const { return mWaiting.size(); }
+  /// Time until there is room for one who would stand behind all that wait.
+  duration Forecast() const { return policy::WaitForecast(Room(mWaiting.size())); }
 
 private:
   policy::waiting_room Room(std::size_t aAhead) const;
 
   const stream_list& mStreams;
   std::vector<ref<stream_request>> mWaiting;
-  duration mUsualTime;
+  policy::run_time mRunTime;
 };
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -112,7 +112,7 @@
 
 policy::waiting_request stream_request::AsWaiting() const
 {
-  return { mAsked.mArrived, mAsked.mRoute->mObjective, mAsked.mDeadline - mAsked.mArrived };
+  return { mAsked.mArrived, mAsked.mRoute->mObjective, mAsked.mDeadline - mAsked.mArrived, mAsked.mPriority };
 }
 
 void stream_request::RefuseForRoom(instant aNow)
@@ -126,6 +126,7 @@
 {
   const pool* pool = mAsked.mConfiguration->FindPool(mAsked.mPool);
   policy::shortage shortage;
+  shortage.mQueue = mTools.mRoom.Forecast();
   if (pool != nullptr && pool->mEngine) {
     shortage.mUncoveredLayers = mTools.mFleet->Supply(mAsked.mPool, aNow).mUncoveredHere;
     shortage.mLayers = pool->mEngine->mLayers;
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -40,6 +40,7 @@
   backend_id mExpected;
   duration mTimeLeft{ 0 };
   std::string mWorkspace;                  ///< empty: no key was asked for
+  std::uint32_t mPriority = 0;             ///< 0 is the most urgent
   std::vector<hop> mPath;                  ///< empty: the server alone
   std::optional<std::uint64_t> mLastEvent; ///< events up to this one are not wanted again
 };
--- a/src/policy/come_back.cpp
+++ b/src/policy/come_back.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// Streams run for about three seconds: within one, a third of the places is free again.
+/// Streams run for about three seconds: within one, a third of the places is free again. Sooner nobody is called back,
+/// also where the queue is short.
 constexpr duration kUntilRoom = std::chrono::milliseconds(1000);
 /// From a loss to the order that repairs it, and from the end of the load to its being listed everywhere.
 constexpr duration kRepairSlack = std::chrono::milliseconds(1500);
@@ -19,10 +20,10 @@
 
 duration ComeBackAfter(const shortage& aShortage, duration aPatience, std::uint64_t aRandom)
 {
-  duration time = kUntilRoom;
+  duration time = std::max(kUntilRoom, aShortage.mQueue);
   if (aShortage.mUncoveredLayers > 0 && aShortage.mLayers > 0) {
     const double share = static_cast<double>(aShortage.mUncoveredLayers) / static_cast<double>(aShortage.mLayers);
-    time = kRepairSlack + std::chrono::duration_cast<duration>(aShortage.mLoad * share);
+    time = std::max(time, kRepairSlack + std::chrono::duration_cast<duration>(aShortage.mLoad * share));
   }
   // 53 bits of the random number make a fraction of a double's precision.
   const double fraction = static_cast<double>(aRandom >> 11U) / static_cast<double>(1ULL << 53U);
--- a/src/policy/room_wait.cpp
+++ b/src/policy/room_wait.cpp
@@ -12,6 +12,17 @@
 constexpr int kPatienceParts = 4;
 /// Objectives that waiting may take: callers were seen to leave when there was no first event after four of them.
 constexpr int kMostObjectives = 3;
+/// Time that a request is taken to run before one has: 140 tokens at 20 ms.
+constexpr duration kFirstGuess = std::chrono::seconds(3);
+/// Weight of the newest time in the average.
+constexpr int kAverageParts = 16;
+
+/// When a request of the highest priority would have come to stand where this one does.
+instant Turn(const waiting_request& aRequest)
+{
+  const double steps = std::min(aRequest.mPriority, kLowestPriority);
+  return aRequest.mArrived + std::chrono::duration_cast<duration>(aRequest.mObjective * (kPriorityStep * steps));
+}
 
 } // namespace
 
@@ -35,7 +46,17 @@
 {
   const bool left = aLeft.IsFresh(aNow);
   const bool right = aRight.IsFresh(aNow);
-  return left != right ? left : aLeft.mArrived < aRight.mArrived;
+  return left != right ? left : Turn(aLeft) < Turn(aRight);
+}
+
+void run_time::Ran(duration aTime)
+{
+  mAverage = mAverage > duration::zero() ? mAverage + (aTime - mAverage) / kAverageParts : aTime;
+}
+
+duration run_time::Usual() const
+{
+  return mAverage > duration::zero() ? mAverage : kFirstGuess;
 }
 
 } // namespace chervilpulley::policy
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "net/http.h"
+
 using namespace chervilpulley;
 using namespace chervilpulley::gateway;
 using namespace std::chrono_literals;
@@ -21,7 +23,7 @@
    "usual":{"prompt":772,"answer":154},"kinds":[{"name":"l4","mb":21600.0,"pace":16.0,"readX":8.2}]}},
    {"name":"s","healthPath":"/h","maxConns":96}],
   "limits":{"maxHeaderBytes":16384,"maxBodyBytes":100,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-  "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},{"apiKeys":["lost"]}]})";
+  "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1},{"apiKeys":["lost"]},{"name":"t2","apiKeys":["k3"]}]})";
 
 struct configuration_fixture
 {
@@ -45,8 +47,12 @@
   REQUIRE(mMade);
   CHECK(mMade->mVersion == 7);
   CHECK(mMade->mRoutes.size() == 2);
-  CHECK(mMade->mWorkspaces.size() == 1);
+  CHECK(mMade->mWorkspaces.size() == 2);
   CHECK(mMade->FindWorkspace("k2")->mName.Str() == "t1");
+  CHECK(mMade->FindWorkspace("k2")->mPriority == 1U);
+  CHECK(mMade->FindWorkspace("k3")->mPriority == std::nullopt);
+  CHECK(mMade->FindRoute("a.example", "/x/1")->mPriority == 1);
+  CHECK(mMade->FindRoute("a.example", "/x/y/1")->mPriority == 5);
   CHECK(mMade->FindWorkspace("lost") == nullptr);
   CHECK(mMade->mLimits.mMaxBodyBytes == 100);
   const pool* engines = mMade->FindPool(pool_name("e"));
@@ -112,6 +118,7 @@
                                  { "X-Credential", "secret" },
                                  { "X-Tenant", "forged" },
                                  { "X-Hop-Count", "forged" },
+                                 { "X-Request-Priority", "0" },
                                  { "X-Deadline-Ms", "9" },
                                  { "Connection", "close" },
                                  { "Last-Event-Id", "4" },
@@ -120,6 +127,7 @@
   dispatch.mExpected = backend_id("i-1");
   dispatch.mTimeLeft = 1500ms;
   dispatch.mWorkspace = "t1";
+  dispatch.mPriority = 12;
   dispatch.mPath = { { "10.0.0.1:80", { 0, 20 } }, { "10.0.0.2:80", { 20, 80 } } };
   dispatch.mLastEvent = 6;
   const auto sent = wire::EncodeDispatch(callers, dispatch);
@@ -128,6 +136,7 @@
   CHECK(!sent.Has("X-Credential"));
   CHECK(!sent.Has("Connection"));
   CHECK(sent.Get("X-Tenant") == "t1");
+  CHECK(sent.Get("X-Request-Priority") == "9");
   CHECK(sent.Get("X-Deadline-Ms") == "1500");
   CHECK(sent.Get("X-Expect-Instance") == "i-1");
   CHECK(sent.Get("X-Hop-Count") == "10.0.0.1:80=0-20,10.0.0.2:80=20-80");
@@ -186,6 +195,13 @@
   CHECK(!wire::DecodeChanges("x", fault));
 }
 
+TEST_CASE("platform_removal_names_the_revision_that_it_removes")
+{
+  const auto removal = wire::EncodeDelete(wire::object_kind::Duties, "placement", 17);
+  CHECK(removal.mMethod == "DELETE");
+  CHECK(net::QueryValue(removal.mTarget, "revision") == "17");
+}
+
 TEST_CASE("platform_answer_says_that_it_did_not_run_only_by_its_header_or_421")
 {
   CHECK(wire::DecodeNote(503, Headers({ { "X-Not-Executed", "full" } })).mDidNotRun);
--- a/tests/unit/policy_come_back_test.cpp
+++ b/tests/unit/policy_come_back_test.cpp
@@ -1,4 +1,5 @@
 #include "policy/come_back.h"
+#include "policy/room_wait.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,7 +14,7 @@
 /// A failure domain lacks 9 of 80 layers from the loss at 0 until they are loaded and listed again.
 struct come_back_fixture
 {
-  shortage mShortage{ 9, 80, fine_ms(14'000) };
+  shortage mShortage{ 9, 80, fine_ms(14'000), 0s };
   duration mRepaired = 3s;
   std::mt19937_64 mRandom{ 20261204 };
 
@@ -36,7 +37,24 @@
 {
   CHECK(ServedAtReturn(mShortage) >= 0.9);
   // Told the time of a moment without room, most would come too early.
-  CHECK(ServedAtReturn({ 0, 80, fine_ms(14'000) }) < 0.5);
+  CHECK(ServedAtReturn({ 0, 80, fine_ms(14'000), 0s }) < 0.5);
+}
+
+TEST_CASE("come_back_after_a_wave_is_when_those_who_wait_have_been_served")
+{
+  // 40 places, each taken for three seconds; 60 more requests stand at the door, and 100 were refused behind them.
+  constexpr int kRefused = 100;
+  const duration untilServed = WaitForecast({ 60, 40, 3s });
+  std::mt19937_64 random(20261204);
+  const auto early = [&](duration aQueue) {
+    int count = 0;
+    for (int each = 0; each < kRefused; ++each) {
+      count += ComeBackAfter({ 0, 80, fine_ms(14'000), aQueue }, 20s, random()) < untilServed * 3 / 4 ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(early(untilServed) == 0);
+  CHECK(early(0s) == kRefused);
 }
 
 TEST_CASE_METHOD(come_back_fixture, "come_back_times_are_spread_and_within_a_third_of_the_patience")
--- a/tests/unit/policy_room_wait_test.cpp
+++ b/tests/unit/policy_room_wait_test.cpp
@@ -3,6 +3,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
+#include <map>
+#include <new>
 #include <vector>
 
 using namespace chervilpulley;
@@ -24,6 +28,11 @@
   const instant mBegin{};
   std::vector<instant> mFreeAt = std::vector<instant>(kPlaces, mBegin);
   std::vector<waiting_request> mWaiting;
+  /// Priorities that requests have in turn, and what became of those of each.
+  std::vector<std::uint32_t> mPriorities{ 0 };
+  std::map<std::uint32_t, std::size_t> mServedOf;
+  std::map<std::uint32_t, std::size_t> mOnTimeOf;
+  std::size_t mArrivals = 0;
   std::size_t mOnTime = 0;
   std::size_t mLate = 0;
   std::size_t mRefused = 0;
@@ -31,7 +40,10 @@
 
   void Arrive(instant aNow, std::size_t aCount)
   {
-    mWaiting.insert(mWaiting.end(), aCount, { aNow, kObjective, milliseconds(20'000) });
+    for (std::size_t each = 0; each < aCount; ++each) {
+      const std::uint32_t priority = mPriorities.at(mArrivals++ % mPriorities.size());
+      mWaiting.push_back({ aNow, kObjective, milliseconds(20'000), priority });
+    }
   }
 
   template<class May>
@@ -47,6 +59,8 @@
       if (*place <= aNow) {
         *place = aNow + kUsualTime;
         (waited < kObjective ? mOnTime : mLate) += 1;
+        mServedOf[request.mPriority] += 1;
+        mOnTimeOf[request.mPriority] += waited < kObjective ? 1 : 0;
       } else if (waited > kObjective * 4) {
         ++mLeft;
       } else if (aMayWait(request, waiting_room{ still.size(), kPlaces, kUsualTime }, aNow)) {
@@ -102,6 +116,44 @@
   CHECK(mRefused > 0);
 }
 
+TEST_CASE_METHOD(room_wait_fixture, "room_wait_in_lasting_overload_serves_the_urgent_first_and_starves_nobody")
+{
+  mPriorities = { 1, 3 };
+  Play(60, milliseconds(50), MayWait);
+  room_wait_fixture alike;
+  alike.Play(60, milliseconds(50), MayWait);
+  // The users' rules see a difference of 15 in 100.
+  CHECK(mOnTimeOf[1] * 100 >= mOnTimeOf[3] * 115);
+  CHECK(mServedOf[3] * 4 >= mServedOf[1]);
+  CHECK((mOnTime + mLate) * 100 >= (alike.mOnTime + alike.mLate) * 95);
+  CHECK(mLeft == 0);
+}
+
+TEST_CASE("room_wait_head_start_of_the_urgent_is_made_up_for_by_waiting")
+{
+  const instant now = instant() + std::chrono::seconds(10);
+  const auto waiting = [&](int aAgo, std::uint32_t aPriority) {
+    return waiting_request{ now - milliseconds(aAgo), milliseconds(500), milliseconds(20'000), aPriority };
+  };
+  CHECK(GoesFirst(waiting(50, 1), waiting(140, 2), now));
+  CHECK(GoesFirst(waiting(160, 2), waiting(50, 1), now));
+  CHECK(GoesFirst(waiting(100, 9), waiting(900, 0), now));
+  CHECK_FALSE(GoesFirst(waiting(50, 9), waiting(50, 90), now));
+}
+
+TEST_CASE("run_time_before_the_first_run_is_a_guess_whatever_the_memory_held")
+{
+  alignas(run_time) std::array<std::byte, sizeof(run_time)> memory;
+  memory.fill(std::byte{ 0x5a });
+  auto* const fresh = new (memory.data()) run_time;
+  CHECK(fresh->Usual() == std::chrono::seconds(3));
+  fresh->Ran(milliseconds(1600));
+  CHECK(fresh->Usual() == milliseconds(1600));
+  fresh->Ran(milliseconds(3200));
+  CHECK(fresh->Usual() == milliseconds(1700));
+  fresh->~run_time();
+}
+
 TEST_CASE("room_wait_forecast_counts_those_ahead_over_those_that_run")
 {
   CHECK(WaitForecast({ 9, 20, milliseconds(3000) }) == milliseconds(1500));
