A gap of a lost engine is filled by engines that cut off what passes through them

One held them 1.1 s later, the others after more than 4 s (12.6 to 16.4 s at the next loss): orders wait for the streams that pass through, which go on over layers borrowed from other domains, while all other streams of the domain stand still. 390 requests found no path, 335 callers left. Now such orders cut off (the streams go on over other engines: new path, or resumed where it was their first one), as long as no engine serves the layers that are to be loaded. Where the holder only leaves, and where streams of a pool can't be resumed and the engine is their first one, orders wait as before. Two things that this showed: an engine that has cut off holds nothing in the list until it has loaded, and was taken for lost by the reports of streams (so that more engines were moved in its place); it still counts as moving now, and a stall at a moving engine makes the gateway ask it instead. Ruled out: slow loads (those that did not wait took 1.1 s, as computed), late finding (orders went out 0.1 to 0.2 s after the loss). Tests: layer_plan_cuts_streams_off_only_..., ..._cannot_be_resumed_..., ..._that_cuts_off_serves_more_on_time_than_one_that_waits (plays the load), fleet_with_an_engine_that_has_cut_off_..., platform_layer_order_..., platform_streams_of_a_pool_resume_...

--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -129,7 +129,7 @@
     "layers_ordered",
     Notable,
     Layers,
-    "backend from end held_from held_end fence orders members_version",
+    "backend from end held_from held_end mode fence orders members_version",
     "an engine was ordered to hold these layers" },
   { LayersHeld,
     "layers_held",
--- a/src/gateway/configuration.cpp
+++ b/src/gateway/configuration.cpp
@@ -41,6 +41,15 @@
   return found == mPoolsByName.end() ? nullptr : found->second;
 }
 
+bool configuration::StreamsResume(const pool_name& aPool) const
+{
+  return std::all_of(mRoutes.begin(), mRoutes.end(), [&](const route& aRoute) {
+    const bool passes = std::any_of(
+      aRoute.mPools.begin(), aRoute.mPools.end(), [&](const pool_share& aShare) { return aShare.mPool == aPool; });
+    return aRoute.mKind != request_kind::Stream || aRoute.mIsResumable || !passes;
+  });
+}
+
 const workspace* configuration::FindWorkspace(const std::string& aKey) const
 {
   const auto found = mKeys.find(aKey);
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -295,8 +295,11 @@
 {
   const auto found = mBeliefs.find(aId);
   const auto* member = mMembers.Find(aId);
-  return found != mBeliefs.end() && member != nullptr && found->second.mMovingUntil > aNow &&
-         found->second.mMovingFrom == member->mLayers;
+  if (found == mBeliefs.end() || member == nullptr || found->second.mMovingUntil <= aNow) {
+    return false;
+  }
+  // One that was told to cut off what passes through it holds nothing until it has loaded its new layers.
+  return found->second.mMovingFrom == member->mLayers || member->mLayers.IsEmpty();
 }
 
 void fleet::BelieveRefusing(const backend_id& aId, instant aNow, duration aTime)
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -171,7 +171,9 @@
     engine.mDomain = aMember.mDomain;
     engine.mKind = aKind;
     engine.mHeld = aMember.mLayers;
-    engine.mGone = aMember.mLeaving || mFleet->IsBelievedLost(aMember.mId, aNow);
+    const bool isLost = mFleet->IsBelievedLost(aMember.mId, aNow);
+    engine.mGone = aMember.mLeaving || isLost;
+    engine.mStays = aMember.mLeaving && !isLost;
     if (const auto order = mOrders.find(aMember.mId); order != mOrders.end()) {
       engine.mHeld = order->second.mRange;
       engine.mBusy = true;
@@ -183,7 +185,9 @@
     return;
   }
   const auto most = static_cast<std::size_t>(aPool.mEngine->mLoadsAtOnce) * 2;
-  for (const policy::layer_order& order : policy::PlanLayers(*aPool.mEngine, std::move(engines))) {
+  const auto mayCut = mFleet->Configuration()->StreamsResume(aPool.mName) ? policy::cut_rule::AnyStream
+                                                                           : policy::cut_rule::LaterParts;
+  for (const policy::layer_order& order : policy::PlanLayers(*aPool.mEngine, std::move(engines), mayCut)) {
     if (anyHolds && mOrders.size() >= most) {
       return;
     }
@@ -281,6 +285,7 @@
     .Count("end", aOrder.mRange.mEnd)
     .Count("held_from", member->mLayers.mFrom)
     .Count("held_end", member->mLayers.mEnd)
+    .Text("mode", aOrder.mCutsOff ? "cut off" : "wait")
     .Count("fence", mLease.Fence())
     .Count("orders", orders)
     .Count("members_version", mFleet->Members().Version());
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -81,6 +81,7 @@
   bool JoinsNewPath(const backend_id& aEngine, instant aNow) const;
   std::optional<chosen_path> Replace(const backend_id& aLost, instant aNow);
   void Inquire(instant aNow);
+  void TakeStalledAt(const backend_id& aEngine, instant aNow);
   void CheckPath();
   duration Allowance() const;
   double AnswerGuess() const;
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -74,7 +74,7 @@
     for (const auto& stalled : aReport->mStalled) {
       const auto engine = self->mTools.mFleet->AtAddress(stalled.mFaultyAddress);
       if (engine && *engine != first) {
-        self->mTools.mFleet->BelieveLost(*engine, now);
+        self->TakeStalledAt(*engine, now);
       }
       if (engine && stalled.mRequest == self->Id()) {
         self->Stalled(*engine, now);
@@ -85,6 +85,20 @@
   });
 }
 
+/// Streams wait for this engine: it is lost, or has cut them off to take other layers.
+void stream_request::TakeStalledAt(const backend_id& aEngine, instant aNow)
+{
+  if (!mTools.mFleet->IsMoving(aEngine, aNow)) {
+    mTools.mFleet->BelieveLost(aEngine, aNow);
+    return;
+  }
+  mTools.mInquiries->Ask(aEngine, [fleet = mTools.mFleet, aEngine](const auto& aReport) {
+    if (!aReport) {
+      fleet->BelieveLost(aEngine, Now());
+    }
+  });
+}
+
 /// The stream waits for nobody that is lost, so one of its engines may be slow: each says so itself.
 void stream_request::CheckPath()
 {
--- a/src/policy/layer_plan.cpp
+++ b/src/policy/layer_plan.cpp
@@ -19,12 +19,14 @@
 class coverage
 {
 public:
-  coverage(const engine_model& aModel, const std::vector<plan_engine>& aEngines)
+  /// @param aCounts says whether an engine counts.
+  template<class Counts>
+  coverage(const engine_model& aModel, const std::vector<plan_engine>& aEngines, Counts aCounts)
     : mLayers(aModel.mLayers)
     , mAll(aModel.mLayers, 0)
   {
     for (const plan_engine& engine : aEngines) {
-      if (!engine.mGone) {
+      if (aCounts(engine)) {
         Add(engine.mDomain, engine.mHeld, 1);
       }
     }
@@ -84,10 +86,13 @@
     return { layer_span{ bestFrom, bestFrom + aSize }, best };
   }
 
-  bool HasGap(const failure_domain_id& aDomain)
+  bool HasGap(const failure_domain_id& aDomain) { return HasGap(aDomain, { 0, mLayers }); }
+
+  bool HasGap(const failure_domain_id& aDomain, layer_span aRange)
   {
     const holder_counts& domain = InDomain(aDomain);
-    return std::find(domain.begin(), domain.end(), 0U) != domain.end();
+    const auto end = domain.begin() + aRange.mEnd;
+    return std::find(domain.begin() + aRange.mFrom, end, 0U) != end;
   }
 
   /// Worth of what would be missed if this engine's layers were given up.
@@ -108,6 +113,17 @@
   std::map<failure_domain_id, holder_counts> mByDomain;
 };
 
+bool IsHolder(const plan_engine& aEngine)
+{
+  return !aEngine.mGone;
+}
+
+/// Whether streams pass through what an engine holds: not through layers that are still to be loaded.
+bool IsServing(const plan_engine& aEngine)
+{
+  return aEngine.mGone ? aEngine.mStays : !aEngine.mBusy;
+}
+
 bool MayBeOrdered(const plan_engine& aEngine)
 {
   return !aEngine.mGone && !aEngine.mBusy;
@@ -127,10 +143,12 @@
 class planner
 {
 public:
-  planner(const engine_model& aModel, std::vector<plan_engine> aEngines)
+  planner(const engine_model& aModel, std::vector<plan_engine> aEngines, cut_rule aMayCut)
     : mModel(aModel)
+    , mMayCut(aMayCut)
     , mEngines(std::move(aEngines))
-    , mCoverage(aModel, mEngines)
+    , mCoverage(aModel, mEngines, IsHolder)
+    , mServed(aModel, mEngines, IsServing)
   {
     SortByRoom(mEngines);
   }
@@ -158,11 +176,18 @@
 
   void Order(plan_engine& aEngine, layer_span aRange)
   {
+    const bool cutsOff = MayCutOff(aEngine, aRange) && mServed.HasGap(aEngine.mDomain, aRange);
     mCoverage.Add(aEngine.mDomain, aEngine.mHeld, -1);
     mCoverage.Add(aEngine.mDomain, aRange, 1);
     aEngine.mHeld = aRange;
     aEngine.mBusy = true;
-    mOrders.push_back({ aEngine.mId, aRange });
+    mOrders.push_back({ aEngine.mId, aRange, cutsOff });
+  }
+
+  bool MayCutOff(const plan_engine& aEngine, layer_span aRange) const
+  {
+    const bool givesUp = aEngine.mHeld.mFrom < aRange.mFrom || aEngine.mHeld.mEnd > aRange.mEnd;
+    return !aEngine.mHeld.IsEmpty() && givesUp && (mMayCut == cut_rule::AnyStream || aEngine.mHeld.mFrom > 0);
   }
 
   /// An engine moves when a gap that it fills is worth more than all that it would leave, and it leaves no gap. Those
@@ -225,8 +250,10 @@
   }
 
   const engine_model& mModel;
+  cut_rule mMayCut;
   std::vector<plan_engine> mEngines;
   coverage mCoverage;
+  coverage mServed; ///< by engines as they are now
   std::vector<layer_order> mOrders;
 };
 
@@ -241,19 +268,19 @@
   return std::min(fitting, aModel.mLayers);
 }
 
-std::vector<layer_order> PlanLayers(const engine_model& aModel, std::vector<plan_engine> aEngines)
+std::vector<layer_order> PlanLayers(const engine_model& aModel, std::vector<plan_engine> aEngines, cut_rule aMayCut)
 {
   if (aModel.mLayers == 0) {
     return {};
   }
-  return planner(aModel, std::move(aEngines)).Run();
+  return planner(aModel, std::move(aEngines), aMayCut).Run();
 }
 
 std::uint32_t UncoveredLayers(const engine_model& aModel,
                               const std::vector<plan_engine>& aEngines,
                               const failure_domain_id& aDomain)
 {
-  coverage counted(aModel, aEngines);
+  coverage counted(aModel, aEngines, IsHolder);
   const holder_counts& domain = counted.InDomain(aDomain);
   return static_cast<std::uint32_t>(std::count(domain.begin(), domain.end(), 0U));
 }
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -94,6 +94,16 @@
   CHECK(Chosen(mBegin + kMovingBelief * 2) == first);
 }
 
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_an_engine_that_has_cut_off_its_streams_holds_it_for_moving_until_it_has_loaded")
+{
+  const backend_id moving("east-1");
+  mFleet->BelieveMoving(moving, mBegin);
+  List({ Engine("east-1", "east", {}), Engine("east-2", "east") });
+  CHECK(mFleet->IsMoving(moving, mBegin + milliseconds(100)));
+  List({ Engine("east-1", "east", { 0, 4 }), Engine("east-2", "east") });
+  CHECK_FALSE(mFleet->IsMoving(moving, mBegin + milliseconds(200)));
+}
+
 TEST_CASE_METHOD(fleet_fixture, "fleet_with_slow_engines_at_home_chooses_another_domain_and_asks_the_slow_ones_again")
 {
   Report("east-1", 12, mBegin);
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -195,6 +195,29 @@
   CHECK(!wire::DecodeChanges("x", fault));
 }
 
+TEST_CASE("platform_layer_order_says_whether_it_waits_for_streams")
+{
+  const policy::layer_order waits{ backend_id("i-1"), { 3, 9 }, false };
+  const policy::layer_order cuts{ backend_id("i-1"), { 3, 9 }, true };
+  CHECK(wire::EncodeLayerOrder(waits, 7, 2).mBody.find(R"("drainMode":"wait")") != std::string::npos);
+  CHECK(wire::EncodeLayerOrder(cuts, 7, 2).mBody.find(R"("drainMode":"cutoff")") != std::string::npos);
+}
+
+TEST_CASE("platform_streams_of_a_pool_resume_where_all_its_routes_say_so")
+{
+  std::string fault;
+  const auto made = wire::DecodeConfiguration(
+    R"({"version":1,"routes":[
+      {"name":"a","host":"h","pathPrefix":"/a/","kind":"streaming","service":"e","resumable":true},
+      {"name":"b","host":"h","pathPrefix":"/b/","kind":"streaming","service":"f"},
+      {"name":"c","host":"h","pathPrefix":"/c/","kind":"unsafe","service":"e"}],
+      "services":[{"name":"e"},{"name":"f"}]})",
+    fault);
+  REQUIRE(made);
+  CHECK(made->StreamsResume(pool_name("e")));
+  CHECK_FALSE(made->StreamsResume(pool_name("f")));
+}
+
 TEST_CASE("platform_removal_names_the_revision_that_it_removes")
 {
   const auto removal = wire::EncodeDelete(wire::object_kind::Duties, "placement", 17);
--- a/tests/unit/policy_layer_plan_test.cpp
+++ b/tests/unit/policy_layer_plan_test.cpp
@@ -45,7 +45,7 @@
   /// Plans, and lets all orders take effect.
   std::vector<layer_order> PlanAndApply()
   {
-    const auto orders = PlanLayers(mModel, mEngines);
+    const auto orders = PlanLayers(mModel, mEngines, cut_rule::AnyStream);
     for (const layer_order& order : orders) {
       Find(order.mEngine).mHeld = order.mRange;
     }
@@ -58,6 +58,68 @@
   }
 };
 
+/// All layers are held, and one engine that alone holds some of them is gone.
+struct gap_fixture : layer_plan_fixture
+{
+  std::size_t mGap = 0;
+
+  gap_fixture()
+  {
+    PlanAndApply();
+    mGap = static_cast<std::size_t>(
+      std::find_if(mEngines.begin(), mEngines.end(), [&](plan_engine& aEngine) { return LeavesGap(aEngine); }) -
+      mEngines.begin());
+    mEngines.at(mGap).mGone = true;
+  }
+
+  bool LeavesGap(plan_engine& aEngine)
+  {
+    aEngine.mGone = true;
+    const bool leaves = Uncovered("east") > 0;
+    aEngine.mGone = false;
+    return leaves;
+  }
+
+  std::vector<layer_order> Orders(cut_rule aMayCut) const { return PlanLayers(mModel, mEngines, aMayCut); }
+};
+
+/// What callers get while a gap is filled: 25 requests a second at home, of which a sixth finds a way through another
+/// domain. They run for up to four seconds; those that were under way elsewhere pass through the engine that moves.
+struct gap_play
+{
+  static constexpr int kEndMs = 8000;
+  static constexpr int kPauseMs = 40;
+  static constexpr int kLoadMs = 1100;
+  static constexpr int kLongestRunMs = 4000;
+  static constexpr int kAimMs = 500;
+  static constexpr int kPatienceMs = 2000;
+  static constexpr int kBorrowers = 6;
+
+  int mOnTime = 0;
+  int mLate = 0;
+
+  void Play(const layer_order& aOrder)
+  {
+    // Streams of others on the engine when it is told to move; each is served on time unless it is cut off.
+    constexpr int kPassing = 20;
+    int freeAt = 0;
+    for (int each = 0; each < kPassing; ++each) {
+      const int endsAt = kLongestRunMs * (each + 1) / kPassing;
+      (aOrder.mCutsOff ? mLate : mOnTime) += 1;
+      freeAt = aOrder.mCutsOff ? 0 : endsAt;
+    }
+    const int filledAt = freeAt + kLoadMs;
+    for (int arrived = 0; arrived < kEndMs; arrived += kPauseMs) {
+      const int waits = (arrived / kPauseMs) % kBorrowers == 0 ? 0 : std::max(0, filledAt - arrived);
+      if (waits <= kAimMs) {
+        ++mOnTime;
+      } else if (waits <= kPatienceMs) {
+        ++mLate;
+      }
+    }
+  }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(layer_plan_fixture, "layer_plan_of_empty_engines_covers_every_layer")
@@ -69,7 +131,7 @@
 
 TEST_CASE_METHOD(layer_plan_fixture, "layer_plan_keeps_weights_within_memory")
 {
-  for (const layer_order& order : PlanLayers(mModel, mEngines)) {
+  for (const layer_order& order : PlanLayers(mModel, mEngines, cut_rule::AnyStream)) {
     const double mb = Find(order.mEngine).mKind.mMemoryMb;
     CHECK(order.mRange.Size() * mModel.mLayerMb <= mb);
     CHECK(order.mRange.mEnd <= mModel.mLayers);
@@ -96,7 +158,7 @@
   PlanAndApply();
   mEngines.front().mGone = true;
   const auto before = mEngines;
-  for (const layer_order& order : PlanLayers(mModel, mEngines)) {
+  for (const layer_order& order : PlanLayers(mModel, mEngines, cut_rule::AnyStream)) {
     const layer_span left = Find(order.mEngine).mHeld;
     for (std::uint32_t layer = left.mFrom; layer < left.mEnd; ++layer) {
       const auto holders = std::count_if(before.begin(), before.end(), [&](const auto& aEngine) {
@@ -111,7 +173,7 @@
 {
   mEngines[0].mBusy = true;
   mEngines[1].mGone = true;
-  for (const layer_order& order : PlanLayers(mModel, mEngines)) {
+  for (const layer_order& order : PlanLayers(mModel, mEngines, cut_rule::AnyStream)) {
     CHECK(order.mEngine != mEngines[0].mId);
     CHECK(order.mEngine != mEngines[1].mId);
   }
@@ -142,6 +204,60 @@
   CHECK(std::count(holders.begin(), holders.end(), 0) == 0);
 }
 
+TEST_CASE_METHOD(gap_fixture, "layer_plan_cuts_streams_off_only_where_they_stand_still_for_a_lost_engine")
+{
+  // Lost: nobody holds its layers, and all streams of the domain wait for them.
+  REQUIRE(!Orders(cut_rule::AnyStream).empty());
+  for (const layer_order& order : Orders(cut_rule::AnyStream)) {
+    CHECK(order.mCutsOff);
+  }
+  // Leaving: it serves on what it has.
+  mEngines[mGap].mStays = true;
+  REQUIRE(!Orders(cut_rule::AnyStream).empty());
+  for (const layer_order& order : Orders(cut_rule::AnyStream)) {
+    CHECK_FALSE(order.mCutsOff);
+  }
+}
+
+TEST_CASE_METHOD(gap_fixture, "layer_plan_with_streams_that_cannot_be_resumed_cuts_off_none_at_its_first_engine")
+{
+  for (plan_engine& engine : mEngines) {
+    engine.mBusy = engine.mHeld.mFrom > 0;
+  }
+  REQUIRE(!Orders(cut_rule::AnyStream).empty());
+  for (const layer_order& order : Orders(cut_rule::AnyStream)) {
+    CHECK(order.mCutsOff);
+  }
+  for (const layer_order& order : Orders(cut_rule::LaterParts)) {
+    CHECK_FALSE(order.mCutsOff);
+  }
+}
+
+TEST_CASE_METHOD(gap_fixture, "layer_plan_of_an_empty_engine_has_nothing_to_cut_off")
+{
+  plan_engine empty = mEngines[mGap];
+  empty.mId = backend_id("new");
+  empty.mHeld = {};
+  empty.mGone = false;
+  mEngines.push_back(empty);
+  const auto orders = Orders(cut_rule::AnyStream);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders.front().mEngine == empty.mId);
+  CHECK_FALSE(orders.front().mCutsOff);
+}
+
+TEST_CASE_METHOD(gap_fixture, "layer_plan_that_cuts_off_serves_more_on_time_than_one_that_waits")
+{
+  gap_play cut;
+  cut.Play(Orders(cut_rule::AnyStream).front());
+  layer_order waits = Orders(cut_rule::AnyStream).front();
+  waits.mCutsOff = false;
+  gap_play waited;
+  waited.Play(waits);
+  CHECK(cut.mOnTime > waited.mOnTime);
+  CHECK(cut.mOnTime + cut.mLate > waited.mOnTime + waited.mLate);
+}
+
 TEST_CASE("layer_plan_of_any_engines_stays_within_memory_and_settles")
 {
   REQUIRE(rc::check([] {
