A server that has left the list may still run what it has: its runs count, and streams stay with it

The gateway - held such a first engine for lost at the first pause of 100 ms (its streams were started again elsewhere, though they ran well), - did not count its run for the route's bound on attempts, as it was not listed. Now a departed server is remembered with its address and start: its runs count until it cuts a connection or an engine reports streams that wait for it; a pause is no sign. Later parts are moved away as from a leaving engine. Where the route allows no further run a stream stays and looks for a new path again instead of being dropped. Tests: fleet_with_an_engine_that_has_left_the_list_..., fleet_with_an_engine_that_was_lost_and_left_the_list_... A process test over the stand-in was tried and dropped: entries that lapse within two seconds of a start are held, and I found no condition to wait for in time.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -109,6 +109,10 @@
     ("queue_not_in_the_time_to_come_back", "src/policy/come_back.cpp", "std::max(kUntilRoom, aShortage.mQueue)", "kUntilRoom", "unit", "come_back_*"),
     ("run_time_not_initialised", "src/policy/room_wait.h", "duration mAverage{ 0 };", "duration mAverage;", "unit", "run_time_*"),
     ("priority_of_the_workspace_unused", "platform/configuration_objects.cpp", "Priority(tenant) });", "std::nullopt });", "unit", "platform_configuration_*"),
+    ("servers_off_the_list_are_dead", "src/gateway/fleet.cpp", "return departed != mDeparted.end() && departed->second.mStartedAt", "return false && departed->second.mStartedAt", "unit", "fleet_*"),
+    ("new_paths_make_entries_of_the_departed", "src/gateway/fleet.cpp", "    const auto found = mBeliefs.find(part.mEngine);\n    if (found != mBeliefs.end()) {\n      found->second.mPromised +=", "    mBeliefs[part.mEngine];\n    const auto found = mBeliefs.find(part.mEngine);\n    if (found != mBeliefs.end()) {\n      found->second.mPromised +=", "unit", "fleet_*"),
+    ("gaps_wait_for_streams", "src/policy/layer_plan.cpp", "mOrders.push_back({ aEngine.mId, aRange, cutsOff });", "mOrders.push_back({ aEngine.mId, aRange, false });", "unit", "layer_plan_*"),
+    ("engines_that_cut_off_held_for_lost", "src/gateway/fleet.cpp", " || member->mLayers.IsEmpty();", ";", "unit", "fleet_*"),
     ("clerks_read_everything", "src/admin/principal.cpp", "aCaller.mRole == ROLE_CLERK && IsOwnRoute(aCaller, aRef)", "aCaller.mRole == ROLE_CLERK", "unit", "check_read_*"),
 ]
 
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -57,11 +57,18 @@
   for (const auto& [id, belief] : mBeliefs) {
     if (!beliefs.contains(id)) {
       log_line(log_event::BackendGone).Text("backend", id.Str());
+      RememberDeparted(id, belief, aNow);
     }
   }
   mBeliefs = std::move(beliefs);
 }
 
+void fleet::RememberDeparted(const backend_id& aId, const backend_belief& aBelief, instant aNow)
+{
+  std::erase_if(mDeparted, [&](const auto& aKnown) { return aNow - aKnown.second.mSince > kDepartedMemory; });
+  mDeparted[aId] = { aBelief.mAddress, aBelief.mStartedAt, aBelief.mLostUntil > aNow, aNow };
+}
+
 backend_belief& fleet::Belief(const backend_id& aId)
 {
   return mBeliefs[aId];
@@ -203,9 +210,12 @@
 void fleet::Promise(const chosen_path& aPath)
 {
   for (const chosen_path::part& part : aPath.mParts) {
-    backend_belief& belief = Belief(part.mEngine);
-    belief.mPromised += aPath.mTokens * part.mRange.Size();
-    ++belief.mRunning;
+    // Nothing is believed of one that has left the list, though streams may still pass through it.
+    const auto found = mBeliefs.find(part.mEngine);
+    if (found != mBeliefs.end()) {
+      found->second.mPromised += aPath.mTokens * part.mRange.Size();
+      ++found->second.mRunning;
+    }
   }
 }
 
@@ -222,7 +232,10 @@
 
 void fleet::Started(const backend_id& aId)
 {
-  ++Belief(aId).mRunning;
+  const auto found = mBeliefs.find(aId);
+  if (found != mBeliefs.end()) {
+    ++found->second.mRunning;
+  }
 }
 
 void fleet::Ended(const backend_id& aId)
@@ -246,6 +259,9 @@
 {
   const auto found = mBeliefs.find(aId);
   if (found == mBeliefs.end()) {
+    if (const auto departed = mDeparted.find(aId); departed != mDeparted.end()) {
+      departed->second.mIsLost = true;
+    }
     return;
   }
   const bool isNews = found->second.mLostUntil <= aNow;
@@ -347,6 +363,25 @@
   return found == mBeliefs.end() || found->second.mLostUntil > aNow;
 }
 
+bool fleet::IsFoundLost(const backend_id& aId, instant aNow) const
+{
+  if (const auto found = mBeliefs.find(aId); found != mBeliefs.end()) {
+    return found->second.mLostUntil > aNow;
+  }
+  const auto departed = mDeparted.find(aId);
+  return departed == mDeparted.end() || departed->second.mIsLost;
+}
+
+bool fleet::MayBeAlive(const policy::backend_member& aServer) const
+{
+  if (const auto* listed = mMembers.Find(aServer.mId)) {
+    return listed->mStartedAt == aServer.mStartedAt;
+  }
+  const auto departed = mDeparted.find(aServer.mId);
+  return departed != mDeparted.end() && departed->second.mStartedAt == aServer.mStartedAt &&
+         !departed->second.mIsLost && !mByAddress.contains(aServer.mAddress);
+}
+
 std::size_t fleet::SlowEngines() const
 {
   return static_cast<std::size_t>(std::count_if(
@@ -372,8 +407,12 @@
 
 std::optional<net::endpoint> fleet::AddressOf(const backend_id& aId) const
 {
-  const auto found = mBeliefs.find(aId);
-  return found == mBeliefs.end() ? std::nullopt : std::optional(found->second.mAddress);
+  if (const auto found = mBeliefs.find(aId); found != mBeliefs.end()) {
+    return found->second.mAddress;
+  }
+  const auto departed = mDeparted.find(aId);
+  const bool isKnown = departed != mDeparted.end() && !mByAddress.contains(departed->second.mAddress.Str());
+  return isKnown ? std::optional(departed->second.mAddress) : std::nullopt;
 }
 
 std::optional<backend_id> fleet::AtAddress(const std::string& aAddress) const
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -104,6 +104,18 @@
   bool mQuickOnly = false;
 };
 
+/// A server that is not listed any more. It has ended, or leaves without having said so and serves on for a while.
+struct departed_backend
+{
+  net::endpoint mAddress;
+  std::uint64_t mStartedAt = 0;
+  bool mIsLost = false; ///< it was out of reach before or since
+  instant mSince;
+};
+
+/// Departed servers are forgotten after this time; streams that they may still have are shorter.
+inline constexpr duration kDepartedMemory = std::chrono::seconds(60);
+
 class fleet : public ref_counted
 {
 public:
@@ -160,7 +172,13 @@
   void BelieveRefusing(const backend_id& aId, instant aNow, duration aTime = kRefusalBelief);
   /// What an engine says of itself.
   void Reported(const backend_id& aId, const wire::engine_report& aReport, instant aNow);
+  /// One that is not listed any more counts as lost here: it takes nothing new.
   bool IsBelievedLost(const backend_id& aId, instant aNow) const;
+  /// Whether a server was seen to fail or be out of reach. One that is not listed any more may serve on what it has.
+  bool IsFoundLost(const backend_id& aId, instant aNow) const;
+  bool IsListed(const backend_id& aId) const { return mMembers.Find(aId) != nullptr; }
+  /// Whether what runs at a server may still run there.
+  bool MayBeAlive(const policy::backend_member& aServer) const;
   /// Engines that were slow when they last reported, a while ago.
   std::vector<backend_id> SlowSoFar(instant aNow) const;
 
@@ -170,7 +188,7 @@
   /// Since when a server is known to be leaving; nothing when it is not, or is not listed any more.
   std::optional<instant> LeavingSince(const backend_id& aId) const;
 
-  /// The address of a server; nothing when it is not listed.
+  /// The address of a server; also of one that is not listed any more, as long as no other one is listed there.
   std::optional<net::endpoint> AddressOf(const backend_id& aId) const;
   /// Whether a later start of a server is listed at the same address.
   bool IsReplaced(const backend_id& aId) const;
@@ -185,6 +203,7 @@
 private:
   backend_belief& Belief(const backend_id& aId);
   void FillEngines(const pool& aPool);
+  void RememberDeparted(const backend_id& aId, const backend_belief& aBelief, instant aNow);
 
   failure_domain_id mHome;
   std::function<void(const backend_id&)> mOnLossFound;
@@ -193,6 +212,7 @@
   policy::member_table mMembers;
   std::map<backend_id, backend_belief> mBeliefs;
   std::unordered_map<std::string, backend_id> mByAddress;
+  std::map<backend_id, departed_backend> mDeparted;
   policy::pipe_load mPipes;
   policy::retry_bounds mRetryBounds;
   std::unordered_map<pool_name, policy::retry_allowance> mRetries;
--- a/src/gateway/placement_duty.cpp
+++ b/src/gateway/placement_duty.cpp
@@ -185,8 +185,8 @@
     return;
   }
   const auto most = static_cast<std::size_t>(aPool.mEngine->mLoadsAtOnce) * 2;
-  const auto mayCut = mFleet->Configuration()->StreamsResume(aPool.mName) ? policy::cut_rule::AnyStream
-                                                                           : policy::cut_rule::LaterParts;
+  const auto mayCut =
+    mFleet->Configuration()->StreamsResume(aPool.mName) ? policy::cut_rule::AnyStream : policy::cut_rule::LaterParts;
   for (const policy::layer_order& order : policy::PlanLayers(*aPool.mEngine, std::move(engines), mayCut)) {
     if (anyHolds && mOrders.size() >= most) {
       return;
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -49,7 +49,7 @@
   pool_name mPool;
   std::string mWorkspace;
   std::uint32_t mPriority = 0; ///< the workspace's, where it has one, or the route's
-  request_digest mDigest; ///< the same for requests that would do the same
+  request_digest mDigest;      ///< the same for requests that would do the same
   instant mArrived;
   instant mDeadline; ///< the caller's, or the route's, whichever is first
 };
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -282,6 +282,10 @@
     return;
   }
   if (aEnd == call_end::Cut) {
+    if (!mTools.mFleet->IsListed(mPath->mParts.front().mEngine)) {
+      // It has served on what it had, and ends now.
+      mTools.mFleet->BelieveLost(mPath->mParts.front().mEngine, now);
+    }
     if (!mHasBegun && !mRanAt.empty()) {
       mTools.mCrashes->RunCut(mAsked.mDigest, mRanAt.back(), now);
     }
@@ -366,10 +370,8 @@
 
 std::size_t stream_request::LiveRuns() const
 {
-  return static_cast<std::size_t>(std::count_if(mRanAt.begin(), mRanAt.end(), [&](const auto& aRun) {
-    const auto* member = mTools.mFleet->Members().Find(aRun.mId);
-    return member != nullptr && member->mStartedAt == aRun.mStartedAt;
-  }));
+  return static_cast<std::size_t>(
+    std::count_if(mRanAt.begin(), mRanAt.end(), [&](const auto& aRun) { return mTools.mFleet->MayBeAlive(aRun); }));
 }
 
 /// Sends the request once more, as far as the budget for repeats allows.
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -81,6 +81,8 @@
   bool JoinsNewPath(const backend_id& aEngine, instant aNow) const;
   std::optional<chosen_path> Replace(const backend_id& aLost, instant aNow);
   void Inquire(instant aNow);
+  std::optional<backend_id> EngineAt(const std::string& aAddress) const;
+  void TakeSilenceOf(const backend_id& aFirst, instant aNow);
   void TakeStalledAt(const backend_id& aEngine, instant aNow);
   void CheckPath();
   duration Allowance() const;
@@ -90,6 +92,8 @@
   duration TimeLeft(instant aNow) const { return mAsked.mDeadline - aNow; }
   bool MayRunAgain() const { return mAsked.mRoute->mIsResumable; }
   std::size_t LiveRuns() const;
+  /// Whether the route allows another engine to run it.
+  bool MayStartElsewhere() const { return LiveRuns() < mAsked.mRoute->mMaxAttempts; }
   void ForgetLastRun();
   void Exclude(const backend_id& aEngine, instant aNow);
 
@@ -125,6 +129,7 @@
   duration mFirstEventAfter{ 0 };
   bool mIsPaused = false;
   instant mNextMove;
+  instant mNextRepath; ///< no new path is looked for before
 };
 
 /// Time between two looks at all streams.
--- a/src/gateway/stream_request_path.cpp
+++ b/src/gateway/stream_request_path.cpp
@@ -19,6 +19,8 @@
 constexpr duration kRepathTimeout = std::chrono::milliseconds(300);
 /// Part of the time for which a leaving engine serves after which streams are moved away from it.
 constexpr double kStayShare = 0.5;
+/// Pause after there was no new path for a stream; a search costs a millisecond or less.
+constexpr duration kRepathPause = std::chrono::milliseconds(100);
 /// Pause after a stream could not be moved.
 constexpr duration kMovePause = std::chrono::milliseconds(500);
 
@@ -76,11 +78,17 @@
 /// Replaces the parts of lost engines while the stream goes on at its first one.
 void stream_request::Repath(const repath_cause& aCause, instant aNow)
 {
+  if (aNow < mNextRepath) {
+    return;
+  }
   auto path = Replace(aCause.mEngine, aNow);
   const auto first = mTools.mFleet->AddressOf(mPath->mParts.front().mEngine);
   if (!path || !first) {
-    if (aCause.mReason == repath_reason::Lost) {
+    if (aCause.mReason == repath_reason::Lost && MayStartElsewhere()) {
       TakeFailure("no other engine for a part", aNow);
+    } else {
+      // It stays where it is: the layers may be loaded before the engine gives the stream up.
+      mNextRepath = aNow + kRepathPause;
     }
     return;
   }
@@ -182,7 +190,8 @@
   for (std::size_t index = 1; index < mPath->mParts.size(); ++index) {
     const backend_id engine = mPath->mParts[index].mEngine;
     const auto since = mTools.mFleet->LeavingSince(engine);
-    const bool leaves = since && aNow - *since > mTools.mDrainBound * kStayShare;
+    // One that is not listed any more leaves without having said so, or has ended.
+    const bool leaves = !mTools.mFleet->IsListed(engine) || (since && aNow - *since > mTools.mDrainBound * kStayShare);
     if (leaves || mTools.mFleet->IsMoving(engine, aNow)) {
       mNextMove = aNow + kMovePause;
       Repath({ engine, repath_reason::Leaving }, aNow);
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -36,7 +36,7 @@
   const instant since = mHasBegun ? std::max(mLastEvent, mSentAt) : mSentAt;
   if (aNow - since > kSilenceBesideLoss) {
     for (const chosen_path::part& part : mPath->mParts) {
-      if (mTools.mFleet->IsBelievedLost(part.mEngine, aNow)) {
+      if (mTools.mFleet->IsFoundLost(part.mEngine, aNow)) {
         Stalled(part.mEngine, aNow);
         return;
       }
@@ -67,12 +67,11 @@
     }
     const instant now = Now();
     if (!aReport) {
-      self->mTools.mFleet->BelieveLost(first, now);
-      self->Stalled(first, now);
+      self->TakeSilenceOf(first, now);
       return;
     }
     for (const auto& stalled : aReport->mStalled) {
-      const auto engine = self->mTools.mFleet->AtAddress(stalled.mFaultyAddress);
+      const auto engine = self->EngineAt(stalled.mFaultyAddress);
       if (engine && *engine != first) {
         self->TakeStalledAt(*engine, now);
       }
@@ -85,6 +84,27 @@
   });
 }
 
+/// The first engine does not answer. One that has left the list may have closed its door and still serve what it has,
+/// so that is no sign of its end, and a run there counts.
+void stream_request::TakeSilenceOf(const backend_id& aFirst, instant aNow)
+{
+  if (mTools.mFleet->IsListed(aFirst)) {
+    mTools.mFleet->BelieveLost(aFirst, aNow);
+  } else if (!MayStartElsewhere()) {
+    return;
+  }
+  Stalled(aFirst, aNow);
+}
+
+/// The engine of the present path at an address, also where it is not listed any more; else the one that is listed
+/// there.
+std::optional<backend_id> stream_request::EngineAt(const std::string& aAddress) const
+{
+  const auto part = std::find_if(
+    mPath->mParts.begin(), mPath->mParts.end(), [&](const auto& aPart) { return aPart.mAddress == aAddress; });
+  return part != mPath->mParts.end() ? std::optional(part->mEngine) : mTools.mFleet->AtAddress(aAddress);
+}
+
 /// Streams wait for this engine: it is lost, or has cut them off to take other layers.
 void stream_request::TakeStalledAt(const backend_id& aEngine, instant aNow)
 {
--- a/src/policy/come_back.h
+++ b/src/policy/come_back.h
@@ -3,8 +3,8 @@
 #include "policy/engine_model.h"
 
 /// When a caller that was refused is told to come back. It answers to a failure domain that lacks layers until a repair
-/// is done, and to a wave for which there is no room: who comes back while others still wait is refused again. Times are
-/// spread, so that those refused together do not return together.
+/// is done, and to a wave for which there is no room: who comes back while others still wait is refused again. Times
+/// are spread, so that those refused together do not return together.
 namespace chervilpulley::policy {
 
 /// What is known where a request found no path.
--- a/src/policy/duty_lease.h
+++ b/src/policy/duty_lease.h
@@ -54,8 +54,8 @@
     mHeldRevision = aRevision;
     Seen(aRevision, aAttempt.mSent);
   }
-  /// Our write found another revision, or no object. A renewal of ours whose answer was lost looks like a rival's write;
-  /// then we begin anew, with a greater fence.
+  /// Our write found another revision, or no object. A renewal of ours whose answer was lost looks like a rival's
+  /// write; then we begin anew, with a greater fence.
   void Refused(std::optional<std::uint64_t> aPresent, instant aNow)
   {
     Lost();
--- a/src/policy/layer_plan.h
+++ b/src/policy/layer_plan.h
@@ -6,8 +6,8 @@
 
 /// Which engine holds which layers. It answers to losses, returns and added engines with as few loads as it can:
 /// engines that hold something useful keep it, empty ones fill gaps first and then double what one engine alone holds,
-/// and an engine whose layers others hold too moves into a gap. Where the last holder of a layer is lost, all streams of
-/// the failure domain stand still until the gap is filled, and an engine that waits for them to end before it moves
+/// and an engine whose layers others hold too moves into a gap. Where the last holder of a layer is lost, all streams
+/// of the failure domain stand still until the gap is filled, and an engine that waits for them to end before it moves
 /// waits for itself: then it cuts them off, and they go on over other engines.
 namespace chervilpulley::policy {
 
@@ -23,9 +23,9 @@
   backend_id mId;
   failure_domain_id mDomain;
   accelerator_kind mKind;
-  layer_span mHeld;   ///< what it holds, or will hold when the order under way is done
-  bool mBusy = false; ///< an order is under way: it can't be given another one
-  bool mGone = false; ///< leaving, or believed lost: it counts for nothing and gets no order
+  layer_span mHeld;    ///< what it holds, or will hold when the order under way is done
+  bool mBusy = false;  ///< an order is under way: it can't be given another one
+  bool mGone = false;  ///< leaving, or believed lost: it counts for nothing and gets no order
   bool mStays = false; ///< it is gone because it leaves, and serves on what it has
 };
 
--- a/src/policy/room_wait.h
+++ b/src/policy/room_wait.h
@@ -5,8 +5,8 @@
 /// Whether a request that finds no room waits for it or is refused, and who is served first. It answers to a wave:
 /// after a restart of many gateways, or the loss of a failure domain, as many requests as usually come in seconds stand
 /// at the door at once, and most callers come back only once. Who can still be served on time goes first; who can't is
-/// better served late than refused, as long as its turn comes in time. Among those of one kind the more urgent go first,
-/// by a head start that waiting makes up for, so that in a lasting overload nobody starves.
+/// better served late than refused, as long as its turn comes in time. Among those of one kind the more urgent go
+/// first, by a head start that waiting makes up for, so that in a lasting overload nobody starves.
 namespace chervilpulley::policy {
 
 /// Share of an objective within which a request is sent at least, so that its first event may be on time.
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -61,6 +61,15 @@
     mFleet->MembersChanged(mBegin);
   }
 
+  /// Later than the time within which a missing entry may come back.
+  const instant mLater = mBegin + std::chrono::seconds(10);
+
+  void Remove(const backend_id& aId)
+  {
+    mFleet->Members().Removed(aId, mLater);
+    mFleet->MembersChanged(mLater);
+  }
+
   /// The engine that a request would get.
   std::string Chosen(instant aNow)
   {
@@ -94,7 +103,8 @@
   CHECK(Chosen(mBegin + kMovingBelief * 2) == first);
 }
 
-TEST_CASE_METHOD(fleet_fixture, "fleet_with_an_engine_that_has_cut_off_its_streams_holds_it_for_moving_until_it_has_loaded")
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_an_engine_that_has_cut_off_its_streams_holds_it_for_moving_until_it_has_loaded")
 {
   const backend_id moving("east-1");
   mFleet->BelieveMoving(moving, mBegin);
@@ -104,6 +114,40 @@
   CHECK_FALSE(mFleet->IsMoving(moving, mBegin + milliseconds(200)));
 }
 
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_an_engine_that_has_left_the_list_holds_its_runs_for_alive_until_it_is_found_lost")
+{
+  const policy::backend_member left = Engine("east-1", "east");
+  Remove(left.mId);
+  CHECK(mFleet->MayBeAlive(left));
+  CHECK_FALSE(mFleet->IsFoundLost(left.mId, mLater));
+  CHECK(mFleet->IsBelievedLost(left.mId, mLater));
+  CHECK(mFleet->AddressOf(left.mId));
+  // A new path of a stream that goes on there makes no entry of it.
+  chosen_path path;
+  path.mParts.push_back({ left.mId, left.mAddress, left.mLayers, left.mDomain });
+  mFleet->Promise(path);
+  mFleet->MembersChanged(mLater);
+  CHECK(mFleet->MayBeAlive(left));
+  mFleet->BelieveLost(left.mId, mLater);
+  CHECK_FALSE(mFleet->MayBeAlive(left));
+  CHECK(mFleet->IsFoundLost(left.mId, mLater));
+}
+
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_an_engine_that_was_lost_and_left_the_list_or_started_again_counts_no_runs_there")
+{
+  const policy::backend_member lost = Engine("east-1", "east");
+  mFleet->BelieveLost(lost.mId, mLater);
+  CHECK(mFleet->MayBeAlive(lost));
+  Remove(lost.mId);
+  CHECK_FALSE(mFleet->MayBeAlive(lost));
+  policy::backend_member again = Engine("east-2", "east");
+  again.mStartedAt = 2;
+  List({ again });
+  CHECK_FALSE(mFleet->MayBeAlive(Engine("east-2", "east")));
+}
+
 TEST_CASE_METHOD(fleet_fixture, "fleet_with_slow_engines_at_home_chooses_another_domain_and_asks_the_slow_ones_again")
 {
   Report("east-1", 12, mBegin);
