Path choice counts the queue of the first engine

Cause: a late first event waits in the queue of the engine that its path begins at. The forecast has no queue, so the fastest engine keeps being chosen.

Change: each gateway takes the age of its oldest request without an event as the wait at that engine, without a probe or a message (policy/engine_queue). A path that would start after half of the objective costs as much as 4 s more.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -111,12 +111,14 @@
   request.mSpan = aQuery.mSpan;
   request.mDomainBefore = aQuery.mDomainBefore;
   request.mDomainAfter = aQuery.mDomainAfter;
+  request.mMaxQueueWait = policy::fractional_ms(aQuery.mMaxQueueWait);
   request.mFastEnginesOnly = aQuery.mFastEnginesOnly;
   for (policy::path_engine& engine : mEngines) {
     const backend_state& state = State(engine.mId);
     const double sharingGateways = engine.mDomain == mHome ? static_cast<double>(mGatewaysInDomain) : 1.0;
     engine.mReservedTokenLayers = state.mReserved * sharingGateways;
     engine.mRunning = state.mRunning * sharingGateways;
+    engine.mQueueWait = policy::fractional_ms(state.mQueue.Wait(aNow));
     engine.mSlowdownFactor = state.mSlowdownFactor;
     engine.mUsable = state.mLostUntil <= aNow && state.mRefusingUntil <= aNow && !IsMoving(engine.mId, aNow) &&
                      !aQuery.mExcluded.contains(engine.mId);
@@ -230,6 +232,22 @@
   }
 }
 
+void fleet::Queued(const backend_id& aEngine, instant aAt)
+{
+  const auto found = mStates.find(aEngine);
+  if (found != mStates.end()) {
+    found->second.mQueue.Sent(aAt);
+  }
+}
+
+void fleet::Unqueued(const backend_id& aEngine, instant aAt)
+{
+  const auto found = mStates.find(aEngine);
+  if (found != mStates.end()) {
+    found->second.mQueue.Left(aAt);
+  }
+}
+
 void fleet::Started(const backend_id& aId)
 {
   const auto found = mStates.find(aId);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -11,6 +11,7 @@
 #include "gateway/configuration.h"
 #include "gateway/wire.h"
 #include "net/endpoint.h"
+#include "policy/engine_queue.h"
 #include "policy/key_freshness.h"
 #include "policy/member_table.h"
 #include "policy/path_choice.h"
@@ -54,8 +55,9 @@
 struct backend_state
 {
   net::endpoint mAddress;
-  double mReserved = 0;       ///< tokens x layers reserved for requests of this gateway
-  std::uint32_t mRunning = 0; ///< requests of this gateway
+  double mReserved = 0;        ///< tokens x layers reserved for requests of this gateway
+  std::uint32_t mRunning = 0;  ///< requests of this gateway
+  policy::engine_queue mQueue; ///< requests of this gateway whose path begins here
   instant mLostUntil;
   instant mRefusingUntil;
   double mFailures = 0;        ///< moving average of the share of failed requests
@@ -106,6 +108,7 @@
   /// mDomainBefore.
   std::optional<failure_domain_id> mDomainBefore;
   std::optional<failure_domain_id> mDomainAfter;
+  duration mMaxQueueWait = duration::max(); ///< wait at the first engine beyond which the first event is late
   bool mFastEnginesOnly = false;
 };
 
@@ -150,6 +153,10 @@
   /// Reserves memory for a request at the engines of its path, or releases it.
   void Reserve(const chosen_path& aPath);
   void Release(const chosen_path& aPath);
+  /// Counts a request, sent at aAt, that waits in the queue of the first engine of its path, until Unqueued().
+  void Queued(const backend_id& aEngine, instant aAt);
+  /// The engine has started the request, or the request has ended there.
+  void Unqueued(const backend_id& aEngine, instant aAt);
   /// Counts requests that run at a plain service.
   void Started(const backend_id& aId);
   void Ended(const backend_id& aId);
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -18,6 +18,11 @@
 
 /// Timeout for connecting to an engine; a live engine accepts within a millisecond.
 constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
+/// Share of the objective that a request may spend in an engine's queue: prefill and the first pass need the rest.
+constexpr double kQueueShareOfObjective = 0.5;
+/// Maximum delay of a first event that is predicted before the engine is probed: callers give up after two seconds, and
+/// an engine that is lost looks like one with a long queue.
+constexpr duration kMaxExpectedDelay = std::chrono::milliseconds(800);
 /// Time allowed for the first event beyond its predicted delay before the engine is probed.
 constexpr duration kFirstEventSlack = std::chrono::milliseconds(350);
 /// Unsent bytes for the caller beyond which reading from the engine is paused until the caller has received them.
@@ -93,6 +98,7 @@
   query.mInputTokens = mRequest.mMetadata.mPromptTokens + static_cast<double>(mCursor.Count());
   query.mOutputTokens = TokensLeft();
   query.mExcluded = mExcluded;
+  query.mMaxQueueWait = std::chrono::duration_cast<duration>(mRequest.mRoute->mObjective * kQueueShareOfObjective);
   auto path = mEnvironment.mFleet->ChoosePath(query, aNow);
   if (!path) {
     // An engine that failed the request may be tried again if no other engine can run it, but not at once: the list of
@@ -179,7 +185,10 @@
   mFailureBody.clear();
   mCursor.SourceChanged();
   mSentAt = aNow;
-  mNextStallCheck = aNow + ToDuration(mPath->mCost.mFirstToken) * 2 + kFirstEventSlack;
+  mIsQueued = true;
+  mEnvironment.mFleet->Queued(mPath->mStages.front().mEngine, mSentAt);
+  const duration expected = std::min<duration>(ToDuration(mPath->mCost.mFirstToken) * 2, kMaxExpectedDelay);
+  mNextStallCheck = aNow + expected + kFirstEventSlack;
   mProbePause = kInitialProbePause;
   wire::dispatch dispatch;
   dispatch.mExpected = mPath->mStages.front().mEngine;
@@ -205,6 +214,15 @@
   mCall = mEnvironment.mCalls->Start(options, Outgoing(mRequest, std::move(dispatch), aNow), *this);
 }
 
+/// Tells the fleet that the current attempt no longer waits in the queue of its first engine.
+void stream_request::LeaveEngineQueue()
+{
+  if (mIsQueued) {
+    mIsQueued = false;
+    mEnvironment.mFleet->Unqueued(mPath->mStages.front().mEngine, mSentAt);
+  }
+}
+
 /// Cancels the current call and releases what is reserved on its path.
 void stream_request::EndAttempt()
 {
@@ -212,6 +230,7 @@
     mCall->Cancel();
     mCall.reset();
   }
+  LeaveEngineQueue();
   if (mPath) {
     mEnvironment.mFleet->Release(*mPath);
     mPath.reset();
@@ -242,6 +261,7 @@
   const auto verdict = mCursor.Append(aBytes, events);
   const instant now = Now();
   if (!events.empty()) {
+    LeaveEngineQueue();
     if (!mHasBegun) {
       mHasBegun = true;
       net::http_reply head;
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -69,6 +69,7 @@
   duration RetryAfter(instant aNow);
   void Wait(duration aTime, void (*aContinue)(stream_request&));
   void Send(chosen_path aPath, instant aNow);
+  void LeaveEngineQueue();
   void EndAttempt();
   void HandleRefusal(instant aNow);
   void HandleOversizedFailure(instant aNow);
@@ -127,6 +128,7 @@
   wire::response_metadata mResponseMetadata;
   std::string mFailureBody;
   instant mSentAt;
+  bool mIsQueued = false; ///< sent, and without an event from the current attempt
   instant mLastEvent;
   instant mNextStallCheck;   ///< no stall is suspected before this time
   duration mProbePause{ 0 }; ///< time until the first engine is probed again; doubles while the stream is silent
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -11,6 +11,9 @@
 constexpr fractional_ms kLocalHopDelay{ 0.25 };
 /// Transfers between failure domains cost this many times their own time, as the interconnect is shared by all.
 constexpr double kInterconnectCostFactor = 3.0;
+/// Cost of a first event that is late because of the first engine's queue: a path that takes longer by less than this
+/// and starts in time is preferred.
+constexpr fractional_ms kLateStartCost{ 4000 };
 constexpr double kMillionPairs = 1e6;
 constexpr double kMax = std::numeric_limits<double>::max();
 
@@ -143,10 +146,7 @@
   bool BestPredecessor(std::size_t aBoundary, std::size_t aNext, state& aBest)
   {
     if (aBoundary == 0) {
-      const auto [prefillCost, perToken] =
-        mRequest.mDomainBefore ? HopCost(*mRequest.mDomainBefore, DomainOf(aNext)) : kNoHopCost;
-      aBest = { prefillCost + perToken * mRequest.mOutputTokens, prefillCost + perToken, 0, kNone };
-      return prefillCost < kMax;
+      return mRequest.mSpan ? BeginSpan(aNext, aBest) : BeginPath(mEngines[mChosen[aNext].mIndex], aBest);
     }
     for (std::size_t last = 0; last < mChosen.size(); ++last) {
       const state& at = At(aBoundary, last);
@@ -165,6 +165,24 @@
     return aBest.mCost < kMax;
   }
 
+  /// Begins at the first engine of a request, which queues it when its slots or its memory are taken.
+  bool BeginPath(const path_engine& aEngine, state& aBest) const
+  {
+    const double wait = aEngine.mQueueWait.count();
+    const double lateCost = aEngine.mQueueWait > mRequest.mMaxQueueWait ? kLateStartCost.count() : 0;
+    aBest = { wait + lateCost, wait, 0, kNone };
+    return true;
+  }
+
+  /// Begins at an engine that replaces a later stage of a running path.
+  bool BeginSpan(std::size_t aNext, state& aBest) const
+  {
+    const auto [prefillCost, perToken] =
+      mRequest.mDomainBefore ? HopCost(*mRequest.mDomainBefore, DomainOf(aNext)) : kNoHopCost;
+    aBest = { prefillCost + perToken * mRequest.mOutputTokens, prefillCost + perToken, 0, kNone };
+    return prefillCost < kMax;
+  }
+
   /// Whether the path to a state uses an engine. A path must not use an engine twice.
   bool IsOnPath(std::size_t aBoundary, std::size_t aLast, std::size_t aEngine)
   {
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -9,6 +9,8 @@
 /// Chooses the engines that a request passes through, each layer once and in order. Balances the load of engines,
 /// respects the memory reserved for running requests, and avoids lost engines: it returns the cheapest path by the
 /// published cost model over engines with memory for the whole request, within one failure domain if that has a path.
+/// Under a load that fills the fastest engines, paths begin at other holders of the first layer, which are slower but
+/// start requests in time.
 namespace chervilpulley::policy {
 
 /// Share of an engine's request memory that may be reserved, as prompt estimates are inexact and other gateways reserve
@@ -33,6 +35,7 @@
   double mSlowdownFactor = 1;      ///< reported by the engine; 1 is normal speed
   double mReservedTokenLayers = 0; ///< memory reserved for running requests of all gateways
   double mRunning = 0;             ///< running requests of all gateways
+  fractional_ms mQueueWait{ 0 };   ///< wait of a request whose path begins here, before the engine starts it
   bool mUsable = true;
 };
 
@@ -54,6 +57,8 @@
   /// Failure domains of the stages next to the span; hops to and from them may cross an interconnect too.
   std::optional<failure_domain_id> mDomainBefore;
   std::optional<failure_domain_id> mDomainAfter;
+  /// Wait at the first engine beyond which the first event is late.
+  fractional_ms mMaxQueueWait = fractional_ms::max();
   bool mFastEnginesOnly = false; ///< prefer no path to one through an engine that is too slow
 };
 
@@ -66,7 +71,7 @@
 /// Predicted latency of a path.
 struct path_cost
 {
-  fractional_ms mFirstToken{ 0 }; ///< prefill and the first decode step
+  fractional_ms mFirstToken{ 0 }; ///< queue of the first engine, prefill and the first decode step
   fractional_ms mTotal{ 0 };
 };
 
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -113,6 +113,28 @@
   CHECK_FALSE(mFleet->IsMoving(moving, mBegin + milliseconds(200)));
 }
 
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_a_request_that_an_engine_does_not_start_begins_paths_elsewhere_until_it_does")
+{
+  const std::string first = ChosenEngine(mBegin);
+  mFleet->Queued(backend_id(first), mBegin);
+  const instant later = mBegin + milliseconds(400);
+  CHECK(ChosenEngine(later) != first);
+  mFleet->Unqueued(backend_id(first), mBegin);
+  CHECK(ChosenEngine(later) == first);
+}
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_an_engine_that_restarts_forgets_the_queue_of_its_previous_process")
+{
+  const std::string first = ChosenEngine(mBegin);
+  mFleet->Queued(backend_id(first), mBegin);
+  auto restarted = Engine(first, "east");
+  restarted.mStartedAt = 2;
+  mFleet->Members().Changed(restarted);
+  mFleet->MembersChanged(mBegin);
+  CHECK(ChosenEngine(mBegin + milliseconds(400)) == first);
+}
+
 TEST_CASE_METHOD(fleet_fixture, "fleet_with_an_unlisted_engine_treats_its_runs_as_alive_until_it_is_found_lost")
 {
   const policy::backend_member departed = Engine("east-1", "east");
--- a/tests/unit/policy_path_choice_test.cpp
+++ b/tests/unit/policy_path_choice_test.cpp
@@ -227,3 +227,34 @@
   mRequest.mFastEnginesOnly = true;
   CHECK(!Choose());
 }
+
+TEST_CASE_METHOD(path_choice_fixture,
+                 "path_choice_with_a_queue_at_the_fast_first_engine_begins_where_it_starts_in_time")
+{
+  Add("east", 0, 40, 3);
+  Add("east", 0, 40, 15);
+  Add("east", 40, 80);
+  mRequest.mMaxQueueWait = fractional_ms(250);
+  mEngines[0].mQueueWait = fractional_ms(900);
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(path->mStages.front().mEngine == 1);
+  // Where all queues are too long, the request still goes to the shorter one.
+  mEngines[1].mQueueWait = fractional_ms(9000);
+  const auto shorter = Choose();
+  REQUIRE(shorter);
+  CHECK(shorter->mStages.front().mEngine == 0);
+  CHECK(shorter->mCost.mFirstToken >= fractional_ms(900));
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_with_a_queue_at_a_later_engine_does_not_count_it")
+{
+  Add("east", 0, 40);
+  Add("east", 40, 80, 3);
+  Add("east", 40, 80, 15);
+  mRequest.mMaxQueueWait = fractional_ms(250);
+  mEngines[1].mQueueWait = fractional_ms(900);
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(path->mStages.back().mEngine == 1);
+}
