Path choice begins at no engine whose slots are taken

Cause: slots bound what an engine receives as the first of a path, and path choice did not know them.

Change: an engine is no first engine when 0.95 of the slots are taken by the gateways' estimate. Unknown slots bound nothing.

--- a/src/policy/engine_model.h
+++ b/src/policy/engine_model.h
@@ -42,7 +42,7 @@
   std::uint32_t mLayers = 0;
   double mLayerMb = 0;
   double mBytesPerTokenAndLayer = 0;          ///< memory that a request needs
-  std::uint32_t mSlots = 1;                   ///< maximum number of concurrent requests
+  std::uint32_t mSlots = 0;                   ///< maximum number of requests that begin at an engine; 0 if unknown
   std::uint32_t mStride = 1;                  ///< decode steps per pass
   fractional_ms mStep{ 0 };                   ///< decode step without requests
   fractional_ms mStepPerRequest{ 0 };         ///< added to the step by each running request
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -168,6 +168,9 @@
   /// Begins at the first engine of a request, which queues it when its slots or its memory are taken.
   bool BeginPath(const path_engine& aEngine, state& aBest) const
   {
+    if (mModel.mSlots > 0 && aEngine.mRunning + 1 > std::max(1.0, kUsableSlotShare * mModel.mSlots)) {
+      return false;
+    }
     const double wait = aEngine.mQueueWait.count();
     const double lateCost = aEngine.mQueueWait > mRequest.mMaxQueueWait ? kLateStartCost.count() : 0;
     aBest = { wait + lateCost, wait, 0, kNone };
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -25,6 +25,10 @@
 /// fills a third of an engine's time would queue there without bound.
 inline constexpr double kMaxSlowdownFactor = 2.5;
 
+/// Share of an engine's slots that may be taken by requests that start there, as requests of other gateways may be on
+/// their way to it.
+inline constexpr double kUsableSlotShare = 0.95;
+
 /// An engine as path choice sees it.
 struct path_engine
 {
--- a/tests/unit/policy_path_choice_test.cpp
+++ b/tests/unit/policy_path_choice_test.cpp
@@ -258,3 +258,27 @@
   REQUIRE(path);
   CHECK(path->mStages.back().mEngine == 1);
 }
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_begins_at_no_engine_without_a_free_slot")
+{
+  mModel.mSlots = 100;
+  Add("east", 0, 80, 3);
+  Add("east", 0, 80, 15);
+  mEngines[0].mRunning = 100;
+  const auto path = Choose();
+  REQUIRE(path);
+  CHECK(path->mStages.front().mEngine == 1);
+  mEngines[1].mRunning = 100;
+  CHECK(!Choose());
+}
+
+TEST_CASE_METHOD(path_choice_fixture, "path_choice_passes_through_a_later_engine_whose_slots_are_taken")
+{
+  mModel.mSlots = 100;
+  Add("east", 0, 40);
+  Add("east", 40, 80);
+  mEngines[1].mRunning = 100;
+  CHECK(Choose());
+  mRequest.mSpan = layer_span{ 40, 80 };
+  CHECK(Choose());
+}
