--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -13,7 +13,7 @@
 std::vector<command> ChangeCommands();
 /// get, watch, audit, status, rollout, drain.
 std::vector<command> OperatorCommands();
-/// explain, requests, events-reference.
+/// explain, requests, late, events-reference.
 std::vector<command> LogCommands();
 /// load.
 command LoadCommand();
--- a/src/cli/commands_logs.cpp
+++ b/src/cli/commands_logs.cpp
@@ -10,11 +10,13 @@
 #include "cli/commands.h"
 #include "cli/exit_code.h"
 #include "cli/explain.h"
+#include "cli/late_streams.h"
 
 DEFINE_string(logs_reason, "", "Only those whose reason holds this text.");
 DEFINE_string(logs_workspace, "", "Only those of this workspace.");
 DEFINE_string(logs_since, "", "Only those that ended then or later; a time as the lines write it, or its beginning.");
 DEFINE_double(logs_late, 0, "Only streams whose first event came after so many milliseconds or later, served or not.");
+DEFINE_double(logs_objective, 500, "Latency objective of the first event, in milliseconds.");
 DEFINE_bool(logs_all, false, "Also those that were served.");
 
 namespace chervilpulley::cli {
@@ -72,6 +74,16 @@
   return ExitOk;
 }
 
+int Late(const std::vector<std::string>& aArguments, streams aStreams)
+{
+  parsed_log log;
+  if (!ReadFiles(aArguments, 0, log, aStreams)) {
+    return ExitRefused;
+  }
+  aStreams.mOut << SummarizeLateStreams(log, FLAGS_logs_objective);
+  return ExitOk;
+}
+
 int PrintEventsReference(const std::vector<std::string>&, streams aStreams)
 {
   aStreams.mOut << EventsReference();
@@ -98,6 +110,13 @@
       1,
       kMaxFiles,
       Requests },
+    { "late",
+      "FILE...",
+      "Summarizes from gateways' logs where streams that began late had waited.",
+      { { "objective", "logs_objective" } },
+      1,
+      kMaxFiles,
+      Late },
     { "events-reference", "", "Prints the reference page of all events of the log.", {}, 0, 0, PrintEventsReference },
   };
 }
