--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -58,12 +58,24 @@
   const pool* engines = mDecoded->FindPool(pool_name("e"));
   REQUIRE(engines);
   REQUIRE(engines->mEngine);
+  CHECK(engines->mEngine->mSlots == 192);
   CHECK(engines->mEngine->mBytesPerTokenAndLayer == Approx(5737.5));
   CHECK(engines->mEngine->mLoadTime.count() == Approx(14'000));
   CHECK(engines->mEngine->FindKind("l4")->mPrefillScale == Approx(8.2));
   CHECK(!mDecoded->FindPool(pool_name("s"))->mEngine);
 }
 
+TEST_CASE("platform_configuration_without_slots_of_engines_leaves_them_unknown")
+{
+  std::string text = kConfiguration;
+  const std::string slots = R"("slots":192,)";
+  text.erase(text.find(slots), slots.size());
+  std::string fault;
+  const auto decoded = wire::DecodeConfiguration(text, fault);
+  REQUIRE(decoded);
+  CHECK(decoded->FindPool(pool_name("e"))->mEngine->mSlots == 0);
+}
+
 TEST_CASE_METHOD(configuration_fixture, "platform_route_with_the_longest_prefix_of_the_path_is_found")
 {
   REQUIRE(mDecoded);
--- a/tests/unit/policy_path_choice_test.cpp
+++ b/tests/unit/policy_path_choice_test.cpp
@@ -270,6 +270,9 @@
   CHECK(path->mStages.front().mEngine == 1);
   mEngines[1].mRunning = 100;
   CHECK(!Choose());
+  // Unknown slots bound nothing.
+  mModel.mSlots = 0;
+  CHECK(Choose());
 }
 
 TEST_CASE_METHOD(path_choice_fixture, "path_choice_passes_through_a_later_engine_whose_slots_are_taken")
