--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -90,9 +90,11 @@
   }
   const std::string path(net::PathOf(aExchange.Request().mTarget));
   if (path == "/chervilpulley/report") {
-    co_await aExchange.Reply(Report());
+    net::http_reply reply = Announce(Report());
+    co_await aExchange.Reply(std::move(reply));
   } else if (path == "/chervilpulley/order") {
-    co_await aExchange.Reply(HandleOrder(aExchange.Request()));
+    net::http_reply reply = Announce(HandleOrder(aExchange.Request()));
+    co_await aExchange.Reply(std::move(reply));
   } else {
     co_await Run(aExchange);
   }
@@ -180,7 +182,16 @@
   net::http_reply reply = ErrorReply(aStatus, "not run");
   reply.mHeaders.Set("X-Not-Executed", "1");
   reply.mHeaders.Set("At-Server", aFaultyAddress);
-  return reply;
+  return Announce(std::move(reply));
+}
+
+/// Adds the header of a leaving server in state "announcing".
+net::http_reply fleet_server::Announce(net::http_reply aReply) const
+{
+  if (mState == "announcing") {
+    aReply.mHeaders.Set("Server-Leaving", "1");
+  }
+  return aReply;
 }
 
 /// Parses ADDRESS=FROM-END,... into stages.
@@ -251,7 +262,7 @@
     co_await aExchange.Reply(std::move(reply));
     co_return;
   }
-  net::http_reply head;
+  net::http_reply head = Announce({});
   head.mHeaders.Set("X-Attempt-Id", id);
   head.mHeaders.Set("X-Response-Stamp", mName);
   if (!path.empty()) {
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -36,6 +36,7 @@
   /// - "refusing": responds that it did not execute the request
   /// - "failing": responds with status 500
   /// - "cutting": closes the connection before or in the middle of a response
+  /// - "announcing": works, and every response says that it leaves; the list does not
   /// - "leaving": listed as draining, and refuses to join a new path of a running stream
   /// - "gone": dark, and removed from the list
   /// - "reborn": restarted under the same ID without its former state; "ok" from then on
@@ -72,6 +73,7 @@
   net::http_reply Place(const net::http_request& aRequest);
   net::http_reply Repath(const net::http_request& aRequest);
   net::http_reply NotExecutedReply(unsigned aStatus, const std::string& aFaultyAddress) const;
+  net::http_reply Announce(net::http_reply aReply) const;
   std::string FindFaultyAddress(const std::vector<stage>& aPath) const;
   static std::vector<stage> ParsePath(std::string_view aText);
   void Register();
