A server that says in a response that it leaves gets no new requests

Cause: a gateway learned of a leaving server from the platform's list alone; the header of responses was not read. A gateway that can't read the list, or reads an old one, kept sending. Beside it, the mark was kept with the list entry: an entry that dropped off the list and was listed again for the same process began without it. Class: a fact told by the server itself reaches the decision by one way only, and is forgotten with the bookkeeping of another.

Every response passes through backend_call, so its head is reported there: streams, calls, refusals, reports, orders, new paths and responses to other requests. The fleet keeps the mark for the process (id and start), also when the entry is gone and for entries that are not newer, and one check (MayGetWork) stands before paths, calls, repairs and placement.

New unit and contract tests for the list that lags, the entry that returns, the restart, the reused address and each kind of response. The log says which way the mark came (backend_leaving found_by) and where calls to plain services were sent (call_sent).

Ruled out as the cause: a choice made before the mark and sent after it, as paths and servers are chosen when a request is sent and the connection is given up after 250 ms.

--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -114,8 +114,8 @@
     "backend_leaving",
     Notable,
     Backend,
-    "backend",
-    "a backend server is leaving and gets no new requests" },
+    "backend started_at found_by",
+    "a backend server is leaving and gets no new requests; `found_by` says whether the list or a response shows it" },
   { BackendGone, "backend_gone", Notable, Backend, "backend", "a backend server is no longer listed" },
   { BackendBelievedLost,
     "backend_believed_lost",
@@ -217,7 +217,7 @@
     "no_path",
     Notable,
     Request,
-    "request engines_usable engines_lost engines_refusing engines_moving layers_uncovered_here "
+    "request engines_usable engines_lost engines_refusing engines_moving engines_leaving layers_uncovered_here "
     "layers_uncovered_anywhere tokens members_version",
     "no path with capacity was found; the fields describe the known state of the engines" },
   { EngineRefused,
@@ -280,6 +280,7 @@
     Request,
     "request backend",
     "a backend server is slow; the request is also sent to another one" },
+  { CallSent, "call_sent", Routine, Request, "request backend send members_version", "sent to this plain service" },
   { CallServed,
     "call_served",
     Routine,
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -83,6 +83,7 @@
   ServerRefused,
   ServerFailed,
   ServerSlow,
+  CallSent,
   CallServed,
   CallEnded,
   AcceptFailed
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -113,15 +113,23 @@
 
   ref<backend_call> Start(const call_options& aOptions, net::http_request aRequest, call_handler& aHandler) override;
   std::uint64_t ConnectionsOpened() const override { return mOpenedCount; }
+  void OnEachHead(head_observer aObserver) override { mObserver = std::move(aObserver); }
 
   connection_pool<idle_socket>& Connections() { return mConnections; }
   asio::io_context& Context() { return mContext; }
   void CountOpened() { ++mOpenedCount; }
+  void Observe(const policy::server_start& aServer, const wire::response_metadata& aResponse) const
+  {
+    if (mObserver) {
+      mObserver(aServer, aResponse);
+    }
+  }
 
 private:
   asio::io_context& mContext;
   connection_pool<idle_socket> mConnections;
   std::uint64_t mOpenedCount = 0;
+  head_observer mObserver;
 };
 
 std::string Encode(const net::endpoint& aServer, net::http_request aRequest)
@@ -152,7 +160,7 @@
 void call_impl::Start()
 {
   if (!mOptions.mNeedsNewConnection) {
-    if (auto connection = mCalls->Connections().Take(mOptions.mServer, Now())) {
+    if (auto connection = mCalls->Connections().Take(mOptions.mTo.mEndpoint, Now())) {
       mSocket = std::move(connection->mSocket);
       asio::post(mCalls->Context(), [self = ref<call_impl>(this)] { self->Send(); });
       return;
@@ -170,7 +178,7 @@
     }
   });
   mCalls->CountOpened();
-  mSocket.async_connect(net::ToTcp(mOptions.mServer.mAddress, mOptions.mServer.mPort),
+  mSocket.async_connect(net::ToTcp(mOptions.mTo.mEndpoint.mAddress, mOptions.mTo.mEndpoint.mPort),
                         [self = ref<call_impl>(this)](const error_code& aError) {
                           if (self->mHandler == nullptr) {
                             return;
@@ -336,7 +344,9 @@
     const auto value = field.value();
     headers.Add(std::string_view(name.data(), name.size()), std::string_view(value.data(), value.size()));
   }
-  const std::string answeredRequest = wire::DecodeResponseMetadata(head.result_int(), headers).mAnsweredRequestId;
+  const wire::response_metadata metadata = wire::DecodeResponseMetadata(head.result_int(), headers);
+  mCalls->Observe(mOptions.mTo.mServer, metadata);
+  const std::string& answeredRequest = metadata.mAnsweredRequestId;
   mIsUnrelated = !mOptions.mRequestId.empty() && !answeredRequest.empty() && answeredRequest != mOptions.mRequestId;
   if (mIsUnrelated) {
     if (++mUnrelatedResponses > kMaxUnrelatedResponses || mParser->need_eof()) {
@@ -360,7 +370,7 @@
 {
   const bool mayReuse = aExcess.empty() && mParser->get().keep_alive() && !mParser->need_eof() && mRequestBytes.empty();
   if (mayReuse) {
-    mCalls->Connections().Put(mOptions.mServer, idle_socket{ std::move(mSocket) }, mIdleLimit, Now());
+    mCalls->Connections().Put(mOptions.mTo.mEndpoint, idle_socket{ std::move(mSocket) }, mIdleLimit, Now());
   }
   End(call_end::Complete, aExcess.empty() ? "" : "unexpected bytes after the response");
 }
@@ -412,7 +422,7 @@
 ref<backend_call> calls_impl::Start(const call_options& aOptions, net::http_request aRequest, call_handler& aHandler)
 {
   auto call =
-    MakeRef<call_impl>(ref<calls_impl>(this), aOptions, Encode(aOptions.mServer, std::move(aRequest)), aHandler);
+    MakeRef<call_impl>(ref<calls_impl>(this), aOptions, Encode(aOptions.mTo.mEndpoint, std::move(aRequest)), aHandler);
   call->Start();
   return call;
 }
--- a/src/gateway/backend_call.h
+++ b/src/gateway/backend_call.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -9,11 +10,16 @@
 #include "chervilpulley/units.h"
 #include "net/endpoint.h"
 #include "net/http.h"
+#include "policy/member_table.h"
 
 /// HTTP requests to backend servers over pooled connections, with responses forwarded as they arrive. Responses without
 /// end, or to other requests, are bounded, so that a faulty server can't exhaust the gateway. Single-threaded.
 namespace chervilpulley::gateway {
 
+namespace wire {
+struct response_metadata;
+}
+
 /// How a call ended.
 enum class call_end
 {
@@ -34,9 +40,16 @@
   ~call_handler() = default;
 };
 
+/// A backend server as a call's destination.
+struct backend_address
+{
+  policy::server_start mServer;
+  net::endpoint mEndpoint;
+};
+
 struct call_options
 {
-  net::endpoint mServer;
+  backend_address mTo;
   std::string mRequestId; ///< a response that names another request is skipped
   duration mConnectTimeout{ 0 };
   /// Whether to avoid pooled connections: one might be reset, which leaves it unknown whether the request ran.
@@ -53,11 +66,17 @@
   virtual void SetPaused(bool aIsPaused) = 0;
 };
 
+/// Gets the head of a response, with the server that the call was meant for.
+using head_observer = std::function<void(const policy::server_start&, const wire::response_metadata&)>;
+
 /// Starts calls to backend servers and reuses their connections.
 class backend_calls : public ref_counted
 {
 public:
   static ref<backend_calls> Create(boost::asio::io_context& aContext);
+  /// Sets the callback for the head of every final response, whatever the call is for and also when the response
+  /// belongs to another request. It is called before the handler of the call.
+  virtual void OnEachHead(head_observer aObserver) = 0;
   /// Starts a call. The handler is not called before this returns; it must live until OnEnd() or Cancel().
   virtual ref<backend_call> Start(const call_options& aOptions, net::http_request aRequest, call_handler& aHandler) = 0;
   /// Number of connections opened so far.
--- a/src/gateway/engine_probes.cpp
+++ b/src/gateway/engine_probes.cpp
@@ -27,10 +27,10 @@
   {
   }
 
-  void Start(backend_calls& aCalls, const net::endpoint& aServer, net::http_request aRequest, duration aTimeout)
+  void Start(backend_calls& aCalls, const backend_address& aServer, net::http_request aRequest, duration aTimeout)
   {
     call_options options;
-    options.mServer = aServer;
+    options.mTo = aServer;
     options.mConnectTimeout = aTimeout;
     mSelf = ref<timed_call>(this);
     mTimer.expires_after(aTimeout);
@@ -90,7 +90,7 @@
 
 void CallWithTimeout(boost::asio::io_context& aContext,
                      const ref<backend_calls>& aCalls,
-                     const net::endpoint& aServer,
+                     const backend_address& aServer,
                      net::http_request aRequest,
                      duration aTimeout,
                      response_handler aDone)
--- a/src/gateway/engine_probes.h
+++ b/src/gateway/engine_probes.h
@@ -21,7 +21,7 @@
 /// Sends a request and passes the complete response to aDone, or nothing on failure or after aTimeout.
 void CallWithTimeout(boost::asio::io_context& aContext,
                      const ref<backend_calls>& aCalls,
-                     const net::endpoint& aServer,
+                     const backend_address& aServer,
                      net::http_request aRequest,
                      duration aTimeout,
                      response_handler aDone);
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -11,6 +11,14 @@
 
 /// Weight of the newest outcome in the moving average of a server's failures.
 constexpr double kOutcomeWeight = 0.15;
+constexpr std::string_view kFoundInList = "list";
+constexpr std::string_view kFoundInResponse = "response";
+
+/// Whether a server may get new requests.
+bool MayGetWork(const backend_state& aState, instant aNow)
+{
+  return !aState.mLeavingSince && aState.mLostUntil <= aNow;
+}
 
 } // namespace
 
@@ -32,22 +40,10 @@
     }
     const auto known = mStates.find(id);
     if (known != mStates.end() && known->second.mStartedAt == member.mStartedAt) {
-      backend_state& previous = states.emplace(id, known->second).first->second;
-      if (member.mLeaving && !previous.mLeavingSince) {
-        previous.mLeavingSince = aNow;
-        log_line(log_event::BackendLeaving).Text("backend", id.Str());
-      }
+      states.emplace(id, known->second);
       continue;
     }
-    backend_state fresh;
-    fresh.mStartedAt = member.mStartedAt;
-    if (member.mLeaving) {
-      fresh.mLeavingSince = aNow;
-    }
-    if (auto address = net::ParseEndpoint(member.mAddress)) {
-      fresh.mAddress = address.value();
-    }
-    states.emplace(id, fresh);
+    states.emplace(id, NewState(member));
     log_line(log_event::BackendSeen)
       .Text("backend", id.Str())
       .Text("pool", member.mPool.Str())
@@ -61,12 +57,66 @@
     }
   }
   mStates = std::move(states);
+  for (const auto& [id, member] : mMembers.Members()) {
+    if (member.mLeaving) {
+      MarkLeaving({ id, member.mStartedAt }, kFoundInList, aNow);
+    }
+  }
+}
+
+/// The state of a server that is listed for the first time, again, or after a restart. An entry that is not newer than
+/// a process which is known to be leaving is an old picture of the list.
+backend_state fleet::NewState(const policy::backend_member& aMember) const
+{
+  backend_state state;
+  state.mStartedAt = aMember.mStartedAt;
+  if (auto address = net::ParseEndpoint(aMember.mAddress)) {
+    state.mAddress = address.value();
+  }
+  if (const auto known = mStates.find(aMember.mId);
+      known != mStates.end() && aMember.mStartedAt <= known->second.mStartedAt) {
+    state.mLeavingSince = known->second.mLeavingSince;
+  }
+  if (const auto departed = mDeparted.find(aMember.mId);
+      departed != mDeparted.end() && aMember.mStartedAt <= departed->second.mStartedAt && !state.mLeavingSince) {
+    state.mLeavingSince = departed->second.mLeavingSince;
+  }
+  return state;
+}
+
+void fleet::HandleHead(const policy::server_start& aServer, const wire::response_metadata& aResponse, instant aNow)
+{
+  // A response of another server at a reused address says nothing about the one that the call was meant for.
+  const bool isOther = !aResponse.mActualInstance.empty() && aResponse.mActualInstance != aServer.mId.Str();
+  if (aResponse.mIsLeaving && !isOther) {
+    MarkLeaving(aServer, kFoundInResponse, aNow);
+  }
+}
+
+void fleet::MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow)
+{
+  const auto found = mStates.find(aServer.mId);
+  const auto departed = mDeparted.find(aServer.mId);
+  std::optional<instant>* since = nullptr;
+  if (found != mStates.end() && found->second.mStartedAt == aServer.mStartedAt) {
+    since = &found->second.mLeavingSince;
+  } else if (departed != mDeparted.end() && departed->second.mStartedAt == aServer.mStartedAt) {
+    since = &departed->second.mLeavingSince;
+  }
+  if (since == nullptr || *since) {
+    return;
+  }
+  *since = aNow;
+  log_line(log_event::BackendLeaving)
+    .Text("backend", aServer.mId.Str())
+    .Count("started_at", aServer.mStartedAt)
+    .Text("found_by", aSource);
 }
 
 void fleet::AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow)
 {
   std::erase_if(mDeparted, [&](const auto& aKnown) { return aNow - aKnown.second.mSince > kDepartedRetention; });
-  mDeparted[aId] = { aState.mAddress, aState.mStartedAt, aState.mLostUntil > aNow, aNow };
+  mDeparted[aId] = { aState.mAddress, aState.mStartedAt, aState.mLostUntil > aNow, aState.mLeavingSince, aNow };
 }
 
 backend_state& fleet::State(const backend_id& aId)
@@ -85,14 +135,12 @@
   mEnginesConfiguration = mConfiguration.get();
   mEngines.clear();
   ForEachEngine(aPool, [&](const policy::backend_member& aMember, const policy::accelerator_kind& aKind) {
-    if (!aMember.mLeaving) {
-      policy::path_engine engine;
-      engine.mId = aMember.mId;
-      engine.mDomain = aMember.mDomain;
-      engine.mKind = aKind;
-      engine.mHeld = aMember.mLayers;
-      mEngines.push_back(std::move(engine));
-    }
+    policy::path_engine engine;
+    engine.mId = aMember.mId;
+    engine.mDomain = aMember.mDomain;
+    engine.mKind = aKind;
+    engine.mHeld = aMember.mLayers;
+    mEngines.push_back(std::move(engine));
   });
 }
 
@@ -120,7 +168,7 @@
     engine.mRunning = state.mRunning * sharingGateways;
     engine.mQueueWait = policy::fractional_ms(state.mQueue.Wait(aNow));
     engine.mSlowdownFactor = state.mSlowdownFactor;
-    engine.mUsable = state.mLostUntil <= aNow && state.mRefusingUntil <= aNow && !IsMoving(engine.mId, aNow) &&
+    engine.mUsable = MayGetWork(state, aNow) && state.mRefusingUntil <= aNow && !IsMoving(engine.mId, aNow) &&
                      !aQuery.mExcluded.contains(engine.mId);
   }
   const auto path = policy::ChoosePath(*pool->mEngine, mEngines, request);
@@ -152,10 +200,12 @@
     const bool lost = state.mLostUntil > aNow;
     const bool refusing = state.mRefusingUntil > aNow;
     const bool moving = IsMoving(engine.mId, aNow);
+    const bool leaving = state.mLeavingSince.has_value();
     availability.mLost += lost ? 1 : 0;
     availability.mRefusing += refusing ? 1 : 0;
     availability.mMoving += moving ? 1 : 0;
-    if (lost || refusing || moving) {
+    availability.mLeaving += leaving ? 1 : 0;
+    if (lost || refusing || moving || leaving) {
       continue;
     }
     ++availability.mUsable;
@@ -183,7 +233,7 @@
       continue;
     }
     const backend_state& state = State(id);
-    const bool usable = !member.mLeaving && !IsReplaced(id) && state.mLostUntil <= aNow && !aExcluded.contains(id);
+    const bool usable = MayGetWork(state, aNow) && !IsReplaced(id) && !aExcluded.contains(id);
     const double refusing = state.mRefusingUntil > aNow ? 1.0 : 0.0;
     candidates.push_back({ member.mDomain == mHome, state.mRunning, std::max(state.mFailures, refusing), usable });
     ids.push_back(&id);
@@ -423,14 +473,17 @@
   return found == mStates.end() ? std::nullopt : found->second.mLeavingSince;
 }
 
-std::optional<net::endpoint> fleet::AddressOf(const backend_id& aId) const
+std::optional<backend_address> fleet::AddressOf(const backend_id& aId) const
 {
   if (const auto found = mStates.find(aId); found != mStates.end()) {
-    return found->second.mAddress;
+    return backend_address{ { aId, found->second.mStartedAt }, found->second.mAddress };
   }
   const auto departed = mDeparted.find(aId);
   const bool isKnown = departed != mDeparted.end() && !mByAddress.contains(departed->second.mAddress.Str());
-  return isKnown ? std::optional(departed->second.mAddress) : std::nullopt;
+  if (!isKnown) {
+    return std::nullopt;
+  }
+  return backend_address{ { aId, departed->second.mStartedAt }, departed->second.mAddress };
 }
 
 std::optional<backend_id> fleet::AtAddress(const std::string& aAddress) const
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/backend_call.h"
 #include "gateway/configuration.h"
 #include "gateway/wire.h"
 #include "net/endpoint.h"
@@ -64,7 +65,7 @@
   double mSlowdownFactor = 1;  ///< as reported by the engine; 1 is normal speed
   instant mSlowdownReportedAt; ///< when mSlowdownFactor was last reported
   std::uint64_t mStartedAt = 0;
-  std::optional<instant> mLeavingSince; ///< when it was first seen leaving
+  std::optional<instant> mLeavingSince; ///< when it was first seen leaving; kept until it restarts
   instant mMovingUntil;                 ///< until then it counts as moving, unless it holds its new layers earlier
   policy::layer_span mMovingFrom;       ///< layers that it held when it got the order
 };
@@ -91,6 +92,7 @@
   std::size_t mLost = 0;
   std::size_t mRefusing = 0; ///< no capacity, or the list is out of date
   std::size_t mMoving = 0;
+  std::size_t mLeaving = 0;
   std::size_t mUncoveredHere = 0;     ///< layers that no usable engine of this gateway's failure domain holds
   std::size_t mUncoveredAnywhere = 0; ///< layers that no usable engine holds
   std::size_t mHeldOnceHere = 0;      ///< layers that a single usable engine of this gateway's failure domain holds
@@ -119,11 +121,13 @@
   net::endpoint mAddress;
   std::uint64_t mStartedAt = 0;
   bool mIsLost = false; ///< it was unreachable before or after its removal
-  instant mSince;       ///< when it left the list
+  std::optional<instant> mLeavingSince;
+  instant mSince; ///< when it left the list
 };
 
-/// Departed servers are dropped after this time. It is longer than any stream that may still run on them.
-inline constexpr duration kDepartedRetention = std::chrono::seconds(60);
+/// Departed servers are dropped after this time. It is longer than any stream that may still run on them, and than an
+/// outage after which an old entry may be listed again.
+inline constexpr duration kDepartedRetention = std::chrono::minutes(10);
 
 /// The backend servers of all pools and their state; chooses paths and plain services for requests.
 class fleet : public ref_counted
@@ -208,11 +212,15 @@
   void MarkMoving(const backend_id& aId, instant aNow);
   /// Whether an engine is marked as moving and has not loaded its new layers yet.
   bool IsMoving(const backend_id& aId, instant aNow) const;
+  /// Handles the head of a server's response: one that says it is leaving gets no new requests until it restarts,
+  /// whatever the list shows.
+  void HandleHead(const policy::server_start& aServer, const wire::response_metadata& aResponse, instant aNow);
   /// When a server was first seen leaving; nothing when it is not leaving or no longer listed.
   std::optional<instant> LeavingSince(const backend_id& aId) const;
 
-  /// The address of a server. Includes departed servers as long as no other server is listed at their address.
-  std::optional<net::endpoint> AddressOf(const backend_id& aId) const;
+  /// The address and process of a server. Includes departed servers as long as no other server is listed at their
+  /// address.
+  std::optional<backend_address> AddressOf(const backend_id& aId) const;
   /// Whether a server that was started later is listed at the same address.
   bool IsReplaced(const backend_id& aId) const;
   /// The server that is listed at an address; of several, the one started last.
@@ -227,6 +235,8 @@
 
 private:
   backend_state& State(const backend_id& aId);
+  backend_state NewState(const policy::backend_member& aMember) const;
+  void MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow);
   void FillEngines(const pool& aPool);
   void AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -179,6 +179,9 @@
   const store_bounds bounds{ Milliseconds(mSettings.gateway().configuration_bound_ms()),
                              Milliseconds(mSettings.gateway().key_bound_ms()),
                              Milliseconds(mSettings.gateway().drain_bound_ms()) };
+  mCalls->OnEachHead([fleet = mFleet](const policy::server_start& aServer, const wire::response_metadata& aResponse) {
+    fleet->HandleHead(aServer, aResponse, Now());
+  });
   if (!StartHints()) {
     return false;
   }
--- a/src/gateway/placement_leader.cpp
+++ b/src/gateway/placement_leader.cpp
@@ -181,8 +181,9 @@
     engine.mKind = aKind;
     engine.mHeld = aMember.mLayers;
     const bool isLost = mFleet->IsLostOrUnlisted(aMember.mId, aNow);
-    engine.mGone = aMember.mLeaving || isLost;
-    engine.mStillServes = aMember.mLeaving && !isLost;
+    const bool isLeaving = mFleet->LeavingSince(aMember.mId).has_value();
+    engine.mGone = isLeaving || isLost;
+    engine.mStillServes = isLeaving && !isLost;
     if (const auto order = mOrders.find(aMember.mId); order != mOrders.end()) {
       engine.mHeld = order->second.mRange;
       engine.mBusy = true;
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -53,24 +53,29 @@
     GiveUp("no_server", aNow);
     return;
   }
-  Send(*server, *address, aNow);
+  Send(*address, aNow);
 }
 
-void service_request::Send(const backend_id& aServer, const net::endpoint& aAddress, instant aNow)
+void service_request::Send(const backend_address& aServer, instant aNow)
 {
-  mServer = aServer;
-  mEnvironment.mFleet->Started(aServer);
+  mServer = aServer.mServer.mId;
+  mEnvironment.mFleet->Started(*mServer);
   mHasHead = false;
   mStatus = 0;
   mBody.clear();
   wire::dispatch dispatch;
-  dispatch.mExpected = aServer;
+  dispatch.mExpected = *mServer;
   call_options options;
-  options.mServer = aAddress;
+  options.mTo = aServer;
   options.mRequestId = Id();
   options.mConnectTimeout = kConnectTimeout;
   options.mNeedsNewConnection = !IsIdempotent();
   ++mSends;
+  log_line(log_event::CallSent)
+    .Text("request", Id())
+    .Text("backend", mServer->Str())
+    .Count("send", mSends)
+    .Count("members_version", mEnvironment.mFleet->Members().Version());
   mCall = mEnvironment.mCalls->Start(options, Outgoing(mRequest, std::move(dispatch), aNow), *this);
   instant until = mRequest.mDeadline;
   if (IsIdempotent() && mRuns + 1 < mRequest.mRoute->mMaxAttempts) {
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -28,7 +28,7 @@
 
 private:
   void TryServer(instant aNow);
-  void Send(const backend_id& aServer, const net::endpoint& aAddress, instant aNow);
+  void Send(const backend_address& aServer, instant aNow);
   void EndAttempt(bool aFailed);
   bool IsIdempotent() const { return mRequest.mRoute->mKind == request_kind::Idempotent; }
   bool MayRetry(instant aNow);
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -157,6 +157,7 @@
     .Count("engines_lost", availability.mLost)
     .Count("engines_refusing", availability.mRefusing)
     .Count("engines_moving", availability.mMoving)
+    .Count("engines_leaving", availability.mLeaving)
     .Count("layers_uncovered_here", availability.mUncoveredHere)
     .Count("layers_uncovered_anywhere", availability.mUncoveredAnywhere)
     .Number("tokens", mRequest.mMetadata.mPromptTokens + EstimatedOutputTokens())
@@ -197,8 +198,8 @@
   call_options options;
   options.mRequestId = Id();
   options.mConnectTimeout = kConnectTimeout;
-  if (const auto server = net::ParseEndpoint(mPath->mStages.front().mAddress)) {
-    options.mServer = server.value();
+  if (const auto server = mEnvironment.mFleet->AddressOf(mPath->mStages.front().mEngine)) {
+    options.mTo = *server;
   }
   ++mSends;
   if (const auto* member = mEnvironment.mFleet->Members().Find(mPath->mStages.front().mEngine)) {
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -53,6 +53,7 @@
   bool mIsStamped = false;        ///< the response carries the server's stamp
   std::string mFaultyAddress;     ///< the server on the path that caused the failure
   std::string mActualInstance;
+  bool mIsLeaving = false; ///< the server says that it is leaving
 };
 
 /// An engine's report of its own state.
--- a/src/policy/crash_record.h
+++ b/src/policy/crash_record.h
@@ -4,7 +4,7 @@
 #include <set>
 #include <vector>
 
-#include "chervilpulley/policy_types.h"
+#include "policy/member_table.h"
 
 /// Detects requests that crash the backend servers that start to run them. Guards against a request that is retried
 /// through any gateway and crashes a backend server each time. A crash counts against a request only if its run was
@@ -22,16 +22,6 @@
 /// Maximum number of requests with a record.
 inline constexpr std::size_t kMaxCrashRecords = 1024;
 
-/// One process of a backend server, identified by its start time. A restarted server has another one.
-struct server_start
-{
-  backend_id mId;
-  std::uint64_t mStartedAt = 0;
-
-  auto operator<=>(const server_start&) const =
-    default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14
-};
-
 /// A request that crashed a backend server.
 struct crash_finding
 {
--- a/src/policy/member_table.h
+++ b/src/policy/member_table.h
@@ -24,6 +24,16 @@
   bool mLeaving = false;
 };
 
+/// One process of a backend server, identified by its start time. A restarted server has another one.
+struct server_start
+{
+  backend_id mId;
+  std::uint64_t mStartedAt = 0;
+
+  auto operator<=>(const server_start&) const =
+    default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14
+};
+
 /// The members by id. Missing members are removed at once, or after an outage once the time to be listed again is over.
 class member_table
 {
--- a/tests/contract/gateway_backend_call_test.cpp
+++ b/tests/contract/gateway_backend_call_test.cpp
@@ -10,6 +10,8 @@
 #include <optional>
 #include <string>
 
+#include "gateway/wire.h"
+
 using namespace chervilpulley;
 using namespace chervilpulley::gateway;
 using tcp = boost::asio::ip::tcp;
@@ -110,7 +112,7 @@
   ref<backend_call> Start(const endless_server& aServer, call_handler& aHandler)
   {
     call_options options;
-    options.mServer = aServer.Address();
+    options.mTo = { { backend_id("server"), 1 }, aServer.Address() };
     options.mRequestId = "mine";
     options.mConnectTimeout = kLimit;
     return mCalls->Start(options, net::http_request(), aHandler);
@@ -187,3 +189,29 @@
   CHECK_FALSE(flooded.mEnd);
   flood->Cancel();
 }
+
+TEST_CASE("backend_call_reports_the_head_of_every_final_response_whatever_its_status_framing_and_request")
+{
+  const std::string leaving = "Server-Leaving: 1\r\n";
+  for (const std::string& response : {
+         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + leaving + "\r\nok",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + leaving + "\r\n2\r\nok\r\n0\r\n\r\n",
+         "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n" + leaving + "\r\n",
+         "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n" + leaving + "\r\n",
+         "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 0\r\n" + leaving +
+           "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + leaving + "\r\n",
+       }) {
+    INFO(response);
+    backend_call_fixture fixture;
+    int reported = 0;
+    fixture.mCalls->OnEachHead([&](const policy::server_start& aServer, const wire::response_metadata& aResponse) {
+      CHECK(aServer == policy::server_start{ backend_id("server"), 1 });
+      reported += aResponse.mIsLeaving ? 1 : 0;
+    });
+    const endless_server server(fixture.mContext, response, "");
+    fixture.Call(server);
+    CHECK(fixture.mHandler.mEnd == call_end::Complete);
+    CHECK(reported == 1);
+  }
+}
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -64,6 +64,13 @@
   /// After the time within which a missing list entry may return.
   const instant mAfterReturnTime = mBegin + std::chrono::seconds(10);
 
+  /// Lists these members alone, after that time.
+  void ListOnly(std::vector<policy::backend_member> aMembers)
+  {
+    mFleet->Members().Listed(std::move(aMembers), mAfterReturnTime);
+    mFleet->MembersChanged(mAfterReturnTime);
+  }
+
   void Remove(const backend_id& aId)
   {
     mFleet->Members().Removed(aId, mAfterReturnTime);
@@ -81,6 +88,13 @@
     return path ? path->mStages.front().mEngine.Str() : "";
   }
 
+  void SayLeaving(const std::string& aId, instant aNow, std::uint64_t aStartedAt = 1)
+  {
+    wire::response_metadata response;
+    response.mIsLeaving = true;
+    mFleet->HandleHead({ backend_id(aId), aStartedAt }, response, aNow);
+  }
+
   void Report(const std::string& aId, double aSlowdownFactor, instant aNow)
   {
     wire::engine_report report;
@@ -188,3 +202,77 @@
   mFleet->MembersChanged(mBegin);
   CHECK(mFleet->SlowEnginesToProbe(mBegin + kSlowProbeInterval * 2).empty());
 }
+
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_an_engine_that_says_it_leaves_chooses_others_while_the_list_shows_it_as_ready")
+{
+  const std::string first = ChosenEngine(mBegin);
+  SayLeaving(first, mBegin);
+  for (const auto after : { 0, 3, 60, 3600 }) {
+    CHECK(ChosenEngine(mBegin + std::chrono::seconds(after)) != first);
+  }
+  CHECK(mFleet->LeavingSince(backend_id(first)) == mBegin);
+  CHECK(mFleet->Availability(mPool, mBegin).mLeaving == 1);
+}
+
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_an_engine_that_left_the_list_and_returns_in_an_old_picture_sends_it_nothing")
+{
+  for (const bool isFoundInList : { false, true }) {
+    const std::string id = isFoundInList ? "east-1" : "east-2";
+    auto engine = Engine(id, "east");
+    if (isFoundInList) {
+      auto leaving = engine;
+      leaving.mLeaving = true;
+      mFleet->Members().Changed(leaving);
+      mFleet->MembersChanged(mBegin);
+    } else {
+      SayLeaving(id, mBegin);
+    }
+    Remove(engine.mId);
+    ListOnly({ engine });
+    CHECK(ChosenEngine(mAfterReturnTime).empty());
+    engine.mStartedAt = 0;
+    mFleet->Members().Changed(engine);
+    mFleet->MembersChanged(mAfterReturnTime);
+    CHECK(ChosenEngine(mAfterReturnTime).empty());
+    engine.mStartedAt = 2;
+    mFleet->Members().Changed(engine);
+    mFleet->MembersChanged(mAfterReturnTime);
+    CHECK(ChosenEngine(mAfterReturnTime) == id);
+    Remove(engine.mId);
+  }
+}
+
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_an_unlisted_engine_that_says_it_leaves_sends_it_nothing_when_it_is_listed_again")
+{
+  const auto engine = Engine("east-1", "east");
+  Remove(engine.mId);
+  SayLeaving("east-1", mAfterReturnTime);
+  ListOnly({ engine });
+  CHECK(ChosenEngine(mAfterReturnTime).empty());
+}
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_a_response_of_another_server_at_a_reused_address_marks_neither_as_leaving")
+{
+  const std::string first = ChosenEngine(mBegin);
+  wire::response_metadata response;
+  response.mIsLeaving = true;
+  response.mActualInstance = "other";
+  mFleet->HandleHead({ backend_id(first), 1 }, response, mBegin);
+  CHECK(ChosenEngine(mBegin) == first);
+  SayLeaving(first, mBegin, 2);
+  CHECK(ChosenEngine(mBegin) == first);
+}
+
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_a_plain_service_that_says_it_leaves_chooses_the_other_and_none_when_both_do")
+{
+  const auto chosen = [&] { return mFleet->ChooseService(mPool, {}, 0, mBegin + std::chrono::seconds(60)); };
+  ListOnly({ Engine("east-1", "east"), Engine("east-2", "east") });
+  SayLeaving("east-1", mBegin);
+  CHECK(chosen() == backend_id("east-2"));
+  SayLeaving("east-2", mBegin);
+  CHECK(chosen() == std::nullopt);
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -245,6 +245,15 @@
   CHECK(!wire::DecodeResponseMetadata(503, Headers({})).mDidNotRun);
 }
 
+TEST_CASE("platform_response_says_that_its_server_leaves_only_with_the_value_1")
+{
+  CHECK(wire::DecodeResponseMetadata(200, Headers({ { "server-leaving", "1" } })).mIsLeaving);
+  CHECK(wire::DecodeResponseMetadata(503, Headers({ { "Server-Leaving", "1" } })).mIsLeaving);
+  CHECK(!wire::DecodeResponseMetadata(200, Headers({ { "Server-Leaving", "0" } })).mIsLeaving);
+  CHECK(!wire::DecodeResponseMetadata(200, Headers({ { "Server-Leaving", "" } })).mIsLeaving);
+  CHECK(!wire::DecodeResponseMetadata(200, Headers({})).mIsLeaving);
+}
+
 TEST_CASE("platform_refusal_of_a_new_path_yields_the_engine_in_its_body_or_none")
 {
   CHECK(wire::DecodePathRefusal(R"({"address":"10.0.0.1:80"})") == "10.0.0.1:80");
