--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -40,6 +40,15 @@
 /// Largest failure response that is buffered to be forwarded; engines send a line of text.
 constexpr std::size_t kMaxFailureBytes = 1U << 20U;
 
+std::string JoinParts(const std::vector<std::string>& aParts)
+{
+  std::string text;
+  for (const std::string& part : aParts) {
+    text += (text.empty() ? "" : ",") + part;
+  }
+  return text;
+}
+
 } // namespace
 
 stream_request::stream_request(request_environment& aEnvironment, admitted_request aRequest)
@@ -380,6 +389,7 @@
     .Text("backend", first.Str())
     .Text("reason", aReason)
     .Count("events", mCursor.Count())
+    .Quote("parts", JoinParts(mRequest.mMetadata.mSharedParts))
     .Number("after_ms", Milliseconds(aNow - mSentAt));
   mEnvironment.mFleet->RecordOutcome(first, true);
   mMayHaveRun = true;
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -25,6 +25,8 @@
   double mPromptTokens = 0;
   double mMaxOutputTokens = 0;
   std::optional<double> mOutputTokensHint; ///< the caller's estimate of the output's length; often far off
+  /// IDs of the parts of the prompt that other requests may share, first to last.
+  std::vector<std::string> mSharedParts;
 };
 
 /// One stage of the path of a request: an engine and the layers that it runs.
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -172,6 +172,20 @@
   CHECK(!wire::DecodeMetadata(Headers({ { "X-Deadline-Ms", "soon" } })).mCallerTimeout);
 }
 
+TEST_CASE("platform_request_metadata_lists_the_parts_of_a_prompt_without_the_last_one")
+{
+  const auto parts = [](const std::string& aText) {
+    return wire::DecodeMetadata(Headers({ { "X-Prompt-Prefix", aText } })).mSharedParts;
+  };
+  using ids = std::vector<std::string>;
+  CHECK(parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == ids{ "5c1e07a2", "91bd3f06" });
+  CHECK(parts("5c1e07a2:800 , 91bd3f06:410, e4402b7d:250") == ids{ "5c1e07a2", "91bd3f06" });
+  CHECK(parts("5c1e07a2,,:7,e4402b7d") == ids{ "5c1e07a2" });
+  CHECK(parts("e4402b7d:250").empty());
+  CHECK(parts("").empty());
+  CHECK(wire::DecodeMetadata(Headers({})).mSharedParts.empty());
+}
+
 TEST_CASE("platform_report_lists_stalled_requests")
 {
   std::string fault;
