--- /dev/null
+++ b/tests/processes/gateway_crash_test.cpp
@@ -0,0 +1,78 @@
+#include "processes/gateway_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chervilpulley;
+using namespace chervilpulley::processes;
+
+namespace {
+
+/// Two gateways. Requests with one part in their prompts crash each engine that starts to write an output on it; no two
+/// of them are alike. Sound requests have the other part in common with them.
+struct crashing_part_fixture : gateway_fixture
+{
+  int mSent = 0;
+
+  crashing_part_fixture()
+  {
+    StartGateway();
+    StartGateway();
+    REQUIRE(WaitUntil([&] { return Metric(0, "gateway_gateways") == 2 && Metric(1, "gateway_gateways") == 2; }));
+  }
+
+  /// Waits until both gateways have a path: the engines that crashed hold their layers again.
+  void AwaitEngines() const
+  {
+    REQUIRE(WaitUntil([&] {
+      for (const std::size_t gateway : { 0U, 1U }) {
+        if (Metric(gateway, "gateway_uncovered_layers") > 0) {
+          return false;
+        }
+      }
+      return true;
+    }));
+  }
+
+  gateway_response SendParts(const std::string& aId, const std::string& aSharedParts, std::size_t aGateway)
+  {
+    gateway_call call;
+    call.mMethod = "POST";
+    call.mTarget = "/draft/1";
+    call.mId = aId;
+    call.mBody = "prompt of " + aId;
+    call.mOutputTokens = 20;
+    call.mPromptParts = aSharedParts + "own" + std::to_string(++mSent) + ":20";
+    return Send(call, aGateway);
+  }
+
+  gateway_response SendCrashing(const std::string& aId, std::size_t aGateway)
+  {
+    return SendParts(aId, "5a5a:40,bad0bad0:100,", aGateway);
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(crashing_part_fixture,
+                 "gateways_send_requests_with_a_part_that_crashes_engines_to_five_at_most_and_serve_the_others")
+{
+  for (int each = 0; each < 8; ++each) {
+    AwaitEngines();
+    SendCrashing("crashing-" + std::to_string(each), static_cast<std::size_t>(each) % 2);
+  }
+  std::size_t runs = 0;
+  for (int each = 0; each < 8; ++each) {
+    runs += RunCount("crashing-" + std::to_string(each));
+  }
+  CHECK(runs <= 5);
+  for (const std::size_t gateway : { 0U, 1U }) {
+    const std::string id = "later-" + std::to_string(gateway);
+    const auto response = SendCrashing(id, gateway);
+    CHECK(response.mStatus == 503);
+    CHECK(!response.mHeaders.Get("Retry-After").empty());
+    CHECK(RunCount(id) == 0);
+    AwaitEngines();
+    CHECK(SendParts("sound-" + std::to_string(gateway), "5a5a:40,", gateway).mStatus == 200);
+    CHECK(SendParts("other-" + std::to_string(gateway), "5a5a:40,6b6b:100,", gateway).mStatus == 200);
+  }
+}
--- a/tests/processes/gateway_fixture.cpp
+++ b/tests/processes/gateway_fixture.cpp
@@ -102,6 +102,9 @@
   if (aCall.mOutputTokens > 0) {
     request.mHeaders.Set("X-Token-Counts", fmt::format("10,{}", aCall.mOutputTokens));
   }
+  if (!aCall.mPromptParts.empty()) {
+    request.mHeaders.Set("X-Prompt-Prefix", aCall.mPromptParts);
+  }
   gateway_response response;
   const auto reply =
     net::StreamBlocking(mGateways[aGateway]->Address("http"), request, kTestTimeout, [&](std::string_view aPiece) {
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -22,6 +22,9 @@
 constexpr duration kSlowEventTime = std::chrono::milliseconds(700);
 /// Body of a request that crashes every server which starts to run it; the server restarts at once without its state.
 constexpr std::string_view kCrashRequestBody = "ends its server";
+/// ID of a part of a prompt that crashes every engine which starts to write an output on it. The engine restarts at
+/// once without its state.
+constexpr std::string_view kCrashPart = "bad0bad0";
 /// How long a server in state "dark" or "gone" holds a connection before it closes it without a response.
 constexpr duration kUnresponsiveTime = std::chrono::seconds(60);
 /// A stream that waits for a lost engine is interrupted after this time.
@@ -288,8 +291,16 @@
   bool hasDisconnected = false;
   aExchange.OnHangUp([&hasDisconnected] { hasDisconnected = true; });
   co_await aExchange.Begin(std::move(aHead));
+  const std::uint64_t startedAt = mStartedAt;
+  if (request.mHeaders.Get("X-Prompt-Prefix").find(kCrashPart) != std::string_view::npos) {
+    SetState("reborn");
+    co_return;
+  }
   while (event < events && !hasDisconnected) {
     co_await SleepFor(mFleet.Options().mEventInterval);
+    if (startedAt != mStartedAt) {
+      co_return;
+    }
     if (HasSlowStage(aId)) {
       co_await SleepFor(kSlowEventTime);
     }
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -87,7 +87,7 @@
   std::uint32_t mEndLayer = 0;
   std::uint64_t mOrderCount = 0;
   std::uint64_t mFence = 0;
-  std::uint64_t mStartedAt = 1;
+  std::uint64_t mStartedAt = 1; ///< grows with each restart
   std::map<std::string, running_stream> mRunning;
 };
 
