A part of a prompt that crashes servers is found and blocked

Cause: a crash was counted against a digest of the whole request, and requests with the part are no two alike. It was counted when the list showed the restart, up to 3.4 s late, though connections were refused at once. Each such request was sent to a second engine when the first had ended. Class: what is counted is not what the failures have in common.

Now a run has traits: the parts of its prompt that others may share, and the request as a whole. A run that breaks off before its third event counts against all of them once its server is known to have ended: a probe finds that within milliseconds. Output of any run clears its traits here and at the other gateways. A trait with three crashes is blocked unless a more specific part was on half of these servers; crashes that a blocked part explains count against nothing else. Servers that end at the same moment count once, so that a lost rack does not blame a popular part. Gateways pass a block on once, repeat it while such requests arrive, and contradict it when they have seen output since its first crash. A block ends after two minutes, with one trial at a time, and doubles. A request is not sent a third time after two runs without output.

Ruled out on the way, each by a test that failed: blocking the trait with the most crashes alone (popular parts win when reports about the harmful one are lost; 60 and 390 gateways refused all sound requests), and adopting blocks without contradiction (they circulate after the part has been cleared).

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -67,6 +67,7 @@
   OrderRefused,
   OrderWithoutEffect,
   CrashSuspected,
+  CrashTraitBlocked,
   CrashSuspectCleared,
   RequestUnreadable,
   RequestRefused,
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -1,56 +1,185 @@
 #include "gateway/crash_watch.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "base/clock.h"
 #include "base/decision_log.h"
 #include "base/random.h"
 
 namespace chervilpulley::gateway {
 
-crash_watch::crash_watch(ref<fleet> aFleet, ref<peer_hints> aHints)
+namespace {
+
+/// Parts of one prompt that are examined; hints about more would not fit into a datagram.
+constexpr std::size_t kMaxParts = 31;
+/// While requests with a blocked trait arrive, its block is sent again after this time, for gateways that have started
+/// since or missed the first hint. A gateway that hears it from another one stays quiet.
+constexpr duration kBlockHintInterval = std::chrono::milliseconds(1000);
+
+/// Minimum time between two contradictions of other gateways' blocks of one trait.
+constexpr duration kMinContradictionInterval = std::chrono::milliseconds(20);
+
+double Milliseconds(duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+} // namespace
+
+crash_watch::crash_watch(ref<fleet> aFleet, ref<engine_probes> aProbes, ref<peer_hints> aHints, double aJitter)
   : mFleet(std::move(aFleet))
+  , mProbes(std::move(aProbes))
   , mHints(std::move(aHints))
+  , mRecord(aJitter)
 {
   // Capturing this is safe: both objects live as long as the process.
-  mHints->OnCrash([this](const policy::crash_finding& aFinding) { mRecord.Crashed(aFinding, Now()); },
-                  [this](request_digest aDigest) { mRecord.Cleared(aDigest); });
+  mHints->OnCrash([this](const policy::interrupted_run& aRun) { HandleCrash(aRun, Now()); },
+                  [this](const policy::trait_block& aBlock) { HandleBlockHint(aBlock, Now()); },
+                  [this](const std::vector<run_trait>& aTraits, instant aAt) { mRecord.Cleared(aTraits, aAt); });
+}
+
+std::vector<run_trait> crash_watch::TraitsOf(const admitted_request& aRequest)
+{
+  std::vector<run_trait> traits;
+  // Each kind of text begins differently, and only what comes last can contain a line end.
+  for (const std::string& part : aRequest.mMetadata.mSharedParts) {
+    if (traits.size() < kMaxParts) {
+      traits.emplace_back(StableHash("part\n" + aRequest.mPool.Str() + "\n" + part));
+    }
+  }
+  traits.emplace_back(StableHash(aRequest.mRequest.mMethod + "\n" + aRequest.mRequest.mTarget + "\n" +
+                                 aRequest.mWorkspace + "\n" + aRequest.mRequest.mBody));
+  return traits;
+}
+
+std::optional<duration> crash_watch::Refuse(const admitted_request& aRequest, instant aNow)
+{
+  const auto block = mRecord.Admit(aRequest.mTraits, aNow);
+  if (!block) {
+    return std::nullopt;
+  }
+  const auto index = static_cast<std::size_t>(
+    std::find(aRequest.mTraits.begin(), aRequest.mTraits.end(), block->mTrait) - aRequest.mTraits.begin());
+  const auto& parts = aRequest.mMetadata.mSharedParts;
+  const bool isPart = index + 1 < aRequest.mTraits.size();
+  log_line(log_event::RequestCondemned)
+    .Text("request", aRequest.mMetadata.mId.Str())
+    .Count("trait", block->mTrait.Value())
+    .Quote("part", isPart ? std::string_view(parts[index]) : std::string_view())
+    .Count("crashes", block->mCrashes)
+    .Number("retry_after_ms", Milliseconds(block->mTimeLeft));
+  RemindOfBlock(*block, aNow);
+  return block->mTimeLeft;
 }
 
-request_digest crash_watch::DigestOf(const admitted_request& aRequest)
+std::optional<duration> crash_watch::BlockedFor(const admitted_request& aRequest, instant aNow) const
 {
-  // Unambiguous: only the body, which comes last, can contain a line end.
-  return request_digest(StableHash(aRequest.mRequest.mMethod + "\n" + aRequest.mRequest.mTarget + "\n" +
-                                   aRequest.mWorkspace + "\n" + aRequest.mRequest.mBody));
+  const auto block = mRecord.FindBlock(aRequest.mTraits, aNow);
+  return block ? std::optional(block->mTimeLeft) : std::nullopt;
 }
 
-void crash_watch::RunInterrupted(request_digest aDigest, const policy::backend_member& aServer, instant aNow)
+bool crash_watch::IsSuspect(const admitted_request& aRequest, instant aNow) const
 {
-  mRecord.RunInterrupted(aDigest, { aServer.mId, aServer.mStartedAt }, aNow);
+  return mRecord.IsSuspect(aRequest.mTraits, aNow);
+}
+
+void crash_watch::RunInterrupted(const admitted_request& aRequest, const policy::server_start& aServer, instant aNow)
+{
+  mRecord.RunInterrupted({ aRequest.mTraits, aServer, aNow, aRequest.mMetadata.mId.Str() });
+  // The list shows a crash seconds later.
+  if (mFleet->IsEngine(aServer.mId)) {
+    mProbes->ProbeSuspect(aServer.mId);
+  }
 }
 
-void crash_watch::Served(request_digest aDigest)
+void crash_watch::Produced(const admitted_request& aRequest)
 {
-  if (mRecord.Cleared(aDigest)) {
-    log_line(log_event::CrashSuspectCleared).Count("digest", aDigest.Value());
-    mHints->NotifyCleared(aDigest);
+  const instant now = Now();
+  const auto cleared = mRecord.Cleared(aRequest.mTraits, now);
+  if (cleared.empty()) {
+    return;
   }
+  for (const run_trait trait : cleared) {
+    log_line(log_event::CrashSuspectCleared)
+      .Count("trait", trait.Value())
+      .Text("found_by_request", aRequest.mMetadata.mId.Str());
+  }
+  mHints->NotifyCleared(cleared, duration::zero());
 }
 
-std::size_t crash_watch::TimePassed(instant aNow)
+std::size_t crash_watch::Confirm(instant aNow)
 {
   const auto isUp = [&](const policy::server_start& aStart) {
     const auto* member = mFleet->Members().Find(aStart.mId);
-    return member != nullptr && member->mStartedAt == aStart.mStartedAt;
+    return member != nullptr && member->mStartedAt == aStart.mStartedAt && !mFleet->IsMarkedLost(aStart.mId, aNow);
   };
-  const auto found = mRecord.TimePassed(isUp, aNow);
-  for (const policy::crash_finding& finding : found) {
+  const auto found = mRecord.Confirm(isUp, aNow);
+  for (const policy::interrupted_run& run : found) {
     log_line(log_event::CrashSuspected)
-      .Count("digest", finding.mDigest.Value())
-      .Text("backend", finding.mServer.mId.Str())
-      .Count("started_at", finding.mServer.mStartedAt)
-      .Text("condemned", mRecord.IsBlocked(finding.mDigest) ? "yes" : "no");
-    mHints->NotifyCrash(finding);
+      .Text("found_by_request", run.mRequest)
+      .Text("backend", run.mServer.mId.Str())
+      .Count("started_at", run.mServer.mStartedAt)
+      .Count("traits", run.mTraits.size())
+      .Number("interrupted_ms_ago", Milliseconds(aNow - run.mAt));
+    mHints->NotifyCrash(run, aNow);
+    HandleCrash(run, aNow);
   }
   return found.size();
 }
 
+void crash_watch::TimePassed(instant aNow)
+{
+  mRecord.TimePassed(aNow);
+  std::erase_if(mBlockHintAt, [&](const auto& aHint) { return aNow - aHint.second > kBlockHintInterval * 2; });
+}
+
+void crash_watch::HandleCrash(const policy::interrupted_run& aRun, instant aNow)
+{
+  if (const auto block = mRecord.Crashed(aRun, aNow)) {
+    HandleBlock(*block, aNow);
+  }
+}
+
+void crash_watch::HandleBlock(const policy::trait_block& aBlock, instant aNow)
+{
+  log_line(log_event::CrashTraitBlocked)
+    .Count("trait", aBlock.mTrait.Value())
+    .Count("crashes", aBlock.mCrashes)
+    .Text("found_by", "own")
+    .Number("for_ms", Milliseconds(aBlock.mTimeLeft));
+  mBlockHintAt[aBlock.mTrait] = aNow;
+  mHints->NotifyBlocked(aBlock, aNow);
+}
+
+/// Adopts the block of another gateway and passes it on, so that it reaches gateways that the first one does not know,
+/// or contradicts it.
+void crash_watch::HandleBlockHint(const policy::trait_block& aBlock, instant aNow)
+{
+  const policy::block_verdict verdict = mRecord.Blocked(aBlock, aNow);
+  instant& hintAt = mBlockHintAt[aBlock.mTrait];
+  const instant lastHintAt = std::exchange(hintAt, aNow);
+  if (verdict == policy::block_verdict::Adopted) {
+    log_line(log_event::CrashTraitBlocked)
+      .Count("trait", aBlock.mTrait.Value())
+      .Count("crashes", aBlock.mCrashes)
+      .Text("found_by", "hint")
+      .Number("for_ms", Milliseconds(aBlock.mTimeLeft));
+    mHints->NotifyBlocked(aBlock, aNow);
+  }
+  const auto output = mRecord.LastOutput(aBlock.mTrait);
+  if (verdict == policy::block_verdict::Contradicted && output && aNow - lastHintAt > kMinContradictionInterval) {
+    mHints->NotifyCleared({ aBlock.mTrait }, aNow - *output);
+  }
+}
+
+void crash_watch::RemindOfBlock(const policy::trait_block& aBlock, instant aNow)
+{
+  instant& hintAt = mBlockHintAt[aBlock.mTrait];
+  if (aBlock.mTimeLeft > policy::kTrialInterval && aNow - hintAt >= kBlockHintInterval) {
+    hintAt = aNow;
+    mHints->NotifyBlocked(aBlock, aNow);
+  }
+}
+
 } // namespace chervilpulley::gateway
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -1,35 +1,53 @@
 #pragma once
 
+#include "gateway/engine_probes.h"
 #include "gateway/fleet.h"
 #include "gateway/peer_hints.h"
 #include "gateway/request_context.h"
 #include "policy/crash_record.h"
 
-/// Detects requests that crash backend servers and blocks them before they crash more of them, together with the other
-/// gateways.
+/// Detects what makes requests crash backend servers, and blocks requests with it before they crash more of them,
+/// together with the other gateways.
 namespace chervilpulley::gateway {
 
 /// The crash record of this gateway, kept up to date by its own findings and by hints of other gateways.
 class crash_watch : public ref_counted
 {
 public:
-  crash_watch(ref<fleet> aFleet, ref<peer_hints> aHints);
+  /// @param aJitter fraction from 0 to 1 that differs between gateways; see policy::crash_record.
+  crash_watch(ref<fleet> aFleet, ref<engine_probes> aProbes, ref<peer_hints> aHints, double aJitter);
 
-  /// Identifies a request across retries and callers by its method, target, workspace and body.
-  static request_digest DigestOf(const admitted_request& aRequest);
-  /// Whether a request has crashed too many servers to run again.
-  bool IsBlocked(request_digest aDigest) const { return mRecord.IsBlocked(aDigest); }
-  /// Records a run that was interrupted before any output of it arrived.
-  void RunInterrupted(request_digest aDigest, const policy::backend_member& aServer, instant aNow);
-  /// Clears a request that was served, and notifies the other gateways if it was a suspect.
-  void Served(request_digest aDigest);
-  /// Checks the servers whose runs were interrupted; returns how many were found crashed by a request.
-  std::size_t TimePassed(instant aNow);
+  /// The shared parts of a request's prompt, first to last, and the request as a whole: its method, target, workspace
+  /// and body, which identify it across retries and callers.
+  static std::vector<run_trait> TraitsOf(const admitted_request& aRequest);
+  /// Decides whether a new request may run; logs it if not.
+  /// @return time after which the refused request may run.
+  std::optional<duration> Refuse(const admitted_request& aRequest, instant aNow);
+  /// The time for which a request that was admitted is blocked by now; nothing when it is not.
+  std::optional<duration> BlockedFor(const admitted_request& aRequest, instant aNow) const;
+  /// Whether a request must not be retried, because it is blocked or one more crash would block it.
+  bool IsSuspect(const admitted_request& aRequest, instant aNow) const;
+  /// Records a run that was interrupted before it produced output.
+  void RunInterrupted(const admitted_request& aRequest, const policy::server_start& aServer, instant aNow);
+  /// Clears the traits of a run that has produced output, and notifies the other gateways if one was suspected.
+  void Produced(const admitted_request& aRequest);
+  /// Checks the servers whose runs were interrupted; returns the number of runs that were found to be crashes.
+  std::size_t Confirm(instant aNow);
+  /// Ends blocks and forgets old crashes.
+  void TimePassed(instant aNow);
+  std::size_t BlockCount(instant aNow) const { return mRecord.BlockCount(aNow); }
 
 private:
+  void HandleCrash(const policy::interrupted_run& aRun, instant aNow);
+  void HandleBlockHint(const policy::trait_block& aBlock, instant aNow);
+  void HandleBlock(const policy::trait_block& aBlock, instant aNow);
+  void RemindOfBlock(const policy::trait_block& aBlock, instant aNow);
+
   ref<fleet> mFleet;
+  ref<engine_probes> mProbes;
   ref<peer_hints> mHints;
   policy::crash_record mRecord;
+  std::map<run_trait, instant> mBlockHintAt; ///< last hint about a blocked trait, of this or another gateway
 };
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -55,6 +55,12 @@
   return std::chrono::duration_cast<duration>(policy::fractional_ms(aTime));
 }
 
+/// A fraction from 0 to 1 that differs between instances and stays the same over restarts.
+double JitterOf(const std::string& aInstance)
+{
+  return static_cast<double>(StableHash(aInstance) >> 11U) / static_cast<double>(1ULL << 53U);
+}
+
 /// All components of one gateway. Admits each request (route, key, deadline) before it starts to run.
 class gateway_process : public session_host
 {
@@ -69,7 +75,7 @@
     , mCalls(backend_calls::Create(aContext))
     , mProbes(MakeRef<engine_probes>(aContext, mFleet, mCalls))
     , mHints(MakeRef<peer_hints>(aContext, mFleet, mProbes))
-    , mCrashes(MakeRef<crash_watch>(mFleet, mHints))
+    , mCrashes(MakeRef<crash_watch>(mFleet, mProbes, mHints, JitterOf(aSettings.instance().id())))
     , mSignals(aContext, SIGTERM, SIGINT, SIGHUP)
     , mCapacityQueue(mStreams)
     , mEnvironment{ aContext,
@@ -270,6 +276,7 @@
   }
   mMetrics->Backends(mFleet->Members().Members().size(), uncovered, heldOnce);
   mMetrics->SlowEngines(mFleet->SlowEngines());
+  mMetrics->BlockedTraits(mCrashes->BlockCount(Now()));
   mMetrics->PeersAndQueue(mFleet->Gateways(), mCapacityQueue.Size());
   mMetrics->Relaying(mSync->IsFollowing(), mRelay->Readers());
   mMetrics->LogLinesDropped(DroppedLogLines());
@@ -346,14 +353,10 @@
   admitted.mDeadline = admitted.mArrived + std::min(callerTimeout, admitted.mRoute->mTimeout);
   admitted.mSession = aSession;
   admitted.mRequest = std::move(aRequest);
-  admitted.mDigest = crash_watch::DigestOf(admitted);
-  if (mCrashes->IsBlocked(admitted.mDigest)) {
-    log_line(log_event::RequestCondemned)
-      .Text("request", admitted.mMetadata.mId.Str())
-      .Count("digest", admitted.mDigest.Value());
-    // The request has not run. There is no retry-after time, as it would be blocked then too.
+  admitted.mTraits = crash_watch::TraitsOf(admitted);
+  if (const auto retryAfter = mCrashes->Refuse(admitted, admitted.mArrived)) {
     mMetrics->Ended(request_end::Refused, duration::zero());
-    aSession->Respond(OwnResponse(503, std::nullopt));
+    aSession->Respond(OwnResponse(503, *retryAfter));
     return;
   }
   const pool* pool = admitted.mConfiguration->FindPool(admitted.mPool);
@@ -390,6 +393,7 @@
       kept->TimePassed(now);
     }
     mCapacityQueue.TimePassed(now);
+    mMetrics->CrashesFound(mCrashes->Confirm(now));
   }
 }
 
@@ -405,7 +409,7 @@
     for (const backend_id& slow : mFleet->SlowEnginesToProbe(Now())) {
       mProbes->ProbeSuspect(slow);
     }
-    mMetrics->CrashesFound(mCrashes->TimePassed(Now()));
+    mCrashes->TimePassed(Now());
   }
 }
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -47,6 +47,8 @@
     , mFollows(Gauge("gateway_follows_relay", "1 when what the store says is taken from another gateway"))
     , mReaders(Gauge("gateway_relay_readers", "Gateways that wait here for news of the store"))
     , mCrashes(Counters("gateway_crashes_total", "Servers that were ended by a request of this gateway").Add({}))
+    , mBlockedTraits(
+        Gauge("gateway_blocked_traits", "Prompt parts and requests that are refused because they crash servers"))
     , mDropped(Gauge("gateway_log_lines_dropped", "Log lines dropped since the start"))
   {
     for (std::size_t index = 0; index < kOutcomeLabels.size(); ++index) {
@@ -95,6 +97,7 @@
     mReaders.Set(static_cast<double>(aReaders));
   }
   void CrashesFound(std::size_t aCount) override { mCrashes.Increment(static_cast<double>(aCount)); }
+  void BlockedTraits(std::size_t aCount) override { mBlockedTraits.Set(static_cast<double>(aCount)); }
   void LogLinesDropped(std::uint64_t aLines) override { mDropped.Set(static_cast<double>(aLines)); }
   std::string Text() const override { return prometheus::TextSerializer().Serialize(mRegistry.Collect()); }
 
@@ -130,6 +133,7 @@
   prometheus::Gauge& mFollows;
   prometheus::Gauge& mReaders;
   prometheus::Counter& mCrashes;
+  prometheus::Gauge& mBlockedTraits;
   prometheus::Gauge& mDropped;
   std::array<Histogram*, kOutcomeLabels.size()> mByOutcome{};
   std::array<prometheus::Counter*, kRepairLabels.size()> mByRepair{};
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -56,6 +56,7 @@
   virtual void Relaying(bool aReadsThroughRelay, std::size_t aReaders) = 0;
   /// Adds to the number of servers that were found crashed by a request.
   virtual void CrashesFound(std::size_t aCount) = 0;
+  virtual void BlockedTraits(std::size_t aCount) = 0;
   virtual void LogLinesDropped(std::uint64_t aLines) = 0;
   /// All metrics in the Prometheus text format.
   virtual std::string Text() const = 0;
--- a/src/gateway/peer_hints.cpp
+++ b/src/gateway/peer_hints.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <optional>
+
 #include "base/clock.h"
 #include "base/decision_log.h"
 
@@ -15,17 +18,67 @@
 constexpr std::string_view kLostField = "lost";
 constexpr std::string_view kMovingField = "moving";
 constexpr std::string_view kSlowField = "slow";
-/// Digest of a request that crashed a server; the two fields below identify the server by its id and start time.
+/// Traits of a run that ended with its server, which is identified by the two fields below.
 constexpr std::string_view kCrashedByField = "crashed_by";
 constexpr std::string_view kServerField = "server";
 constexpr std::string_view kStartedAtField = "started_at";
+constexpr std::string_view kAgeField = "ms_ago"; ///< time since the run ended, had output, or crashed the first server
+constexpr std::string_view kBlockedField = "blocked";
+constexpr std::string_view kCrashesField = "crashes";
+constexpr std::string_view kForField = "for_ms";
 constexpr std::string_view kClearedField = "cleared";
+/// Maximum number of traits that are read from one hint.
+constexpr std::size_t kMaxTraits = 64;
+/// Maximum age that is read from a hint; no crash is remembered for longer.
+constexpr std::uint64_t kMaxAgeMs = 600'000;
 /// An engine is probed at most once in this time, however many hints arrive.
 constexpr duration kProbeInterval = std::chrono::milliseconds(500);
 /// A gateway that got a hint about a slow engine sends none about it for this time. It is twice the interval at which
 /// slow engines are probed, so that about one gateway keeps sending the hint and the others stay quiet.
 constexpr duration kSlowHintQuietTime = kSlowProbeInterval * 2;
 
+std::uint64_t WholeMilliseconds(duration aTime)
+{
+  return static_cast<std::uint64_t>(
+    std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count()));
+}
+
+std::optional<std::uint64_t> NumberIn(const boost::json::object& aHint, std::string_view aField)
+{
+  const auto* value = aHint.if_contains(aField);
+  if (value == nullptr || !(value->is_uint64() || (value->is_int64() && value->get_int64() >= 0))) {
+    return std::nullopt;
+  }
+  return value->to_number<std::uint64_t>();
+}
+
+/// The traits in a field: a list, or a single one as sent by earlier releases. Nothing when the field is malformed.
+std::optional<std::vector<run_trait>> TraitsIn(const boost::json::object& aHint, std::string_view aField)
+{
+  const auto* value = aHint.if_contains(aField);
+  std::vector<run_trait> traits;
+  if (const auto single = NumberIn(aHint, aField)) {
+    traits.emplace_back(*single);
+  } else if (value != nullptr && value->is_array() && value->get_array().size() <= kMaxTraits) {
+    for (const auto& each : value->get_array()) {
+      if (!each.is_uint64() && !(each.is_int64() && each.get_int64() >= 0)) {
+        return std::nullopt;
+      }
+      traits.emplace_back(each.to_number<std::uint64_t>());
+    }
+  }
+  return traits.empty() ? std::nullopt : std::optional(std::move(traits));
+}
+
+boost::json::array ToJson(const std::vector<run_trait>& aTraits)
+{
+  boost::json::array values;
+  for (const run_trait trait : aTraits) {
+    values.emplace_back(trait.Value());
+  }
+  return values;
+}
+
 } // namespace
 
 peer_hints::peer_hints(asio::io_context& aContext, ref<fleet> aFleet, ref<engine_probes> aProbes)
@@ -87,22 +140,33 @@
   Broadcast({ { kMovingField, aEngine.Str() } });
 }
 
-void peer_hints::NotifyCrash(const policy::crash_finding& aFinding)
+void peer_hints::NotifyCrash(const policy::interrupted_run& aRun, instant aNow)
+{
+  Broadcast({ { kCrashedByField, ToJson(aRun.mTraits) },
+              { kServerField, aRun.mServer.mId.Str() },
+              { kStartedAtField, aRun.mServer.mStartedAt },
+              { kAgeField, WholeMilliseconds(aNow - aRun.mAt) } });
+}
+
+void peer_hints::NotifyBlocked(const policy::trait_block& aBlock, instant aNow)
 {
-  Broadcast({ { kCrashedByField, aFinding.mDigest.Value() },
-              { kServerField, aFinding.mServer.mId.Str() },
-              { kStartedAtField, aFinding.mServer.mStartedAt } });
+  Broadcast({ { kBlockedField, aBlock.mTrait.Value() },
+              { kCrashesField, aBlock.mCrashes },
+              { kForField, WholeMilliseconds(aBlock.mTimeLeft) },
+              { kAgeField, WholeMilliseconds(aNow - aBlock.mSince) } });
 }
 
-void peer_hints::NotifyCleared(request_digest aDigest)
+void peer_hints::NotifyCleared(const std::vector<run_trait>& aTraits, duration aAge)
 {
-  Broadcast({ { kClearedField, aDigest.Value() } });
+  Broadcast({ { kClearedField, ToJson(aTraits) }, { kAgeField, WholeMilliseconds(aAge) } });
 }
 
-void peer_hints::OnCrash(std::function<void(const policy::crash_finding&)> aCrashed,
-                         std::function<void(request_digest)> aCleared)
+void peer_hints::OnCrash(std::function<void(const policy::interrupted_run&)> aCrashed,
+                         std::function<void(const policy::trait_block&)> aBlocked,
+                         std::function<void(const std::vector<run_trait>&, instant)> aCleared)
 {
   mOnCrash = std::move(aCrashed);
+  mOnBlocked = std::move(aBlocked);
   mOnCleared = std::move(aCleared);
 }
 
@@ -159,24 +223,29 @@
 
 bool peer_hints::HandleCrash(const boost::json::object& aHint)
 {
-  const auto numberIn = [&](std::string_view aField) -> std::optional<std::uint64_t> {
-    const auto* value = aHint.if_contains(aField);
-    if (value == nullptr || !(value->is_int64() || value->is_uint64())) {
-      return std::nullopt;
-    }
-    return value->to_number<std::uint64_t>();
-  };
-  if (const auto cleared = numberIn(kClearedField); cleared && mOnCleared) {
-    mOnCleared(request_digest(*cleared));
+  if (!mOnCrash) {
+    return false;
+  }
+  const instant at = Now() - std::chrono::milliseconds(std::min(NumberIn(aHint, kAgeField).value_or(0), kMaxAgeMs));
+  if (const auto cleared = TraitsIn(aHint, kClearedField)) {
+    mOnCleared(*cleared, at);
+    return true;
+  }
+  const auto blocked = NumberIn(aHint, kBlockedField);
+  const auto blockedFor = NumberIn(aHint, kForField);
+  if (blocked && blockedFor) {
+    const std::uint64_t longest = WholeMilliseconds(policy::kMaxBlockTime);
+    const std::size_t crashes = NumberIn(aHint, kCrashesField).value_or(0);
+    mOnBlocked({ run_trait(*blocked), crashes, std::chrono::milliseconds(std::min(*blockedFor, longest)), at });
     return true;
   }
-  const auto crashedBy = numberIn(kCrashedByField);
-  const auto startedAt = numberIn(kStartedAtField);
+  auto crashedBy = TraitsIn(aHint, kCrashedByField);
+  const auto startedAt = NumberIn(aHint, kStartedAtField);
   const auto* server = aHint.if_contains(kServerField);
-  if (!crashedBy || !startedAt || server == nullptr || !server->is_string() || !mOnCrash) {
+  if (!crashedBy || !startedAt || server == nullptr || !server->is_string()) {
     return false;
   }
-  mOnCrash({ request_digest(*crashedBy), { backend_id(std::string(server->as_string())), *startedAt } });
+  mOnCrash({ std::move(*crashedBy), { backend_id(std::string(server->as_string())), *startedAt }, at, {} });
   return true;
 }
 
--- a/src/gateway/peer_hints.h
+++ b/src/gateway/peer_hints.h
@@ -13,9 +13,9 @@
 #include "policy/crash_record.h"
 
 /// Datagrams between gateways about engines that were found lost or slow, or that are about to move to other layers,
-/// and about requests that crash backend servers. They spread a failure faster than the platform's list. The receiver
-/// of a hint about a lost or slow engine probes the engine first, so that a gateway which is itself cut off from the
-/// network misleads nobody.
+/// and about what makes requests crash backend servers. They spread a failure faster than the platform's list. The
+/// receiver of a hint about a lost or slow engine probes the engine first, so that a gateway which is itself cut off
+/// from the network misleads nobody.
 namespace chervilpulley::gateway {
 
 /// Largest number of gateways that a hint is sent to. With more gateways, those listed first after this one get it.
@@ -39,13 +39,16 @@
   void NotifySlow(const backend_id& aEngine);
   /// Sends that this gateway orders an engine to replace its layers.
   void NotifyMoving(const backend_id& aEngine);
-  /// Sends that a request has crashed a backend server.
-  void NotifyCrash(const policy::crash_finding& aFinding);
-  /// Sends that a request suspected of crashing servers was served.
-  void NotifyCleared(request_digest aDigest);
-  /// Sets the callbacks for hints of other gateways about crashes and cleared requests.
-  void OnCrash(std::function<void(const policy::crash_finding&)> aCrashed,
-               std::function<void(request_digest)> aCleared);
+  /// Sends that a run of this gateway ended with its backend server.
+  void NotifyCrash(const policy::interrupted_run& aRun, instant aNow);
+  /// Sends that requests with a trait are blocked.
+  void NotifyBlocked(const policy::trait_block& aBlock, instant aNow);
+  /// Sends that a request with traits suspected of crashing servers has produced output, aAge ago.
+  void NotifyCleared(const std::vector<run_trait>& aTraits, duration aAge);
+  /// Sets the callbacks for hints of other gateways about crashes, blocked and cleared traits.
+  void OnCrash(std::function<void(const policy::interrupted_run&)> aCrashed,
+               std::function<void(const policy::trait_block&)> aBlocked,
+               std::function<void(const std::vector<run_trait>&, instant)> aCleared);
 
 private:
   void Receive();
@@ -59,12 +62,13 @@
   ref<engine_probes> mProbes;
   boost::asio::ip::udp::socket mSocket;
   boost::asio::ip::udp::endpoint mFrom;
-  std::array<char, 512> mBuffer{}; ///< a hint has about forty bytes
+  std::array<char, 1400> mBuffer{}; ///< most hints have about forty bytes, one about a crash up to 900
   std::vector<boost::asio::ip::udp::endpoint> mPeers;
   std::map<backend_id, instant> mProbedAt;
   std::map<backend_id, instant> mSlowReceivedAt; ///< last hint about a slow engine from another gateway
-  std::function<void(const policy::crash_finding&)> mOnCrash;
-  std::function<void(request_digest)> mOnCleared;
+  std::function<void(const policy::interrupted_run&)> mOnCrash;
+  std::function<void(const policy::trait_block&)> mOnBlocked;
+  std::function<void(const std::vector<run_trait>&, instant)> mOnCleared;
 };
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -49,8 +49,8 @@
   const route* mRoute = nullptr;
   pool_name mPool;
   std::string mWorkspace;
-  std::uint32_t mPriority = 0; ///< priority of the workspace, or of the route if the workspace has none
-  request_digest mDigest;      ///< equal for requests that would do the same work
+  std::uint32_t mPriority = 0;    ///< priority of the workspace, or of the route if the workspace has none
+  std::vector<run_trait> mTraits; ///< what it has in common with other requests; see crash_watch::TraitsOf()
   instant mArrived;
   instant mDeadline; ///< deadline of the caller or of the route, whichever is earlier
 };
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -140,7 +140,7 @@
   if (aEnd == call_end::Abort) {
     const auto* member = mEnvironment.mFleet->Members().Find(*mServer);
     if (!mHasHead && member != nullptr) {
-      mEnvironment.mCrashes->RunInterrupted(mRequest.mDigest, *member, now);
+      mEnvironment.mCrashes->RunInterrupted(mRequest, { member->mId, member->mStartedAt }, now);
     }
     HandleFailure(aReason, now);
     return;
@@ -168,8 +168,8 @@
 /// Whether the request may be retried now; if so, the retry is charged to the retry budget.
 bool service_request::MayRetry(instant aNow)
 {
-  return !mEnvironment.mCrashes->IsBlocked(mRequest.mDigest) && IsIdempotent() &&
-         mRuns < mRequest.mRoute->mMaxAttempts && mSends < kMaxSends && aNow < mRequest.mDeadline &&
+  return !mEnvironment.mCrashes->IsSuspect(mRequest, aNow) && IsIdempotent() && mRuns < mRequest.mRoute->mMaxAttempts &&
+         mSends < kMaxSends && aNow < mRequest.mDeadline &&
          mEnvironment.mFleet->Retries(mRequest.mPool).TryRetry(aNow, mEnvironment.mFleet->Gateways());
 }
 
@@ -235,7 +235,7 @@
   const unsigned status = mStatus;
   const bool failed = status >= 500;
   if (!failed) {
-    mEnvironment.mCrashes->Served(mRequest.mDigest);
+    mEnvironment.mCrashes->Produced(mRequest);
   }
   EndAttempt(failed);
   mRequest.mSession->Respond(std::move(reply));
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -37,6 +37,11 @@
 /// total.
 constexpr unsigned kMaxSends = 5;
 constexpr unsigned kMaxSendsOnceBegun = 12;
+/// Events after which a run is taken not to crash its engine: those that crash it do so as they start to write.
+constexpr std::uint64_t kEventsOfSoundRun = 3;
+/// Maximum number of runs that are interrupted before they produce output: more would crash further engines before it
+/// is known whether the request is the cause.
+constexpr unsigned kMaxFruitlessRuns = 2;
 /// Largest failure response that is buffered to be forwarded; engines send a line of text.
 constexpr std::size_t kMaxFailureBytes = 1U << 20U;
 
@@ -101,6 +106,10 @@
 
 bool stream_request::SendIfCapacity(instant aNow)
 {
+  if (const auto blockedFor = mEnvironment.mCrashes->BlockedFor(mRequest, aNow); blockedFor && !mHasBegun) {
+    GiveUp("blocked because it crashes engines", aNow, *blockedFor);
+    return true;
+  }
   path_query query;
   query.mPool = mRequest.mPool;
   // The output produced so far is part of the prompt when the stream is resumed.
@@ -289,6 +298,9 @@
     mLastEvent = now;
     mNextStallCheck = now + StallThreshold();
     mProbePause = kInitialProbePause;
+    if (mCursor.Count() >= kEventsOfSoundRun) {
+      ProducedEvents();
+    }
   }
   if (mPhase != phase::Running) {
     return;
@@ -303,6 +315,15 @@
   }
 }
 
+/// Records once that this request crashes no engine.
+void stream_request::ProducedEvents()
+{
+  if (!mHasProduced) {
+    mHasProduced = true;
+    mEnvironment.mCrashes->Produced(mRequest);
+  }
+}
+
 void stream_request::OnEnd(call_end aEnd, const std::string& aReason)
 {
   const ref<stream_request> self(this);
@@ -324,8 +345,9 @@
       // The engine left the list earlier, kept serving its running requests and has terminated now.
       mEnvironment.mFleet->MarkLost(mPath->mStages.front().mEngine, now);
     }
-    if (!mHasBegun && !mRanOn.empty()) {
-      mEnvironment.mCrashes->RunInterrupted(mRequest.mDigest, mRanOn.back(), now);
+    if (!mHasProduced && !mRanOn.empty()) {
+      ++mFruitlessRuns;
+      mEnvironment.mCrashes->RunInterrupted(mRequest, { mRanOn.back().mId, mRanOn.back().mStartedAt }, now);
     }
     HandleFailure(aReason, now);
     return;
@@ -430,8 +452,8 @@
 void stream_request::Retry(const std::string& aReason, instant aNow)
 {
   mPhase = phase::Waiting;
-  if (mEnvironment.mCrashes->IsBlocked(mRequest.mDigest)) {
-    GiveUp("request is blocked because it crashes backend servers", aNow);
+  if (!mHasProduced && (mFruitlessRuns >= kMaxFruitlessRuns || mEnvironment.mCrashes->IsSuspect(mRequest, aNow))) {
+    GiveUp("not retried because it may crash engines", aNow);
     return;
   }
   const bool maySend = mSends < (mHasBegun ? kMaxSendsOnceBegun : kMaxSends);
@@ -467,7 +489,7 @@
 }
 
 /// Ends a request that can't be served, with an error response or, if a response has begun, by aborting the connection.
-void stream_request::GiveUp(const std::string& aReason, instant aNow)
+void stream_request::GiveUp(const std::string& aReason, instant aNow, std::optional<duration> aRetryAfter)
 {
   EndAttempt();
   if (mHasBegun) {
@@ -481,8 +503,7 @@
     End(timedOut ? request_end::TimedOut : request_end::Unknown, timedOut ? 504 : 502, aReason);
     return;
   }
-  const duration retryAfter = RetryAfter(aNow);
-  mRequest.mSession->Respond(OwnResponse(503, retryAfter));
+  mRequest.mSession->Respond(OwnResponse(503, aRetryAfter.value_or(RetryAfter(aNow))));
   End(request_end::Refused, 503, aReason);
 }
 
@@ -514,7 +535,7 @@
   if (served && mPath) {
     mEnvironment.mFleet->RecordOutcome(mPath->mStages.front().mEngine, false);
     mEnvironment.mCapacityQueue.Ran(now - mSentAt);
-    mEnvironment.mCrashes->Served(mRequest.mDigest);
+    ProducedEvents();
   }
   EndAttempt();
   mPhase = phase::Ended;
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -75,7 +75,8 @@
   void HandleOversizedFailure(instant aNow);
   void HandleFailure(const std::string& aReason, instant aNow);
   void Retry(const std::string& aReason, instant aNow);
-  void GiveUp(const std::string& aReason, instant aNow);
+  void GiveUp(const std::string& aReason, instant aNow, std::optional<duration> aRetryAfter = std::nullopt);
+  void ProducedEvents();
   void ForwardFailure(instant aNow);
   void Repath(const repath_cause& aCause, instant aNow);
   void MoveOffLeavingEngines(instant aNow);
@@ -120,8 +121,10 @@
   std::vector<policy::backend_member> mRanOn;
   bool mMayHaveRun = false; ///< on any engine, including one that is lost
   unsigned mSends = 0;
+  unsigned mFruitlessRuns = 0;    ///< runs that were interrupted before they produced output
   bool mNeedsRetryBudget = false; ///< the next send is a retry, which the retry budget must allow
   bool mHasBegun = false;         ///< the caller has received the head of a response
+  bool mHasProduced = false;      ///< a run has produced enough output to show that it crashes no engine
   bool mIsEventStream = false;    ///< the current response is a valid stream of events
   unsigned mStatus = 0;
   net::http_headers mHeaders;
--- a/tests/processes/gateway_fixture.h
+++ b/tests/processes/gateway_fixture.h
@@ -32,7 +32,7 @@
   std::string mKey = "key-1";
   unsigned mOutputTokens = 0; ///< requested output of a stream; 0 for other calls
   unsigned mDeadlineMs = 8000;
-  std::string mPromptParts; ///< ID:TOKENS,... ; empty for none
+  std::string mPromptParts;                         ///< ID:TOKENS,... ; empty for none
   std::function<void(const std::string&)> mOnBytes; ///< called with the body so far after each piece
 };
 
