A server that asks for a pause gets no requests during it

Cause: the header was not read; a refusal kept an engine out for 150 ms and made a plain service the last choice.

The pause is kept beside the mark of leaving, for the process: it survives a gap in the list and ends with a restart. Fractions count, the longest of several headers holds, zero, negative numbers, dates and other texts are ignored, an hour is the most. When all servers of a service, or all holders of a layer, have asked for one, callers are refused at once and told when the first is back, spread over a quarter of that time.

Unit tests for the texts of the header, gaps, restarts and pauses of several holders.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -45,9 +45,9 @@
     ("blocks_adopted_against_output", "src/policy/crash_record.cpp", "output && *output > aBlock.mSince", "false", "unit", "crash_record*"),
     ("blocked_parts_tried_by_all", "src/policy/crash_record.cpp", "found->second.mLastTrialAt = aNow;", "", "unit", "crash_record_after_a_block_*"),
     ("leaving_not_read", "platform/request_headers.cpp", "response.mIsLeaving = aHeaders.Get(kLeaving) == \"1\";", "", "unit", "platform_response_says_*"),
-    ("leaving_forgotten_with_the_entry", "src/gateway/fleet.cpp", "    state.mLeavingSince = departed->second.mLeavingSince;\n", "", "unit", "fleet_with_*"),
+    ("leaving_forgotten_with_the_entry", "src/gateway/fleet.cpp", "    state.mNotices = departed->second.mNotices;\n", "", "unit", "fleet_with_*"),
     ("leaving_for_ever", "src/gateway/fleet.cpp", "aMember.mStartedAt <= known->second.mStartedAt", "true", "unit", "fleet_with_an_engine_that_left_*"),
-    ("leaving_servers_get_work", "src/gateway/fleet.cpp", "return !aState.mLeavingSince &&", "return", "unit", "fleet_with_*"),
+    ("leaving_servers_get_work", "src/gateway/fleet.cpp", "return !aState.mNotices.mLeavingSince &&", "return", "unit", "fleet_with_*"),
     ("heads_not_observed", "src/gateway/backend_call.cpp", "  mCalls->Observe(mOptions.mTo.mServer, metadata);\n", "", "contract", "backend_call_reports_*"),
     ("refused_together_return_together", "src/policy/retry_after.cpp", "kJitter = 0.25", "kJitter = 0.0", "unit", "retry_after_*"),
     # Backend state and connections
--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -116,6 +116,12 @@
     Backend,
     "backend started_at found_by",
     "a backend server is leaving and gets no new requests; `found_by` says whether the list or a response shows it" },
+  { BackendPaused,
+    "backend_paused",
+    Notable,
+    Backend,
+    "backend for_ms",
+    "a backend server turned a request away and wants no other from this gateway for this time" },
   { BackendGone, "backend_gone", Notable, Backend, "backend", "a backend server is no longer listed" },
   { BackendBelievedLost,
     "backend_believed_lost",
@@ -223,7 +229,8 @@
     "no_path",
     Notable,
     Request,
-    "request engines_usable engines_lost engines_refusing engines_moving engines_leaving layers_uncovered_here "
+    "request engines_usable engines_lost engines_refusing engines_moving engines_leaving engines_paused "
+    "layers_uncovered_here "
     "layers_uncovered_anywhere tokens members_version",
     "no path with capacity was found; the fields describe the known state of the engines" },
   { EngineRefused,
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -50,6 +50,7 @@
   GatewaysCounted,
   BackendSeen,
   BackendLeaving,
+  BackendPaused,
   BackendGone,
   BackendBelievedLost,
   BackendUnreachable,
--- a/src/gateway/engine_probes.cpp
+++ b/src/gateway/engine_probes.cpp
@@ -123,7 +123,7 @@
 {
   const instant now = Now();
   instant& probedAt = mProbedAt[aEngine];
-  if (now - probedAt < kProbeInterval || mFleet->IsLostOrUnlisted(aEngine, now)) {
+  if (now - probedAt < kProbeInterval || mFleet->IsLostOrUnlisted(aEngine, now) || mFleet->IsPaused(aEngine, now)) {
     return;
   }
   probedAt = now;
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -17,7 +17,7 @@
 /// Whether a server may get new requests.
 bool MayGetWork(const backend_state& aState, instant aNow)
 {
-  return !aState.mLeavingSince && aState.mLostUntil <= aNow;
+  return !aState.mNotices.mLeavingSince && aState.mNotices.mPausedUntil <= aNow && aState.mLostUntil <= aNow;
 }
 
 } // namespace
@@ -75,11 +75,12 @@
   }
   if (const auto known = mStates.find(aMember.mId);
       known != mStates.end() && aMember.mStartedAt <= known->second.mStartedAt) {
-    state.mLeavingSince = known->second.mLeavingSince;
+    state.mNotices = known->second.mNotices;
   }
-  if (const auto departed = mDeparted.find(aMember.mId);
-      departed != mDeparted.end() && aMember.mStartedAt <= departed->second.mStartedAt && !state.mLeavingSince) {
-    state.mLeavingSince = departed->second.mLeavingSince;
+  if (const auto departed = mDeparted.find(aMember.mId); departed != mDeparted.end() &&
+                                                         aMember.mStartedAt <= departed->second.mStartedAt &&
+                                                         !state.mNotices.mLeavingSince) {
+    state.mNotices = departed->second.mNotices;
   }
   return state;
 }
@@ -88,25 +89,56 @@
 {
   // A response of another server at a reused address says nothing about the one that the call was meant for.
   const bool isOther = !aResponse.mActualInstance.empty() && aResponse.mActualInstance != aServer.mId.Str();
-  if (aResponse.mIsLeaving && !isOther) {
+  if (isOther) {
+    return;
+  }
+  if (aResponse.mIsLeaving) {
     MarkLeaving(aServer, kFoundInResponse, aNow);
   }
+  if (aResponse.mPause) {
+    Pause(aServer, *aResponse.mPause, aNow);
+  }
 }
 
-void fleet::MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow)
+server_notices* fleet::NoticesOf(const policy::server_start& aServer)
 {
   const auto found = mStates.find(aServer.mId);
-  const auto departed = mDeparted.find(aServer.mId);
-  std::optional<instant>* since = nullptr;
   if (found != mStates.end() && found->second.mStartedAt == aServer.mStartedAt) {
-    since = &found->second.mLeavingSince;
-  } else if (departed != mDeparted.end() && departed->second.mStartedAt == aServer.mStartedAt) {
-    since = &departed->second.mLeavingSince;
+    return &found->second.mNotices;
   }
-  if (since == nullptr || *since) {
+  const auto departed = mDeparted.find(aServer.mId);
+  const bool isDeparted = departed != mDeparted.end() && departed->second.mStartedAt == aServer.mStartedAt;
+  return isDeparted ? &departed->second.mNotices : nullptr;
+}
+
+void fleet::Pause(const policy::server_start& aServer, duration aTime, instant aNow)
+{
+  server_notices* notices = NoticesOf(aServer);
+  if (notices == nullptr) {
+    return;
+  }
+  const bool isNew = notices->mPausedUntil <= aNow;
+  notices->mPausedUntil = std::max(notices->mPausedUntil, aNow + aTime);
+  if (isNew) {
+    log_line(log_event::BackendPaused)
+      .Text("backend", aServer.mId.Str())
+      .Number("for_ms", std::chrono::duration<double, std::milli>(aTime).count());
+  }
+}
+
+bool fleet::IsPaused(const backend_id& aId, instant aNow) const
+{
+  const auto found = mStates.find(aId);
+  return found != mStates.end() && found->second.mNotices.mPausedUntil > aNow;
+}
+
+void fleet::MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow)
+{
+  server_notices* notices = NoticesOf(aServer);
+  if (notices == nullptr || notices->mLeavingSince) {
     return;
   }
-  *since = aNow;
+  notices->mLeavingSince = aNow;
   log_line(log_event::BackendLeaving)
     .Text("backend", aServer.mId.Str())
     .Count("started_at", aServer.mStartedAt)
@@ -116,7 +148,7 @@
 void fleet::AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow)
 {
   std::erase_if(mDeparted, [&](const auto& aKnown) { return aNow - aKnown.second.mSince > kDepartedRetention; });
-  mDeparted[aId] = { aState.mAddress, aState.mStartedAt, aState.mLostUntil > aNow, aState.mLeavingSince, aNow };
+  mDeparted[aId] = { aState.mAddress, aState.mStartedAt, aState.mLostUntil > aNow, aState.mNotices, aNow };
 }
 
 backend_state& fleet::State(const backend_id& aId)
@@ -195,26 +227,38 @@
   FillEngines(*pool);
   std::vector<std::uint32_t> here(pool->mEngine->mLayers, 0);
   std::vector<bool> anywhere(pool->mEngine->mLayers, false);
+  std::vector<instant> coveredAt(pool->mEngine->mLayers, instant::max());
   for (const policy::path_engine& engine : mEngines) {
     const backend_state& state = State(engine.mId);
     const bool lost = state.mLostUntil > aNow;
     const bool refusing = state.mRefusingUntil > aNow;
     const bool moving = IsMoving(engine.mId, aNow);
-    const bool leaving = state.mLeavingSince.has_value();
+    const bool leaving = state.mNotices.mLeavingSince.has_value();
+    const bool paused = state.mNotices.mPausedUntil > aNow;
     availability.mLost += lost ? 1 : 0;
     availability.mRefusing += refusing ? 1 : 0;
     availability.mMoving += moving ? 1 : 0;
     availability.mLeaving += leaving ? 1 : 0;
-    if (lost || refusing || moving || leaving) {
+    availability.mPaused += paused ? 1 : 0;
+    const instant usableAt = leaving || lost || moving ? instant::max() : state.mNotices.mPausedUntil;
+    const std::uint32_t end = std::min(engine.mHeld.mEnd, pool->mEngine->mLayers);
+    for (std::uint32_t layer = engine.mHeld.mFrom; layer < end; ++layer) {
+      coveredAt[layer] = std::min(coveredAt[layer], usableAt);
+    }
+    if (lost || refusing || moving || leaving || paused) {
       continue;
     }
     ++availability.mUsable;
-    for (std::uint32_t layer = engine.mHeld.mFrom; layer < std::min(engine.mHeld.mEnd, pool->mEngine->mLayers);
-         ++layer) {
+    for (std::uint32_t layer = engine.mHeld.mFrom; layer < end; ++layer) {
       anywhere[layer] = true;
       here[layer] += engine.mDomain == mHome ? 1 : 0;
     }
   }
+  for (const instant at : coveredAt) {
+    if (at != instant::max() && at > aNow) {
+      availability.mCoveredIn = std::max(availability.mCoveredIn, duration(at - aNow));
+    }
+  }
   availability.mUncoveredHere = static_cast<std::size_t>(std::count(here.begin(), here.end(), 0U));
   availability.mHeldOnceHere = static_cast<std::size_t>(std::count(here.begin(), here.end(), 1U));
   availability.mUncoveredAnywhere = static_cast<std::size_t>(std::count(anywhere.begin(), anywhere.end(), false));
@@ -242,6 +286,21 @@
   return index ? std::optional(*ids[*index]) : std::nullopt;
 }
 
+std::optional<duration> fleet::ServiceReturnsIn(const pool_name& aPool, instant aNow) const
+{
+  std::optional<duration> soonest;
+  for (const auto& [id, member] : mMembers.Members()) {
+    const auto state = mStates.find(id);
+    if (member.mPool != aPool || state == mStates.end() || state->second.mNotices.mLeavingSince || IsReplaced(id) ||
+        state->second.mNotices.mPausedUntil <= aNow) {
+      continue;
+    }
+    const duration left = std::max(state->second.mNotices.mPausedUntil, state->second.mLostUntil) - aNow;
+    soonest = std::min(soonest.value_or(left), left);
+  }
+  return soonest;
+}
+
 void fleet::AddInterconnectLoad(const pool_name& aPool, const chosen_path& aPath, double aTokens, instant aNow)
 {
   const pool* pool = mConfiguration ? mConfiguration->FindPool(aPool) : nullptr;
@@ -460,7 +519,8 @@
 {
   std::vector<backend_id> slow;
   for (const auto& [id, state] : mStates) {
-    if (state.mSlowdownFactor >= kSlowFactor && aNow - state.mSlowdownReportedAt > kSlowProbeInterval) {
+    if (state.mSlowdownFactor >= kSlowFactor && aNow - state.mSlowdownReportedAt > kSlowProbeInterval &&
+        state.mNotices.mPausedUntil <= aNow) {
       slow.push_back(id);
     }
   }
@@ -470,7 +530,7 @@
 std::optional<instant> fleet::LeavingSince(const backend_id& aId) const
 {
   const auto found = mStates.find(aId);
-  return found == mStates.end() ? std::nullopt : found->second.mLeavingSince;
+  return found == mStates.end() ? std::nullopt : found->second.mNotices.mLeavingSince;
 }
 
 std::optional<backend_address> fleet::AddressOf(const backend_id& aId) const
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -52,6 +52,13 @@
   Hint ///< another gateway, confirmed by a probe of this one
 };
 
+/// What a server has said about itself, which holds until it restarts.
+struct server_notices
+{
+  std::optional<instant> mLeavingSince; ///< when it was first seen leaving
+  instant mPausedUntil;                 ///< it wants no requests from this gateway until then
+};
+
 /// State of one backend server in addition to its list entry.
 struct backend_state
 {
@@ -65,9 +72,9 @@
   double mSlowdownFactor = 1;  ///< as reported by the engine; 1 is normal speed
   instant mSlowdownReportedAt; ///< when mSlowdownFactor was last reported
   std::uint64_t mStartedAt = 0;
-  std::optional<instant> mLeavingSince; ///< when it was first seen leaving; kept until it restarts
-  instant mMovingUntil;                 ///< until then it counts as moving, unless it holds its new layers earlier
-  policy::layer_span mMovingFrom;       ///< layers that it held when it got the order
+  server_notices mNotices;
+  instant mMovingUntil;           ///< until then it counts as moving, unless it holds its new layers earlier
+  policy::layer_span mMovingFrom; ///< layers that it held when it got the order
 };
 
 /// The engines chosen for a request, with what is needed to send the request and to reserve memory for it.
@@ -93,8 +100,10 @@
   std::size_t mRefusing = 0; ///< no capacity, or the list is out of date
   std::size_t mMoving = 0;
   std::size_t mLeaving = 0;
+  std::size_t mPaused = 0;            ///< want no requests from this gateway for a while
   std::size_t mUncoveredHere = 0;     ///< layers that no usable engine of this gateway's failure domain holds
   std::size_t mUncoveredAnywhere = 0; ///< layers that no usable engine holds
+  duration mCoveredIn{ 0 };           ///< until the ends of pauses leave no layer without a usable engine
   std::size_t mHeldOnceHere = 0;      ///< layers that a single usable engine of this gateway's failure domain holds
 };
 
@@ -121,7 +130,7 @@
   net::endpoint mAddress;
   std::uint64_t mStartedAt = 0;
   bool mIsLost = false; ///< it was unreachable before or after its removal
-  std::optional<instant> mLeavingSince;
+  server_notices mNotices;
   instant mSince; ///< when it left the list
 };
 
@@ -152,6 +161,9 @@
                                           std::uint64_t aRandom,
                                           instant aNow);
 
+  /// Time until a plain service of a pool, none of which is usable, wants requests again; nothing when none will.
+  std::optional<duration> ServiceReturnsIn(const pool_name& aPool, instant aNow) const;
+
   /// Adds the load that aTokens tokens on a path put on the interconnect between failure domains.
   void AddInterconnectLoad(const pool_name& aPool, const chosen_path& aPath, double aTokens, instant aNow);
   /// Reserves memory for a request at the engines of its path, or releases it.
@@ -212,9 +224,11 @@
   void MarkMoving(const backend_id& aId, instant aNow);
   /// Whether an engine is marked as moving and has not loaded its new layers yet.
   bool IsMoving(const backend_id& aId, instant aNow) const;
-  /// Handles the head of a server's response: one that says it is leaving gets no new requests until it restarts,
-  /// whatever the list shows.
+  /// Handles the head of a server's response. One that says it is leaving gets no new requests until it restarts,
+  /// whatever the list shows; one that asks for a pause gets none during it.
   void HandleHead(const policy::server_start& aServer, const wire::response_metadata& aResponse, instant aNow);
+  /// Whether a server wants no requests from this gateway for a while.
+  bool IsPaused(const backend_id& aId, instant aNow) const;
   /// When a server was first seen leaving; nothing when it is not leaving or no longer listed.
   std::optional<instant> LeavingSince(const backend_id& aId) const;
 
@@ -236,7 +250,10 @@
 private:
   backend_state& State(const backend_id& aId);
   backend_state NewState(const policy::backend_member& aMember) const;
+  /// What a process of a listed or departed server has said about itself, or nullptr.
+  server_notices* NoticesOf(const policy::server_start& aServer);
   void MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow);
+  void Pause(const policy::server_start& aServer, duration aTime, instant aNow);
   void FillEngines(const pool& aPool);
   void AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow);
 
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -18,6 +18,8 @@
 constexpr unsigned kMaxSends = 4;
 /// Retry-after time sent to a refused caller: plain services shed load for moments only.
 constexpr duration kRetryAfter = std::chrono::milliseconds(300);
+/// Callers that wait for a server's pause to end are spread over this share of it.
+constexpr double kRetryAfterSpread = 0.25;
 /// Largest response that is buffered.
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 
@@ -242,10 +244,21 @@
   End(failed ? request_end::BackendFailed : request_end::Served, status, failed ? "failure response forwarded" : "");
 }
 
+/// Time after which a caller that is refused now is most likely to be served.
+duration service_request::RetryAfter(instant aNow)
+{
+  const auto returnsIn = mEnvironment.mFleet->ServiceReturnsIn(mRequest.mPool, aNow);
+  if (!returnsIn) {
+    return kRetryAfter;
+  }
+  std::uniform_real_distribution<double> spread(1, 1 + kRetryAfterSpread);
+  return std::chrono::duration_cast<duration>(*returnsIn * spread(mEnvironment.mRandom));
+}
+
 void service_request::GiveUp(const std::string& aReason, instant aNow)
 {
   if (mRuns == 0) {
-    mRequest.mSession->Respond(OwnResponse(503, kRetryAfter));
+    mRequest.mSession->Respond(OwnResponse(503, RetryAfter(aNow)));
     End(request_end::Refused, 503, aReason);
     return;
   }
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -35,6 +35,7 @@
   void HandleFailure(const std::string& aReason, instant aNow);
   void HandleTimeout();
   void ForwardResponse();
+  duration RetryAfter(instant aNow);
   void GiveUp(const std::string& aReason, instant aNow);
   void End(request_end aEnd, unsigned aStatus, const std::string& aReason);
   const std::string& Id() const { return mRequest.mMetadata.mId.Str(); }
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -97,6 +97,10 @@
   if (SendIfCapacity(aNow)) {
     return;
   }
+  if (!mHasBegun && mEnvironment.mFleet->Availability(mRequest.mPool, aNow).mCoveredIn > mRequest.mRoute->mObjective) {
+    RefuseForCapacity(aNow);
+    return;
+  }
   if (!mHasBegun) {
     mEnvironment.mCapacityQueue.Add(ref<stream_request>(this), aNow);
     return;
@@ -157,7 +161,9 @@
   policy::shortage shortage;
   shortage.mQueueWait = mEnvironment.mCapacityQueue.Forecast();
   if (pool != nullptr && pool->mEngine) {
-    shortage.mUncoveredLayers = mEnvironment.mFleet->Availability(mRequest.mPool, aNow).mUncoveredHere;
+    const engine_availability availability = mEnvironment.mFleet->Availability(mRequest.mPool, aNow);
+    shortage.mUncoveredLayers = availability.mUncoveredHere;
+    shortage.mPause = availability.mCoveredIn;
     shortage.mLayers = pool->mEngine->mLayers;
     shortage.mLoadTime = pool->mEngine->mLoadTime;
   }
@@ -176,6 +182,7 @@
     .Count("engines_refusing", availability.mRefusing)
     .Count("engines_moving", availability.mMoving)
     .Count("engines_leaving", availability.mLeaving)
+    .Count("engines_paused", availability.mPaused)
     .Count("layers_uncovered_here", availability.mUncoveredHere)
     .Count("layers_uncovered_anywhere", availability.mUncoveredAnywhere)
     .Number("tokens", mRequest.mMetadata.mPromptTokens + EstimatedOutputTokens())
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -56,6 +56,8 @@
   std::string mFaultyAddress;     ///< the server on the path that caused the failure
   std::string mActualInstance;
   bool mIsLeaving = false; ///< the server says that it is leaving
+  /// How long the server, which turned the request away, wants no requests from this gateway.
+  std::optional<duration> mPause;
 };
 
 /// An engine's report of its own state.
--- a/src/policy/retry_after.h
+++ b/src/policy/retry_after.h
@@ -14,6 +14,7 @@
   std::size_t mLayers = 0;          ///< layers of the model
   fractional_ms mLoadTime{ 0 };     ///< time to load all layers
   duration mQueueWait{ 0 };         ///< time until the requests already queued have capacity
+  duration mPause{ 0 };             ///< until engines that asked for a pause want requests again
 };
 
 /// Returns the delay after which a refused caller should retry.
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -237,6 +237,13 @@
     co_await aExchange.Reply(std::move(reply));
     co_return;
   }
+  if (mState == "pausing") {
+    mFleet.Records().Append({ { "kind", "turned_away" }, { "server", mName }, { "id", id } });
+    net::http_reply reply = NotExecutedReply(503, Address());
+    reply.mHeaders.Set("Retry-After", std::to_string(kPauseSeconds));
+    co_await aExchange.Reply(std::move(reply));
+    co_return;
+  }
   const std::string faulty = FindFaultyAddress(ParsePath(path));
   if (mState == "refusing" || !faulty.empty()) {
     net::http_reply reply = NotExecutedReply(503, faulty.empty() ? Address() : faulty);
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -18,6 +18,9 @@
 
 class fleet;
 
+/// Seconds that a server in state "pausing" asks for in its responses.
+inline constexpr unsigned kPauseSeconds = 3;
+
 /// An engine or a plain service of the fleet, at its own address.
 class fleet_server
 {
@@ -34,6 +37,7 @@
   /// - "slow": an engine that reports a high slowdown factor and takes longer for each event
   /// - "closing": refuses to join a new path of a running stream, before the list says that it leaves
   /// - "refusing": responds that it did not execute the request
+  /// - "pausing": responds that it did not execute the request and wants no other for kPauseSeconds
   /// - "failing": responds with status 500
   /// - "cutting": closes the connection before or in the middle of a response
   /// - "announcing": works, and every response says that it leaves; the list does not
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -95,6 +95,13 @@
     mFleet->HandleHead({ backend_id(aId), aStartedAt }, response, aNow);
   }
 
+  void AskForPause(const std::string& aId, duration aTime, instant aNow, std::uint64_t aStartedAt = 1)
+  {
+    wire::response_metadata response;
+    response.mPause = aTime;
+    mFleet->HandleHead({ backend_id(aId), aStartedAt }, response, aNow);
+  }
+
   void Report(const std::string& aId, double aSlowdownFactor, instant aNow)
   {
     wire::engine_report report;
@@ -276,3 +283,56 @@
   SayLeaving("east-2", mBegin);
   CHECK(chosen() == std::nullopt);
 }
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_an_engine_that_asks_for_a_pause_begins_no_path_there_until_it_is_over")
+{
+  const std::string first = ChosenEngine(mBegin);
+  AskForPause(first, milliseconds(3000), mBegin);
+  AskForPause(first, milliseconds(500), mBegin + milliseconds(100));
+  for (const auto after : { 0, 700, 2999 }) {
+    CHECK(ChosenEngine(mBegin + milliseconds(after)) != first);
+  }
+  CHECK(ChosenEngine(mBegin + milliseconds(3000)) == first);
+}
+
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_a_paused_engine_keeps_the_pause_over_a_gap_in_the_list_and_ends_it_by_a_restart")
+{
+  auto engine = Engine("east-1", "east");
+  ListOnly({ engine });
+  AskForPause("east-1", std::chrono::seconds(60), mAfterReturnTime);
+  Remove(engine.mId);
+  ListOnly({ engine });
+  CHECK(ChosenEngine(mAfterReturnTime).empty());
+  engine.mStartedAt = 2;
+  mFleet->Members().Changed(engine);
+  mFleet->MembersChanged(mAfterReturnTime);
+  CHECK(ChosenEngine(mAfterReturnTime) == "east-1");
+}
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_whose_engines_all_asked_for_pauses_knows_when_all_layers_are_covered_again")
+{
+  ListOnly(
+    { Engine("east-1", "east", { 0, 4 }), Engine("east-2", "east", { 4, 8 }), Engine("west-1", "west", { 4, 8 }) });
+  AskForPause("east-1", milliseconds(2000), mAfterReturnTime);
+  CHECK(mFleet->Availability(mPool, mAfterReturnTime).mCoveredIn == milliseconds(2000));
+  AskForPause("east-2", milliseconds(9000), mAfterReturnTime);
+  CHECK(mFleet->Availability(mPool, mAfterReturnTime).mCoveredIn == milliseconds(2000));
+  AskForPause("west-1", milliseconds(5000), mAfterReturnTime);
+  CHECK(mFleet->Availability(mPool, mAfterReturnTime).mCoveredIn == milliseconds(5000));
+  CHECK(mFleet->Availability(mPool, mAfterReturnTime).mPaused == 3);
+  CHECK(mFleet->Availability(mPool, mAfterReturnTime + milliseconds(5000)).mCoveredIn == duration::zero());
+}
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_whose_plain_services_all_asked_for_pauses_knows_when_the_first_is_back")
+{
+  ListOnly({ Engine("east-1", "east"), Engine("east-2", "east"), Engine("west-1", "west") });
+  CHECK(mFleet->ServiceReturnsIn(mPool, mAfterReturnTime) == std::nullopt);
+  AskForPause("east-1", milliseconds(9000), mAfterReturnTime);
+  AskForPause("east-2", milliseconds(4000), mAfterReturnTime);
+  AskForPause("west-1", milliseconds(1000), mAfterReturnTime);
+  SayLeaving("west-1", mAfterReturnTime);
+  CHECK(mFleet->ChooseService(mPool, {}, 0, mAfterReturnTime) == std::nullopt);
+  CHECK(mFleet->ServiceReturnsIn(mPool, mAfterReturnTime) == duration(milliseconds(4000)));
+  CHECK(mFleet->ChooseService(mPool, {}, 0, mAfterReturnTime + milliseconds(4000)) == backend_id("east-2"));
+}
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -268,6 +268,25 @@
   CHECK(!wire::DecodeResponseMetadata(200, Headers({})).mIsLeaving);
 }
 
+TEST_CASE("platform_response_asks_for_a_pause_only_with_status_503_and_a_number_of_seconds")
+{
+  const auto pause = [](unsigned aStatus, const std::vector<net::http_header>& aHeaders) {
+    return wire::DecodeResponseMetadata(aStatus, Headers(aHeaders)).mPause;
+  };
+  CHECK(pause(503, { { "Retry-After", "2" } }) == duration(2s));
+  CHECK(pause(503, { { "retry-after", "0.25" } }) == duration(250ms));
+  CHECK(pause(503, { { "Retry-After", "1" }, { "Retry-After", "3" }, { "Retry-After", "x" } }) == duration(3s));
+  CHECK(pause(503, { { "Retry-After", "1e300" } }) == duration(1h));
+  CHECK(pause(503, { { "Retry-After", "inf" } }) == duration(1h));
+  for (const char* text : { "", "0", "-1", "nan", "soon", "3 s", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+    INFO(text);
+    CHECK(!pause(503, { { "Retry-After", text } }));
+  }
+  CHECK(!pause(429, { { "Retry-After", "2" } }));
+  CHECK(!pause(200, { { "Retry-After", "2" } }));
+  CHECK(!pause(503, {}));
+}
+
 TEST_CASE("platform_refusal_of_a_new_path_yields_the_engine_in_its_body_or_none")
 {
   CHECK(wire::DecodePathRefusal(R"({"address":"10.0.0.1:80"})") == "10.0.0.1:80");
--- a/tests/unit/policy_retry_after_test.cpp
+++ b/tests/unit/policy_retry_after_test.cpp
@@ -71,3 +71,14 @@
   CHECK(RetryAfterDelay(mShortage, 3s, ~0ULL) == 1s);
   CHECK(RetryAfterDelay(mShortage, -1s, 0) == 0s);
 }
+
+TEST_CASE("retry_after_of_engines_that_asked_for_a_pause_is_its_end")
+{
+  std::mt19937_64 random(20261204);
+  shortage paused{ 80, 80, fractional_ms(14'000), 0s };
+  paused.mPause = 30s;
+  for (int each = 0; each < 20; ++each) {
+    CHECK(RetryAfterDelay(paused, 300s, random()) >= 22s);
+    CHECK(RetryAfterDelay(paused, 300s, random()) <= 38s);
+  }
+}
