A run that ends without events counts as interrupted also when its response looks complete

A response without a length or chunks ends with its connection, so an engine that crashes under it leaves a response that looks complete. Such a run was treated as a failure but not as a possible crash.

--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -322,6 +322,15 @@
   }
 }
 
+/// Records a run that ended early; the request may have crashed the engine if it has never had output.
+void stream_request::RunInterrupted(instant aNow)
+{
+  if (!mHasProduced && !mRanOn.empty()) {
+    ++mFruitlessRuns;
+    mEnvironment.mCrashes->RunInterrupted(mRequest, { mRanOn.back().mId, mRanOn.back().mStartedAt }, aNow);
+  }
+}
+
 /// Records once that this request crashes no engine.
 void stream_request::ProducedEvents()
 {
@@ -352,15 +361,14 @@
       // The engine left the list earlier, kept serving its running requests and has terminated now.
       mEnvironment.mFleet->MarkLost(mPath->mStages.front().mEngine, now);
     }
-    if (!mHasProduced && !mRanOn.empty()) {
-      ++mFruitlessRuns;
-      mEnvironment.mCrashes->RunInterrupted(mRequest, { mRanOn.back().mId, mRanOn.back().mStartedAt }, now);
-    }
+    RunInterrupted(now);
     HandleFailure(aReason, now);
     return;
   }
   if (mIsEventStream) {
     if (mCursor.HasPartialEvent() || !mHasBegun) {
+      // A response without a length ends with its connection, also when the engine has crashed.
+      RunInterrupted(now);
       HandleFailure("response ended before the last event was complete", now);
       return;
     }
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -76,6 +76,7 @@
   void HandleFailure(const std::string& aReason, instant aNow);
   void Retry(const std::string& aReason, instant aNow);
   void GiveUp(const std::string& aReason, instant aNow, std::optional<duration> aRetryAfter = std::nullopt);
+  void RunInterrupted(instant aNow);
   void ProducedEvents();
   void ForwardFailure(instant aNow);
   void Repath(const repath_cause& aCause, instant aNow);
--- a/tests/processes/gateway_crash_test.cpp
+++ b/tests/processes/gateway_crash_test.cpp
@@ -45,9 +45,29 @@
     return Send(call, aGateway);
   }
 
-  gateway_response SendCrashing(const std::string& aId, std::size_t aGateway)
+  /// Requests with aPart go to five engines at most; later ones are refused, and sound ones are served.
+  void CheckThatCrashingPartIsBlocked(const std::string& aPart)
   {
-    return SendParts(aId, "5a5a:40,bad0bad0:100,", aGateway);
+    const std::string parts = "5a5a:40," + aPart + ":100,";
+    for (int each = 0; each < 8; ++each) {
+      AwaitEngines();
+      SendParts("crashing-" + std::to_string(each), parts, static_cast<std::size_t>(each) % 2);
+    }
+    std::size_t runs = 0;
+    for (int each = 0; each < 8; ++each) {
+      runs += RunCount("crashing-" + std::to_string(each));
+    }
+    CHECK(runs <= 5);
+    for (const std::size_t gateway : { 0U, 1U }) {
+      const std::string id = "later-" + std::to_string(gateway);
+      const auto response = SendParts(id, parts, gateway);
+      CHECK(response.mStatus == 503);
+      CHECK(!response.mHeaders.Get("Retry-After").empty());
+      CHECK(RunCount(id) == 0);
+      AwaitEngines();
+      CHECK(SendParts("sound-" + std::to_string(gateway), "5a5a:40,", gateway).mStatus == 200);
+      CHECK(SendParts("other-" + std::to_string(gateway), "5a5a:40,6b6b:100,", gateway).mStatus == 200);
+    }
   }
 };
 
@@ -56,23 +76,11 @@
 TEST_CASE_METHOD(crashing_part_fixture,
                  "gateways_send_requests_with_a_part_that_crashes_engines_to_five_at_most_and_serve_the_others")
 {
-  for (int each = 0; each < 8; ++each) {
-    AwaitEngines();
-    SendCrashing("crashing-" + std::to_string(each), static_cast<std::size_t>(each) % 2);
-  }
-  std::size_t runs = 0;
-  for (int each = 0; each < 8; ++each) {
-    runs += RunCount("crashing-" + std::to_string(each));
-  }
-  CHECK(runs <= 5);
-  for (const std::size_t gateway : { 0U, 1U }) {
-    const std::string id = "later-" + std::to_string(gateway);
-    const auto response = SendCrashing(id, gateway);
-    CHECK(response.mStatus == 503);
-    CHECK(!response.mHeaders.Get("Retry-After").empty());
-    CHECK(RunCount(id) == 0);
-    AwaitEngines();
-    CHECK(SendParts("sound-" + std::to_string(gateway), "5a5a:40,", gateway).mStatus == 200);
-    CHECK(SendParts("other-" + std::to_string(gateway), "5a5a:40,6b6b:100,", gateway).mStatus == 200);
-  }
+  CheckThatCrashingPartIsBlocked("bad0bad0");
+}
+
+TEST_CASE_METHOD(crashing_part_fixture,
+                 "gateways_block_a_part_that_crashes_engines_whose_responses_end_without_events_and_look_complete")
+{
+  CheckThatCrashingPartIsBlocked("bad1bad1");
 }
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -25,6 +25,8 @@
 /// ID of a part of a prompt that crashes every engine which starts to write an output on it. The engine restarts at
 /// once without its state.
 constexpr std::string_view kCrashPart = "bad0bad0";
+/// The same, but the response looks complete, like one without a length that ends with its connection.
+constexpr std::string_view kQuietCrashPart = "bad1bad1";
 /// How long a server in state "dark" or "gone" holds a connection before it closes it without a response.
 constexpr duration kUnresponsiveTime = std::chrono::seconds(60);
 /// A stream that waits for a lost engine is interrupted after this time.
@@ -299,8 +301,13 @@
   aExchange.OnHangUp([&hasDisconnected] { hasDisconnected = true; });
   co_await aExchange.Begin(std::move(aHead));
   const std::uint64_t startedAt = mStartedAt;
-  if (request.mHeaders.Get("X-Prompt-Prefix").find(kCrashPart) != std::string_view::npos) {
+  const std::string_view parts = request.mHeaders.Get("X-Prompt-Prefix");
+  const bool crashesQuietly = parts.find(kQuietCrashPart) != std::string_view::npos;
+  if (crashesQuietly || parts.find(kCrashPart) != std::string_view::npos) {
     SetState("reborn");
+    if (crashesQuietly) {
+      co_await aExchange.End();
+    }
     co_return;
   }
   while (event < events && !hasDisconnected) {
