The response to HEAD ends with its head

A HEAD request that a server answered with a length, chunks or neither waited for a body until its deadline. The contract tests of responses without a length, cut, reset, without a body, and beside kept connections are new; of these only HEAD failed before.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -65,7 +65,11 @@
 class call_impl : public backend_call
 {
 public:
-  call_impl(ref<calls_impl> aCalls, const call_options& aOptions, std::string aBytes, call_handler& aHandler);
+  call_impl(ref<calls_impl> aCalls,
+            const call_options& aOptions,
+            std::string aBytes,
+            bool aHasBodilessResponse,
+            call_handler& aHandler);
 
   void Start();
   void Cancel() override;
@@ -87,6 +91,7 @@
   ref<calls_impl> mCalls;
   call_options mOptions;
   std::string mRequestBytes; ///< the encoded request, until it is sent
+  bool mHasBodilessResponse; ///< as the response to HEAD has
   call_handler* mHandler;
   tcp::socket mSocket;
   asio::steady_timer mTimer;
@@ -147,10 +152,15 @@
   return bytes + "\r\n" + aRequest.mBody;
 }
 
-call_impl::call_impl(ref<calls_impl> aCalls, const call_options& aOptions, std::string aBytes, call_handler& aHandler)
+call_impl::call_impl(ref<calls_impl> aCalls,
+                     const call_options& aOptions,
+                     std::string aBytes,
+                     bool aHasBodilessResponse,
+                     call_handler& aHandler)
   : mCalls(std::move(aCalls))
   , mOptions(aOptions)
   , mRequestBytes(std::move(aBytes))
+  , mHasBodilessResponse(aHasBodilessResponse)
   , mHandler(&aHandler)
   , mSocket(mCalls->Context())
   , mTimer(mCalls->Context())
@@ -286,6 +296,7 @@
     mParser->body_limit(boost::none);
     mParser->header_limit(kMaxHeadBytes);
     mParser->eager(true);
+    mParser->skip(mHasBodilessResponse);
     mIsHeadHandled = false;
   }
   error_code error;
@@ -421,8 +432,9 @@
 
 ref<backend_call> calls_impl::Start(const call_options& aOptions, net::http_request aRequest, call_handler& aHandler)
 {
-  auto call =
-    MakeRef<call_impl>(ref<calls_impl>(this), aOptions, Encode(aOptions.mTo.mEndpoint, std::move(aRequest)), aHandler);
+  const bool isHead = aRequest.mMethod == "HEAD";
+  auto call = MakeRef<call_impl>(
+    ref<calls_impl>(this), aOptions, Encode(aOptions.mTo.mEndpoint, std::move(aRequest)), isHead, aHandler);
   call->Start();
   return call;
 }
--- a/tests/contract/gateway_backend_call_test.cpp
+++ b/tests/contract/gateway_backend_call_test.cpp
@@ -42,6 +42,12 @@
     });
   }
 
+  /// Closes the connection after aFirst, in an orderly way or by a reset.
+  void CloseAfterFirst(bool aResets)
+  {
+    mCloses = true;
+    mResets = aResets;
+  }
   net::endpoint Address() const { return { "127.0.0.1", mAcceptor.local_endpoint().port() }; }
   std::size_t Sent() const { return mSent; }
   bool IsClosed() const { return mIsClosed; }
@@ -64,6 +70,11 @@
       if (!aError && !mBlock.empty() && mSent < kMaxSentBytes) {
         Write(mBlock);
       }
+      if (mCloses) {
+        error_code ignored;
+        mSocket.set_option(boost::asio::socket_base::linger(mResets, 0), ignored);
+        mSocket.close(ignored);
+      }
     });
   }
 
@@ -74,6 +85,8 @@
   std::array<char, 4096> mRequest{};
   std::size_t mSent = 0;
   bool mIsClosed = false;
+  bool mCloses = false;
+  bool mResets = false;
 };
 
 /// Records the response of a call and how it ended.
@@ -109,19 +122,21 @@
   ref<backend_calls> mCalls = backend_calls::Create(mContext);
   recording_handler mHandler{ [this] { mContext.stop(); } };
 
-  ref<backend_call> Start(const endless_server& aServer, call_handler& aHandler)
+  ref<backend_call> Start(const endless_server& aServer, call_handler& aHandler, const std::string& aMethod = "GET")
   {
+    net::http_request request;
+    request.mMethod = aMethod;
     call_options options;
     options.mTo = { { backend_id("server"), 1 }, aServer.Address() };
     options.mRequestId = "mine";
     options.mConnectTimeout = kLimit;
-    return mCalls->Start(options, net::http_request(), aHandler);
+    return mCalls->Start(options, std::move(request), aHandler);
   }
 
   /// Runs until the call has ended.
-  void Call(const endless_server& aServer)
+  void Call(const endless_server& aServer, const std::string& aMethod = "GET")
   {
-    const auto call = Start(aServer, mHandler);
+    const auto call = Start(aServer, mHandler, aMethod);
     mContext.run_for(kLimit);
     call->Cancel();
   }
@@ -215,3 +230,70 @@
     CHECK(reported == 1);
   }
 }
+
+TEST_CASE_METHOD(backend_call_fixture, "backend_call_with_a_response_without_length_ends_with_its_connection")
+{
+  endless_server server(mContext, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n", "");
+  server.CloseAfterFirst(false);
+  Call(server);
+  CHECK(mHandler.mEnd == call_end::Complete);
+  CHECK(mHandler.mBytes == 15);
+}
+
+TEST_CASE_METHOD(backend_call_fixture, "backend_call_with_a_response_without_length_that_is_reset_is_not_complete")
+{
+  endless_server server(mContext, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n", "");
+  server.CloseAfterFirst(true);
+  Call(server);
+  CHECK(mHandler.mEnd == call_end::Abort);
+}
+
+TEST_CASE("backend_call_with_a_response_that_ends_before_its_length_chunks_or_head_is_not_complete")
+{
+  for (const std::string& response : { std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort"),
+                                       kChunked + "5\r\nshort\r\n",
+                                       std::string("HTTP/1.1 200 OK\r\nContent-Le"),
+                                       std::string() }) {
+    INFO(response);
+    backend_call_fixture fixture;
+    endless_server server(fixture.mContext, response, "");
+    server.CloseAfterFirst(false);
+    fixture.Call(server);
+    CHECK(fixture.mHandler.mEnd == call_end::Abort);
+  }
+}
+
+TEST_CASE("backend_call_with_a_response_that_has_no_body_completes_without_the_end_of_the_connection")
+{
+  struct bodiless
+  {
+    const char* mMethod;
+    std::string mResponse;
+  };
+  for (const bodiless& each : { bodiless{ "GET", "HTTP/1.1 204 No Content\r\n\r\n" },
+                                bodiless{ "GET", "HTTP/1.1 304 Not Modified\r\n\r\n" },
+                                bodiless{ "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n" },
+                                bodiless{ "HEAD", "HTTP/1.1 200 OK\r\n\r\n" },
+                                bodiless{ "HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" } }) {
+    INFO(each.mMethod << " " << each.mResponse);
+    backend_call_fixture fixture;
+    const endless_server server(fixture.mContext, each.mResponse, "");
+    fixture.Call(server, each.mMethod);
+    CHECK(fixture.mHandler.mEnd == call_end::Complete);
+    CHECK(fixture.mHandler.mBytes == 0);
+  }
+}
+
+TEST_CASE_METHOD(backend_call_fixture, "backend_call_after_a_response_without_length_opens_another_connection")
+{
+  endless_server unframed(mContext, "HTTP/1.1 200 OK\r\n\r\nok", "");
+  unframed.CloseAfterFirst(false);
+  Call(unframed);
+  mContext.restart();
+  recording_handler next([this] { mContext.stop(); });
+  const endless_server framed(mContext, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "");
+  const auto call = Start(framed, next);
+  mContext.run_for(kLimit);
+  CHECK(next.mEnd == call_end::Complete);
+  CHECK(mCalls->ConnectionsOpened() == 2);
+}
