Gateways ask each other for blocks: new ones know them at once, others after missed hints

A gateway that had started knew no block until another one refused a request with the part, and the others knew its address only after their next read of the list of gateways.

Now a gateway asks the gateways that it learns of for their blocks, and one more at each read of the list.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -17,6 +17,8 @@
 /// since or missed the first hint. A gateway that hears it from another one stays quiet.
 constexpr duration kBlockHintInterval = std::chrono::milliseconds(1000);
 
+/// Maximum number of blocks that a gateway which asks for them is sent.
+constexpr std::size_t kMaxBlocksTold = 32;
 /// Minimum time between two contradictions of other gateways' blocks of one trait.
 constexpr duration kMinContradictionInterval = std::chrono::milliseconds(20);
 
@@ -37,6 +39,11 @@
   mHints->OnCrash([this](const policy::interrupted_run& aRun) { HandleCrash(aRun, Now()); },
                   [this](const policy::trait_block& aBlock) { HandleBlockHint(aBlock, Now()); },
                   [this](const std::vector<run_trait>& aTraits, instant aAt) { mRecord.Cleared(aTraits, aAt); });
+  mHints->OnBlocksAsked([this](instant aNow) {
+    auto blocks = mRecord.Blocks(aNow);
+    blocks.resize(std::min(blocks.size(), kMaxBlocksTold));
+    return blocks;
+  });
 }
 
 std::vector<run_trait> crash_watch::TraitsOf(const admitted_request& aRequest)
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -35,7 +35,7 @@
   std::size_t Confirm(instant aNow);
   /// Ends blocks and forgets old crashes.
   void TimePassed(instant aNow);
-  std::size_t BlockCount(instant aNow) const { return mRecord.BlockCount(aNow); }
+  std::size_t BlockCount(instant aNow) const { return mRecord.Blocks(aNow).size(); }
 
 private:
   void HandleCrash(const policy::interrupted_run& aRun, instant aNow);
--- a/src/gateway/peer_hints.cpp
+++ b/src/gateway/peer_hints.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -27,6 +28,7 @@
 constexpr std::string_view kCrashesField = "crashes";
 constexpr std::string_view kForField = "for_ms";
 constexpr std::string_view kClearedField = "cleared";
+constexpr std::string_view kAskField = "ask"; ///< asks for hints of the kind that is its value
 /// Maximum number of traits that are read from one hint.
 constexpr std::size_t kMaxTraits = 64;
 /// Maximum age that is read from a hint; no crash is remembered for longer.
@@ -70,6 +72,14 @@
   return traits.empty() ? std::nullopt : std::optional(std::move(traits));
 }
 
+boost::json::object BlockHint(const policy::trait_block& aBlock, instant aNow)
+{
+  return { { kBlockedField, aBlock.mTrait.Value() },
+           { kCrashesField, aBlock.mCrashes },
+           { kForField, WholeMilliseconds(aBlock.mTimeLeft) },
+           { kAgeField, WholeMilliseconds(aNow - aBlock.mSince) } };
+}
+
 boost::json::array ToJson(const std::vector<run_trait>& aTraits)
 {
   boost::json::array values;
@@ -111,7 +121,7 @@
 
 void peer_hints::SetPeers(std::vector<net::endpoint> aPeers)
 {
-  mPeers.clear();
+  const std::vector<udp::endpoint> former = std::exchange(mPeers, {});
   for (const net::endpoint& peer : aPeers) {
     boost::system::error_code error;
     const auto address = asio::ip::make_address(peer.mAddress, error);
@@ -119,6 +129,25 @@
       mPeers.emplace_back(address, peer.mPort);
     }
   }
+  mNextAsked = mPeers.empty() ? 0 : (mNextAsked + 1) % mPeers.size();
+  std::vector<udp::endpoint> asked;
+  for (std::size_t index = 0; index < mPeers.size(); ++index) {
+    const bool isNew = std::find(former.begin(), former.end(), mPeers[index]) == former.end();
+    if (isNew || index == mNextAsked) {
+      asked.push_back(mPeers[index]);
+    }
+  }
+  Send({ { kAskField, kBlockedField } }, asked);
+}
+
+/// Sends the blocks of this gateway to the sender of the last datagram.
+void peer_hints::AnswerAsker()
+{
+  const instant now = Now();
+  const std::vector<udp::endpoint> asker{ mFrom };
+  for (const policy::trait_block& block : mBlocks ? mBlocks(now) : std::vector<policy::trait_block>()) {
+    Send(BlockHint(block, now), asker);
+  }
 }
 
 void peer_hints::NotifyLost(const backend_id& aEngine)
@@ -150,10 +179,7 @@
 
 void peer_hints::NotifyBlocked(const policy::trait_block& aBlock, instant aNow)
 {
-  Broadcast({ { kBlockedField, aBlock.mTrait.Value() },
-              { kCrashesField, aBlock.mCrashes },
-              { kForField, WholeMilliseconds(aBlock.mTimeLeft) },
-              { kAgeField, WholeMilliseconds(aNow - aBlock.mSince) } });
+  Broadcast(BlockHint(aBlock, aNow));
 }
 
 void peer_hints::NotifyCleared(const std::vector<run_trait>& aTraits, duration aAge)
@@ -172,14 +198,22 @@
 
 void peer_hints::Broadcast(const boost::json::object& aHint)
 {
+  Send(aHint, mPeers);
+}
+
+void peer_hints::Send(const boost::json::object& aHint, const std::vector<udp::endpoint>& aTo)
+{
+  if (aTo.empty()) {
+    return;
+  }
   const std::string datagram = boost::json::serialize(aHint);
   std::size_t unsent = 0;
-  for (const udp::endpoint& peer : mPeers) {
+  for (const udp::endpoint& peer : aTo) {
     boost::system::error_code error;
     mSocket.send_to(asio::buffer(datagram), peer, 0, error);
     unsent += error ? 1 : 0;
   }
-  log_line(log_event::HintTold).Text("hint", datagram).Count("gateways", mPeers.size()).Count("unsent", unsent);
+  log_line(log_event::HintTold).Text("hint", datagram).Count("gateways", aTo.size()).Count("unsent", unsent);
 }
 
 void peer_hints::Receive()
@@ -203,19 +237,21 @@
   boost::system::error_code error;
   const auto value = boost::json::parse(boost::json::string_view(aDatagram.data(), aDatagram.size()), error);
   const auto* object = error ? nullptr : value.if_object();
-  const auto engineIn = [&](std::string_view aField) {
+  const auto textIn = [&](std::string_view aField) {
     const auto* value = object == nullptr ? nullptr : object->if_contains(aField);
-    return backend_id(value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string());
+    return value != nullptr && value->is_string() ? std::string(value->as_string()) : std::string();
   };
-  const backend_id lost = engineIn(kLostField);
-  const backend_id moving = engineIn(kMovingField);
-  const backend_id slow = engineIn(kSlowField);
+  const backend_id lost(textIn(kLostField));
+  const backend_id moving(textIn(kMovingField));
+  const backend_id slow(textIn(kSlowField));
   if (lost.IsValid()) {
     HandleLost(lost);
   } else if (moving.IsValid()) {
     mFleet->MarkMoving(moving, Now());
   } else if (slow.IsValid()) {
     HandleSlow(slow);
+  } else if (textIn(kAskField) == kBlockedField) {
+    AnswerAsker();
   } else if (object == nullptr || !HandleCrash(*object)) {
     log_line(log_event::HintUnreadable).Count("bytes", aDatagram.size());
   }
--- a/src/gateway/peer_hints.h
+++ b/src/gateway/peer_hints.h
@@ -31,7 +31,8 @@
   bool Start(const net::endpoint& aAddress);
   /// The address that others send hints to; empty when the socket is not open.
   std::string LocalAddress() const;
-  /// Sets the gateways that hints are sent to.
+  /// Sets the gateways that hints are sent to; called whenever they have been read. Asks those that are new, and one of
+  /// the others in turn, for the traits that they have blocked: this gateway may have started later, or missed hints.
   void SetPeers(std::vector<net::endpoint> aPeers);
   /// Sends that this gateway has found an engine lost.
   void NotifyLost(const backend_id& aEngine);
@@ -45,6 +46,8 @@
   void NotifyBlocked(const policy::trait_block& aBlock, instant aNow);
   /// Sends that a request with traits suspected of crashing servers has produced output, aAge ago.
   void NotifyCleared(const std::vector<run_trait>& aTraits, duration aAge);
+  /// Sets the callback that returns the blocks which another gateway has asked for.
+  void OnBlocksAsked(std::function<std::vector<policy::trait_block>(instant)> aBlocks) { mBlocks = std::move(aBlocks); }
   /// Sets the callbacks for hints of other gateways about crashes, blocked and cleared traits.
   void OnCrash(std::function<void(const policy::interrupted_run&)> aCrashed,
                std::function<void(const policy::trait_block&)> aBlocked,
@@ -56,7 +59,9 @@
   void HandleLost(const backend_id& aEngine);
   void HandleSlow(const backend_id& aEngine);
   bool HandleCrash(const boost::json::object& aHint);
+  void AnswerAsker();
   void Broadcast(const boost::json::object& aHint);
+  void Send(const boost::json::object& aHint, const std::vector<boost::asio::ip::udp::endpoint>& aTo);
 
   ref<fleet> mFleet;
   ref<engine_probes> mProbes;
@@ -64,8 +69,10 @@
   boost::asio::ip::udp::endpoint mFrom;
   std::array<char, 1400> mBuffer{}; ///< most hints have about forty bytes, one about a crash up to 900
   std::vector<boost::asio::ip::udp::endpoint> mPeers;
+  std::size_t mNextAsked = 0; ///< index in mPeers
   std::map<backend_id, instant> mProbedAt;
   std::map<backend_id, instant> mSlowReceivedAt; ///< last hint about a slow engine from another gateway
+  std::function<std::vector<policy::trait_block>(instant)> mBlocks;
   std::function<void(const policy::interrupted_run&)> mOnCrash;
   std::function<void(const policy::trait_block&)> mOnBlocked;
   std::function<void(const std::vector<run_trait>&, instant)> mOnCleared;
--- a/src/policy/crash_record.cpp
+++ b/src/policy/crash_record.cpp
@@ -263,10 +263,15 @@
   });
 }
 
-std::size_t crash_record::BlockCount(instant aNow) const
+std::vector<trait_block> crash_record::Blocks(instant aNow) const
 {
-  return static_cast<std::size_t>(
-    std::count_if(mRecords.begin(), mRecords.end(), [&](const auto& aEntry) { return aEntry.second.IsBlocked(aNow); }));
+  std::vector<trait_block> blocks;
+  for (const auto& [trait, known] : mRecords) {
+    if (known.IsBlocked(aNow)) {
+      blocks.push_back(ToBlock(trait, known, aNow));
+    }
+  }
+  return blocks;
 }
 
 } // namespace chervilpulley::policy
--- a/src/policy/crash_record.h
+++ b/src/policy/crash_record.h
@@ -113,8 +113,8 @@
   std::optional<trait_block> FindBlock(const std::vector<run_trait>& aTraits, instant aNow) const;
   /// Ends blocks and forgets old records.
   void TimePassed(instant aNow);
-  /// Number of blocked traits.
-  std::size_t BlockCount(instant aNow) const;
+  /// All blocked traits.
+  std::vector<trait_block> Blocks(instant aNow) const;
 
 private:
   struct record
--- a/tests/processes/failure_test.cpp
+++ b/tests/processes/failure_test.cpp
@@ -104,6 +104,19 @@
   }
 }
 
+TEST_CASE_METHOD(crash_fixture, "requests_whose_prompts_share_a_crashing_beginning_crash_five_engines_at_most")
+{
+  std::size_t crashes = 0;
+  for (std::size_t round = 0; round < 8; ++round) {
+    const std::string prompt = "please CRASH-ENGINE for caller " + std::to_string(round);
+    CHECK(mCluster.CallerAt(round % 2).Complete({ prompt, kTokens, false }).mStatus >= 400);
+    crashes += RestartExited();
+    REQUIRE(mCluster.WaitUntilServing(0));
+    REQUIRE(mCluster.WaitUntilServing(1));
+  }
+  CHECK(crashes <= 5);
+}
+
 TEST_CASE_METHOD(domains_fixture, "failure_domain_lost_streams_and_lookups_continue")
 {
   std::atomic<std::size_t> started = 0;
--- a/tests/processes/gateway_crash_test.cpp
+++ b/tests/processes/gateway_crash_test.cpp
@@ -84,3 +84,11 @@
 {
   CheckThatCrashingPartIsBlocked("bad1bad1");
 }
+
+TEST_CASE_METHOD(crashing_part_fixture, "gateway_that_starts_after_a_part_was_blocked_sends_no_request_with_it")
+{
+  CheckThatCrashingPartIsBlocked("bad0bad0");
+  StartGateway();
+  CHECK(SendParts("at-new", "5a5a:40,bad0bad0:100,", 2).mStatus == 503);
+  CHECK(RunCount("at-new") == 0);
+}
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -190,6 +190,26 @@
   return Announce(std::move(reply));
 }
 
+void fleet_server::Record(std::string_view aKind, const std::string& aId, const net::http_request& aRequest) const
+{
+  const net::http_headers& headers = aRequest.mHeaders;
+  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(Now().time_since_epoch()).count();
+  mFleet.Records().Append({ { "kind", aKind },
+                            { "server", mName },
+                            { "started_at", mStartedAt },
+                            { "at_ms", now },
+                            { "id", aId },
+                            { "method", aRequest.mMethod },
+                            { "target", aRequest.mTarget },
+                            { "body", aRequest.mBody },
+                            { "path", headers.Get("X-Hop-Count") },
+                            { "parts", headers.Get("X-Prompt-Prefix") },
+                            { "workspace", headers.Get("X-Tenant") },
+                            { "key", headers.Get("X-Credential") },
+                            { "last_event", headers.Get("Last-Event-Id") },
+                            { "deadline_ms", ParseNumber(headers.Get("X-Deadline-Ms")) } });
+}
+
 /// Adds the header of a leaving server in state "announcing".
 net::http_reply fleet_server::Announce(net::http_reply aReply) const
 {
@@ -240,7 +260,7 @@
     co_return;
   }
   if (mState == "pausing") {
-    mFleet.Records().Append({ { "kind", "turned_away" }, { "server", mName }, { "id", id } });
+    Record("turned_away", id, request);
     net::http_reply reply = NotExecutedReply(503, Address());
     reply.mHeaders.Set("Retry-After", std::to_string(kPauseSeconds));
     co_await aExchange.Reply(std::move(reply));
@@ -252,17 +272,10 @@
     co_await aExchange.Reply(std::move(reply));
     co_return;
   }
-  mFleet.Records().Append({ { "kind", "run" },
-                            { "server", mName },
-                            { "id", id },
-                            { "method", request.mMethod },
-                            { "target", request.mTarget },
-                            { "body", request.mBody },
-                            { "path", path },
-                            { "workspace", request.mHeaders.Get("X-Tenant") },
-                            { "key", request.mHeaders.Get("X-Credential") },
-                            { "last_event", request.mHeaders.Get("Last-Event-Id") },
-                            { "deadline_ms", ParseNumber(request.mHeaders.Get("X-Deadline-Ms")) } });
+  Record("run", id, request);
+  if (mState == "announcing") {
+    Record("said_leaving", id, request);
+  }
   if (request.mBody == kCrashRequestBody) {
     SetState("reborn");
     co_return;
@@ -304,6 +317,7 @@
   const std::string_view parts = request.mHeaders.Get("X-Prompt-Prefix");
   const bool crashesQuietly = parts.find(kQuietCrashPart) != std::string_view::npos;
   if (crashesQuietly || parts.find(kCrashPart) != std::string_view::npos) {
+    Record("crash", aId, request);
     SetState("reborn");
     if (crashesQuietly) {
       co_await aExchange.End();
