A part that crashes again after its block is blocked at once; contradictions of blocks are never held back by other hints

Read in the code: in the trial after a block, a later part of the same prompt counted as another explanation, so that two more servers were needed (the unit test of the trial fails with a second part in the run, and passes now). And every hint about a block restarted the pause between contradictions, so that a gateway told by many would have stayed silent; the pause has a time of its own now, and contradictions are logged.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -69,6 +69,7 @@
   OrderWithoutEffect,
   CrashSuspected,
   CrashTraitBlocked,
+  CrashBlockContradicted,
   CrashSuspectCleared,
   RequestUnreadable,
   RequestRefused,
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -1,7 +1,6 @@
 #include "gateway/crash_watch.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -138,7 +137,9 @@
 void crash_watch::TimePassed(instant aNow)
 {
   mRecord.TimePassed(aNow);
-  std::erase_if(mBlockHintAt, [&](const auto& aHint) { return aNow - aHint.second > kBlockHintInterval * 2; });
+  for (auto* times : { &mBlockHintAt, &mContradictedAt }) {
+    std::erase_if(*times, [&](const auto& aEntry) { return aNow - aEntry.second > kBlockHintInterval * 2; });
+  }
 }
 
 void crash_watch::HandleCrash(const policy::interrupted_run& aRun, instant aNow)
@@ -164,8 +165,7 @@
 void crash_watch::HandleBlockHint(const policy::trait_block& aBlock, instant aNow)
 {
   const policy::block_verdict verdict = mRecord.Blocked(aBlock, aNow);
-  instant& hintAt = mBlockHintAt[aBlock.mTrait];
-  const instant lastHintAt = std::exchange(hintAt, aNow);
+  mBlockHintAt[aBlock.mTrait] = aNow;
   if (verdict == policy::block_verdict::Adopted) {
     log_line(log_event::CrashTraitBlocked)
       .Count("trait", aBlock.mTrait.Value())
@@ -175,7 +175,15 @@
     mHints->NotifyBlocked(aBlock, aNow);
   }
   const auto output = mRecord.LastOutput(aBlock.mTrait);
-  if (verdict == policy::block_verdict::Contradicted && output && aNow - lastHintAt > kMinContradictionInterval) {
+  if (verdict != policy::block_verdict::Contradicted || !output) {
+    return;
+  }
+  instant& contradictedAt = mContradictedAt[aBlock.mTrait];
+  if (aNow - contradictedAt >= kMinContradictionInterval) {
+    contradictedAt = aNow;
+    log_line(log_event::CrashBlockContradicted)
+      .Count("trait", aBlock.mTrait.Value())
+      .Number("output_ms_ago", Milliseconds(aNow - *output));
     mHints->NotifyCleared({ aBlock.mTrait }, aNow - *output);
   }
 }
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -48,6 +48,7 @@
   ref<peer_hints> mHints;
   policy::crash_record mRecord;
   std::map<run_trait, instant> mBlockHintAt; ///< last hint about a blocked trait, of this or another gateway
+  std::map<run_trait, instant> mContradictedAt;
 };
 
 } // namespace chervilpulley::gateway
--- a/src/policy/crash_record.cpp
+++ b/src/policy/crash_record.cpp
@@ -89,7 +89,8 @@
 /// be lost.
 bool crash_record::HasRival(run_trait aTrait, const record& aRecord) const
 {
-  if (!aRecord.mIsPart) {
+  // A trait that was blocked before has shown by a trial what it does.
+  if (!aRecord.mIsPart || aRecord.mBlocks > 0) {
     return false;
   }
   return std::any_of(mRecords.begin(), mRecords.end(), [&](const auto& aEntry) {
--- a/tests/unit/policy_crash_record_test.cpp
+++ b/tests/unit/policy_crash_record_test.cpp
@@ -242,7 +242,8 @@
   CHECK(!mRecord.Admit(request, mNow));
   CHECK(mRecord.Admit(request, mNow + kTrialInterval / 2));
   CHECK(mRecord.IsSuspect(request, mNow));
-  const auto again = CrashWithParts({ mFaultyPart });
+  // The part that comes after it in this run is no other explanation: it has crashed nothing before.
+  const auto again = CrashWithParts({ mFaultyPart, mOtherPart });
   REQUIRE(again);
   CHECK(again->mTimeLeft >= kFirstBlockTime * 2);
 }
