fleet.cpp and stream_request.cpp cut by their jobs; nothing but moves

What servers say about themselves is in fleet_notices.cpp; finding capacity for a stream, or refusing it, in stream_request_capacity.cpp.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -11,8 +11,6 @@
 
 /// Weight of the newest outcome in the moving average of a server's failures.
 constexpr double kOutcomeWeight = 0.15;
-constexpr std::string_view kFoundInList = "list";
-constexpr std::string_view kFoundInResponse = "response";
 
 /// Whether a server may get new requests.
 bool MayGetWork(const backend_state& aState, instant aNow)
@@ -59,92 +57,11 @@
   mStates = std::move(states);
   for (const auto& [id, member] : mMembers.Members()) {
     if (member.mLeaving) {
-      MarkLeaving({ id, member.mStartedAt }, kFoundInList, aNow);
+      MarkLeaving({ id, member.mStartedAt }, "list", aNow);
     }
   }
 }
 
-/// The state of a server that is listed for the first time, again, or after a restart. An entry that is not newer than
-/// a process which is known to be leaving is an old picture of the list.
-backend_state fleet::NewState(const policy::backend_member& aMember) const
-{
-  backend_state state;
-  state.mStartedAt = aMember.mStartedAt;
-  if (auto address = net::ParseEndpoint(aMember.mAddress)) {
-    state.mAddress = address.value();
-  }
-  if (const auto known = mStates.find(aMember.mId);
-      known != mStates.end() && aMember.mStartedAt <= known->second.mStartedAt) {
-    state.mNotices = known->second.mNotices;
-  }
-  if (const auto departed = mDeparted.find(aMember.mId); departed != mDeparted.end() &&
-                                                         aMember.mStartedAt <= departed->second.mStartedAt &&
-                                                         !state.mNotices.mLeavingSince) {
-    state.mNotices = departed->second.mNotices;
-  }
-  return state;
-}
-
-void fleet::HandleHead(const policy::server_start& aServer, const wire::response_metadata& aResponse, instant aNow)
-{
-  // A response of another server at a reused address says nothing about the one that the call was meant for.
-  const bool isOther = !aResponse.mActualInstance.empty() && aResponse.mActualInstance != aServer.mId.Str();
-  if (isOther) {
-    return;
-  }
-  if (aResponse.mIsLeaving) {
-    MarkLeaving(aServer, kFoundInResponse, aNow);
-  }
-  if (aResponse.mPause) {
-    Pause(aServer, *aResponse.mPause, aNow);
-  }
-}
-
-server_notices* fleet::NoticesOf(const policy::server_start& aServer)
-{
-  const auto found = mStates.find(aServer.mId);
-  if (found != mStates.end() && found->second.mStartedAt == aServer.mStartedAt) {
-    return &found->second.mNotices;
-  }
-  const auto departed = mDeparted.find(aServer.mId);
-  const bool isDeparted = departed != mDeparted.end() && departed->second.mStartedAt == aServer.mStartedAt;
-  return isDeparted ? &departed->second.mNotices : nullptr;
-}
-
-void fleet::Pause(const policy::server_start& aServer, duration aTime, instant aNow)
-{
-  server_notices* notices = NoticesOf(aServer);
-  if (notices == nullptr) {
-    return;
-  }
-  const bool isNew = notices->mPausedUntil <= aNow;
-  notices->mPausedUntil = std::max(notices->mPausedUntil, aNow + aTime);
-  if (isNew) {
-    log_line(log_event::BackendPaused)
-      .Text("backend", aServer.mId.Str())
-      .Number("for_ms", std::chrono::duration<double, std::milli>(aTime).count());
-  }
-}
-
-bool fleet::IsPaused(const backend_id& aId, instant aNow) const
-{
-  const auto found = mStates.find(aId);
-  return found != mStates.end() && found->second.mNotices.mPausedUntil > aNow;
-}
-
-void fleet::MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow)
-{
-  server_notices* notices = NoticesOf(aServer);
-  if (notices == nullptr || notices->mLeavingSince) {
-    return;
-  }
-  notices->mLeavingSince = aNow;
-  log_line(log_event::BackendLeaving)
-    .Text("backend", aServer.mId.Str())
-    .Count("started_at", aServer.mStartedAt)
-    .Text("found_by", aSource);
-}
-
 void fleet::AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow)
 {
   std::erase_if(mDeparted, [&](const auto& aKnown) { return aNow - aKnown.second.mSince > kDepartedRetention; });
@@ -286,21 +203,6 @@
   return index ? std::optional(*ids[*index]) : std::nullopt;
 }
 
-std::optional<duration> fleet::ServiceReturnsIn(const pool_name& aPool, instant aNow) const
-{
-  std::optional<duration> soonest;
-  for (const auto& [id, member] : mMembers.Members()) {
-    const auto state = mStates.find(id);
-    if (member.mPool != aPool || state == mStates.end() || state->second.mNotices.mLeavingSince || IsReplaced(id) ||
-        state->second.mNotices.mPausedUntil <= aNow) {
-      continue;
-    }
-    const duration left = std::max(state->second.mNotices.mPausedUntil, state->second.mLostUntil) - aNow;
-    soonest = std::min(soonest.value_or(left), left);
-  }
-  return soonest;
-}
-
 void fleet::AddInterconnectLoad(const pool_name& aPool, const chosen_path& aPath, double aTokens, instant aNow)
 {
   const pool* pool = mConfiguration ? mConfiguration->FindPool(aPool) : nullptr;
@@ -527,12 +429,6 @@
   return slow;
 }
 
-std::optional<instant> fleet::LeavingSince(const backend_id& aId) const
-{
-  const auto found = mStates.find(aId);
-  return found == mStates.end() ? std::nullopt : found->second.mNotices.mLeavingSince;
-}
-
 std::optional<backend_address> fleet::AddressOf(const backend_id& aId) const
 {
   if (const auto found = mStates.find(aId); found != mStates.end()) {
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -10,7 +10,6 @@
 #include "gateway/crash_watch.h"
 #include "gateway/engine_probes.h"
 #include "gateway/stream_request_p.h"
-#include "policy/retry_after.h"
 
 namespace chervilpulley::gateway {
 
@@ -18,8 +17,6 @@
 
 /// Timeout for connecting to an engine; a live engine accepts within a millisecond.
 constexpr duration kConnectTimeout = std::chrono::milliseconds(250);
-/// Share of the objective that a request may spend in an engine's queue: prefill and the first pass need the rest.
-constexpr double kQueueShareOfObjective = 0.5;
 /// Maximum delay of a first event that is predicted before the engine is probed: callers give up after two seconds, and
 /// an engine that is lost looks like one with a long queue.
 constexpr duration kMaxExpectedDelay = std::chrono::milliseconds(800);
@@ -27,12 +24,6 @@
 constexpr duration kFirstEventSlack = std::chrono::milliseconds(350);
 /// Unsent bytes for the caller beyond which reading from the engine is paused until the caller has received them.
 constexpr std::size_t kMaxBacklogBytes = 256U << 10U;
-/// Pause before resuming a broken stream is tried again after the retry budget or the engines did not allow it. A
-/// caller that has received part of the output decides itself how long it waits for the rest.
-constexpr duration kResumePause = std::chrono::milliseconds(120);
-/// Time after which a request may go back to an engine that failed it: longer than a change of an engine takes to reach
-/// this gateway's list of backend servers.
-constexpr duration kExclusionTime = std::chrono::milliseconds(600);
 /// Maximum number of times a request is sent, counting sends that no engine has run: before its first event, and in
 /// total.
 constexpr unsigned kMaxSends = 5;
@@ -87,108 +78,6 @@
   return std::max(1.0, EstimatedOutputTokens() - static_cast<double>(mCursor.Count()));
 }
 
-void stream_request::TryPath(instant aNow)
-{
-  mPhase = phase::Waiting;
-  if (TimeLeft(aNow) <= duration::zero()) {
-    GiveUp("deadline", aNow);
-    return;
-  }
-  if (SendIfCapacity(aNow)) {
-    return;
-  }
-  if (!mHasBegun && mEnvironment.mFleet->Availability(mRequest.mPool, aNow).mCoveredIn > mRequest.mRoute->mObjective) {
-    RefuseForCapacity(aNow);
-    return;
-  }
-  if (!mHasBegun) {
-    mEnvironment.mCapacityQueue.Add(ref<stream_request>(this), aNow);
-    return;
-  }
-  Wait(kResumePause, [](stream_request& aRequest) { aRequest.TryPath(Now()); });
-}
-
-bool stream_request::SendIfCapacity(instant aNow)
-{
-  if (const auto blockedFor = mEnvironment.mCrashes->BlockedFor(mRequest, aNow); blockedFor && !mHasBegun) {
-    GiveUp("blocked because it crashes engines", aNow, *blockedFor);
-    return true;
-  }
-  path_query query;
-  query.mPool = mRequest.mPool;
-  // The output produced so far is part of the prompt when the stream is resumed.
-  query.mInputTokens = mRequest.mMetadata.mPromptTokens + static_cast<double>(mCursor.Count());
-  query.mOutputTokens = TokensLeft();
-  query.mExcluded = mExcluded;
-  query.mMaxQueueWait = std::chrono::duration_cast<duration>(mRequest.mRoute->mObjective * kQueueShareOfObjective);
-  auto path = mEnvironment.mFleet->ChoosePath(query, aNow);
-  if (!path) {
-    // An engine that failed the request may be tried again if no other engine can run it, but not at once: the list of
-    // engines may be several hundred milliseconds old, so another engine with the same layers may be listed at any
-    // moment, and a request has few attempts.
-    if (aNow - mExcludedAt > kExclusionTime) {
-      mExcluded.clear();
-    }
-    return false;
-  }
-  if (mNeedsRetryBudget) {
-    if (!mEnvironment.mFleet->Retries(mRequest.mPool).TryRetry(aNow, mEnvironment.mFleet->Gateways())) {
-      return false;
-    }
-    mNeedsRetryBudget = false;
-    mEnvironment.mMetrics->Repaired(repair_kind::Retried);
-  }
-  mEnvironment.mFleet->AddInterconnectLoad(mRequest.mPool, *path, path->mTokens, aNow);
-  Send(std::move(*path), aNow);
-  return true;
-}
-
-policy::waiting_request stream_request::ToWaitingRequest() const
-{
-  return { mRequest.mArrived, mRequest.mRoute->mObjective, mRequest.mDeadline - mRequest.mArrived, mRequest.mPriority };
-}
-
-void stream_request::RefuseForCapacity(instant aNow)
-{
-  LogAvailability(aNow);
-  GiveUp("no_path", aNow);
-}
-
-/// Time after which a caller that is refused now is most likely to be served.
-duration stream_request::RetryAfter(instant aNow)
-{
-  const pool* pool = mRequest.mConfiguration->FindPool(mRequest.mPool);
-  policy::shortage shortage;
-  shortage.mQueueWait = mEnvironment.mCapacityQueue.Forecast();
-  if (pool != nullptr && pool->mEngine) {
-    const engine_availability availability = mEnvironment.mFleet->Availability(mRequest.mPool, aNow);
-    shortage.mUncoveredLayers = availability.mUncoveredHere;
-    shortage.mPause = availability.mCoveredIn;
-    shortage.mLayers = pool->mEngine->mLayers;
-    shortage.mLoadTime = pool->mEngine->mLoadTime;
-  }
-  const duration patience = mRequest.mMetadata.mCallerTimeout.value_or(TimeLeft(aNow)) - (aNow - mRequest.mArrived);
-  return policy::RetryAfterDelay(shortage, patience, mEnvironment.mRandom());
-}
-
-/// Logs the state of the engines that explains why there was no path.
-void stream_request::LogAvailability(instant aNow)
-{
-  const engine_availability availability = mEnvironment.mFleet->Availability(mRequest.mPool, aNow);
-  log_line(log_event::NoPath)
-    .Text("request", Id())
-    .Count("engines_usable", availability.mUsable)
-    .Count("engines_lost", availability.mLost)
-    .Count("engines_refusing", availability.mRefusing)
-    .Count("engines_moving", availability.mMoving)
-    .Count("engines_leaving", availability.mLeaving)
-    .Count("engines_paused", availability.mPaused)
-    .Count("layers_uncovered_here", availability.mUncoveredHere)
-    .Count("layers_uncovered_anywhere", availability.mUncoveredAnywhere)
-    .Number("tokens", mRequest.mMetadata.mPromptTokens + EstimatedOutputTokens())
-    .Count("members_version", mEnvironment.mFleet->Members().Version());
-}
-
 /// Calls aContinue after a pause, unless the request has ended or is running by then.
 void stream_request::Wait(duration aTime, void (*aContinue)(stream_request&))
 {
--- a/src/gateway/stream_request_p.h
+++ b/src/gateway/stream_request_p.h
@@ -10,6 +10,10 @@
 /// Pause after the first probe for a stalled stream; it doubles with each further one, up to a second.
 inline constexpr duration kInitialProbePause = std::chrono::milliseconds(250);
 
+/// Pause before resuming a broken stream is tried again after the retry budget or the engines did not allow it. A
+/// caller that has received part of the output decides itself how long it waits for the rest.
+inline constexpr duration kResumePause = std::chrono::milliseconds(120);
+
 inline duration ToDuration(policy::fractional_ms aTime)
 {
   return std::chrono::duration_cast<duration>(aTime);
