Entries find beginnings of prompts that crash engines, by the same decision as gateways

Elsewhere the same cause: src/entry counted crashes against workspace, model, length and prompt as one, so requests that begin alike and crash engines ended one after the other.

Callers of entries declare no parts, so beginnings of the prompt at growing lengths are the traits. A crash without output counts against them here and, in the report that entries send each other anyway, at the others: its digest may be a list, which earlier releases do not read. The first token clears them. A request with a trait at two crashes is not retried, one with a blocked trait gets 503 with the time that is left. The refusal of a single request (422 after two crashes) stays as it was.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -48,6 +48,8 @@
     ("leaving_forgotten_with_the_entry", "src/gateway/fleet_notices.cpp", "    state.mNotices = departed->second.mNotices;\n", "", "unit", "fleet_with_*"),
     ("leaving_for_ever", "src/gateway/fleet_notices.cpp", "aMember.mStartedAt <= known->second.mStartedAt", "true", "unit", "fleet_with_an_engine_that_left_*"),
     ("leaving_servers_get_work", "src/gateway/fleet.cpp", "return !aState.mNotices.mLeavingSince &&", "return", "unit", "fleet_with_*"),
+    ("blocked_beginnings_run", "src/entry/completion_run.cpp", "  if (!blockedFor) {", "  if (true) {", "processes", "requests_whose_prompts_share_*"),
+    ("blocks_not_asked_for", "src/gateway/peer_hints.cpp", "    if (isNew || index == mNextAsked) {", "    if (false) {", "contract", "peer_hints_of_a_gateway_that_knows_*"),
     ("heads_not_observed", "src/gateway/backend_call.cpp", "  mCalls->Observe(mOptions.mTo.mServer, metadata);\n", "", "contract", "backend_call_reports_*"),
     ("refused_together_return_together", "src/policy/retry_after.cpp", "kJitter = 0.25", "kJitter = 0.0", "unit", "retry_after_*"),
     # Backend state and connections
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/random.h"
 #include "entry/event_id.h"
+#include "entry/prompt_traits.h"
 #include "entry/token_sinks.h"
 
 namespace chervilpulley::entry {
@@ -221,6 +222,7 @@
   job.mMaxTokens = request.value().mMaxTokens;
   job.mPriority = aWorkspace.priority();
   job.mDigest = DigestOf(job);
+  job.mTraits = PromptTraits(job.mModel, job.mPrompt, job.mDigest);
   job.mArrived = Now();
   job.mDeadline = job.mArrived + DeadlineOf(aExchange.Request(), mOptions.mDefaultDeadline);
   job.mStallFloor = mOptions.mStallFloor;
--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -59,14 +59,30 @@
   co_return mEnd;
 }
 
+/// Refuses a request with a beginning under which several engines crashed.
+bool completion_run::CheckBlock()
+{
+  const auto blockedFor = mGuard.BlockedFor(mJob.mTraits, Now());
+  if (!blockedFor) {
+    return true;
+  }
+  mMetrics.Refusal(metrics::refusal_cause::Suspect);
+  Fail({ 503,
+         "server_error",
+         "requests that begin like this one have crashed several engines",
+         link::OUTCOME_NOT_RUN,
+         *blockedFor });
+  return false;
+}
+
 bool completion_run::CheckGuard()
 {
   switch (mGuard.Check(mJob.mDigest, Now())) {
     case guard_verdict::Run:
-      return true;
+      return CheckBlock();
     case guard_verdict::RunAsSuspect:
       mIsSuspect = true;
-      return true;
+      return CheckBlock();
     case guard_verdict::PeerTrial:
       mMetrics.Refusal(metrics::refusal_cause::Suspect);
       Fail({ 503,
@@ -236,6 +252,9 @@
     // The request passed the position at which the engine crashed, so it does not crash every engine that runs it.
     mGuard.Cleared(mJob.mDigest, now);
   }
+  if (mJob.mTokens.empty()) {
+    mGuard.Produced(mJob.mTraits, now);
+  }
   mJob.mTokens.push_back(aToken.text());
   const output_token token{
     token_position(aToken.position()), aToken.text(), aToken.finish_reason(), mHead->Instance()
@@ -285,14 +304,15 @@
   mAvoid.insert(aLost.instance());
   std::erase(mChain, aLost.instance());
   if (aLost.crashed()) {
-    return OnCrashed();
+    return OnCrashed(aLost.instance());
   }
   return Retry(aLost.stalled() ? metrics::retry_cause::Stalled : metrics::retry_cause::StageLost);
 }
 
-completion_run::step completion_run::OnCrashed()
+completion_run::step completion_run::OnCrashed(const std::string& aEngine)
 {
   mIsSuspect = true;
+  const bool mayBeItsBeginning = mJob.mTokens.empty() && mGuard.EngineCrashed(mJob.mTraits, aEngine, Now());
   if (mGuard.Crashed(mJob.mDigest, Now()) == guard_verdict::Refused) {
     return Fail({ 422,
                   "invalid_request_error",
@@ -300,6 +320,13 @@
                   link::OUTCOME_FAILED,
                   std::nullopt });
   }
+  if (mayBeItsBeginning) {
+    return Fail({ 502,
+                  "server_error",
+                  "an engine crashed while it ran this request, and others under requests that begin like it",
+                  link::OUTCOME_FAILED,
+                  std::nullopt });
+  }
   return Retry(metrics::retry_cause::EngineCrashed);
 }
 
--- a/src/entry/completion_run.h
+++ b/src/entry/completion_run.h
@@ -29,7 +29,8 @@
   std::uint32_t mPromptTokens = 0;
   std::uint32_t mMaxTokens = 0;
   std::uint32_t mPriority = 0;
-  request_digest mDigest; ///< of workspace, model, prompt and maximum length
+  request_digest mDigest;         ///< of workspace, model, prompt and maximum length
+  std::vector<run_trait> mTraits; ///< see PromptTraits()
   instant mArrived{};
   instant mDeadline{};
   duration mStallFloor = std::chrono::seconds(1); ///< a sidecar that is silent for longer counts as lost
@@ -96,12 +97,13 @@
 
   /// Whether the request guard lets the request run; otherwise sets the error.
   bool CheckGuard();
+  bool CheckBlock();
   /// Opens a new attempt at a sidecar; false if none accepts it or the maximum number of attempts is reached.
   bool StartAttempt();
   /// Whether a request that may have run already can wait longer for a route.
   bool MayWait(instant aWaitingSince) const;
   void FailWithoutRoute();
-  step OnCrashed();
+  step OnCrashed(const std::string& aEngine);
   step Retry(metrics::retry_cause aCause);
   boost::asio::awaitable<void> WaitForRoute();
   boost::asio::awaitable<step> RunAttempt(token_sink& aSink);
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -36,6 +36,26 @@
   return limits;
 }
 
+/// Maximum number of digests in a report.
+constexpr std::size_t kMaxDigests = 64;
+
+/// The comma-separated digests of a report; empty when one can't be read or there are too many.
+std::vector<std::uint64_t> ParseDigests(std::string_view aText)
+{
+  std::vector<std::uint64_t> digests;
+  while (!aText.empty() && digests.size() < kMaxDigests) {
+    const std::string_view each = aText.substr(0, aText.find(','));
+    std::uint64_t digest = 0;
+    const auto parsed = std::from_chars(each.data(), each.data() + each.size(), digest);
+    if (parsed.ec != std::errc() || parsed.ptr != each.data() + each.size()) {
+      return {};
+    }
+    digests.push_back(digest);
+    aText.remove_prefix(std::min(aText.size(), each.size() + 1));
+  }
+  return aText.empty() ? digests : std::vector<std::uint64_t>();
+}
+
 } // namespace
 
 entry_server::entry_server(runtime::instance_core& aCore)
@@ -55,7 +75,8 @@
   mRouter->SetLinks(mLinks);
   mMetrics = metrics::process_metrics::Create();
   mGuard =
-    MakeRef<request_guard>([this](request_digest aDigest, std::uint32_t aCrashes) { ReportCrash(aDigest, aCrashes); });
+    MakeRef<request_guard>([this](request_digest aDigest, std::uint32_t aCrashes) { ReportCrash(aDigest, aCrashes); },
+                           [this](const std::vector<run_trait>& aTraits) { ReportTraits(aTraits); });
   mApi = MakeRef<caller_api>(
     completion_context{ *mRouter, *mGuard, *mMetrics },
     [this] { return mCore.Config().Current(); },
@@ -180,11 +201,11 @@
 
 rpc::report_suspect_reply entry_server::ReportSuspect(const rpc::report_suspect_request& aRequest)
 {
-  std::uint64_t digest = 0;
-  const char* end = aRequest.mDigest.data() + aRequest.mDigest.size();
-  const auto parsed = std::from_chars(aRequest.mDigest.data(), end, digest);
-  if (parsed.ec == std::errc() && parsed.ptr == end) {
-    mGuard->CrashedAtPeer(request_digest(digest), aRequest.mCrashes, Now());
+  const std::vector<std::uint64_t> digests = ParseDigests(aRequest.mDigest);
+  if (digests.size() == 1) {
+    mGuard->CrashedAtPeer(request_digest(digests.front()), aRequest.mCrashes, Now());
+  } else if (!digests.empty()) {
+    mGuard->EngineCrashedAtPeer({ digests.begin(), digests.end() }, Now());
   }
   return { aRequest.mCrashes };
 }
@@ -194,11 +215,31 @@
   rpc::report_suspect_request report;
   report.mDigest = std::to_string(aDigest.Value());
   report.mCrashes = aCrashes;
+  Report(report);
+}
+
+/// Reports the traits of a request under which an engine crashed, as a list of digests. Earlier releases take it for an
+/// unreadable digest.
+void entry_server::ReportTraits(const std::vector<run_trait>& aTraits)
+{
+  if (aTraits.size() < 2) {
+    return;
+  }
+  rpc::report_suspect_request report;
+  report.mCrashes = 1;
+  for (const run_trait trait : aTraits) {
+    report.mDigest += (report.mDigest.empty() ? "" : ",") + std::to_string(trait.Value());
+  }
+  Report(report);
+}
+
+void entry_server::Report(const rpc::report_suspect_request& aReport)
+{
   for (const auto& listed : mCore.Live()) {
     if (listed.mRole == platform::instance_role::Entry && listed.mInstance != mCore.Instance()) {
       boost::asio::co_spawn(
         mCore.Context(),
-        [peers = mCore.Peers(), address = listed.mPeer, report]() -> boost::asio::awaitable<void> {
+        [peers = mCore.Peers(), address = listed.mPeer, report = aReport]() -> boost::asio::awaitable<void> {
           co_await peers->ReportSuspect(address, report, kReportTimeout);
         },
         boost::asio::detached);
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -40,6 +40,8 @@
   void OnTick();
   /// Reports a crash to all other entries.
   void ReportCrash(request_digest aDigest, std::uint32_t aCrashes);
+  void ReportTraits(const std::vector<run_trait>& aTraits);
+  void Report(const rpc::report_suspect_request& aReport);
 
   runtime::instance_core& mCore;
   ref<request_router> mRouter;
--- a/src/entry/request_guard.cpp
+++ b/src/entry/request_guard.cpp
@@ -11,11 +11,52 @@
 /// Number of trials at other entries above which expired ones are removed.
 constexpr std::size_t kMaxPeerTrials = 1024;
 
+/// The crash of an engine now. Its time stands for its process, since entries do not know when engines start.
+policy::interrupted_run CrashOf(const std::vector<run_trait>& aTraits, const std::string& aEngine, instant aNow)
+{
+  return { aTraits, { backend_id(aEngine), static_cast<std::uint64_t>(aNow.time_since_epoch().count()) }, aNow, {} };
+}
+
 } // namespace
 
-request_guard::request_guard(crash_callback aOnCrash)
+request_guard::request_guard(crash_callback aOnCrash, traits_callback aOnTraits)
   : mOnCrash(std::move(aOnCrash))
+  , mOnTraits(std::move(aOnTraits))
+{
+}
+
+std::optional<duration> request_guard::BlockedFor(const std::vector<run_trait>& aTraits, instant aNow)
+{
+  std::lock_guard lock(mSuspectMutex);
+  mCrashRecord.TimePassed(aNow);
+  const auto block = mCrashRecord.Admit(aTraits, aNow);
+  return block ? std::optional(block->mTimeLeft) : std::nullopt;
+}
+
+bool request_guard::EngineCrashed(const std::vector<run_trait>& aTraits, const std::string& aEngine, instant aNow)
+{
+  bool isSuspect = false;
+  {
+    std::lock_guard lock(mSuspectMutex);
+    mCrashRecord.Crashed(CrashOf(aTraits, aEngine, aNow), aNow);
+    isSuspect = mCrashRecord.IsSuspect(aTraits, aNow);
+  }
+  if (mOnTraits) {
+    mOnTraits(aTraits);
+  }
+  return isSuspect;
+}
+
+void request_guard::Produced(const std::vector<run_trait>& aTraits, instant aNow)
 {
+  std::lock_guard lock(mSuspectMutex);
+  mCrashRecord.Cleared(aTraits, aNow);
+}
+
+void request_guard::EngineCrashedAtPeer(const std::vector<run_trait>& aTraits, instant aNow)
+{
+  std::lock_guard lock(mSuspectMutex);
+  mCrashRecord.Crashed(CrashOf(aTraits, "peer", aNow), aNow);
 }
 
 std::optional<duration> request_guard::ConsumeRate(const workspace_id& aWorkspace,
--- a/src/entry/request_guard.h
+++ b/src/entry/request_guard.h
@@ -7,6 +7,7 @@
 
 #include "base/ref_counted.h"
 #include "base/sharded_map.h"
+#include "policy/crash_record.h"
 #include "policy/crash_suspects.h"
 #include "policy/rate_share.h"
 #include "policy/retry_budget.h"
@@ -30,7 +31,9 @@
 public:
   /// Called to report a crash to the other entries; must not block.
   using crash_callback = std::function<void(request_digest, std::uint32_t aCrashes)>;
-  explicit request_guard(crash_callback aOnCrash);
+  /// Called to report the traits of a request under which an engine crashed to the other entries; must not block.
+  using traits_callback = std::function<void(const std::vector<run_trait>&)>;
+  explicit request_guard(crash_callback aOnCrash, traits_callback aOnTraits = {});
 
   /// Counts a request against the rate limit of its workspace. Returns the retry-after time if the limit is exceeded,
   /// nullopt if the request may pass.
@@ -56,10 +59,22 @@
   /// Records a crash that another entry reported, with the number of crashes that it counts for the request.
   void CrashedAtPeer(request_digest aDigest, std::uint32_t aCrashes, instant aNow);
 
+  /// Returns the time for which requests with one of these traits are blocked, because several engines crashed under
+  /// it; nothing when the request may run.
+  std::optional<duration> BlockedFor(const std::vector<run_trait>& aTraits, instant aNow);
+  /// Records that an engine crashed under a request that had no output, and reports it to the other entries. Returns
+  /// whether the request must not be retried, because one of its traits is blocked or would be by another crash.
+  bool EngineCrashed(const std::vector<run_trait>& aTraits, const std::string& aEngine, instant aNow);
+  /// Clears the traits of a request that has output.
+  void Produced(const std::vector<run_trait>& aTraits, instant aNow);
+  /// Records a crash that another entry reported with the traits of its request.
+  void EngineCrashedAtPeer(const std::vector<run_trait>& aTraits, instant aNow);
+
 private:
   guard_verdict VerdictOf(policy::suspicion aLevel) const;
 
   crash_callback mOnCrash;
+  traits_callback mOnTraits;
   std::atomic<std::size_t> mEntryCount{ 1 };
   struct locked_bucket : ref_counted
   {
@@ -71,6 +86,7 @@
   policy::retry_budget mRetryBudget;
   std::mutex mSuspectMutex;
   policy::crash_suspects mSuspects;
+  policy::crash_record mCrashRecord;
   std::unordered_map<request_digest, instant> mPeerTrials; ///< end of the wait for the other entry
 };
 
--- a/src/rpc/peer_messages.h
+++ b/src/rpc/peer_messages.h
@@ -60,7 +60,9 @@
 /// Reports a request that was running when a backend server crashed.
 struct report_suspect_request
 {
-  std::string mDigest; ///< of workspace, model and body
+  /// Of workspace, model, length and prompt; or a comma-separated list of the digests of the prompt's beginnings and of
+  /// all of it.
+  std::string mDigest;
   std::uint32_t mCrashes = 0;
   std::uint32_t mTtlMs = 0; ///< how long the receiver keeps the report
 };
--- a/tests/unit/entry_request_guard_test.cpp
+++ b/tests/unit/entry_request_guard_test.cpp
@@ -1,3 +1,4 @@
+#include "entry/prompt_traits.h"
 #include "entry/request_guard.h"
 
 #include <catch2/catch.hpp>
@@ -153,3 +154,75 @@
   CHECK(retries > 0);
   CHECK(retries <= static_cast<int>(policy::kRetryReserve));
 }
+
+namespace {
+
+/// Completions of one model whose prompts begin alike, and one entry's guard.
+struct prompt_fixture
+{
+  request_guard mGuard{ [](request_digest, std::uint32_t) {}, [this](const auto&) { ++mReported; } };
+  int mReported = 0;
+  std::uint64_t mLastRequest = 0;
+  instant mNow = instant() + std::chrono::hours(1);
+
+  std::vector<run_trait> Traits(const std::string& aPrompt)
+  {
+    return PromptTraits("model", aPrompt, request_digest(++mLastRequest));
+  }
+
+  bool Crash(const std::string& aPrompt)
+  {
+    mNow += std::chrono::seconds(1);
+    return mGuard.EngineCrashed(Traits(aPrompt), "engine", mNow);
+  }
+
+  bool MayRun(const std::string& aPrompt) { return !mGuard.BlockedFor(Traits(aPrompt), mNow); }
+};
+
+const std::string kHarmful = "a long beginning that crashes every engine, whatever comes after it: ";
+
+} // namespace
+
+TEST_CASE_METHOD(prompt_fixture, "request_guard_blocks_prompts_that_begin_like_three_that_crashed_engines")
+{
+  CHECK_FALSE(Crash(kHarmful + "one"));
+  CHECK(MayRun(kHarmful + "two"));
+  CHECK(Crash(kHarmful + "two"));
+  CHECK(MayRun(kHarmful + "three"));
+  CHECK(Crash(kHarmful + "three"));
+  CHECK_FALSE(MayRun(kHarmful + "four"));
+  CHECK(MayRun("a long beginning that crashes nothing"));
+  CHECK(MayRun("another prompt"));
+  CHECK(mReported == 3);
+}
+
+TEST_CASE_METHOD(prompt_fixture, "request_guard_clears_a_beginning_that_has_output_and_still_blocks_the_longer_one")
+{
+  const std::string common = "You are an assistant of the board. ";
+  for (const char* end : { "first", "second", "third" }) {
+    Crash(common + kHarmful + end);
+    mGuard.Produced(Traits(common + "Write a blessing for the well."), mNow);
+  }
+  CHECK_FALSE(MayRun(common + kHarmful + "fourth"));
+  CHECK(MayRun(common + "Summarize the rota of the week."));
+}
+
+TEST_CASE_METHOD(prompt_fixture, "request_guard_counts_crashes_that_other_entries_reported")
+{
+  for (const char* end : { "one", "two", "three" }) {
+    mNow += std::chrono::seconds(1);
+    mGuard.EngineCrashedAtPeer(Traits(kHarmful + end), mNow);
+  }
+  CHECK_FALSE(MayRun(kHarmful + "four"));
+  mNow += policy::kFirstBlockTime;
+  CHECK(MayRun(kHarmful + "five"));
+}
+
+TEST_CASE("prompt_traits_are_bounded_and_end_with_the_whole_request")
+{
+  CHECK(PromptTraits("m", "short", request_digest(7)) == std::vector<run_trait>{ run_trait(7) });
+  CHECK(PromptTraits("m", std::string(17, 'x'), request_digest(7)).size() == 2);
+  CHECK(PromptTraits("m", std::string(1'000'000, 'x'), request_digest(7)).size() == 21);
+  CHECK(PromptTraits("m", std::string(17, 'x'), request_digest(7)) !=
+        PromptTraits("n", std::string(17, 'x'), request_digest(7)));
+}
