A crash is also seen by a report of the restarted process, not by the list alone

In the soak engines restart at once under their id, and the store was down: no connection is refused, and the list does not show the restart, so that no crash was confirmed. Before: the new process test (store down, engines that restart at once) blocks nothing. After: the part is blocked.

An engine says when it started in its reports; a later start than the listed one confirms the crash. The probe after an interrupted run is no longer skipped when the engine was probed just before.

Ruled out: load, as the test without any load fails in the same way.

--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -93,9 +93,13 @@
 void crash_watch::RunInterrupted(const admitted_request& aRequest, const policy::server_start& aServer, instant aNow)
 {
   mRecord.RunInterrupted({ aRequest.mTraits, aServer, aNow, aRequest.mMetadata.mId.Str() });
-  // The list shows a crash seconds later.
-  if (mFleet->IsEngine(aServer.mId)) {
-    mProbes->ProbeSuspect(aServer.mId);
+  // The list shows a crash seconds later, or not at all while it can't be read.
+  if (mFleet->IsEngine(aServer.mId) && !mFleet->HasEnded(aServer, aNow)) {
+    mProbes->Probe(aServer.mId, [fleet = mFleet, id = aServer.mId](const auto& aReport) {
+      if (!aReport) {
+        fleet->MarkLost(id, Now());
+      }
+    });
   }
 }
 
@@ -116,11 +120,7 @@
 
 std::size_t crash_watch::Confirm(instant aNow)
 {
-  const auto isUp = [&](const policy::server_start& aStart) {
-    const auto* member = mFleet->Members().Find(aStart.mId);
-    return member != nullptr && member->mStartedAt == aStart.mStartedAt && !mFleet->IsMarkedLost(aStart.mId, aNow);
-  };
-  const auto found = mRecord.Confirm(isUp, aNow);
+  const auto found = mRecord.Confirm([&](const auto& aServer) { return !mFleet->HasEnded(aServer, aNow); }, aNow);
   for (const policy::interrupted_run& run : found) {
     log_line(log_event::CrashSuspected)
       .Text("found_by_request", run.mRequest)
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -362,6 +362,7 @@
   if (found == mStates.end() || member == nullptr) {
     return;
   }
+  found->second.mReportedStartedAt = std::max(found->second.mReportedStartedAt, aReport.mStartedAt);
   const double slowdown = std::max(1.0, aReport.mSlowdownFactor);
   if ((slowdown >= kSlowFactor) != (found->second.mSlowdownFactor >= kSlowFactor)) {
     log_line(log_event::BackendPace).Text("backend", aId.Str()).Number("times_slower", slowdown);
@@ -401,6 +402,13 @@
   return departed == mDeparted.end() || departed->second.mIsLost;
 }
 
+bool fleet::HasEnded(const policy::server_start& aServer, instant aNow) const
+{
+  const auto found = mStates.find(aServer.mId);
+  return found == mStates.end() || found->second.mStartedAt != aServer.mStartedAt ||
+         found->second.mReportedStartedAt > aServer.mStartedAt || found->second.mLostUntil > aNow;
+}
+
 bool fleet::MayBeAlive(const policy::backend_member& aServer) const
 {
   if (const auto* listed = mMembers.Find(aServer.mId)) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -72,6 +72,7 @@
   double mSlowdownFactor = 1;  ///< as reported by the engine; 1 is normal speed
   instant mSlowdownReportedAt; ///< when mSlowdownFactor was last reported
   std::uint64_t mStartedAt = 0;
+  std::uint64_t mReportedStartedAt = 0; ///< of the process that sent the last report, which may not be listed yet
   server_notices mNotices;
   instant mMovingUntil;           ///< until then it counts as moving, unless it holds its new layers earlier
   policy::layer_span mMovingFrom; ///< layers that it held when it got the order
@@ -214,6 +215,9 @@
   bool IsMarkedLost(const backend_id& aId, instant aNow) const;
   /// Whether a server is in the platform's list.
   bool IsListed(const backend_id& aId) const { return mMembers.Find(aId) != nullptr; }
+  /// Whether a process of a server has ended: it was found lost, or the list or a report shows that another has
+  /// started.
+  bool HasEnded(const policy::server_start& aServer, instant aNow) const;
   /// Whether requests that were sent to this process of a server, identified by its start time, may still be running.
   bool MayBeAlive(const policy::backend_member& aServer) const;
   /// Engines that were slow by their last report, which is older than kSlowProbeInterval.
--- a/tests/processes/gateway_crash_test.cpp
+++ b/tests/processes/gateway_crash_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace chervilpulley;
 using namespace chervilpulley::processes;
 
@@ -71,6 +73,16 @@
   }
 };
 
+/// One gateway, and enough engines that some hold each layer after several have crashed.
+struct gateway_fixture_of_many_engines : gateway_fixture
+{
+  gateway_fixture_of_many_engines()
+    : gateway_fixture({ "--engines=24" })
+  {
+    StartGateway();
+  }
+};
+
 } // namespace
 
 TEST_CASE_METHOD(crashing_part_fixture,
@@ -92,3 +104,25 @@
   CHECK(SendParts("at-new", "5a5a:40,bad0bad0:100,", 2).mStatus == 503);
   CHECK(RunCount("at-new") == 0);
 }
+
+TEST_CASE_METHOD(gateway_fixture_of_many_engines,
+                 "gateway_without_the_list_blocks_a_part_that_crashes_engines_which_restart_at_once")
+{
+  Control(mFleet, { { "store", { { "down", true } } } });
+  std::size_t runs = 0;
+  for (int each = 0; each < 6; ++each) {
+    gateway_call call;
+    call.mMethod = "POST";
+    call.mTarget = "/draft/1";
+    call.mId = "crashing-" + std::to_string(each);
+    call.mBody = "prompt of " + call.mId;
+    call.mOutputTokens = 20;
+    call.mPromptParts = "5a5a:40,bad0bad0:100,own" + std::to_string(each) + ":20";
+    Send(call);
+    runs += RunCount(call.mId);
+    // Crashes at the same moment count as one.
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  }
+  CHECK(runs <= 5);
+  CHECK(Metric(0, "gateway_blocked_traits") > 0);
+}
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -117,6 +117,7 @@
                      { { "stage", "unified" },
                        { "busy", false },
                        { "seq", mOrderCount },
+                       { "born", mStartedAt },
                        { "pace", mState == "slow" ? kSlowPace : 1.0 },
                        { "layers", { { "from", mFirstLayer }, { "target", mEndLayer }, { "version", 1 } } },
                        { "stalled", stalled } });
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -188,6 +188,27 @@
   CHECK_FALSE(mFleet->MayBeAlive(Engine("east-2", "east")));
 }
 
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_a_report_of_a_later_process_knows_that_the_listed_one_has_ended")
+{
+  const policy::server_start listed{ backend_id("east-1"), 1 };
+  CHECK_FALSE(mFleet->HasEnded(listed, mBegin));
+  Report("east-1", 1, mBegin);
+  CHECK_FALSE(mFleet->HasEnded(listed, mBegin));
+  wire::engine_report report;
+  report.mLayers = { 0, 8 };
+  report.mStartedAt = 2;
+  mFleet->HandleReport(listed.mId, report, mBegin);
+  CHECK(mFleet->HasEnded(listed, mBegin));
+  auto restarted = Engine("east-1", "east");
+  restarted.mStartedAt = 2;
+  mFleet->Members().Changed(restarted);
+  mFleet->MembersChanged(mBegin);
+  CHECK(mFleet->HasEnded(listed, mBegin));
+  CHECK_FALSE(mFleet->HasEnded({ listed.mId, 2 }, mBegin));
+  mFleet->MarkLost(listed.mId, mBegin);
+  CHECK(mFleet->HasEnded({ listed.mId, 2 }, mBegin));
+}
+
 TEST_CASE_METHOD(fleet_fixture, "fleet_with_slow_engines_at_home_chooses_another_domain_and_probes_the_slow_ones_again")
 {
   Report("east-1", 12, mBegin);
