--- a/tests/processes/gateway_fixture.cpp
+++ b/tests/processes/gateway_fixture.cpp
@@ -15,16 +15,17 @@
   return aFlags;
 }
 
-std::string SettingsText(const std::string& aName, const net::endpoint& aStore, unsigned aDrainMs)
+std::string SettingsText(const std::string& aName, const net::endpoint& aStore, unsigned aDrainMs, double aGraceS)
 {
   return fmt::format("[instance]\nid = {}\nfailure_domain = here\n"
                      "[platform]\naddress = {}\n"
                      "[security]\ncluster_key = none\n"
                      "[gateway]\ncallers = 127.0.0.1:0\nready = 127.0.0.1:0\npeers = 127.0.0.1:0\n"
-                     "drain_bound_ms = {}\n",
+                     "drain_bound_ms = {}\nstop_grace_s = {}\n",
                      aName,
                      aStore.Str(),
-                     aDrainMs);
+                     aDrainMs,
+                     aGraceS);
 }
 
 } // namespace
@@ -37,7 +38,8 @@
 process& gateway_fixture::LaunchGateway(unsigned aDrainMs)
 {
   const std::string name = "gateway-" + std::to_string(mGateways.size());
-  const std::string settings = mFolder.Write(name + ".ini", SettingsText(name, mFleet.Address("http"), aDrainMs));
+  const std::string settings =
+    mFolder.Write(name + ".ini", SettingsText(name, mFleet.Address("http"), aDrainMs, mGraceS));
   mGateways.push_back(std::make_unique<process>(
     std::vector<std::string>{ BinaryPath(), "gateway", "--settings", settings }, mFolder.File(name + ".log")));
   return *mGateways.back();
--- a/tests/processes/gateway_fixture.h
+++ b/tests/processes/gateway_fixture.h
@@ -42,6 +42,7 @@
   temporary_folder mFolder;
   process mFleet;
   std::vector<std::unique_ptr<process>> mGateways;
+  double mGraceS = 8; ///< time from SIGTERM to SIGKILL in the settings of the next gateways
 
   /// Starts the fleet. @param aFlags command-line flags of the fleet.
   explicit gateway_fixture(std::vector<std::string> aFlags = {});
--- a/tests/processes/gateway_rules_soak_test.cpp
+++ b/tests/processes/gateway_rules_soak_test.cpp
@@ -365,7 +365,7 @@
   {
     std::string logs;
     for (const auto& gateway : mGateways) {
-      logs += gateway->Log();
+      logs += gateway->Log() + gateway->Output();
     }
     return logs;
   }
--- a/tests/processes/process.cpp
+++ b/tests/processes/process.cpp
@@ -5,7 +5,6 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
-#include <poll.h>
 #include <signal.h>
 #include <spawn.h>
 #include <sstream>
@@ -38,7 +37,6 @@
   {
     posix_spawn_file_actions_addopen(&mActions, aFile, aPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   }
-  void Duplicate(int aFrom, int aTo) { posix_spawn_file_actions_adddup2(&mActions, aFrom, aTo); }
   const posix_spawn_file_actions_t* Get() const { return &mActions; }
 
 private:
@@ -133,23 +131,17 @@
 process::process(std::vector<std::string> aArguments, std::string aLogFile)
   : mArguments(std::move(aArguments))
   , mLogFile(std::move(aLogFile))
+  , mOutputFile(mLogFile + ".out")
 {
-  int ends[2] = { -1, -1 };
-  if (pipe2(ends, O_CLOEXEC) != 0) {
-    throw std::system_error(errno, std::generic_category(), "can't make a pipe");
-  }
   file_actions actions;
-  actions.Duplicate(ends[1], STDOUT_FILENO);
+  actions.Write(STDOUT_FILENO, mOutputFile);
   actions.Write(STDERR_FILENO, mLogFile);
-  mOutput = ends[0];
+  const std::size_t begin = Output().size();
+  mPid = Spawn(mArguments, actions);
   try {
-    mPid = Spawn(mArguments, actions);
-    close(ends[1]);
-    ReadListeningLine();
+    ReadListeningLine(begin);
   } catch (...) {
-    Signal(SIGKILL);
-    WaitForExit();
-    close(mOutput);
+    Kill();
     throw;
   }
 }
@@ -157,7 +149,6 @@
 process::~process()
 {
   Kill();
-  close(mOutput);
 }
 
 net::endpoint process::Address(std::string_view aPurpose) const
@@ -174,6 +165,11 @@
   return ReadFile(mLogFile);
 }
 
+std::string process::Output() const
+{
+  return ReadFile(mOutputFile);
+}
+
 void process::Kill()
 {
   Signal(SIGKILL);
@@ -212,25 +208,21 @@
   return mStatus;
 }
 
-void process::ReadListeningLine()
+void process::ReadListeningLine(std::size_t aBegin)
 {
-  const auto deadline = std::chrono::steady_clock::now() + kTestTimeout;
-  std::string line;
-  while (line.find('\n') == std::string::npos) {
-    const auto remaining =
-      std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now());
-    pollfd descriptor{ mOutput, POLLIN, 0 };
-    char piece[4096];
-    const bool ready = remaining.count() > 0 && poll(&descriptor, 1, static_cast<int>(remaining.count())) > 0;
-    const ssize_t size = ready ? read(mOutput, piece, sizeof piece) : 0;
-    if (size <= 0) {
-      throw std::runtime_error(mArguments[0] + " " + mArguments[1] +
-                               " did not print its listening addresses: " + Log());
-    }
-    line.append(piece, static_cast<std::size_t>(size));
+  std::string output;
+  std::size_t end = std::string::npos;
+  const auto isPrinted = [&] {
+    const bool hasExited = Status().has_value();
+    output = Output();
+    end = output.find('\n', aBegin);
+    return end != std::string::npos || hasExited;
+  };
+  if (!WaitUntil(isPrinted) || end == std::string::npos) {
+    throw std::runtime_error(mArguments[0] + " " + mArguments[1] + " did not print its listening addresses: " + Log());
   }
-  // The same read may contain log lines after it.
-  mListening = boost::json::parse(line.substr(0, line.find('\n'))).as_object().at("listening").as_object();
+  const std::string line = output.substr(aBegin, end - aBegin);
+  mListening = boost::json::parse(line).as_object().at("listening").as_object();
 }
 
 void process::Signal(int aSignal)
--- a/tests/processes/process.h
+++ b/tests/processes/process.h
@@ -51,7 +51,8 @@
 {
 public:
   /// Starts a program and waits for its "listening" line; throws std::runtime_error when it prints none.
-  /// @param aLogFile file to which the process's error output is appended.
+  /// @param aLogFile file to which the process's error output is appended; its standard output goes to a file next to
+  /// it.
   process(std::vector<std::string> aArguments, std::string aLogFile);
   process(const process&) = delete;
   process& operator=(const process&) = delete;
@@ -64,6 +65,8 @@
   net::endpoint Address(std::string_view aPurpose) const;
   /// Error output of the process so far.
   std::string Log() const;
+  /// Standard output of the process so far: the "listening" line and the structured log.
+  std::string Output() const;
 
   /// Sends SIGKILL and waits for the exit.
   void Kill();
@@ -79,13 +82,14 @@
   std::optional<int> WaitForExit(duration aLimit = kTestTimeout);
 
 private:
-  void ReadListeningLine();
+  /// @param aBegin where the process's output begins in the file.
+  void ReadListeningLine(std::size_t aBegin);
   void Signal(int aSignal);
 
   std::vector<std::string> mArguments;
   std::string mLogFile;
+  std::string mOutputFile;
   pid_t mPid = -1;
-  int mOutput = -1;
   std::optional<int> mStatus;
   boost::json::object mListening;
 };
