--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -313,6 +313,20 @@
     "request route workspace reason status sends configuration after_ms",
     "the call ended without a successful response; `reason` says why" },
   { AcceptFailed, "accept_failed", Notable, Other, "reason", "a caller's connection could not be accepted" },
+  { RequestCut,
+    "request_cut",
+    Notable,
+    Request,
+    "request phase backend events sends after_ms sent_ms_ago left_ms",
+    "the process stops before the request has ended: at `backend`, or waiting for one; `left_ms` were left to its "
+    "caller" },
+  { ConnectionCut,
+    "connection_cut",
+    Notable,
+    Other,
+    "phase unsent_bytes unread_bytes in_phase_ms",
+    "the process stops while a caller's connection is open: bytes of a response are unsent, or bytes of a request "
+    "unread" },
 });
 
 /// Whether each entry is at the index of its enumerator, on which EntryOf() relies.
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -89,7 +89,9 @@
   CallSent,
   CallServed,
   CallEnded,
-  AcceptFailed
+  AcceptFailed,
+  RequestCut,
+  ConnectionCut
 };
 
 /// The catalogue's entry for an event.
--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -85,6 +85,13 @@
   return busy;
 }
 
+void listener_impl::LogOpen(instant aNow) const
+{
+  for (const session_impl& session : mSessions) {
+    session.LogOpen(aNow);
+  }
+}
+
 ref<caller_listener> caller_listener::Open(asio::io_context& aContext,
                                            const net::endpoint& aEndpoint,
                                            ref<session_host> aHost)
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "base/clock.h"
 #include "base/decision_log.h"
 
 namespace chervilpulley::gateway {
@@ -16,6 +17,20 @@
 /// Ratio of the time allowed for a body to that allowed for a head.
 constexpr int kBodyTimeoutFactor = 5;
 
+std::string_view NameOf(session_phase aPhase)
+{
+  switch (aPhase) {
+    case session_phase::Idle:
+      return "idle";
+    case session_phase::Reading:
+      return "reading";
+    case session_phase::Responding:
+      return "responding";
+    default:
+      return "closed";
+  }
+}
+
 } // namespace
 
 session_impl::session_impl(ref<listener_impl> aListener, tcp::socket aSocket)
@@ -57,6 +72,7 @@
 void session_impl::WaitForRequest()
 {
   mPhase = session_phase::Idle;
+  mPhaseSince = Now();
   ++mGeneration;
   if (mBuffer.size() > 0) {
     ReadHead();
@@ -78,6 +94,7 @@
 void session_impl::ReadHead()
 {
   mPhase = session_phase::Reading;
+  mPhaseSince = Now();
   ++mGeneration;
   StartTimeout(mListener->Host().Limits().mHeaderTimeout);
   mParser.emplace();
@@ -122,6 +139,7 @@
 void session_impl::HandleRequest()
 {
   mPhase = session_phase::Responding;
+  mPhaseSince = Now();
   ++mGeneration;
   mTimer.cancel();
   mIsChunked = false;
@@ -340,6 +358,20 @@
   }
 }
 
+void session_impl::LogOpen(instant aNow) const
+{
+  error_code error;
+  const std::size_t unread = mBuffer.size() + mSocket.available(error);
+  if (mPhase == session_phase::Closed || (mPhase == session_phase::Idle && unread == 0)) {
+    return;
+  }
+  log_line(log_event::ConnectionCut)
+    .Text("phase", NameOf(mPhase))
+    .Count("unsent_bytes", Backlog())
+    .Count("unread_bytes", unread)
+    .Number("in_phase_ms", std::chrono::duration<double, std::milli>(aNow - mPhaseSince).count());
+}
+
 void session_impl::CloseIfIdle()
 {
   // Closing the connection would reset a request that has arrived but has not been read yet.
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -75,6 +75,8 @@
   virtual void StopAccepting() = 0;
   /// Closes connections without a request in progress.
   virtual void CloseIdle() = 0;
+  /// Logs the connections that the end of the process cuts off.
+  virtual void LogOpen(instant aNow) const = 0;
   /// Number of connections on which a request is being read or answered.
   virtual std::size_t Busy() const = 0;
   /// Number of open connections.
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -35,6 +35,7 @@
 
   void WaitForRequest();
   void CloseIfIdle();
+  void LogOpen(instant aNow) const;
   bool IsBusy() const { return mPhase == session_phase::Reading || mPhase == session_phase::Responding; }
 
   void SetHandler(ref<request_handler> aHandler) override;
@@ -65,6 +66,7 @@
   boost::beast::flat_buffer mBuffer;
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> mParser;
   session_phase mPhase = session_phase::Idle;
+  instant mPhaseSince;
   ref<request_handler> mHandler;
   std::string mOutput;
   std::size_t mOutputSent = 0;
@@ -95,6 +97,7 @@
   void StopAccepting() override;
   void CloseIdle() override;
   std::size_t Busy() const override;
+  void LogOpen(instant aNow) const override;
   std::size_t Open() const override { return mSessions.size(); }
 
   void Add(session_impl& aSession) { mSessions.push_back(aSession); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -85,6 +85,7 @@
                     mCrashes,
                     mMetrics,
                     mStreams,
+                    mServices,
                     mCapacityQueue,
                     Milliseconds(aSettings.gateway().drain_bound_ms()),
                     std::mt19937_64(std::random_device{}()) }
@@ -127,6 +128,7 @@
   asio::awaitable<void> Report();
   asio::awaitable<void> FollowSignals();
   asio::awaitable<void> Leave();
+  void LogCuts(instant aNow) const;
   void Reload();
 
   asio::io_context& mContext;
@@ -145,6 +147,7 @@
   ref<caller_listener> mControl;
   asio::signal_set mSignals;
   stream_list mStreams;
+  service_list mServices;
   capacity_queue mCapacityQueue;
   request_environment mEnvironment;
   caller_limits mDefaultLimits;
@@ -434,6 +437,18 @@
   log_line(log_event::SettingsReloaded).Text("in_force", "from the next start");
 }
 
+/// Logs the requests and connections that the end of the process cuts off.
+void gateway_process::LogCuts(instant aNow) const
+{
+  for (const stream_request& stream : mStreams) {
+    stream.LogCut(aNow);
+  }
+  for (const service_request& request : mServices) {
+    request.LogCut(aNow);
+  }
+  mCallers->LogOpen(aNow);
+}
+
 asio::awaitable<void> gateway_process::Leave()
 {
   const instant begun = Now();
@@ -448,6 +463,7 @@
     co_await Pause(kDrainPollInterval);
     mCallers->CloseIdle();
   }
+  LogCuts(Now());
   log_line(log_event::Stopped)
     .Count("cut", mCallers->Busy())
     .Number("after_ms", std::chrono::duration<double, std::milli>(Now() - begun).count());
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -16,10 +16,14 @@
 namespace chervilpulley::gateway {
 
 class stream_request;
+class service_request;
 
 /// Unfinished streaming requests, for checks and repairs that concern many at once.
 using stream_list = boost::intrusive::list<stream_request, boost::intrusive::constant_time_size<false>>;
 
+/// Unfinished requests to plain services.
+using service_list = boost::intrusive::list<service_request, boost::intrusive::constant_time_size<false>>;
+
 class crash_watch;
 class engine_probes;
 class capacity_queue;
@@ -34,6 +38,7 @@
   ref<crash_watch> mCrashes;
   ref<gateway_metrics> mMetrics;
   stream_list& mStreams;
+  service_list& mServices;
   capacity_queue& mCapacityQueue;
   duration mDrainBound{ 0 }; ///< minimum time for which a leaving backend server keeps serving
   std::mt19937_64 mRandom;
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -23,6 +23,11 @@
 /// Largest response that is buffered.
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 
+double Milliseconds(duration aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
 } // namespace
 
 service_request::service_request(request_environment& aEnvironment, admitted_request aRequest)
@@ -34,6 +39,7 @@
 
 void service_request::Start()
 {
+  mEnvironment.mServices.push_back(*this);
   mRequest.mSession->SetHandler(ref<request_handler>(this));
   mEnvironment.mFleet->Retries(mRequest.mPool).RequestSent(mRequest.mArrived);
   TryServer(mRequest.mArrived);
@@ -61,6 +67,7 @@
 void service_request::Send(const backend_address& aServer, instant aNow)
 {
   mServer = aServer.mServer.mId;
+  mSentAt = aNow;
   mEnvironment.mFleet->Started(*mServer);
   mHasHead = false;
   mStatus = 0;
@@ -289,8 +296,23 @@
     .Count("status", aStatus)
     .Count("sends", mSends)
     .Count("configuration", mRequest.mConfiguration->mVersion)
-    .Number("after_ms", std::chrono::duration<double, std::milli>(now - mRequest.mArrived).count());
+    .Number("after_ms", Milliseconds(now - mRequest.mArrived));
+  if (is_linked()) {
+    unlink();
+  }
   mRequest.mSession.reset();
 }
 
+void service_request::LogCut(instant aNow) const
+{
+  log_line(log_event::RequestCut)
+    .Text("request", Id())
+    .Text("phase", mCall ? "running" : "waiting")
+    .Text("backend", mServer ? mServer->Str() : "")
+    .Count("sends", mSends)
+    .Number("after_ms", Milliseconds(aNow - mRequest.mArrived))
+    .Number("sent_ms_ago", mCall ? Milliseconds(aNow - mSentAt) : -1)
+    .Number("left_ms", Milliseconds(mRequest.mDeadline - aNow));
+}
+
 } // namespace chervilpulley::gateway
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -13,12 +13,15 @@
 class service_request
   : public request_handler
   , public call_handler
+  , public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
   service_request(request_environment& aEnvironment, admitted_request aRequest);
 
   /// Sends the request to a server, or refuses it when none is usable.
   void Start();
+  /// Logs that the process stops before the request has ended.
+  void LogCut(instant aNow) const;
 
   void OnCallerGone() override;
   void OnWritten() override {}
@@ -48,6 +51,7 @@
   std::set<backend_id> mExcluded;
   unsigned mRuns = 0; ///< servers that may have run the request
   unsigned mSends = 0;
+  instant mSentAt;
   unsigned mStatus = 0;
   bool mHasHead = false;
   net::http_headers mHeaders;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -428,6 +428,19 @@
   }
 }
 
+void stream_request::LogCut(instant aNow) const
+{
+  log_line(log_event::RequestCut)
+    .Text("request", Id())
+    .Text("phase", mPhase == phase::Running ? "running" : "waiting")
+    .Text("backend", mPath ? mPath->mStages.front().mEngine.Str() : "")
+    .Count("events", mCursor.Count())
+    .Count("sends", mSends)
+    .Number("after_ms", Milliseconds(aNow - mRequest.mArrived))
+    .Number("sent_ms_ago", mPath ? Milliseconds(aNow - mSentAt) : -1)
+    .Number("left_ms", Milliseconds(TimeLeft(aNow)));
+}
+
 void stream_request::End(request_end aEnd, unsigned aStatus, const std::string& aReason)
 {
   const ref<stream_request> self(this);
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -20,6 +20,8 @@
 public:
   stream_request(request_environment& aEnvironment, admitted_request aRequest);
 
+  /// Logs that the process stops before the request has ended.
+  void LogCut(instant aNow) const;
   /// Sends the request, or queues it for capacity.
   void Start();
   /// Checks for the deadline, a stall and engines that leave; called every kStreamTick.
