--- /dev/null
+++ b/tests/processes/gateway_termination_test.cpp
@@ -0,0 +1,174 @@
+#include "processes/raw_caller.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace chervilpulley;
+using namespace chervilpulley::processes;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int kExited = 0;
+constexpr int kNotExited = -1;
+
+/// One gateway with a grace period of three seconds before engines that write an event each aEventMs milliseconds.
+struct terminated_gateway_fixture : gateway_fixture
+{
+  explicit terminated_gateway_fixture(const std::string& aEventMs = "10")
+    : gateway_fixture({ "--event_ms=" + aEventMs })
+  {
+    mGraceS = 3;
+    StartGateway();
+  }
+
+  process& Gateway() { return *mGateways.front(); }
+  net::endpoint Callers() { return Gateway().Address("http"); }
+
+  /// Sends SIGTERM; returns once the gateway has noticed it.
+  void Terminate()
+  {
+    Gateway().Terminate();
+    REQUIRE(WaitUntil([&] { return !IsReady(Gateway()); }));
+  }
+
+  static gateway_call Stream(const std::string& aId, unsigned aTokens)
+  {
+    gateway_call call;
+    call.mMethod = "POST";
+    call.mTarget = "/draft/1";
+    call.mId = aId;
+    call.mOutputTokens = aTokens;
+    return call;
+  }
+
+  static gateway_call Booking(const std::string& aId)
+  {
+    gateway_call call;
+    call.mMethod = "POST";
+    call.mTarget = "/book/winch";
+    call.mId = aId;
+    call.mBody = "body of " + aId;
+    return call;
+  }
+
+  static gateway_call Lookup(const std::string& aId)
+  {
+    gateway_call call;
+    call.mTarget = "/look/rope";
+    call.mId = aId;
+    return call;
+  }
+};
+
+/// Engines whose streams of 80 tokens take four seconds.
+struct slow_engines_fixture : terminated_gateway_fixture
+{
+  slow_engines_fixture()
+    : terminated_gateway_fixture("100")
+  {
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(slow_engines_fixture, "gateway_terminated_before_streams_longer_than_its_grace_period_rejects_them")
+{
+  raw_caller earlier(Callers());
+  REQUIRE(earlier.Send(EncodeRequest(Stream("earlier", 80))));
+  REQUIRE(earlier.ReadUntil("token 10\n"));
+  Terminate();
+  for (const char* id : { "late-1", "late-2", "late-3" }) {
+    raw_caller late(Callers());
+    REQUIRE(late.Send(EncodeRequest(Stream(id, 80))));
+    CHECK(late.ReadToEnd() == connection_end::Closed);
+    INFO(id << " got " << late.Received() << Gateway().Output());
+    CHECK(late.LastStatus() == 503);
+    CHECK(RunCount(id) == 0);
+  }
+}
+
+TEST_CASE_METHOD(slow_engines_fixture, "gateway_terminated_serves_streams_that_end_within_its_grace_period")
+{
+  raw_caller earlier(Callers());
+  REQUIRE(earlier.Send(EncodeRequest(Stream("earlier", 80))));
+  REQUIRE(earlier.ReadUntil("token 10\n"));
+  Terminate();
+  raw_caller late(Callers());
+  REQUIRE(late.Send(EncodeRequest(Stream("late", 8))));
+  late.ReadToEnd();
+  bool isComplete = false;
+  CHECK(late.ChunkedBody(isComplete) == EventsUpTo(4));
+  CHECK(isComplete);
+}
+
+TEST_CASE_METHOD(terminated_gateway_fixture, "booking_that_runs_when_its_gateway_stops_gets_a_response")
+{
+  SetServer("service-0", "dark");
+  SetServer("service-1", "dark");
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Booking("cut-booking"))));
+  REQUIRE(WaitUntil([&] { return Gateway().Output().find("\"cut-booking\"") != std::string::npos; }));
+  Terminate();
+  CHECK(caller.ReadToEnd() == connection_end::Closed);
+  INFO(Gateway().Output());
+  CHECK(caller.LastStatus() == 502);
+  CHECK(Gateway().WaitForExit().value_or(kNotExited) == kExited);
+}
+
+TEST_CASE_METHOD(terminated_gateway_fixture, "stream_without_an_event_when_its_gateway_stops_gets_a_response")
+{
+  for (const auto& server : Servers()) {
+    SetServer(std::string(server.as_object().at("name").as_string()), "dark");
+  }
+  Control(mFleet, { { "store", { { "down", true } } } });
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Stream("cut-stream", 20))));
+  REQUIRE(WaitUntil([&] { return Gateway().Output().find("\"cut-stream\"") != std::string::npos; }));
+  Terminate();
+  CHECK(caller.ReadToEnd() == connection_end::Closed);
+  INFO(Gateway().Output());
+  CHECK(caller.LastStatus() >= 500);
+}
+
+TEST_CASE_METHOD(terminated_gateway_fixture, "request_that_arrives_as_its_gateway_stops_accepting_gets_a_response")
+{
+  raw_caller kept(Callers());
+  REQUIRE(kept.Send(EncodeRequest(Lookup("kept-1"))));
+  REQUIRE(kept.ReadUntil("answer to kept-1"));
+  Terminate();
+  // The gateway gets no processor time while it should stop accepting connections.
+  Gateway().Freeze();
+  REQUIRE(kept.Send(EncodeRequest(Lookup("kept-2"))));
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  for (int each = 0; each < 8; ++each) {
+    callers.push_back(std::make_unique<raw_caller>(Callers()));
+    REQUIRE(callers.back()->Send(EncodeRequest(Lookup("new-" + std::to_string(each)))));
+  }
+  std::this_thread::sleep_for(1600ms);
+  Gateway().Wake();
+  kept.ReadToEnd();
+  CHECK(kept.Received().find("answer to kept-2") != std::string::npos);
+  for (const auto& caller : callers) {
+    caller->ReadToEnd();
+    CHECK(caller->LastStatus() > 0);
+  }
+}
+
+TEST_CASE_METHOD(terminated_gateway_fixture,
+                 "connection_closed_with_the_next_request_unread_does_not_reset_the_response")
+{
+  raw_caller caller(Callers(), 2048);
+  gateway_call stream = Stream("long", 240);
+  REQUIRE(caller.Send(EncodeRequest(stream)));
+  REQUIRE(caller.ReadUntil("token 1\n"));
+  Terminate();
+  // The next request is still unread when the response ends, and most of the response has not reached the caller.
+  REQUIRE(caller.Send(EncodeRequest(Lookup("next"))));
+  CHECK(Gateway().WaitForExit().value_or(kNotExited) == kExited);
+  caller.ReadToEnd();
+  bool isComplete = false;
+  CHECK(caller.ChunkedBody(isComplete) == EventsUpTo(120));
+  CHECK(isComplete);
+}
