Connections are closed in two steps, so that no response is lost with them

Callers saw a closed connection in the middle of a response that had been written completely: the gateway closed its socket with the next request unread, or the caller sent it just then, and TCP resets such a connection, with all that the caller has not read yet. It happened after each response with 'Connection: close', after 413 and 408 while the caller was still sending, at the end of an aborted stream, and around a termination also on connections whose last head had promised to keep them open.

The session now closes its sending side and reads until the caller closes too, for a second or 16 MB at most. A connection that was promised to stay open is no longer closed after the response: it waits for its next request, which is told to close it, or for CloseIdle().

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <array>
+
 #include "base/clock.h"
 #include "base/decision_log.h"
 
@@ -16,6 +18,11 @@
 
 /// Ratio of the time allowed for a body to that allowed for a head.
 constexpr int kBodyTimeoutFactor = 5;
+/// Limits on waiting for the caller to close its side of a connection that was closed by this side.
+constexpr duration kLingerTime = std::chrono::seconds(1);
+constexpr std::size_t kMaxDiscardedBytes = 16U << 20U;
+/// Filled and dropped within one read; all sessions share it because there is a single thread.
+std::array<char, 16U << 10U> sDiscarded;
 
 std::string_view NameOf(session_phase aPhase)
 {
@@ -26,6 +33,8 @@
       return "reading";
     case session_phase::Responding:
       return "responding";
+    case session_phase::Lingering:
+      return "lingering";
     default:
       return "closed";
   }
@@ -53,8 +62,7 @@
 {
   mTimer.expires_after(aTime);
   mTimer.async_wait([self = ref<session_impl>(this), generation = mGeneration](const error_code& aError) {
-    if (aError || generation != self->mGeneration || self->mPhase == session_phase::Responding ||
-        self->mPhase == session_phase::Closed) {
+    if (aError || generation != self->mGeneration || self->mPhase == session_phase::Responding || self->IsEnded()) {
       return;
     }
     if (self->mPhase == session_phase::Reading) {
@@ -65,7 +73,7 @@
       self->Respond(std::move(reply));
       return;
     }
-    self->Close();
+    self->Linger();
   });
 }
 
@@ -232,7 +240,7 @@
 
 void session_impl::Write(std::string_view aBytes)
 {
-  if (mPhase == session_phase::Closed || mIsComplete) {
+  if (IsEnded() || mIsComplete) {
     return;
   }
   if (mIsChunked && !aBytes.empty()) {
@@ -264,12 +272,12 @@
 void session_impl::Abort()
 {
   mHandler.reset();
-  Close();
+  Linger();
 }
 
 void session_impl::Flush()
 {
-  if (mIsWriting || mPhase == session_phase::Closed) {
+  if (mIsWriting || IsEnded()) {
     return;
   }
   while (mOutputSent < mOutput.size()) {
@@ -279,7 +287,7 @@
       mIsWriting = true;
       mSocket.async_wait(tcp::socket::wait_write, [self = ref<session_impl>(this)](const error_code& aError) {
         self->mIsWriting = false;
-        if (self->mPhase == session_phase::Closed) {
+        if (self->IsEnded()) {
           return;
         }
         if (aError) {
@@ -303,9 +311,8 @@
 void session_impl::OnFlushed()
 {
   if (mIsComplete && mPhase == session_phase::Responding) {
-    // The head of a long response may have been sent before this instance began to leave.
-    if (!mKeepAlive || mListener->Host().IsLeaving()) {
-      Close();
+    if (!mKeepAlive) {
+      Linger();
       return;
     }
     WaitForRequest();
@@ -362,7 +369,7 @@
 {
   error_code error;
   const std::size_t unread = mBuffer.size() + mSocket.available(error);
-  if (mPhase == session_phase::Closed || (mPhase == session_phase::Idle && unread == 0)) {
+  if (mPhase != session_phase::Reading && mPhase != session_phase::Responding && unread == 0) {
     return;
   }
   log_line(log_event::ConnectionCut)
@@ -377,8 +384,55 @@
   // Closing the connection would reset a request that has arrived but has not been read yet.
   error_code error;
   if (mPhase == session_phase::Idle && mSocket.available(error) == 0) {
+    Linger();
+  }
+}
+
+/// Closes the sending side of the connection and waits for the caller to close its own. Closing both sides while bytes
+/// of the caller are unread, or arrive later, resets the connection, and the caller loses what it has not read yet.
+void session_impl::Linger()
+{
+  if (IsEnded()) {
+    return;
+  }
+  const ref<session_impl> self(this);
+  mPhase = session_phase::Lingering;
+  mPhaseSince = Now();
+  ++mGeneration;
+  error_code error;
+  mSocket.shutdown(tcp::socket::shutdown_send, error);
+  if (error) {
+    Close();
+    return;
+  }
+  mTimer.expires_after(kLingerTime);
+  mTimer.async_wait([self](const error_code& aError) {
+    if (!aError) {
+      self->Close();
+    }
+  });
+  Discard();
+}
+
+void session_impl::Discard()
+{
+  error_code error;
+  while (!error && mDiscarded < kMaxDiscardedBytes) {
+    const std::size_t size = mSocket.read_some(asio::buffer(sDiscarded), error);
+    mDiscarded += size;
+    if (!error && size < sDiscarded.size()) {
+      error = asio::error::would_block;
+    }
+  }
+  if (error != asio::error::would_block) {
     Close();
+    return;
   }
+  mSocket.async_wait(tcp::socket::wait_read, [self = ref<session_impl>(this)](const error_code& aError) {
+    if (self->mPhase == session_phase::Lingering) {
+      aError ? self->Close() : self->Discard();
+    }
+  });
 }
 
 void session_impl::Close()
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -21,6 +21,7 @@
   Idle,    ///< waiting for a request
   Reading, ///< the first bytes of a request have arrived
   Responding,
+  Lingering, ///< closed by this side; what the caller still sends is discarded
   Closed
 };
 
@@ -57,7 +58,10 @@
   void OnFlushed();
   void WatchCaller();
   void HandleDisconnect();
+  void Linger();
+  void Discard();
   void Close();
+  bool IsEnded() const { return mPhase == session_phase::Lingering || mPhase == session_phase::Closed; }
   void StartTimeout(duration aTime);
 
   ref<listener_impl> mListener;
@@ -70,6 +74,7 @@
   ref<request_handler> mHandler;
   std::string mOutput;
   std::size_t mOutputSent = 0;
+  std::size_t mDiscarded = 0; ///< bytes received while lingering
   bool mIsWriting = false;
   bool mIsWatching = false;
   bool mKeepAlive = true;
