A leaving gateway ends only when no connection is open

Callers on open connections, and those whose connection the kernel had accepted already, got a reset for requests that had arrived: the process ended once no request was in progress, and did not look at requests that it had not read yet. It showed when the process got no processor time for a second around the end of its 2.6 s for the balancer. Connections that had just been accepted were closed at once.

It now waits for open connections, and closes those that have been without a request for a second.

--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -67,12 +67,12 @@
   mAcceptor.close(error);
 }
 
-void listener_impl::CloseIdle()
+void listener_impl::CloseIdle(duration aIdleTime)
 {
   for (auto session = mSessions.begin(); session != mSessions.end();) {
     const ref<session_impl> sessionRef(&*session);
     ++session;
-    sessionRef->CloseIfIdle();
+    sessionRef->CloseIfIdle(aIdleTime);
   }
 }
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -379,11 +379,11 @@
     .Number("in_phase_ms", std::chrono::duration<double, std::milli>(aNow - mPhaseSince).count());
 }
 
-void session_impl::CloseIfIdle()
+void session_impl::CloseIfIdle(duration aIdleTime)
 {
   // Closing the connection would reset a request that has arrived but has not been read yet.
   error_code error;
-  if (mPhase == session_phase::Idle && mSocket.available(error) == 0) {
+  if (mPhase == session_phase::Idle && Now() - mPhaseSince >= aIdleTime && mSocket.available(error) == 0) {
     Linger();
   }
 }
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -73,8 +73,8 @@
   virtual net::endpoint LocalEndpoint() const = 0;
   /// Stops accepting new connections.
   virtual void StopAccepting() = 0;
-  /// Closes connections without a request in progress.
-  virtual void CloseIdle() = 0;
+  /// Closes connections that have been without a request for aIdleTime.
+  virtual void CloseIdle(duration aIdleTime) = 0;
   /// Logs the connections that the end of the process cuts off.
   virtual void LogOpen(instant aNow) const = 0;
   /// Number of connections on which a request is being read or answered.
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -35,7 +35,7 @@
   ~session_impl() override;
 
   void WaitForRequest();
-  void CloseIfIdle();
+  void CloseIfIdle(duration aIdleTime);
   void LogOpen(instant aNow) const;
   bool IsBusy() const { return mPhase == session_phase::Reading || mPhase == session_phase::Responding; }
 
@@ -100,7 +100,7 @@
   void Accept() override;
   net::endpoint LocalEndpoint() const override;
   void StopAccepting() override;
-  void CloseIdle() override;
+  void CloseIdle(duration aIdleTime) override;
   std::size_t Busy() const override;
   void LogOpen(instant aNow) const override;
   std::size_t Open() const override { return mSessions.size(); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,6 +43,8 @@
 constexpr duration kStopMargin = std::chrono::milliseconds(300);
 /// Share of the grace period within which new requests are accepted: streams run for three seconds, slow ones for five.
 constexpr double kAdmissionShareOfGrace = 0.4;
+/// Time that a connected caller has to send its next request before a leaving instance closes the connection.
+constexpr duration kNextRequestTime = std::chrono::seconds(1);
 constexpr duration kDrainPollInterval = std::chrono::milliseconds(50);
 /// Longest time that callers wait for the configuration after a start: a third of the time after which they give up on
 /// a connection that nobody reads.
@@ -458,10 +460,9 @@
   mRelay->Leave();
   co_await Pause(std::min<duration>(kBalancerDetectionTime, (kill - begun) / 2));
   mCallers->StopAccepting();
-  mCallers->CloseIdle();
-  while (mCallers->Busy() > 0 && Now() < kill) {
+  while (mCallers->Open() > 0 && Now() < kill) {
+    mCallers->CloseIdle(kNextRequestTime);
     co_await Pause(kDrainPollInterval);
-    mCallers->CloseIdle();
   }
   LogCuts(Now());
   log_line(log_event::Stopped)
