A connection that is accepted while a gateway stops accepting is served

The caller of such a connection got a reset: the kernel had accepted it, the completion of the accept ran after the acceptor was closed, and its handler dropped the socket. request_that_arrives_as_its_gateway_stops_accepting_gets_a_response failed before with one of nine callers without a response and passes, five times in a row.

--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -30,6 +30,10 @@
 void listener_impl::Accept()
 {
   mAcceptor.async_accept([self = ref<listener_impl>(this)](const error_code& aError, tcp::socket aSocket) {
+    if (!aError) {
+      // Accepted before the acceptor was closed, even if this runs after it.
+      MakeRef<session_impl>(self, std::move(aSocket))->WaitForRequest();
+    }
     if (!self->mAcceptor.is_open()) {
       return;
     }
@@ -39,7 +43,6 @@
       self->mRetryTimer.async_wait([self](const error_code&) { self->Accept(); });
       return;
     }
-    MakeRef<session_impl>(self, std::move(aSocket))->WaitForRequest();
     self->Accept();
   });
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -460,10 +460,10 @@
   mRelay->Leave();
   co_await Pause(std::min<duration>(kBalancerDetectionTime, (kill - begun) / 2));
   mCallers->StopAccepting();
-  while (mCallers->Open() > 0 && Now() < kill) {
+  do {
     mCallers->CloseIdle(kNextRequestTime);
     co_await Pause(kDrainPollInterval);
-  }
+  } while (mCallers->Open() > 0 && Now() < kill);
   LogCuts(Now());
   log_line(log_event::Stopped)
     .Count("cut", mCallers->Busy())
