A request in progress gets a response when its gateway stops

Its caller got a closed connection at the end of the grace period, also when nothing was known to have run: a booking at a server that does not respond, a request in the capacity queue, a stream between two engines before its first event. Only requests with an engine at work were thought of.

Half a second before the end of the grace period all requests are ended: 503 with a time to return where nothing has run, 502 where it may have, an aborted stream where events were sent; then the connections are closed in two steps. request_cut is written for each. booking_that_runs_when_its_gateway_stops_gets_a_response failed before ('0 == 502') and passes.

--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -41,7 +41,7 @@
     Other,
     "in_force",
     "SIGHUP arrived; changed settings take effect at the next start" },
-  { Stopped, "stopped", Notable, Gateway, "cut after_ms", "the process stops; `cut` callers were still being served" },
+  { Stopped, "stopped", Notable, Gateway, "cut after_ms", "the process stops; `cut` requests were ended by that" },
   { StoreLost,
     "store_lost",
     Notable,
--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -79,15 +79,6 @@
   }
 }
 
-std::size_t listener_impl::Busy() const
-{
-  std::size_t busy = 0;
-  for (const session_impl& session : mSessions) {
-    busy += session.IsBusy() ? 1 : 0;
-  }
-  return busy;
-}
-
 void listener_impl::LogOpen(instant aNow) const
 {
   for (const session_impl& session : mSessions) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -77,8 +77,6 @@
   virtual void CloseIdle(duration aIdleTime) = 0;
   /// Logs the connections that the end of the process cuts off.
   virtual void LogOpen(instant aNow) const = 0;
-  /// Number of connections on which a request is being read or answered.
-  virtual std::size_t Busy() const = 0;
   /// Number of open connections.
   virtual std::size_t Open() const = 0;
 };
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -37,7 +37,6 @@
   void WaitForRequest();
   void CloseIfIdle(duration aIdleTime);
   void LogOpen(instant aNow) const;
-  bool IsBusy() const { return mPhase == session_phase::Reading || mPhase == session_phase::Responding; }
 
   void SetHandler(ref<request_handler> aHandler) override;
   void Respond(net::http_reply aReply) override;
@@ -101,7 +100,6 @@
   net::endpoint LocalEndpoint() const override;
   void StopAccepting() override;
   void CloseIdle(duration aIdleTime) override;
-  std::size_t Busy() const override;
   void LogOpen(instant aNow) const override;
   std::size_t Open() const override { return mSessions.size(); }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,19 +33,19 @@
 
 /// Time limit of a request whose caller gives none.
 constexpr duration kDefaultCallerTimeout = std::chrono::seconds(60);
-/// Retry-after time sent by an instance that can't serve or can't trust its configuration. It is short, because another
-/// instance can serve the retry.
-constexpr duration kRetryElsewhereAfter = std::chrono::milliseconds(100);
 /// Time until the balancer has noticed that this instance is leaving and the last connection that it has assigned to
 /// this instance has arrived.
 constexpr duration kBalancerDetectionTime = std::chrono::milliseconds(2600);
-/// Requests that still run are interrupted this long before the end of the grace period.
+/// The process stops this long before the end of the grace period.
 constexpr duration kStopMargin = std::chrono::milliseconds(300);
+/// Requests that still run are ended this long before the process stops, so that their responses reach the callers.
+constexpr duration kLastResponseTime = std::chrono::milliseconds(200);
 /// Share of the grace period within which new requests are accepted: streams run for three seconds, slow ones for five.
 constexpr double kAdmissionShareOfGrace = 0.4;
 /// Time that a connected caller has to send its next request before a leaving instance closes the connection.
 constexpr duration kNextRequestTime = std::chrono::seconds(1);
 constexpr duration kDrainPollInterval = std::chrono::milliseconds(50);
+constexpr duration kLastResponsePollInterval = std::chrono::milliseconds(10);
 /// Longest time that callers wait for the configuration after a start: a third of the time after which they give up on
 /// a connection that nobody reads.
 constexpr duration kMaxConfigurationWait = std::chrono::milliseconds(330);
@@ -130,7 +130,7 @@
   asio::awaitable<void> Report();
   asio::awaitable<void> FollowSignals();
   asio::awaitable<void> Leave();
-  void LogCuts(instant aNow) const;
+  std::size_t EndRequests(instant aNow);
   void Reload();
 
   asio::io_context& mContext;
@@ -439,16 +439,19 @@
   log_line(log_event::SettingsReloaded).Text("in_force", "from the next start");
 }
 
-/// Logs the requests and connections that the end of the process cuts off.
-void gateway_process::LogCuts(instant aNow) const
+/// Ends all requests, so that each caller gets a response before the process stops; returns their number.
+std::size_t gateway_process::EndRequests(instant aNow)
 {
-  for (const stream_request& stream : mStreams) {
-    stream.LogCut(aNow);
+  std::size_t ended = 0;
+  for (; !mStreams.empty(); ++ended) {
+    const ref<stream_request> stream(&mStreams.front());
+    stream->Stop(aNow);
   }
-  for (const service_request& request : mServices) {
-    request.LogCut(aNow);
+  for (; !mServices.empty(); ++ended) {
+    const ref<service_request> request(&mServices.front());
+    request->Stop(aNow);
   }
-  mCallers->LogOpen(aNow);
+  return ended;
 }
 
 asio::awaitable<void> gateway_process::Leave()
@@ -463,10 +466,15 @@
   do {
     mCallers->CloseIdle(kNextRequestTime);
     co_await Pause(kDrainPollInterval);
-  } while (mCallers->Open() > 0 && Now() < kill);
-  LogCuts(Now());
+  } while (mCallers->Open() > 0 && Now() < kill - kLastResponseTime);
+  const std::size_t cut = EndRequests(Now());
+  while (mCallers->Open() > 0 && Now() < kill) {
+    mCallers->CloseIdle(duration::zero());
+    co_await Pause(kLastResponsePollInterval);
+  }
+  mCallers->LogOpen(Now());
   log_line(log_event::Stopped)
-    .Count("cut", mCallers->Busy())
+    .Count("cut", cut)
     .Number("after_ms", std::chrono::duration<double, std::milli>(Now() - begun).count());
   mContext.stop();
 }
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -28,6 +28,10 @@
 class engine_probes;
 class capacity_queue;
 
+/// Retry-after time of an instance that can't serve a request or can't trust its configuration. It is short, because
+/// another instance can serve the retry.
+inline constexpr duration kRetryElsewhereAfter = std::chrono::milliseconds(100);
+
 /// Objects of a gateway that all its requests use.
 struct request_environment
 {
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -303,6 +303,16 @@
   mRequest.mSession.reset();
 }
 
+void service_request::Stop(instant aNow)
+{
+  const ref<service_request> self(this);
+  LogCut(aNow);
+  mRuns += mCall ? 1 : 0;
+  EndAttempt(false);
+  GiveUp("the instance stops", aNow);
+}
+
+/// Logs that the process stops before the request has ended.
 void service_request::LogCut(instant aNow) const
 {
   log_line(log_event::RequestCut)
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -20,8 +20,8 @@
 
   /// Sends the request to a server, or refuses it when none is usable.
   void Start();
-  /// Logs that the process stops before the request has ended.
-  void LogCut(instant aNow) const;
+  /// Ends the request with a response, because the process stops.
+  void Stop(instant aNow);
 
   void OnCallerGone() override;
   void OnWritten() override {}
@@ -38,6 +38,7 @@
   void HandleFailure(const std::string& aReason, instant aNow);
   void HandleTimeout();
   void ForwardResponse();
+  void LogCut(instant aNow) const;
   duration RetryAfter(instant aNow);
   void GiveUp(const std::string& aReason, instant aNow);
   void End(request_end aEnd, unsigned aStatus, const std::string& aReason);
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -428,6 +428,15 @@
   }
 }
 
+void stream_request::Stop(instant aNow)
+{
+  const ref<stream_request> self(this);
+  LogCut(aNow);
+  mMayHaveRun = mMayHaveRun || mPhase == phase::Running;
+  GiveUp("the instance stops", aNow, kRetryElsewhereAfter);
+}
+
+/// Logs that the process stops before the request has ended.
 void stream_request::LogCut(instant aNow) const
 {
   log_line(log_event::RequestCut)
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -20,8 +20,8 @@
 public:
   stream_request(request_environment& aEnvironment, admitted_request aRequest);
 
-  /// Logs that the process stops before the request has ended.
-  void LogCut(instant aNow) const;
+  /// Ends the request, because the process stops: with a response, or by aborting the one that has begun.
+  void Stop(instant aNow);
   /// Sends the request, or queues it for capacity.
   void Start();
   /// Checks for the deadline, a stall and engines that leave; called every kStreamTick.
@@ -68,6 +68,7 @@
 
   void TryPath(instant aNow);
   void LogAvailability(instant aNow);
+  void LogCut(instant aNow) const;
   duration RetryAfter(instant aNow);
   void Wait(duration aTime, void (*aContinue)(stream_request&));
   void Send(chosen_path aPath, instant aNow);
