A leaving gateway begins only requests that it can finish

Callers of long streams lost them at the end of the grace period of the gateway that had taken them after SIGTERM. Class of fault: a limit on when work may begin that does not know how long the work takes.

Each request is now begun, sent again, queued or resumed by a leaving gateway only if it is expected to end before the gateway stops: streams by the path's predicted time and the gaps between events that this gateway measures, calls by the times of its calls and the objective, with half as much on top for new ones. Others get 503 and a short time to return at once, as another gateway serves them; a broken stream that can't be finished here is aborted at once, so that its caller can resume it elsewhere. Short requests are taken for longer than before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,8 +40,6 @@
 constexpr duration kStopMargin = std::chrono::milliseconds(300);
 /// Requests that still run are ended this long before the process stops, so that their responses reach the callers.
 constexpr duration kLastResponseTime = std::chrono::milliseconds(200);
-/// Share of the grace period within which new requests are accepted: streams run for three seconds, slow ones for five.
-constexpr double kAdmissionShareOfGrace = 0.4;
 /// Time that a connected caller has to send its next request before a leaving instance closes the connection.
 constexpr duration kNextRequestTime = std::chrono::seconds(1);
 constexpr duration kDrainPollInterval = std::chrono::milliseconds(50);
@@ -90,7 +88,10 @@
                     mServices,
                     mCapacityQueue,
                     Milliseconds(aSettings.gateway().drain_bound_ms()),
-                    std::mt19937_64(std::random_device{}()) }
+                    std::mt19937_64(std::random_device{}()),
+                    {},
+                    {},
+                    {} }
   {
   }
 
@@ -115,11 +116,6 @@
   bool StartRelay();
   bool IsReady() const;
   void UpdateGauges();
-  /// Time after SIGTERM until which new requests are accepted: SIGKILL would interrupt later ones.
-  duration AdmissionTimeAfterStop() const
-  {
-    return Milliseconds(mSettings.gateway().stop_grace_s() * 1000 * kAdmissionShareOfGrace);
-  }
   /// Responds to a request that is not admitted.
   void Refuse(const ref<caller_session>& aSession,
               const wire::request_metadata& aMetadata,
@@ -154,7 +150,6 @@
   request_environment mEnvironment;
   caller_limits mDefaultLimits;
   bool mIsLeaving = false;
-  instant mLeavingSince;
   bool mWasReady = false;
 };
 
@@ -328,10 +323,6 @@
     Refuse(aSession, admitted.mMetadata, 503, "not configured yet");
     return;
   }
-  if (mIsLeaving && Now() - mLeavingSince > AdmissionTimeAfterStop()) {
-    Refuse(aSession, admitted.mMetadata, 503, "leaving");
-    return;
-  }
   admitted.mRoute = admitted.mConfiguration->FindRoute(admitted.mMetadata.mHost, net::PathOf(aRequest.mTarget));
   const bool trustsKeys = mSync->Keys().MayTrustKeys(BootNow());
   if (admitted.mRoute == nullptr) {
@@ -427,7 +418,6 @@
       Reload();
     } else if (!mIsLeaving) {
       mIsLeaving = true;
-      mLeavingSince = Now();
       asio::co_spawn(mContext, Leave(), asio::detached);
     }
   }
@@ -458,6 +448,7 @@
 {
   const instant begun = Now();
   const instant kill = begun + Milliseconds(mSettings.gateway().stop_grace_s() * 1000) - kStopMargin;
+  mEnvironment.mStop.StopAt(kill - kLastResponseTime);
   mPlacement->Leave();
   mRegistry->Leave();
   mRelay->Leave();
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/intrusive/list.hpp>
 
+#include <map>
 #include <random>
 
 #include "gateway/backend_call.h"
@@ -10,6 +11,8 @@
 #include "gateway/fleet.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/wire.h"
+#include "policy/stall_detector.h"
+#include "policy/stop_schedule.h"
 
 /// Objects and data that streaming requests and requests to plain services have in common, and functions that build
 /// requests to backend servers and responses to callers.
@@ -46,6 +49,9 @@
   capacity_queue& mCapacityQueue;
   duration mDrainBound{ 0 }; ///< minimum time for which a leaving backend server keeps serving
   std::mt19937_64 mRandom;
+  policy::stop_schedule mStop;
+  policy::gap_statistics mEventGaps;                      ///< between the events of all streams
+  std::map<pool_name, policy::gap_statistics> mCallTimes; ///< to the responses of plain services
 };
 
 /// A request that was admitted because its route and its key are known, with all that is needed to run it.
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -51,6 +51,10 @@
     GiveUp("deadline", aNow);
     return;
   }
+  if (!MayBegin(aNow)) {
+    GiveUp("leaving", aNow, kRetryElsewhereAfter);
+    return;
+  }
   auto server = mEnvironment.mFleet->ChooseService(mRequest.mPool, mExcluded, mEnvironment.mRandom(), aNow);
   if (!server && IsIdempotent() && !mExcluded.empty()) {
     // Once all servers have been tried, one that failed may be tried again.
@@ -167,6 +171,7 @@
     return;
   }
   const bool isGood = mStatus < 300 && mResponseMetadata.mIsStamped && !mHeaders.Has("Content-Encoding");
+  mEnvironment.mCallTimes[mRequest.mPool].Observed(now - mSentAt);
   if (isGood || (mStatus >= 300 && mStatus < 500)) {
     ForwardResponse();
     return;
@@ -174,6 +179,14 @@
   HandleFailure("status " + std::to_string(mStatus), now);
 }
 
+/// Whether a call would end before the instance stops, if that is leaving.
+bool service_request::MayBegin(instant aNow) const
+{
+  const auto times = mEnvironment.mCallTimes.find(mRequest.mPool);
+  const duration measured = times == mEnvironment.mCallTimes.end() ? duration::zero() : times->second.Mean();
+  return mEnvironment.mStop.MayBegin(std::max(measured, mRequest.mRoute->mObjective), aNow);
+}
+
 /// Whether the request may be retried now; if so, the retry is charged to the retry budget.
 bool service_request::MayRetry(instant aNow)
 {
@@ -262,10 +275,10 @@
   return std::chrono::duration_cast<duration>(*returnsIn * spread(mEnvironment.mRandom));
 }
 
-void service_request::GiveUp(const std::string& aReason, instant aNow)
+void service_request::GiveUp(const std::string& aReason, instant aNow, std::optional<duration> aRetryAfter)
 {
   if (mRuns == 0) {
-    mRequest.mSession->Respond(OwnResponse(503, RetryAfter(aNow)));
+    mRequest.mSession->Respond(OwnResponse(503, aRetryAfter.value_or(RetryAfter(aNow))));
     End(request_end::Refused, 503, aReason);
     return;
   }
@@ -309,7 +322,7 @@
   LogCut(aNow);
   mRuns += mCall ? 1 : 0;
   EndAttempt(false);
-  GiveUp("the instance stops", aNow);
+  GiveUp("the instance stops", aNow, kRetryElsewhereAfter);
 }
 
 /// Logs that the process stops before the request has ended.
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -35,12 +35,13 @@
   void EndAttempt(bool aFailed);
   bool IsIdempotent() const { return mRequest.mRoute->mKind == request_kind::Idempotent; }
   bool MayRetry(instant aNow);
+  bool MayBegin(instant aNow) const;
   void HandleFailure(const std::string& aReason, instant aNow);
   void HandleTimeout();
   void ForwardResponse();
   void LogCut(instant aNow) const;
   duration RetryAfter(instant aNow);
-  void GiveUp(const std::string& aReason, instant aNow);
+  void GiveUp(const std::string& aReason, instant aNow, std::optional<duration> aRetryAfter = std::nullopt);
   void End(request_end aEnd, unsigned aStatus, const std::string& aReason);
   const std::string& Id() const { return mRequest.mMetadata.mId.Str(); }
 
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -188,6 +188,7 @@
     } else {
       mEnvironment.mMetrics->Gap(now - mLastEvent);
       mGaps.Observed(now - mLastEvent);
+      mEnvironment.mEventGaps.Observed(now - mLastEvent);
       mLongestGap = std::max(mLongestGap, now - mLastEvent);
       mRequest.mSession->Write(events);
     }
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -99,6 +99,8 @@
   void ProbeStages();
   duration StallThreshold() const;
   double EstimatedOutputTokens() const;
+  duration ExpectedTime(const chosen_path* aPath) const;
+  bool MayContinue(const chosen_path* aPath, instant aNow) const;
   double TokensLeft() const;
   void End(request_end aEnd, unsigned aStatus, const std::string& aReason);
   duration TimeLeft(instant aNow) const { return mRequest.mDeadline - aNow; }
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "base/clock.h"
 #include "base/decision_log.h"
 #include "gateway/capacity_queue.h"
@@ -26,6 +28,10 @@
     GiveUp("deadline", aNow);
     return;
   }
+  if (!MayContinue(nullptr, aNow)) {
+    GiveUp("leaving", aNow, kRetryElsewhereAfter);
+    return;
+  }
   if (SendIfCapacity(aNow)) {
     return;
   }
@@ -63,6 +69,10 @@
     }
     return false;
   }
+  if (!MayContinue(&*path, aNow)) {
+    GiveUp("leaving", aNow, kRetryElsewhereAfter);
+    return true;
+  }
   if (mNeedsRetryBudget) {
     if (!mEnvironment.mFleet->Retries(mRequest.mPool).TryRetry(aNow, mEnvironment.mFleet->Gateways())) {
       return false;
@@ -75,6 +85,27 @@
   return true;
 }
 
+/// Predicted time from now to the end of the stream, with the gaps between events as they are measured; without a path,
+/// only what the output takes.
+duration stream_request::ExpectedTime(const chosen_path* aPath) const
+{
+  const pool* pool = mRequest.mConfiguration->FindPool(mRequest.mPool);
+  const double stride = pool != nullptr && pool->mEngine ? std::max(1U, pool->mEngine->mStride) : 1;
+  const auto output = std::chrono::duration_cast<duration>(mEnvironment.mEventGaps.Mean() * (TokensLeft() / stride));
+  if (aPath == nullptr) {
+    return output;
+  }
+  return std::max(ToDuration(aPath->mCost.mTotal), ToDuration(aPath->mCost.mFirstToken) + output);
+}
+
+/// Whether the stream would end before the instance stops, if that is leaving. A caller whose stream would not is
+/// better off elsewhere at once, also one that has received a part of it.
+bool stream_request::MayContinue(const chosen_path* aPath, instant aNow) const
+{
+  const duration expected = ExpectedTime(aPath);
+  return mHasBegun ? mEnvironment.mStop.EndsInTime(expected, aNow) : mEnvironment.mStop.MayBegin(expected, aNow);
+}
+
 policy::waiting_request stream_request::ToWaitingRequest() const
 {
   return { mRequest.mArrived, mRequest.mRoute->mObjective, mRequest.mDeadline - mRequest.mArrived, mRequest.mPriority };
--- a/src/gateway/stream_request_repair.cpp
+++ b/src/gateway/stream_request_repair.cpp
@@ -30,6 +30,10 @@
     GiveUp("deadline", aNow);
     return;
   }
+  if (mPhase == phase::Waiting && !MayContinue(nullptr, aNow)) {
+    GiveUp("leaving", aNow, kRetryElsewhereAfter);
+    return;
+  }
   if (mPhase != phase::Running || mIsPaused || mIsRepathing || !mPath) {
     return;
   }
--- /dev/null
+++ b/tests/unit/policy_stop_schedule_test.cpp
@@ -0,0 +1,34 @@
+#include "policy/stop_schedule.h"
+
+#include <catch2/catch.hpp>
+
+using namespace chervilpulley;
+using namespace chervilpulley::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct stop_schedule_fixture
+{
+  instant mNow{ 100s };
+  stop_schedule mSchedule;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(stop_schedule_fixture, "stop_schedule_of_an_instance_that_stays_lets_every_request_begin")
+{
+  CHECK(mSchedule.MayBegin(24h, mNow));
+  CHECK(mSchedule.EndsInTime(24h, mNow));
+}
+
+TEST_CASE_METHOD(stop_schedule_fixture, "stop_schedule_of_a_leaving_instance_lets_only_requests_that_end_in_time_begin")
+{
+  mSchedule.StopAt(mNow + 6s);
+  CHECK(mSchedule.MayBegin(4s, mNow));
+  CHECK_FALSE(mSchedule.MayBegin(4100ms, mNow));
+  CHECK_FALSE(mSchedule.MayBegin(4s, mNow + 1ms));
+  CHECK(mSchedule.EndsInTime(6s, mNow));
+  CHECK_FALSE(mSchedule.EndsInTime(6001ms, mNow));
+  CHECK_FALSE(mSchedule.MayBegin(0s, mNow + 7s));
+}
