--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -312,7 +312,6 @@
     RequestEnd,
     "request route workspace reason status sends configuration after_ms",
     "the call ended without a successful response; `reason` says why" },
-  { AcceptFailed, "accept_failed", Notable, Other, "reason", "a caller's connection could not be accepted" },
   { RequestCut,
     "request_cut",
     Notable,
@@ -327,6 +326,7 @@
     "phase unsent_bytes unread_bytes in_phase_ms",
     "the process stops while a caller's connection is open: bytes of a response are unsent, or bytes of a request "
     "unread" },
+  { AcceptFailed, "accept_failed", Notable, Other, "reason", "a caller's connection could not be accepted" },
 });
 
 /// Whether each entry is at the index of its enumerator, on which EntryOf() relies.
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -89,9 +89,9 @@
   CallSent,
   CallServed,
   CallEnded,
-  AcceptFailed,
   RequestCut,
-  ConnectionCut
+  ConnectionCut,
+  AcceptFailed
 };
 
 /// The catalogue's entry for an event.
