A gateway that gets processor time late stops earlier

300 ms before SIGKILL is too short for a process that runs late by as much: its requests get no response then.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,8 +36,6 @@
 /// Time until the balancer has noticed that this instance is leaving and the last connection that it has assigned to
 /// this instance has arrived.
 constexpr duration kBalancerDetectionTime = std::chrono::milliseconds(2600);
-/// The process stops this long before the end of the grace period.
-constexpr duration kStopMargin = std::chrono::milliseconds(300);
 /// Requests that still run are ended this long before the process stops, so that their responses reach the callers.
 constexpr duration kLastResponseTime = std::chrono::milliseconds(200);
 /// Time that a connected caller has to send its next request before a leaving instance closes the connection.
@@ -48,6 +46,8 @@
 /// a connection that nobody reads.
 constexpr duration kMaxConfigurationWait = std::chrono::milliseconds(330);
 constexpr duration kConfigurationPollInterval = std::chrono::milliseconds(4);
+/// Number of ticks in which a measured delay falls to about a third.
+constexpr int kTickDelayMemory = 16;
 constexpr duration kReportInterval = std::chrono::milliseconds(1000);
 
 duration Milliseconds(double aTime)
@@ -151,6 +151,7 @@
   caller_limits mDefaultLimits;
   bool mIsLeaving = false;
   bool mWasReady = false;
+  duration mTickDelay{ 0 }; ///< longest recent delay of Tick()
 };
 
 /// Serves the connections of the balancer and of metrics scrapers.
@@ -381,8 +382,10 @@
 asio::awaitable<void> gateway_process::Tick()
 {
   while (true) {
+    const instant due = Now() + kStreamTick;
     co_await Pause(kStreamTick);
     const instant now = Now();
+    mTickDelay = std::max<duration>(now - due, mTickDelay * (kTickDelayMemory - 1) / kTickDelayMemory);
     for (auto stream = mStreams.begin(); stream != mStreams.end();) {
       const ref<stream_request> kept(&*stream);
       ++stream;
@@ -447,19 +450,20 @@
 asio::awaitable<void> gateway_process::Leave()
 {
   const instant begun = Now();
-  const instant kill = begun + Milliseconds(mSettings.gateway().stop_grace_s() * 1000) - kStopMargin;
-  mEnvironment.mStop.StopAt(kill - kLastResponseTime);
+  const duration grace = Milliseconds(mSettings.gateway().stop_grace_s() * 1000);
+  const auto stop = [&] { return begun + grace - policy::StopMargin(grace, mTickDelay); };
+  mEnvironment.mStop.StopAt(stop() - kLastResponseTime);
   mPlacement->Leave();
   mRegistry->Leave();
   mRelay->Leave();
-  co_await Pause(std::min<duration>(kBalancerDetectionTime, (kill - begun) / 2));
+  co_await Pause(std::min<duration>(kBalancerDetectionTime, (stop() - begun) / 2));
   mCallers->StopAccepting();
   do {
     mCallers->CloseIdle(kNextRequestTime);
     co_await Pause(kDrainPollInterval);
-  } while (mCallers->Open() > 0 && Now() < kill - kLastResponseTime);
+  } while (mCallers->Open() > 0 && Now() < stop() - kLastResponseTime);
   const std::size_t cut = EndRequests(Now());
-  while (mCallers->Open() > 0 && Now() < kill) {
+  while (mCallers->Open() > 0 && Now() < stop()) {
     mCallers->CloseIdle(duration::zero());
     co_await Pause(kLastResponsePollInterval);
   }
--- a/src/policy/stop_schedule.h
+++ b/src/policy/stop_schedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <optional>
 
 #include "chervilpulley/policy_types.h"
@@ -13,6 +14,19 @@
 /// more than a rejection.
 inline constexpr double kNewRequestFactor = 1.5;
 
+/// An instance stops this long before the end of the grace period if it always gets processor time at once.
+inline constexpr duration kMinStopMargin = std::chrono::milliseconds(300);
+/// Share of the grace period by which the margin grows at most.
+inline constexpr int kMaxMarginDivisor = 12;
+
+/// Time before the end of the grace period at which an instance stops.
+/// @param aDelay longest recent time by which the instance got processor time late.
+inline duration StopMargin(duration aGrace, duration aDelay)
+{
+  return kMinStopMargin + std::min<duration>(aDelay * 2, aGrace / kMaxMarginDivisor);
+}
+
+/// The time at which a leaving instance stops.
 class stop_schedule
 {
 public:
--- a/tests/unit/policy_stop_schedule_test.cpp
+++ b/tests/unit/policy_stop_schedule_test.cpp
@@ -16,6 +16,13 @@
 
 } // namespace
 
+TEST_CASE("stop_margin_of_an_instance_that_gets_processor_time_late_is_longer")
+{
+  CHECK(StopMargin(8s, 0s) == kMinStopMargin);
+  CHECK(StopMargin(8s, 100ms) == kMinStopMargin + 200ms);
+  CHECK(StopMargin(6s, 5s) == kMinStopMargin + 500ms);
+}
+
 TEST_CASE_METHOD(stop_schedule_fixture, "stop_schedule_of_an_instance_that_stays_lets_every_request_begin")
 {
   CHECK(mSchedule.MayBegin(24h, mNow));
