Tests of streams whose engine ends while their gateway leaves, and of signals that repeat

Both passed on the code before as well: a leaving gateway keeps its list, its share of retries, its configuration and its links, and signals after the first change nothing.

--- a/tests/processes/gateway_termination_test.cpp
+++ b/tests/processes/gateway_termination_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <thread>
 
 using namespace chervilpulley;
@@ -103,6 +104,38 @@
   CHECK(isComplete);
 }
 
+TEST_CASE_METHOD(terminated_gateway_fixture, "stream_whose_engine_ends_while_its_gateway_leaves_is_completed")
+{
+  StartGateway();
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Stream("moved", 160))));
+  REQUIRE(caller.ReadUntil("token 5\n"));
+  Terminate();
+  SetServer(std::string(Records("run", "moved").front().at("server").as_string()), "reborn");
+  caller.ReadToEnd();
+  bool isComplete = false;
+  INFO(Gateway().Output());
+  CHECK(caller.ChunkedBody(isComplete) == EventsUpTo(80));
+  CHECK(isComplete);
+  CHECK(RunCount("moved") == 2);
+}
+
+TEST_CASE_METHOD(terminated_gateway_fixture, "gateway_signalled_again_while_it_leaves_ends_as_after_the_first_signal")
+{
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Stream("running", 160))));
+  REQUIRE(caller.ReadUntil("token 5\n"));
+  Terminate();
+  ::kill(Gateway().Pid(), SIGHUP);
+  Gateway().Terminate();
+  ::kill(Gateway().Pid(), SIGINT);
+  caller.ReadToEnd();
+  bool isComplete = false;
+  CHECK(caller.ChunkedBody(isComplete) == EventsUpTo(80));
+  CHECK(isComplete);
+  CHECK(Gateway().WaitForExit().value_or(kNotExited) == kExited);
+}
+
 TEST_CASE_METHOD(terminated_gateway_fixture, "booking_that_runs_when_its_gateway_stops_gets_a_response")
 {
   SetServer("service-0", "dark");
