One unreadable entry on the list costs that entry alone

What was seen: with one entry on the list that the parser doesn't accept, gateways stopped following the list, and a gateway that started beside it never became ready. An entry from another writer is enough: arrays nested 29 levels or deeper, an exponent of ten digits, invalid UTF-8, a lone surrogate, NaN or Infinity.

Cause: a list and a page of changes were parsed as one JSON text, so the limits of the parser (32 levels, the exponent, UTF-8) held for the whole text. An unreadable page of changes led to a new list, which was as unreadable, and so on.

A text that is cut off, or whose brackets don't match, is still unreadable as a whole, so that no entry is taken for removed. The cache, and thus the relay, keeps only the name of an unreadable entry, so readers of the relay are not affected by it. It is logged once until it becomes readable or is removed, with its revision, and counted in gateway_unreadable_entries.

--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -37,6 +37,7 @@
     , mRepairs(Counters("gateway_repairs_total", "Requests repeated, resumed and repathed"))
     , mOrders(Counters("gateway_orders_total", "Orders to engines, by outcome"))
     , mBackends(Gauge("gateway_backends", "Backend servers listed"))
+    , mUnreadable(Gauge("gateway_unreadable_entries", "Entries of the list of backend servers that are skipped"))
     , mUncovered(Gauge("gateway_uncovered_layers", "Layers without a holder in this failure domain"))
     , mHeldOnce(Gauge("gateway_layers_held_once", "Layers with a single holder in this failure domain"))
     , mSlowEngines(Gauge("gateway_slow_engines", "Engines that say that they are slow"))
@@ -74,6 +75,7 @@
   {
     mOrders.Add({ { "outcome", aAccepted ? "accepted" : "refused" } }).Increment();
   }
+  void UnreadableEntries(std::size_t aCount) override { mUnreadable.Set(static_cast<double>(aCount)); }
   void SlowEngines(std::size_t aCount) override { mSlowEngines.Set(static_cast<double>(aCount)); }
   void Backends(std::size_t aListed, std::size_t aUncoveredLayers, std::size_t aLayersHeldOnce) override
   {
@@ -123,6 +125,7 @@
   prometheus::Family<prometheus::Counter>& mRepairs;
   prometheus::Family<prometheus::Counter>& mOrders;
   prometheus::Gauge& mBackends;
+  prometheus::Gauge& mUnreadable;
   prometheus::Gauge& mUncovered;
   prometheus::Gauge& mHeldOnce;
   prometheus::Gauge& mSlowEngines;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -47,6 +47,8 @@
   virtual void OrderGiven(bool aAccepted) = 0;
   /// Listed backend servers, and layers with no and with a single usable engine in this failure domain.
   virtual void Backends(std::size_t aListed, std::size_t aUncoveredLayers, std::size_t aLayersHeldOnce) = 0;
+  /// Entries of the list of backend servers that can't be decoded and are skipped.
+  virtual void UnreadableEntries(std::size_t aCount) = 0;
   virtual void SlowEngines(std::size_t aCount) = 0;
   /// Version of the configuration in force, and the time since it was confirmed as the newest.
   virtual void Configuration(std::uint64_t aVersion, duration aAge) = 0;
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -46,6 +47,8 @@
 /// Share of the bound for keys after which the store counts as failing for a gateway that reads it itself: a read was
 /// missed.
 constexpr double kStoreFailureAgeShare = 0.4;
+/// The spec that is kept for an unreadable entry.
+constexpr const char* kUnreadableSpec = "null";
 
 } // namespace
 
@@ -277,23 +280,36 @@
 void store_sync::ApplyList(std::vector<wire::record> aItems, std::uint64_t aRevision)
 {
   std::vector<policy::backend_member> members;
-  for (const wire::record& object : aItems) {
-    AppendMember(object, members);
+  const std::set<std::string> formerUnreadable = std::exchange(mUnreadableEntries, {});
+  for (wire::record& object : aItems) {
+    const bool isKnown = formerUnreadable.contains(object.mName);
+    AppendMember(object, members, isKnown);
   }
   mFleet->Members().Listed(std::move(members), Now());
   mFleet->MembersChanged(Now());
+  mMetrics->UnreadableEntries(mUnreadableEntries.size());
   mHasMembers = true;
   mCache->Listed(std::move(aItems), aRevision);
 }
 
-void store_sync::AppendMember(const wire::record& aObject, std::vector<policy::backend_member>& aMembers)
+/// Appends the server that an entry names. An unreadable entry names none; it is logged once, and keeps only its name,
+/// so that readers of the cache can read what surrounds it.
+void store_sync::AppendMember(wire::record& aObject, std::vector<policy::backend_member>& aMembers, bool aIsLogged)
 {
   std::string fault;
   if (auto member = wire::DecodeMember(aObject.mName, aObject.mSpec, fault)) {
+    mUnreadableEntries.erase(aObject.mName);
     aMembers.push_back(std::move(*member));
     return;
   }
-  log_line(log_event::ListEntryUnreadable).Text("name", aObject.mName).Text("reason", fault);
+  aObject.mSpec = kUnreadableSpec;
+  const bool isNew = mUnreadableEntries.insert(aObject.mName).second;
+  if (isNew && !aIsLogged) {
+    log_line(log_event::ListEntryUnreadable)
+      .Quote("name", aObject.mName)
+      .Count("revision", aObject.mRevision)
+      .Text("reason", fault);
+  }
 }
 
 /// Waits for changes once; false if that failed.
@@ -336,10 +352,12 @@
   // Changes may arrive from two sources; the older response contains nothing new.
   if (aRevision > mCache->Position().mMembers && !aChanges.empty()) {
     std::vector<policy::backend_member> changed;
-    for (const wire::record_change& change : aChanges) {
+    for (wire::record_change& change : aChanges) {
       changed.clear();
-      if (!change.mIsDeleted) {
-        AppendMember(change.mObject, changed);
+      if (change.mIsDeleted) {
+        mUnreadableEntries.erase(change.mObject.mName);
+      } else {
+        AppendMember(change.mObject, changed, false);
       }
       // A server with a malformed entry can't be used.
       if (changed.empty()) {
@@ -349,6 +367,7 @@
       }
     }
     mFleet->MembersChanged(Now());
+    mMetrics->UnreadableEntries(mUnreadableEntries.size());
   }
   mFleet->Members().TimePassed(Now());
   mCache->Changed(std::move(aChanges), aRevision);
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -3,6 +3,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <set>
+
 #include "gateway/fleet.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/relay_messages.h"
@@ -93,7 +95,7 @@
   void Confirmed(instant aRequestedAt);
   void ApplyList(std::vector<wire::record> aItems, std::uint64_t aRevision);
   void ApplyChanges(std::vector<wire::record_change> aChanges, std::uint64_t aRevision);
-  void AppendMember(const wire::record& aObject, std::vector<policy::backend_member>& aMembers);
+  void AppendMember(wire::record& aObject, std::vector<policy::backend_member>& aMembers, bool aIsLogged);
   void ListLost();
   duration RelayWait() const;
   bool IsStoreFailing() const;
@@ -108,7 +110,8 @@
   ref<net::http_client> mRelayClient;
   policy::source_choice mSources;
   std::map<instance_id, net::endpoint> mRelayAddresses;
-  std::string mLastBody; ///< of the configuration; an equal body needs no parsing
+  std::set<std::string> mUnreadableEntries; ///< names of listed entries that name no backend server to use
+  std::string mLastBody;                    ///< of the configuration; an equal body needs no parsing
   bool mHasMembers = false;
   bool mIsFollowing = false;
 };
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -112,7 +112,7 @@
 {
   std::string mName;
   std::uint64_t mRevision = 0;
-  std::string mSpec; ///< JSON
+  std::string mSpec; ///< JSON as stored; may be unreadable
 };
 /// One page of a list.
 struct record_list
--- a/tests/contract/gateway_store_sync_test.cpp
+++ b/tests/contract/gateway_store_sync_test.cpp
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "net/http_server.h"
+#include "support/odd_entries.h"
 
 using namespace chervilpulley;
 using namespace chervilpulley::gateway;
@@ -28,6 +29,8 @@
   bool mStoreResponds = true;
   relay_response mRelayResponse;
   unsigned mRelayRequests = 0;
+  std::string mListItems;
+  std::string mEvents; ///< sent once, as the changes up to revision 11
 
   store_sync_fixture()
   {
@@ -70,7 +73,10 @@
     if (target.find("watch=") != std::string::npos) {
       boost::asio::steady_timer timer(aExchange.Executor(), milliseconds(100));
       co_await timer.async_wait(boost::asio::use_awaitable);
-      net::http_reply changes = net::JsonReply(200, R"({"events":[],"currentRev":10})");
+      const bool hasEvents = !mEvents.empty() && target.find("watch=10") != std::string::npos;
+      const std::string body =
+        hasEvents ? R"({"events":[)" + mEvents + R"(],"currentRev":11})" : R"({"events":[],"currentRev":10})";
+      net::http_reply changes = net::JsonReply(200, body);
       co_await aExchange.Reply(std::move(changes));
       co_return;
     }
@@ -78,7 +84,7 @@
     net::http_reply reply =
       net::JsonReply(200,
                      isConfiguration ? R"({"metadata":{"name":"main","revision":5},"spec":)" + kSpec + "}"
-                                     : std::string(R"({"items":[],"truncated":false,"currentRev":10})"));
+                                     : R"({"items":[)" + mListItems + R"(],"truncated":false,"currentRev":10})");
     co_await aExchange.Reply(std::move(reply));
   }
 
@@ -155,3 +161,29 @@
   CHECK(mSync->Cache()->Position().mMembers == 12);
   CHECK(mSync->Cache()->UpdatesSince({ 5, 0 }, BootNow()).mChanges.size() == 1);
 }
+
+TEST_CASE_METHOD(store_sync_fixture, "store_sync_with_unreadable_entries_relays_responses_that_readers_can_decode")
+{
+  std::size_t count = 0;
+  for (const testing::odd_entry& odd : testing::UnreadableEntries()) {
+    mEvents += std::string(mEvents.empty() ? "" : ",") + R"({"deleted":false,"object":{"metadata":{"name":"odd )" +
+               std::to_string(count++) + R"(","revision":11},"spec":)" + odd.mSpec + "}}";
+  }
+  mEvents += R"(,{"deleted":false,"object":{"metadata":{"name":"sound","revision":11},"spec":)" +
+             testing::SpecWith("extra", "1") + "}}";
+  REQUIRE(RunUntil([this] { return mSync->Cache()->Position().mMembers == 11; }));
+  // A reader that needs the changes, and one that needs the whole list.
+  for (const std::uint64_t members : { 10U, 0U }) {
+    std::string fault;
+    const relay_response sent{ mSync->Cache()->UpdatesSince({ 5, members }, BootNow()), duration::zero() };
+    const auto received = DecodeRelayResponse(EncodeRelayResponse(sent), fault);
+    INFO(fault);
+    REQUIRE(received);
+    CHECK(received->mUpdates.mChanges.size() == count + 1);
+    std::size_t usable = 0;
+    for (const wire::record_change& change : received->mUpdates.mChanges) {
+      usable += wire::DecodeMember(change.mObject.mName, change.mObject.mSpec, fault) ? 1 : 0;
+    }
+    CHECK(usable == 1);
+  }
+}
--- a/tests/standin/standin_fleet.cpp
+++ b/tests/standin/standin_fleet.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+/// A call to this path and a name writes its body, as it is, as the spec of an entry of the list.
+constexpr std::string_view kRawEntries = "/raw_entries/";
 constexpr std::string_view kHost = "demo.example";
 constexpr std::uint64_t kRouteTimeoutMs = 8'000;
 
@@ -99,6 +101,9 @@
     co_await mStore.Handle(aExchange);
   } else if (path == "/records") {
     co_await aExchange.Reply(LinesReply(mRecords.Text()));
+  } else if (path.starts_with(kRawEntries)) {
+    mStore.WriteRaw("servers", std::string(path.substr(kRawEntries.size())), request.mBody);
+    co_await aExchange.Reply(ObjectReply(200, {}));
   } else if (path == "/control") {
     co_await aExchange.Reply(Control(request));
   } else {
@@ -108,7 +113,7 @@
 
 /// Handles a control call, with any of these members:
 /// {"server":NAME,"state":"ok|dark|slow|closing|refusing|pausing|failing|cutting|announcing|leaving|gone|reborn"} sets
-/// the state of a server,
+/// the state of a server, {"remove_entry":NAME} removes an entry of the list,
 /// {"store":{faults}} sets faults of the store, and {"version":N,"key":KEY} writes a new configuration.
 net::http_reply fleet::Control(const net::http_request& aRequest)
 {
@@ -120,6 +125,9 @@
       }
     }
   }
+  if (body.Has("remove_entry")) {
+    mStore.Remove("servers", body.Text("remove_entry"));
+  }
   if (body.Has("store")) {
     mStore.SetFaults(body.Object().at("store").as_object());
   }
--- a/tests/standin/standin_store.cpp
+++ b/tests/standin/standin_store.cpp
@@ -76,6 +76,22 @@
   mChanged.NotifyAll();
 }
 
+void object_store::WriteRaw(const std::string& aKind, const std::string& aName, const std::string& aSpec)
+{
+  const std::string placeholder = "raw spec " + std::to_string(mRawSpecs.size());
+  mRawSpecs['"' + placeholder + '"'] = aSpec;
+  Write(aKind, aName, json::value(placeholder));
+}
+
+void object_store::InsertRawSpecs(std::string& aBody) const
+{
+  for (const auto& [placeholder, spec] : mRawSpecs) {
+    for (auto at = aBody.find(placeholder); at != std::string::npos; at = aBody.find(placeholder, at + spec.size())) {
+      aBody.replace(at, placeholder.size(), spec);
+    }
+  }
+}
+
 void object_store::Remove(const std::string& aKind, const std::string& aName)
 {
   const auto found = mObjects[aKind].find(aName);
@@ -113,6 +129,7 @@
     reply = EmptyReply(503);
   } else {
     reply = co_await HandleRequest(request);
+    InsertRawSpecs(reply.mBody);
   }
   if (mResponsesToDrop > 0 && request.mMethod != "GET") {
     --mResponsesToDrop;
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -25,6 +25,8 @@
 
   /// Writes an object unconditionally, as operators and backend servers do.
   void Write(const std::string& aKind, const std::string& aName, boost::json::value aSpec);
+  /// Writes an object whose spec is this text in all responses, valid JSON or not.
+  void WriteRaw(const std::string& aKind, const std::string& aName, const std::string& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
   /// Sets the faults of a control call: "down" (responds with 503), "silent" (never responds), "lose_answers" (number
   /// of responses to writes that are dropped) and "forget" (discards the history that watches read).
@@ -55,6 +57,10 @@
   net::http_reply Create(const std::string& aKind, const net::http_request& aRequest);
   boost::json::object ToJson(const std::string& aName, const stored_object& aObject) const;
 
+  /// Replaces the placeholders of raw specs by their texts.
+  void InsertRawSpecs(std::string& aBody) const;
+
+  std::map<std::string, std::string> mRawSpecs; ///< by the placeholder that stands for each
   std::map<std::string, kind_objects> mObjects;
   std::deque<change> mChanges;
   std::uint64_t mRevision = 100;
--- /dev/null
+++ b/tests/unit/platform_odd_entry_test.cpp
@@ -0,0 +1,241 @@
+#include <catch2/catch.hpp>
+
+#include <boost/json.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+
+#include "gateway/relay_messages.h"
+#include "gateway/wire.h"
+#include "support/odd_entries.h"
+
+using namespace chervilpulley;
+using namespace chervilpulley::gateway;
+using namespace chervilpulley::testing;
+
+namespace {
+
+const std::string kSound = SpecWith("extra", "1");
+
+std::string Object(const std::string& aName, const std::string& aSpec)
+{
+  return R"({"metadata":{"name":")" + aName + R"(","revision":5,"finalizers":[]},"spec":)" + aSpec +
+         R"(,"status":null})";
+}
+
+/// A list with an odd entry between sound ones.
+std::string ListWith(const std::string& aOdd)
+{
+  return R"({"items":[)" + Object("a", kSound) + "," + aOdd + ", " + Object("c", kSound) +
+         R"(],"truncated":false,"currentRev":9})";
+}
+
+std::string ChangesWith(const std::string& aOdd)
+{
+  return R"({"events":[{"deleted":false,"object":)" + Object("a", kSound) + R"(},{"object":)" + aOdd +
+         R"(,"deleted":false},{"deleted":true,"object":)" + Object("c", kSound) + R"(}],"currentRev":10})";
+}
+
+/// Names of the servers to use in a list.
+std::vector<std::string> Usable(const std::vector<wire::record>& aRecords)
+{
+  std::vector<std::string> names;
+  for (const wire::record& record : aRecords) {
+    std::string fault;
+    if (wire::DecodeMember(record.mName, record.mSpec, fault)) {
+      names.push_back(record.mName);
+    }
+  }
+  return names;
+}
+
+std::vector<std::string> UsableIn(const std::string& aList)
+{
+  std::string fault;
+  const auto list = wire::DecodeList(aList, fault);
+  INFO(fault);
+  REQUIRE(list);
+  CHECK(list->mRevision == 9);
+  return Usable(list->mItems);
+}
+
+std::vector<std::string> UsableInChanges(const std::string& aChanges)
+{
+  std::string fault;
+  const auto changes = wire::DecodeChanges(aChanges, fault);
+  INFO(fault);
+  REQUIRE(changes);
+  CHECK(changes->mRevision == 10);
+  std::vector<wire::record> changed;
+  for (const wire::record_change& change : changes->mChanges) {
+    CHECK(change.mIsDeleted == (change.mObject.mName == "c"));
+    changed.push_back(change.mObject);
+  }
+  return Usable(changed);
+}
+
+const std::vector<std::string> kSoundNames{ "a", "c" };
+
+} // namespace
+
+TEST_CASE("list_and_changes_with_an_unreadable_entry_keep_the_sound_ones_and_its_name")
+{
+  for (const odd_entry& odd : UnreadableEntries()) {
+    INFO(odd.mName);
+    CHECK(UsableIn(ListWith(Object("b", odd.mSpec))) == kSoundNames);
+    CHECK(UsableInChanges(ChangesWith(Object("b", odd.mSpec))) == kSoundNames);
+    std::string fault;
+    const auto record = wire::DecodeRecord(Object("b", odd.mSpec), fault);
+    REQUIRE(record);
+    CHECK(record->mName == "b");
+    CHECK(record->mRevision == 5);
+    const auto list = wire::DecodeList(ListWith(Object("b", odd.mSpec)), fault);
+    REQUIRE(list);
+    CHECK(list->mItems.size() == 3);
+  }
+}
+
+TEST_CASE("list_and_changes_with_an_invalid_entry_keep_the_sound_ones")
+{
+  for (const odd_entry& odd : InvalidEntries()) {
+    INFO(odd.mName);
+    CHECK(UsableIn(ListWith(Object("b", odd.mSpec))) == kSoundNames);
+    CHECK(UsableInChanges(ChangesWith(Object("b", odd.mSpec))) == kSoundNames);
+  }
+}
+
+TEST_CASE("list_with_an_odd_status_or_odd_metadata_of_an_entry_keeps_all_sound_specs")
+{
+  std::string fault;
+  const std::string odd = R"({"metadata":{"finalizers":)" + Nested(50) +
+                          R"(,"name":"b","revision":1e9999999999},"spec":)" + kSound + R"(,"status":")" + "\xff" +
+                          R"("})";
+  CHECK(UsableIn(ListWith(odd)) == std::vector<std::string>{ "a", "b", "c" });
+  CHECK(UsableIn(ListWith(R"({"metadata":{"name":")"
+                          "\xff"
+                          R"("},"spec":1})")) == kSoundNames);
+  CHECK(UsableIn(ListWith(Nested(60))) == kSoundNames);
+}
+
+TEST_CASE("list_that_is_cut_off_or_whose_brackets_do_not_match_is_unreadable_as_a_whole")
+{
+  const std::string whole = ListWith(Object("b", kSound));
+  std::string fault;
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    INFO(size);
+    CHECK(!wire::DecodeList(whole.substr(0, size), fault));
+    CHECK(!wire::DecodeChanges(ChangesWith(Object("b", kSound)).substr(0, size), fault));
+  }
+  for (const char* odd : { "]", "}", "[", "{\"", "[}", "{\"a\":]}" }) {
+    INFO(odd);
+    CHECK(!wire::DecodeList(ListWith(odd), fault));
+  }
+}
+
+namespace {
+
+/// A piece of text as it may stand anywhere in an odd entry.
+rc::Gen<std::string> OddPiece()
+{
+  return rc::gen::oneOf(rc::gen::element<std::string>("1e400",
+                                                      "-1e400",
+                                                      "1e9999999999",
+                                                      "12345678901234567890123",
+                                                      "-1",
+                                                      "1e300",
+                                                      "0.5",
+                                                      "NaN",
+                                                      "null",
+                                                      "true",
+                                                      "[]",
+                                                      "{}",
+                                                      "\"\"",
+                                                      "\"\xff\xc0\"",
+                                                      R"("\ud800")",
+                                                      R"("10.0.0.9:99999")",
+                                                      R"("10.0.0.9:0")",
+                                                      R"({"from":1e300,"target":1e400})",
+                                                      R"({"from":-5,"target":99999999999999999999})"),
+                        rc::gen::map(rc::gen::inRange<std::size_t>(1, 2000), Nested),
+                        rc::gen::map(rc::gen::inRange<std::size_t>(0, 5000),
+                                     [](std::size_t aSize) { return '"' + std::string(aSize, 'x') + '"'; }));
+}
+
+rc::Gen<std::string> OddSpec()
+{
+  const auto member = rc::gen::element<std::string>("service",
+                                                    "address",
+                                                    "zone",
+                                                    "state",
+                                                    "slots",
+                                                    "seq",
+                                                    "born",
+                                                    "layers",
+                                                    "kind",
+                                                    "version",
+                                                    "coldMs",
+                                                    "extra",
+                                                    "pace",
+                                                    "kvUsed",
+                                                    "kvTotal",
+                                                    "stalled",
+                                                    "routes",
+                                                    "limits",
+                                                    "services",
+                                                    "failure_domain",
+                                                    "relay");
+  return rc::gen::oneOf(OddPiece(), rc::gen::map(rc::gen::pair(member, OddPiece()), [](const auto& aMember) {
+                          return SpecWith(aMember.first, aMember.second);
+                        }));
+}
+
+/// The same with any single byte replaced.
+rc::Gen<std::string> BrokenText(const std::string& aText)
+{
+  return rc::gen::map(rc::gen::pair(rc::gen::inRange<std::size_t>(0, aText.size()), rc::gen::arbitrary<char>()),
+                      [aText](const auto& aChange) {
+                        std::string text = aText;
+                        text[aChange.first] = aChange.second;
+                        return text;
+                      });
+}
+
+/// Gives a text to every decoder; none may throw.
+void DecodeByAll(const std::string& aText)
+{
+  std::string fault;
+  wire::DecodeRecord(aText, fault);
+  wire::DecodeList(aText, fault);
+  wire::DecodeChanges(aText, fault);
+  wire::DecodeMember("b", aText, fault);
+  wire::DecodeReport(aText, fault);
+  wire::DecodeConfiguration(aText, fault);
+  wire::DecodeGateway(aText, fault);
+  wire::DecodePathRefusal(aText);
+  DecodeRelayResponse(aText, fault);
+}
+
+} // namespace
+
+TEST_CASE("decoders_given_any_odd_entry_throw_nothing_and_keep_the_sound_entries_beside_it")
+{
+  rc::prop("odd entries", [] {
+    const std::string odd = *OddSpec();
+    DecodeByAll(odd);
+    std::string fault;
+    const auto list = wire::DecodeList(ListWith(Object("b", odd)), fault);
+    RC_ASSERT(list.has_value());
+    const auto names = Usable(list->mItems);
+    RC_ASSERT(std::count(names.begin(), names.end(), "a") == 1);
+    RC_ASSERT(std::count(names.begin(), names.end(), "c") == 1);
+    const auto changes = wire::DecodeChanges(ChangesWith(Object("b", odd)), fault);
+    RC_ASSERT(changes.has_value());
+    RC_ASSERT(changes->mChanges.size() == 3U);
+  });
+  rc::prop("broken texts", [] {
+    DecodeByAll(*BrokenText(ListWith(Object("b", kSound))));
+    DecodeByAll(*BrokenText(ChangesWith(Object("b", kSound))));
+    DecodeByAll(*BrokenText(kSound));
+  });
+}
