A list entry with port 0 or a number out of range names no server to use

What was seen: an entry with port 0, or with born, slots, seq or layers that are negative, have a fraction, are too large (1e300, 1e400, 23 digits) or of another type, was taken as a server to use: with no start time, or as an engine that holds nothing. Such an entry got requests or orders, and its name went into headers whatever bytes it had.

Cause: the decoder checked the service, address, zone and state only, and read any other member that it didn't understand as missing.

Missing and empty layers stay an engine that holds nothing. Number() takes infinity, as which the parser reads 1e400, as no number, for all readers.

Evidence: on the code before, list_and_changes_with_an_invalid_entry_keep_the_sound_ones fails for port 0 and for each of these counts ({ "a", "b", "c" } == { "a", "c" }), and list_entry_whose_name_is_no_id_is_rejected fails.

--- a/src/gateway/json_read.h
+++ b/src/gateway/json_read.h
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <cmath>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,13 +17,15 @@
   return object == nullptr ? nullptr : object->if_contains(aName);
 }
 
-/// A number; nothing for a missing value or another type.
+/// A finite number; nothing for a missing value or another type. The parser takes a number that is too large as
+/// infinite.
 inline std::optional<double> Number(const boost::json::value* aValue)
 {
   if (aValue == nullptr || !aValue->is_number()) {
     return std::nullopt;
   }
-  return aValue->to_number<double>();
+  const auto number = aValue->to_number<double>();
+  return std::isfinite(number) ? std::optional(number) : std::nullopt;
 }
 
 /// A number that is not negative, rounded down to an integer.
@@ -36,6 +39,13 @@
   return static_cast<std::uint64_t>(*number);
 }
 
+/// A number that is not negative and has no fraction.
+inline std::optional<std::uint64_t> WholeNumber(const boost::json::value* aValue)
+{
+  const auto count = Count(aValue);
+  return count && static_cast<double>(*count) == Number(aValue) ? count : std::nullopt;
+}
+
 /// A string; nothing for a missing value or another type.
 inline std::optional<std::string> Text(const boost::json::value* aValue)
 {
--- a/tests/support/odd_entries.h
+++ b/tests/support/odd_entries.h
@@ -72,6 +72,22 @@
                                      { "enormous address", SpecWith("address", '"' + std::string(200'000, '1') + '"') },
                                      { "service of another type", SpecWith("service", "7") },
                                      { "state of another type", SpecWith("state", "null") } };
+  for (const char* port : { "0", "65536", "+80", "80 ", "" }) {
+    entries.push_back({ std::string("port ") + port, SpecWith("address", std::string(R"("10.0.0.9:)") + port + '"') });
+  }
+  for (const char* count :
+       { "1e300", "1e400", "-1e400", "-1", "0.5", "12345678901234567890123", R"("12")", "null", "[]" }) {
+    for (const char* member : { "born", "slots", "seq" }) {
+      entries.push_back({ std::string(member) + " " + count, SpecWith(member, count) });
+    }
+    const std::string layers = std::string(R"({"from":0,"target":)") + count + "}";
+    if (count != std::string_view("null")) {
+      entries.push_back({ std::string("layers to ") + count, SpecWith("layers", layers) });
+    }
+  }
+  entries.push_back({ "layers of another type", SpecWith("layers", "7") });
+  entries.push_back({ "coldMs 1e400", SpecWith("coldMs", "1e400") });
+  entries.push_back({ "coldMs of another type", SpecWith("coldMs", R"("1")") });
   return entries;
 }
 
--- a/tests/unit/platform_odd_entry_test.cpp
+++ b/tests/unit/platform_odd_entry_test.cpp
@@ -105,6 +105,30 @@
   }
 }
 
+TEST_CASE("list_entry_whose_name_is_no_id_is_rejected")
+{
+  std::string fault;
+  CHECK(wire::DecodeMember("i-7f3a91c2", kSound, fault));
+  for (const std::string& name :
+       { std::string(), std::string("i-1\r\nX-Other: y"), std::string("i 1"), std::string(5000, 'i') }) {
+    INFO(name);
+    CHECK(!wire::DecodeMember(name, kSound, fault));
+  }
+}
+
+TEST_CASE("list_entry_without_layers_or_counts_or_with_an_empty_span_is_accepted")
+{
+  std::string fault;
+  CHECK(wire::DecodeMember("b", R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready"})", fault));
+  for (const char* layers : { "null", "{}", R"({"from":0,"target":0})", R"({"from":0.0,"target":80.0,"version":1})" }) {
+    INFO(layers);
+    CHECK(wire::DecodeMember("b", SpecWith("layers", layers), fault));
+  }
+  CHECK(wire::DecodeMember("b", SpecWith("born", "1764892800000"), fault)->mStartedAt == 1764892800000U);
+  CHECK(wire::DecodeMember("b", SpecWith("coldMs", "-0.5"), fault));
+  CHECK(wire::DecodeMember("b", SpecWith("version", "1"), fault));
+}
+
 TEST_CASE("list_with_an_odd_status_or_odd_metadata_of_an_entry_keeps_all_sound_specs")
 {
   std::string fault;
