An address with a zero byte is not ip:port

What could happen: an entry whose address is an IP address, a zero byte, a line break and more text was taken as sound, and its address went as it is into the path header of requests to other servers.

Cause: inet_pton reads up to the zero byte, and the whole text was kept.

--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -10,6 +10,9 @@
 
 bool IsIpAddress(const std::string& aText)
 {
+  if (aText.find('\0') != std::string::npos) {
+    return false; // inet_pton reads no further
+  }
   unsigned char bytes[sizeof(in6_addr)];
   return inet_pton(AF_INET, aText.c_str(), bytes) == 1 || inet_pton(AF_INET6, aText.c_str(), bytes) == 1;
 }
--- a/tests/support/odd_entries.h
+++ b/tests/support/odd_entries.h
@@ -75,6 +75,7 @@
   for (const char* port : { "0", "65536", "+80", "80 ", "" }) {
     entries.push_back({ std::string("port ") + port, SpecWith("address", std::string(R"("10.0.0.9:)") + port + '"') });
   }
+  entries.push_back({ "address with a zero byte", SpecWith("address", R"("10.0.0.9\u0000\r\nX-Other: y:80")") });
   for (const char* count :
        { "1e300", "1e400", "-1e400", "-1", "0.5", "12345678901234567890123", R"("12")", "null", "[]" }) {
     for (const char* member : { "born", "slots", "seq" }) {
