SIGHUP and SIGPIPE don't end an entry or a sidecar

Callers of every running request saw a closed connection: a SIGHUP that announces changed settings, or a SIGPIPE, took its default action and ended the process at once. The gateway ignores both, entry and sidecar handled SIGTERM and SIGINT alone.

--- a/src/runtime/process.cpp
+++ b/src/runtime/process.cpp
@@ -9,6 +9,7 @@
 
 #include <unistd.h>
 
+#include <csignal>
 #include <cstdio>
 #include <thread>
 
@@ -34,10 +35,14 @@
 
 boost::asio::awaitable<void> WaitForSignals(boost::asio::io_context& aContext, std::function<void()> aOnLeave)
 {
-  boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
+  boost::asio::signal_set signals(aContext, SIGTERM, SIGINT, SIGHUP);
   bool isLeaving = false;
   while (true) {
     const int number = co_await signals.async_wait(boost::asio::use_awaitable);
+    if (number == SIGHUP) {
+      kLog.Info("Received SIGHUP; changed settings take effect at the next start.");
+      continue;
+    }
     kLog.Info("Received signal {}.", number);
     if (!std::exchange(isLeaving, true)) {
       aOnLeave();
@@ -80,6 +85,8 @@
 
 void OnTerminate(boost::asio::io_context& aContext, std::function<void()> aOnLeave)
 {
+  // A write to a closed connection or log reader fails instead of ending the process.
+  std::signal(SIGPIPE, SIG_IGN);
   boost::asio::co_spawn(aContext, WaitForSignals(aContext, std::move(aOnLeave)), boost::asio::detached);
 }
 
--- a/src/runtime/process.h
+++ b/src/runtime/process.h
@@ -36,8 +36,8 @@
 /// Calls aFunction once per aInterval until the context stops.
 void Every(boost::asio::io_context& aContext, duration aInterval, std::function<void()> aFunction);
 
-/// Calls aOnLeave once, at the first SIGTERM or SIGINT; later signals are ignored, so that no running request is
-/// interrupted.
+/// Calls aOnLeave once, at the first SIGTERM or SIGINT. Later ones, SIGHUP and SIGPIPE are ignored, so that no running
+/// request is interrupted.
 void OnTerminate(boost::asio::io_context& aContext, std::function<void()> aOnLeave);
 
 /// Runs the context on aThreads threads, including the calling one, until it stops.
--- a/tests/processes/process.h
+++ b/tests/processes/process.h
@@ -76,6 +76,8 @@
   void Wake();
   /// Sends SIGTERM.
   void Terminate();
+  /// Sends any signal.
+  void Signal(int aSignal);
   /// Exit status, or 128 + signal; nullopt while the process runs.
   std::optional<int> Status();
   /// Waits for the exit and returns the status; nullopt when the process still runs after aLimit.
@@ -84,7 +86,6 @@
 private:
   /// @param aBegin where the process's output begins in the file.
   void ReadListeningLine(std::size_t aBegin);
-  void Signal(int aSignal);
 
   std::vector<std::string> mArguments;
   std::string mLogFile;
