An entry ends although an operator's call is in progress

An entry that had served all its callers did not end, and was killed: its event loop was stopped first, and a call of an operator that waited for that loop, such as 'watch', which does so for most of its time, never returned, nor did the gRPC server that waited for the call. Operators lost their connection at SIGKILL without an outcome.

--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -179,12 +179,20 @@
     mHttpServer->StopAccepting();
     mHasStoppedAccepting = true;
   }
-  if (mHasStoppedAccepting && mHttpServer->OpenExchanges() == 0) {
+  if (mHasStoppedAccepting && !mStopping.joinable() && mHttpServer->OpenExchanges() == 0) {
     kLog.Info("No request is in progress; exiting.");
-    mCore.Context().stop();
+    Stop();
   }
 }
 
+void entry_server::Stop()
+{
+  mStopping = std::jthread([this] {
+    mAdminServer->Stop();
+    mCore.Context().stop();
+  });
+}
+
 void entry_server::Leave()
 {
   kLog.Info("Shutting down: /readyz fails from now on.");
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <thread>
 
 #include "admin/admin_server.h"
 #include "config/peer_server.h"
@@ -38,6 +39,8 @@
   boost::asio::awaitable<void> HandleHttp(net::http_exchange& aExchange);
   void OnLiveList(const runtime::instance_core::live_instances& aLive);
   void OnTick();
+  /// Ends the operators' calls, which need the context, then stops it.
+  void Stop();
   /// Reports a crash to all other entries.
   void ReportCrash(request_digest aDigest, std::uint32_t aCrashes);
   void ReportTraits(const std::vector<run_trait>& aTraits);
@@ -55,6 +58,7 @@
   std::atomic<bool> mLeaving{ false };
   instant mLeavingSince{};
   bool mHasStoppedAccepting = false;
+  std::jthread mStopping; ///< runs Stop()'s blocking part; unset before
 };
 
 } // namespace chervilpulley::entry
--- a/tests/processes/cluster.cpp
+++ b/tests/processes/cluster.cpp
@@ -98,14 +98,19 @@
   return RunOperatorCommand(aEntry, { "apply", "-f", mFolder.Write("change-" + RandomHex(4) + ".ini", aChange) });
 }
 
-program_result cluster::RunOperatorCommand(std::size_t aEntry, std::vector<std::string> aArguments)
+std::vector<std::string> cluster::OperatorCommand(std::size_t aEntry, std::vector<std::string> aArguments)
 {
   aArguments.insert(aArguments.begin(), BinaryPath());
   aArguments.push_back("--address");
   aArguments.push_back(mEntries.at(aEntry)->Address("admin").Str());
   aArguments.push_back("--key-file");
   aArguments.push_back(mFolder.Write("operator.key", mOperatorKey));
-  return RunProgram(aArguments);
+  return aArguments;
+}
+
+program_result cluster::RunOperatorCommand(std::size_t aEntry, std::vector<std::string> aArguments)
+{
+  return RunProgram(OperatorCommand(aEntry, std::move(aArguments)));
 }
 
 std::size_t cluster::AddEntry(const std::string& aFailureDomain)
--- a/tests/processes/cluster.h
+++ b/tests/processes/cluster.h
@@ -72,6 +72,8 @@
   program_result Apply(std::size_t aEntry, const std::string& aChange);
   /// Runs an operator command at an entry.
   program_result RunOperatorCommand(std::size_t aEntry, std::vector<std::string> aArguments);
+  /// Arguments of an operator command at an entry, for a program that runs beside the test.
+  std::vector<std::string> OperatorCommand(std::size_t aEntry, std::vector<std::string> aArguments);
   /// Starts another entry and adds it to the live list; returns its index.
   std::size_t AddEntry(const std::string& aFailureDomain);
   /// Kills an engine if it still runs, and starts it again at its old address.
--- a/tests/processes/entry_termination_test.cpp
+++ b/tests/processes/entry_termination_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <future>
 
 #include "processes/cluster.h"
@@ -78,3 +79,20 @@
   CHECK(Entry().WaitForExit().value_or(kNotExited) == kExited);
   CHECK(mCluster.Engine(leaving).mSidecar->WaitForExit().value_or(kNotExited) == kExited);
 }
+
+TEST_CASE_METHOD(entry_termination_fixture, "entry_terminated_while_operators_watch_ends")
+{
+  const temporary_folder folder;
+  std::vector<std::string> command = mCluster.OperatorCommand(0, { "watch", "--after", "0" });
+  command.insert(command.begin(), { "/bin/sh", "-c", "exec \"$0\" \"$@\" > " + folder.File("changes") });
+  std::future<program_result> watch =
+    std::async(std::launch::async, [&] { return RunProgram(command, 4 * kTestTimeout); });
+  REQUIRE(WaitUntil([&] {
+    std::error_code error;
+    return std::filesystem::file_size(folder.File("changes"), error) > 0 && !error;
+  }));
+  Entry().Terminate();
+  CHECK(Entry().WaitForExit().value_or(kNotExited) == kExited);
+  Entry().Kill();
+  CHECK(watch.get().mErr.find("stopping") != std::string::npos);
+}
