The HTTP server of entries closes connections in two steps

Callers lost the tail of a response that had been written completely: the server closed a connection while requests of the caller on it were unread, or the process ended at once, and TCP resets such a connection with all that the caller has not read yet. It happened after each response with 'Connection: close', at a stop, and at the exit, which waited for requests in progress but not for connections.

The server closes its sending side and reads until the caller closes too, for 3 s or 64 MB at most, as it did after 413 alone. An entry that stops exits when no connection is open.

entry_that_closes_a_connection_with_the_next_request_unread_does_not_reset_the_response failed before: reset ('2 == 1') with 2,017 bytes of the stream's events received, no [DONE]. request_that_arrives_as_its_entry_stops_accepting_gets_a_response passed before and stays: the accept loop serves what was accepted before the acceptor was closed.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -72,6 +72,7 @@
   bool mRequestKeepAlive = false;
   bool mIsHead = false;
   bool mAwaitsRequest = true; ///< its first request, or one sent while the server stops, is still to be read
+  bool mIsLingering = false;
   bool mBusy = false;
   bool mResponded = false;
   bool mFailed = false;
@@ -121,7 +122,7 @@
   http_limits mLimits;
   endpoint mLocal;
   std::atomic<bool> mStopping{ false };
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   boost::intrusive::list<server_connection, boost::intrusive::constant_time_size<true>> mConnections;
 };
 
@@ -154,8 +155,7 @@
     }
   }
   StopAwaitingRequest();
-  boost::system::error_code ignored;
-  mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  co_await Linger();
   mStream.close();
   mServer->Remove(*this);
 }
@@ -217,14 +217,18 @@
   }
   mRequestKeepAlive = false;
   co_await Reply(std::move(reply));
-  co_await Linger();
 }
 
+/// Closes the sending side of the connection and waits for the caller to close its own. Closing both sides while bytes
+/// of the caller are unread, or arrive later, resets the connection, and the caller loses what it has not read yet.
 asio::awaitable<void> server_connection::Linger()
 {
-  // Closing while the caller is still sending would reset the connection, and the caller would lose the response.
-  boost::system::error_code ignored;
-  mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  mIsLingering = true;
+  boost::system::error_code shutdownError;
+  mStream.socket().shutdown(tcp::socket::shutdown_send, shutdownError);
+  if (shutdownError) {
+    co_return;
+  }
   std::array<char, kLingerChunkBytes> chunk{};
   std::size_t total = 0;
   mStream.expires_after(kLingerTimeout);
@@ -367,7 +371,7 @@
 void server_connection::CloseIfIdle()
 {
   asio::post(mStream.get_executor(), [self = ref<server_connection>(this)] {
-    if (self->mBusy) {
+    if (self->mBusy || self->mIsLingering) {
       return;
     }
     // Closing would reset a request that has arrived but has not been read.
@@ -486,7 +490,11 @@
   // missed.
   const std::size_t accepting = mStopping ? mAccepting.load() : 0;
   const std::size_t awaiting = mAwaitingRequest.load();
-  return accepting + awaiting + mOpenExchanges.load();
+  if (!mStopping) {
+    return awaiting + mOpenExchanges.load();
+  }
+  std::lock_guard lock(mMutex);
+  return accepting + awaiting + mConnections.size();
 }
 
 void server_impl::Add(server_connection& aConnection)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -67,7 +67,7 @@
   /// closed. A caller that has connected but not sent anything has one second to send its request.
   virtual void StopAccepting() = 0;
   /// Number of requests in progress, plus connections whose first request has not arrived yet. Not 0 while a stopping
-  /// server may still accept connections.
+  /// server has open connections or may still accept some: the end of the process would reset them.
   virtual std::size_t OpenExchanges() const = 0;
 };
 
--- a/tests/processes/cluster.h
+++ b/tests/processes/cluster.h
@@ -68,6 +68,8 @@
 
   /// A caller of the workspace "demo".
   caller CallerAt(std::size_t aEntry) const;
+  /// Value of the Authorization header of this caller.
+  std::string Authorization() const { return "Bearer demo." + mSecret; }
   /// Applies a change in INI text at an entry.
   program_result Apply(std::size_t aEntry, const std::string& aChange);
   /// Runs an operator command at an entry.
--- a/tests/processes/entry_termination_test.cpp
+++ b/tests/processes/entry_termination_test.cpp
@@ -3,9 +3,11 @@
 #include <csignal>
 #include <filesystem>
 #include <future>
+#include <thread>
 
 #include "processes/cluster.h"
 #include "processes/http_call.h"
+#include "processes/raw_caller.h"
 
 using namespace chervilpulley;
 using namespace chervilpulley::processes;
@@ -50,6 +52,38 @@
     REQUIRE(hasStarted.wait_for(kTestTimeout) == std::future_status::ready);
     return stream;
   }
+
+  /// A request as bytes, for a connection that is kept open.
+  std::string Request(const std::string& aMethod, const std::string& aTarget, const std::string& aBody = "") const
+  {
+    return aMethod + " " + aTarget + " HTTP/1.1\r\nHost: demo.example\r\nAuthorization: " + mCluster.Authorization() +
+           "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  }
+  std::string Lookup() const { return Request("GET", "/services/stock/rope"); }
+  std::string Stream(std::uint64_t aTokens) const
+  {
+    return Request("POST",
+                   "/v1/completions",
+                   R"({"model":"demo","prompt":"Long brief","stream":true,"max_tokens":)" + std::to_string(aTokens) +
+                     "}");
+  }
+
+  /// Waits until the entry accepts no more connections.
+  void WaitUntilClosed()
+  {
+    REQUIRE(WaitUntil([&] { return Entry().Log().find("Stopped accepting") != std::string::npos; }));
+  }
+};
+
+constexpr std::string_view kDone = "data: [DONE]\n\n";
+
+/// Engines that are fast enough for long streams.
+struct fast_engines_fixture : entry_termination_fixture
+{
+  fast_engines_fixture()
+    : entry_termination_fixture({ { "drain_ms", "300" } }, 50)
+  {
+  }
 };
 
 } // namespace
@@ -96,3 +130,45 @@
   Entry().Kill();
   CHECK(watch.get().mErr.find("stopping") != std::string::npos);
 }
+
+TEST_CASE_METHOD(fast_engines_fixture,
+                 "entry_that_closes_a_connection_with_the_next_request_unread_does_not_reset_the_response")
+{
+  raw_caller caller(Callers(), 2048);
+  REQUIRE(caller.Send(Stream(400)));
+  REQUIRE(caller.ReadUntil("data: "));
+  Entry().Terminate();
+  WaitUntilClosed();
+  // Most of the response has not reached the caller, and further requests are unread when it ends.
+  REQUIRE(caller.Send(Lookup() + Lookup()));
+  CHECK(Entry().WaitForExit().value_or(kNotExited) == kExited);
+  CHECK(caller.ReadToEnd() == connection_end::Closed);
+  bool isComplete = false;
+  const std::string body = caller.ChunkedBody(isComplete);
+  CHECK(isComplete);
+  CHECK(body.ends_with(kDone));
+}
+
+TEST_CASE_METHOD(entry_termination_fixture, "request_that_arrives_as_its_entry_stops_accepting_gets_a_response")
+{
+  raw_caller kept(Callers());
+  REQUIRE(kept.Send(Lookup()));
+  REQUIRE(kept.ReadUntil("HTTP/1.1 200"));
+  Entry().Terminate();
+  // The entry gets no processor time while it should stop accepting connections.
+  Entry().Freeze();
+  REQUIRE(kept.Send(Lookup()));
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  for (int each = 0; each < 8; ++each) {
+    callers.push_back(std::make_unique<raw_caller>(Callers()));
+    REQUIRE(callers.back()->Send(Lookup()));
+  }
+  std::this_thread::sleep_for(600ms);
+  Entry().Wake();
+  CHECK(kept.ReadToEnd() == connection_end::Closed);
+  CHECK(kept.Received().rfind("HTTP/1.1 200") > 0);
+  for (const auto& caller : callers) {
+    CHECK(caller->ReadToEnd() == connection_end::Closed);
+    CHECK(caller->LastStatus() == 200);
+  }
+}
