A connection that a stopping entry promised to keep open is not closed after the response

Callers lost a request that crossed the close: the head of a long response was sent before the stop and promised to keep the connection open, and the entry closed it right after the response. Idle connections were closed at once when the entry stopped accepting.

Each such connection has a second for the caller's next request, whose response says that the connection is closed. request_on_a_connection_that_a_stopping_entry_promised_to_keep_is_served failed before ('"" == "HTTP/1.1 200"') and passes.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -22,8 +22,8 @@
 
 constexpr std::size_t kLingerChunkBytes = 16U << 10U;
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
-/// Time that a connected caller has to send its first request once the server stops.
-constexpr duration kFirstRequestTimeout = std::chrono::seconds(1);
+/// Time that a connected caller has to send its next request once the server stops.
+constexpr duration kNextRequestTimeout = std::chrono::seconds(1);
 constexpr duration kLingerTimeout = std::chrono::seconds(3);
 
 class server_impl;
@@ -57,7 +57,6 @@
   asio::awaitable<void> HandleRequest();
   void StartAwaitingRequest();
   void StopAwaitingRequest();
-  bool HasUnreadBytes();
   void WatchForHangUp();
   void CheckForHangUp();
   void ReportHangUp();
@@ -147,12 +146,15 @@
   if (mServer->IsStopping()) {
     CloseUnlessRequestArrives();
   }
-  // Even a stopping server reads the first request, since its caller connected before the stop.
-  while ((mAwaitsRequest || !mServer->IsStopping()) && co_await ReadRequest()) {
+  // A stopping server reads a request on each connection that is open, or whose last response promised to keep it open.
+  while (co_await ReadRequest()) {
     co_await HandleRequest();
     if (!KeepAlive()) {
       break;
     }
+    if (mServer->IsStopping()) {
+      CloseUnlessRequestArrives();
+    }
   }
   StopAwaitingRequest();
   co_await Linger();
@@ -176,7 +178,7 @@
 
 bool server_connection::KeepAlive() const
 {
-  return mRequestKeepAlive && mResponded && !mFailed && !mHungUp && !mServer->IsStopping();
+  return mRequestKeepAlive && mResponded && !mFailed && !mHungUp;
 }
 
 asio::awaitable<bool> server_connection::ReadRequest()
@@ -371,30 +373,16 @@
 void server_connection::CloseIfIdle()
 {
   asio::post(mStream.get_executor(), [self = ref<server_connection>(this)] {
-    if (self->mBusy || self->mIsLingering) {
-      return;
-    }
-    // Closing would reset a request that has arrived but has not been read.
-    if (self->HasUnreadBytes()) {
-      self->StartAwaitingRequest();
-    }
-    if (self->mAwaitsRequest) {
+    if (!self->mBusy && !self->mIsLingering) {
       self->CloseUnlessRequestArrives();
-    } else {
-      self->mStream.cancel();
     }
   });
 }
 
-bool server_connection::HasUnreadBytes()
-{
-  boost::system::error_code error;
-  return mBuffer.size() > 0 || mStream.socket().available(error) > 0;
-}
-
 void server_connection::CloseUnlessRequestArrives()
 {
-  auto timer = std::make_shared<asio::steady_timer>(mStream.get_executor(), kFirstRequestTimeout);
+  StartAwaitingRequest();
+  auto timer = std::make_shared<asio::steady_timer>(mStream.get_executor(), kNextRequestTimeout);
   timer->async_wait([self = ref<server_connection>(this), timer](const boost::system::error_code&) {
     if (self->mAwaitsRequest) {
       self->mStream.cancel();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -63,8 +63,8 @@
                                             http_handler aHandler,
                                             http_limits aLimits);
   virtual endpoint LocalEndpoint() const = 0;
-  /// Stops accepting and closes idle connections. Responses in progress are completed, then their connections are
-  /// closed. A caller that has connected but not sent anything has one second to send its request.
+  /// Stops accepting. Responses in progress are completed. A connection is closed after a response that says so, or
+  /// once it has been without a request for a second.
   virtual void StopAccepting() = 0;
   /// Number of requests in progress, plus connections whose first request has not arrived yet. Not 0 while a stopping
   /// server has open connections or may still accept some: the end of the process would reset them.
--- a/tests/processes/entry_termination_test.cpp
+++ b/tests/processes/entry_termination_test.cpp
@@ -76,6 +76,7 @@
 };
 
 constexpr std::string_view kDone = "data: [DONE]\n\n";
+constexpr std::string_view kLastChunk = "\r\n0\r\n\r\n";
 
 /// Engines that are fast enough for long streams.
 struct fast_engines_fixture : entry_termination_fixture
@@ -149,6 +150,21 @@
   CHECK(body.ends_with(kDone));
 }
 
+TEST_CASE_METHOD(entry_termination_fixture, "request_on_a_connection_that_a_stopping_entry_promised_to_keep_is_served")
+{
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(Stream(kTokens)));
+  REQUIRE(caller.ReadUntil("data: "));
+  Entry().Terminate();
+  WaitUntilClosed();
+  REQUIRE(caller.ReadUntil(std::string(kDone) + std::string(kLastChunk)));
+  const std::size_t received = caller.Received().size();
+  REQUIRE(caller.Send(Lookup()));
+  CHECK(caller.ReadToEnd() == connection_end::Closed);
+  CHECK(caller.Received().substr(received, 12) == "HTTP/1.1 200");
+  CHECK(Entry().WaitForExit().value_or(kNotExited) == kExited);
+}
+
 TEST_CASE_METHOD(entry_termination_fixture, "request_that_arrives_as_its_entry_stops_accepting_gets_a_response")
 {
   raw_caller kept(Callers());
