--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -22,8 +22,8 @@
 
 constexpr std::size_t kLingerChunkBytes = 16U << 10U;
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
-/// Time that a connected caller has to send its first request once the server stops.
-constexpr duration kFirstRequestTimeout = std::chrono::seconds(1);
+/// Time that a connected caller has to send its next request once the server stops.
+constexpr duration kNextRequestTimeout = std::chrono::seconds(1);
 constexpr duration kLingerTimeout = std::chrono::seconds(3);
 
 class server_impl;
@@ -57,7 +57,6 @@
   asio::awaitable<void> HandleRequest();
   void StartAwaitingRequest();
   void StopAwaitingRequest();
-  bool HasUnreadBytes();
   void WatchForHangUp();
   void CheckForHangUp();
   void ReportHangUp();
@@ -72,6 +71,7 @@
   bool mRequestKeepAlive = false;
   bool mIsHead = false;
   bool mAwaitsRequest = true; ///< its first request, or one sent while the server stops, is still to be read
+  bool mIsLingering = false;
   bool mBusy = false;
   bool mResponded = false;
   bool mFailed = false;
@@ -121,7 +121,7 @@
   http_limits mLimits;
   endpoint mLocal;
   std::atomic<bool> mStopping{ false };
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   boost::intrusive::list<server_connection, boost::intrusive::constant_time_size<true>> mConnections;
 };
 
@@ -146,16 +146,18 @@
   if (mServer->IsStopping()) {
     CloseUnlessRequestArrives();
   }
-  // Even a stopping server reads the first request, since its caller connected before the stop.
-  while ((mAwaitsRequest || !mServer->IsStopping()) && co_await ReadRequest()) {
+  // A stopping server reads a request on each connection that is open, or whose last response promised to keep it open.
+  while (co_await ReadRequest()) {
     co_await HandleRequest();
     if (!KeepAlive()) {
       break;
     }
+    if (mServer->IsStopping()) {
+      CloseUnlessRequestArrives();
+    }
   }
   StopAwaitingRequest();
-  boost::system::error_code ignored;
-  mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  co_await Linger();
   mStream.close();
   mServer->Remove(*this);
 }
@@ -176,7 +178,7 @@
 
 bool server_connection::KeepAlive() const
 {
-  return mRequestKeepAlive && mResponded && !mFailed && !mHungUp && !mServer->IsStopping();
+  return mRequestKeepAlive && mResponded && !mFailed && !mHungUp;
 }
 
 asio::awaitable<bool> server_connection::ReadRequest()
@@ -217,14 +219,18 @@
   }
   mRequestKeepAlive = false;
   co_await Reply(std::move(reply));
-  co_await Linger();
 }
 
+/// Closes the sending side of the connection and waits for the caller to close its own. Closing both sides while bytes
+/// of the caller are unread, or arrive later, resets the connection, and the caller loses what it has not read yet.
 asio::awaitable<void> server_connection::Linger()
 {
-  // Closing while the caller is still sending would reset the connection, and the caller would lose the response.
-  boost::system::error_code ignored;
-  mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  mIsLingering = true;
+  boost::system::error_code shutdownError;
+  mStream.socket().shutdown(tcp::socket::shutdown_send, shutdownError);
+  if (shutdownError) {
+    co_return;
+  }
   std::array<char, kLingerChunkBytes> chunk{};
   std::size_t total = 0;
   mStream.expires_after(kLingerTimeout);
@@ -367,30 +373,16 @@
 void server_connection::CloseIfIdle()
 {
   asio::post(mStream.get_executor(), [self = ref<server_connection>(this)] {
-    if (self->mBusy) {
-      return;
-    }
-    // Closing would reset a request that has arrived but has not been read.
-    if (self->HasUnreadBytes()) {
-      self->StartAwaitingRequest();
-    }
-    if (self->mAwaitsRequest) {
+    if (!self->mBusy && !self->mIsLingering) {
       self->CloseUnlessRequestArrives();
-    } else {
-      self->mStream.cancel();
     }
   });
 }
 
-bool server_connection::HasUnreadBytes()
-{
-  boost::system::error_code error;
-  return mBuffer.size() > 0 || mStream.socket().available(error) > 0;
-}
-
 void server_connection::CloseUnlessRequestArrives()
 {
-  auto timer = std::make_shared<asio::steady_timer>(mStream.get_executor(), kFirstRequestTimeout);
+  StartAwaitingRequest();
+  auto timer = std::make_shared<asio::steady_timer>(mStream.get_executor(), kNextRequestTimeout);
   timer->async_wait([self = ref<server_connection>(this), timer](const boost::system::error_code&) {
     if (self->mAwaitsRequest) {
       self->mStream.cancel();
@@ -486,7 +478,11 @@
   // missed.
   const std::size_t accepting = mStopping ? mAccepting.load() : 0;
   const std::size_t awaiting = mAwaitingRequest.load();
-  return accepting + awaiting + mOpenExchanges.load();
+  if (!mStopping) {
+    return awaiting + mOpenExchanges.load();
+  }
+  std::lock_guard lock(mMutex);
+  return accepting + awaiting + mConnections.size();
 }
 
 void server_impl::Add(server_connection& aConnection)
