An extra response beside the real one is not read as the next response

Calls over net::http_client (the store, the relay, peers; in the own form also services and engines) could get an earlier response as their own: a server that writes a response twice, or a part of another one, gets both into the client's read buffer, and the buffer went back to the pool with its connection. The check for unread bytes looks at the socket alone. So a conditional write could be answered with the 409 or 200 of an earlier one, and a booking of the own form with the answer of another booking.

A connection with bytes after the response is now closed. http_client_with_a_repeated_response_beside_the_real_one_does_not_* failed before in 16 of 50 checks of the file ("old" == "second", 409 == 202, 503 == 202), and passes. The two other tests of the file passed before: bytes that arrive between two calls close the connection, and sound connections are reused.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -113,7 +113,8 @@
     } else {
       reply.emplace(co_await ReadComplete(*aConnection, aTimeout, keepAlive));
     }
-    if (reply->has_value() && keepAlive) {
+    // Bytes after the response belong to no request, but would be read as the next response.
+    if (reply->has_value() && keepAlive && aConnection->mBuffer.size() == 0) {
       ReleaseIdle(aEndpoint, aConnection);
     }
     co_return std::move(*reply);
