Callers on kept connections get 100 Continue and error responses

While a caller's next request was read, the session still had the state of the response before: complete, and chunked or not. Nothing was written for that request until it had been read: '100 Continue' was dropped (a caller that waits for it sent no body and got nothing), and so were 400, 413, 431 and 408, after which the connection hung open without a response.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -104,6 +104,10 @@
   mPhase = session_phase::Reading;
   mPhaseSince = Now();
   ++mGeneration;
+  // An interim or error response may be written before the request is read completely.
+  mIsHead = false;
+  mIsChunked = false;
+  mIsComplete = false;
   StartTimeout(mListener->Host().Limits().mHeaderTimeout);
   mParser.emplace();
   mParser->header_limit(static_cast<std::uint32_t>(mListener->Host().Limits().mMaxHeaderBytes));
@@ -150,8 +154,6 @@
   mPhaseSince = Now();
   ++mGeneration;
   mTimer.cancel();
-  mIsChunked = false;
-  mIsComplete = false;
   auto message = mParser->release();
   mParser.reset();
   mKeepAlive = message.keep_alive();
