--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -56,6 +56,11 @@
     ("moving_engines_chosen", "src/gateway/fleet.cpp", "!IsMoving(engine.mId, aNow) &&", "", "unit", "fleet_with_an_engine_that_releases_*"),
     ("slow_ones_not_asked_again", "src/gateway/fleet.cpp", "state.mSlowdownFactor >= kSlowFactor && aNow", "false && aNow", "unit", "fleet_with_slow_*"),
     ("idle_connections_stay", "src/gateway/connection_pool.h", "if (aNow < mNextSweep)", "if (true)", "unit", "connection_pool_with_expired_connections_*"),
+    ("stopping_instances_begin_everything", "src/policy/stop_schedule.h", "return !mStop || aNow + aExpected <= *mStop;", "return true;", "processes", "gateway_terminated_before_*"),
+    ("connections_closed_at_once", "src/gateway/caller_session.cpp", "  const ref<session_impl> self(this);\n  mPhase = session_phase::Lingering;", "  Close();\n  return;\n  const ref<session_impl> self(this);\n  mPhase = session_phase::Lingering;", "processes", "connection_closed_with_*"),
+    ("open_connections_not_waited_for", "src/gateway/gateway.cpp", "    co_await Pause(kDrainPollInterval);\n  } while (mCallers->Open() > 0 &&", "    co_await Pause(kLastResponsePollInterval);\n  } while (mStreams.size() + mServices.size() > 0 &&", "processes", "request_that_arrives_as_its_gateway_*"),
+    ("accepted_connections_dropped", "src/gateway/caller_listener.cpp", "    if (!aError) {\n      // Accepted", "    if (!aError && self->mAcceptor.is_open()) {\n      // Accepted", "processes", "request_that_arrives_as_its_gateway_*"),
+    ("requests_cut_without_a_response", "src/gateway/gateway.cpp", "const std::size_t cut = EndRequests(Now());", "const std::size_t cut = 0;", "processes", "booking_that_runs_when_*"),
     ("any_429_did_not_run", "platform/request_headers.cpp", "|| aStatus == 421", "|| aStatus == 421 || aStatus == 429", "unit", "platform_response_did_not_run_*"),
     # Messages between gateways
     ("relay_changes_out_of_reach_dropped", "src/gateway/store_cache.cpp", "if (aReader.mMembers >= mBatchesBegin && aReader.mMembers > 0)", "if (true)", "unit", "store_cache_*"),
