A resumed stream whose run adds no event is complete only if the run says so

A stream broke off, the next engine answered 200 with its stamp, and the connection ended before the first event: the caller's stream was ended as complete, with the events of the first run alone. The same for a run that repeated events the caller had, and ended before the caller's last one, in whichever framing.

Cause: at the end of a run, only the first one had to have produced an event. A response with neither length nor chunks ends with its connection, as it also does when the engine terminates, and the end of such a call could not be told from one that is complete by its framing.

A call now ends as Closed when only the end of its connection ended it. A run without an event of its own completes a stream if its framing says that it is whole and it has sent nothing or the caller's last event: a stream that broke off after its last event is completed by such a run. Any other is a failed run; the stream is resumed again, or breaks off visibly.

On the code before, the new tests failed with "fixture.mEngines.Requests() == 3, 2 == 3" and with a complete body of events 1 to 3 of 5. stream_that_breaks_off_after_its_last_event_is_complete_when_* passed. backend_call_with_a_response_without_length_* checks the new, more exact kind of end.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -392,7 +392,7 @@
     error_code error;
     mParser->put_eof(error);
     if (!error) {
-      End(call_end::Complete, "");
+      End(call_end::Closed, "");
       return;
     }
   }
--- a/src/gateway/backend_call.h
+++ b/src/gateway/backend_call.h
@@ -23,7 +23,8 @@
 /// How a call ended.
 enum class call_end
 {
-  Complete, ///< the response is complete
+  Complete, ///< the response is complete by its length or its last chunk
+  Closed,   ///< the response has neither and ended with its connection, as it also does when the server terminates
   Unsent,   ///< no connection was made, so the request did not reach the server
   Abort     ///< the connection broke or the bytes were no valid response; the request may have run
 };
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -229,6 +229,17 @@
   }
 }
 
+/// Whether a stream is complete when the current run ends in this way. A run that adds no event to those of the run
+/// before it shows that there are no more only if it says where it ends: one that ends with its connection may as well
+/// have been interrupted before its first event.
+bool stream_request::IsWholeStream(call_end aEnd) const
+{
+  if (mCursor.HasPartialEvent() || !mHasBegun) {
+    return false;
+  }
+  return mCursor.CountFromSource() > 0 || (aEnd == call_end::Complete && mCursor.EndsWithSource());
+}
+
 void stream_request::OnEnd(call_end aEnd, const std::string& aReason)
 {
   const ref<stream_request> self(this);
@@ -255,10 +266,9 @@
     return;
   }
   if (mIsEventStream) {
-    if (mCursor.HasPartialEvent() || !mHasBegun) {
-      // A response without a length ends with its connection, also when the engine has crashed.
+    if (!IsWholeStream(aEnd)) {
       RunInterrupted(now);
-      HandleFailure("response ended before the last event was complete", now);
+      HandleFailure("response ended before the stream was complete", now);
       return;
     }
     mRequest.mSession->Finish();
--- a/src/policy/event_cursor.cpp
+++ b/src/policy/event_cursor.cpp
@@ -56,12 +56,20 @@
   return mPartial.size() > kMaxEventBytes ? verdict::TooLarge : result;
 }
 
+void event_cursor::SourceChanged()
+{
+  mPartial.clear();
+  mSourceLast.reset();
+  mCountFromSource = 0;
+}
+
 event_cursor::verdict event_cursor::AppendEvent(std::string_view aEvent, std::string& aOut)
 {
   const auto id = ParseId(aEvent);
   if (!id) {
     return verdict::Gap;
   }
+  mSourceLast = id;
   if (mLast && *id <= *mLast) {
     return verdict::InOrder;
   }
@@ -70,6 +78,7 @@
   }
   mLast = id;
   ++mCount;
+  ++mCountFromSource;
   aOut.append(aEvent);
   return verdict::InOrder;
 }
--- a/src/policy/event_cursor.h
+++ b/src/policy/event_cursor.h
@@ -31,19 +31,26 @@
   /// Reads bytes of the source; appends the complete events that the caller does not have yet to aOut.
   verdict Append(std::string_view aBytes, std::string& aOut);
   /// Discards a partial event, because the stream continues from another source.
-  void SourceChanged() { mPartial.clear(); }
+  void SourceChanged();
   /// Id of the last event that was forwarded or that the caller already had.
   std::optional<std::uint64_t> Last() const { return mLast; }
   /// Number of events forwarded.
   std::uint64_t Count() const { return mCount; }
   /// Whether the last bytes ended in the middle of an event.
   bool HasPartialEvent() const { return !mPartial.empty(); }
+  /// Number of events forwarded from the current source.
+  std::uint64_t CountFromSource() const { return mCountFromSource; }
+  /// Whether the caller has all events of the current source, and none beyond them. A source without events is taken to
+  /// have none after the caller's last.
+  bool EndsWithSource() const { return !mSourceLast || mSourceLast == mLast; }
 
 private:
   verdict AppendEvent(std::string_view aEvent, std::string& aOut);
 
   std::optional<std::uint64_t> mLast;
+  std::optional<std::uint64_t> mSourceLast; ///< id of the last event of the current source, forwarded or not
   std::uint64_t mCount = 0;
+  std::uint64_t mCountFromSource = 0;
   std::string mPartial;
 };
 
--- a/tests/contract/gateway_backend_call_test.cpp
+++ b/tests/contract/gateway_backend_call_test.cpp
@@ -236,7 +236,7 @@
   endless_server server(mContext, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n", "");
   server.CloseAfterFirst(false);
   Call(server);
-  CHECK(mHandler.mEnd == call_end::Complete);
+  CHECK(mHandler.mEnd == call_end::Closed);
   CHECK(mHandler.mBytes == 15);
 }
 
--- a/tests/contract/gateway_broken_stream_test.cpp
+++ b/tests/contract/gateway_broken_stream_test.cpp
@@ -433,6 +433,18 @@
   { "302", "HTTP/1.1 302 Found\r\nLocation: /\r\n" + kErrorHead, "moved" },
 };
 
+const std::string kOtherStream = kStreamHead + "X-Response-Stamp: other\r\n";
+
+/// Responses of a resumed stream that have no new event and do not show that there is none.
+const std::vector<std::pair<invalid_response, framing>> kRunsWithoutNewEvent{
+  { { "nothing", kOtherStream, "" }, framing::None },
+  { { "all events again", kOtherStream, Events(0, kEventsBeforeBreak) }, framing::None },
+  { { "the last event again", kOtherStream, Event(kEventsBeforeBreak) }, framing::None },
+  { { "the first event again", kOtherStream, Event(1) }, framing::None },
+  { { "the first event again", kOtherStream, Event(1) }, framing::Length },
+  { { "the first event again", kOtherStream, Event(1) }, framing::Chunked },
+};
+
 /// Checks that a stream continues past an invalid response and is complete.
 void CheckContinuesPast(const engine_response& aResponse, const std::string& aName)
 {
@@ -498,6 +510,39 @@
   }
 }
 
+TEST_CASE("broken_stream_whose_next_engine_ends_before_a_new_event_continues_at_another_one")
+{
+  for (const auto& [response, framing] : kRunsWithoutNewEvent) {
+    engine_response answer = Frame(response.mHead, response.mBody, framing);
+    CheckContinuesPast(answer, response.mName);
+    answer.mPieceSize = 1;
+    CheckContinuesPast(answer, response.mName);
+  }
+}
+
+TEST_CASE("broken_stream_whose_other_engines_all_end_before_a_new_event_breaks_off")
+{
+  for (const auto& [response, framing] : kRunsWithoutNewEvent) {
+    CheckBreaksOff(response, { "", framing });
+  }
+}
+
+TEST_CASE("stream_that_breaks_off_after_its_last_event_is_complete_when_the_next_engine_says_so")
+{
+  for (const framing framing : { framing::Length, framing::Chunked }) {
+    for (const std::string& body : { std::string(), Event(kEvents), Events(0, kEvents) }) {
+      broken_stream_fixture fixture;
+      fixture.mEngines.Answer(BrokenResponse(Events(0, kEvents)));
+      fixture.mEngines.Answer(Frame(kOtherStream, body, framing));
+      fixture.Call();
+      INFO("response \"" << body << "\"; received: " << fixture.mReceived);
+      CHECK(fixture.mEngines.Requests() == 2);
+      CHECK(fixture.CompleteBody() == Events(0, kEvents));
+      fixture.CheckHeadOfFirstEngine();
+    }
+  }
+}
+
 TEST_CASE("stream_that_breaks_off_at_any_byte_and_is_resumed_or_repeated_reaches_the_caller_once")
 {
   const std::string all = Events(0, kEvents);
--- a/tests/unit/policy_event_cursor_test.cpp
+++ b/tests/unit/policy_event_cursor_test.cpp
@@ -47,6 +47,24 @@
   CHECK(mOut == Event(1));
 }
 
+TEST_CASE_METHOD(event_cursor_fixture,
+                 "event_cursor_with_a_source_that_ends_before_the_callers_last_event_does_not_end")
+{
+  Append(Event(1) + Event(2));
+  CHECK(mCursor.CountFromSource() == 2);
+  mCursor.SourceChanged();
+  CHECK(mCursor.CountFromSource() == 0);
+  CHECK(mCursor.EndsWithSource());
+  Append(Event(1));
+  CHECK(!mCursor.EndsWithSource());
+  Append(Event(2));
+  CHECK(mCursor.EndsWithSource());
+  CHECK(mCursor.CountFromSource() == 0);
+  Append(Event(3));
+  CHECK(mCursor.EndsWithSource());
+  CHECK(mCursor.CountFromSource() == 1);
+}
+
 TEST_CASE_METHOD(event_cursor_fixture, "event_cursor_refuses_an_event_without_an_id")
 {
   CHECK(Append("data: t\n\n") == event_cursor::verdict::Gap);
