A request whose first part has arrived is read to its end when an entry stops accepting

Callers that were still sending a request got a closed connection without a response: on a connection that had served a request before, the stop closed it at once, as the bytes of a body had left the read buffer and nothing looked unread; on a new one after a second.

A request of which a part has arrived has 5 s for the rest, and is answered 408 (not_run) after that, so that it doesn't hold up the exit. request_whose_body_arrives_while_its_entry_stops_accepting_is_served failed before on both connections ('200 == 201', the response of the earlier request, and '0 == 201'). request_that_stops_half_way_gets_a_response_and_its_entry_ends shows the bound.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -20,10 +20,13 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+constexpr std::size_t kFirstReadBytes = 4U << 10U;
 constexpr std::size_t kLingerChunkBytes = 16U << 10U;
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
 /// Time that a connected caller has to send its next request once the server stops.
 constexpr duration kNextRequestTimeout = std::chrono::seconds(1);
+/// Time for the rest of a request of which a part had arrived by then.
+constexpr duration kRestOfRequestTimeout = std::chrono::seconds(5);
 constexpr duration kLingerTimeout = std::chrono::seconds(3);
 
 class server_impl;
@@ -41,6 +44,8 @@
   asio::awaitable<void> Run();
   void CloseIfIdle();
   void CloseUnlessRequestArrives();
+  void CancelReadAfter(duration aTime);
+  bool HasUnreadBytes();
 
   http_request& Request() override { return mRequest; }
   asio::any_io_executor Executor() override { return mStream.get_executor(); }
@@ -71,6 +76,7 @@
   bool mRequestKeepAlive = false;
   bool mIsHead = false;
   bool mAwaitsRequest = true; ///< its first request, or one sent while the server stops, is still to be read
+  bool mIsReading = false;    ///< a part of the request has arrived
   bool mIsLingering = false;
   bool mBusy = false;
   bool mResponded = false;
@@ -187,7 +193,17 @@
   parser.body_limit(mServer->Limits().mMaxBodyBytes);
   parser.header_limit(static_cast<std::uint32_t>(mServer->Limits().mMaxHeaderBytes));
   mStream.expires_after(mServer->Limits().mIdleTimeout);
+  if (mBuffer.size() == 0) {
+    const auto buffer = mBuffer.prepare(kFirstReadBytes);
+    const auto [firstError, firstSize] = co_await mStream.async_read_some(buffer, kAwait);
+    if (firstError) {
+      co_return false;
+    }
+    mBuffer.commit(firstSize);
+  }
+  mIsReading = true;
   const auto [error, size] = co_await http::async_read(mStream, mBuffer, parser, kAwait);
+  mIsReading = false;
   if (error) {
     co_await RefuseRequest(error);
     co_return false;
@@ -214,6 +230,10 @@
     reply = JsonReply(
       400,
       R"({"error":{"message":"the request is not valid HTTP/1.1","type":"invalid_request_error","outcome":"not_run"}})");
+  } else if (aError == asio::error::operation_aborted) {
+    reply = JsonReply(
+      408,
+      R"({"error":{"message":"the request did not arrive in time","type":"invalid_request_error","outcome":"not_run"}})");
   } else {
     co_return;
   }
@@ -382,14 +402,31 @@
 void server_connection::CloseUnlessRequestArrives()
 {
   StartAwaitingRequest();
-  auto timer = std::make_shared<asio::steady_timer>(mStream.get_executor(), kNextRequestTimeout);
-  timer->async_wait([self = ref<server_connection>(this), timer](const boost::system::error_code&) {
-    if (self->mAwaitsRequest) {
+  CancelReadAfter(kNextRequestTimeout);
+}
+
+void server_connection::CancelReadAfter(duration aTime)
+{
+  auto timer = std::make_shared<asio::steady_timer>(mStream.get_executor(), aTime);
+  timer->async_wait([self = ref<server_connection>(this), timer, aTime](const boost::system::error_code&) {
+    if (!self->mAwaitsRequest) {
+      return;
+    }
+    const bool hasBegun = self->mIsReading || self->HasUnreadBytes();
+    if (hasBegun && aTime < kRestOfRequestTimeout) {
+      self->CancelReadAfter(kRestOfRequestTimeout);
+    } else {
       self->mStream.cancel();
     }
   });
 }
 
+bool server_connection::HasUnreadBytes()
+{
+  boost::system::error_code error;
+  return mStream.socket().available(error) > 0;
+}
+
 net_result<void> server_impl::Bind(const endpoint& aEndpoint)
 {
   boost::system::error_code error;
--- a/tests/processes/entry_termination_test.cpp
+++ b/tests/processes/entry_termination_test.cpp
@@ -165,6 +165,42 @@
   CHECK(Entry().WaitForExit().value_or(kNotExited) == kExited);
 }
 
+TEST_CASE_METHOD(entry_termination_fixture, "request_whose_body_arrives_while_its_entry_stops_accepting_is_served")
+{
+  const std::string head = "POST /services/bookings/reserve HTTP/1.1\r\nIdempotency-Key: ";
+  const std::string booking = Request("POST", "/services/bookings/reserve", std::string(20'000, 'x'));
+  const std::string rest = booking.substr(booking.find("\r\n"));
+  raw_caller kept(Callers());
+  REQUIRE(kept.Send(Lookup()));
+  REQUIRE(kept.ReadUntil("HTTP/1.1 200"));
+  REQUIRE(kept.Send(head + "kept" + rest.substr(0, 10'000)));
+  raw_caller fresh(Callers());
+  REQUIRE(fresh.Send(head + "fresh" + rest.substr(0, 10'000)));
+  Entry().Terminate();
+  WaitUntilClosed();
+  // The callers send slowly: a piece each 300 ms.
+  for (std::size_t sent = 10'000; sent < rest.size(); sent += 2'000) {
+    std::this_thread::sleep_for(300ms);
+    kept.Send(rest.substr(sent, 2'000));
+    fresh.Send(rest.substr(sent, 2'000));
+  }
+  CHECK(kept.ReadToEnd() == connection_end::Closed);
+  CHECK(kept.LastStatus() == 201);
+  CHECK(fresh.ReadToEnd() == connection_end::Closed);
+  CHECK(fresh.LastStatus() == 201);
+  CHECK(Entry().WaitForExit().value_or(kNotExited) == kExited);
+}
+
+TEST_CASE_METHOD(entry_termination_fixture, "request_that_stops_half_way_gets_a_response_and_its_entry_ends")
+{
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(Lookup().substr(0, 30)));
+  Entry().Terminate();
+  CHECK(caller.ReadToEnd() == connection_end::Closed);
+  CHECK(caller.LastStatus() == 408);
+  CHECK(Entry().WaitForExit().value_or(kNotExited) == kExited);
+}
+
 TEST_CASE_METHOD(entry_termination_fixture, "request_that_arrives_as_its_entry_stops_accepting_gets_a_response")
 {
   raw_caller kept(Callers());
