An entry whose layers are beyond the model no longer ends the placement leader

What was seen: with an engine on the list whose layers are {"from":999999,"target":1000000}, the gateway that holds the lease of the placement leader ended with a segmentation violation, and the next leader after it.

Cause: the decoder allows a million layers, since it doesn't know the model, and the planner used the listed span as an index: it looked for unheld layers beside it (ExtendOverUnheld), and for gaps up to its end (HasGap).

Fix: the planner cuts what an engine lists to the layers of its model; an engine with none of them holds nothing. Choosing a path and counting the holders did so before.

Evidence: on the code before, layer_plan_with_engines_that_list_layers_beyond_the_model_* ends with SIGSEGV at the span from 999990 (address sanitizer: heap-buffer-overflow in LayerValue), and gateways_with_an_entry_whose_layers_are_beyond_the_model_* with "GET /metrics: answer: end of stream" of the gateway.

--- a/src/policy/layer_plan.cpp
+++ b/src/policy/layer_plan.cpp
@@ -312,6 +312,13 @@
   if (aModel.mLayers == 0) {
     return {};
   }
+  // What an engine lists may not fit the model.
+  for (plan_engine& engine : aEngines) {
+    engine.mHeld.mEnd = std::min(engine.mHeld.mEnd, aModel.mLayers);
+    if (engine.mHeld.IsEmpty()) {
+      engine.mHeld = {};
+    }
+  }
   return planner(aModel, std::move(aEngines), aInterruptionRule).Run();
 }
 
--- a/tests/processes/gateway_odd_entry_test.cpp
+++ b/tests/processes/gateway_odd_entry_test.cpp
@@ -103,3 +103,19 @@
   CHECK(WaitUntil([&] { return AllHave("gateway_backends", listed); }));
   CHECK(AllHave("gateway_unreadable_entries", 1));
 }
+
+TEST_CASE_METHOD(odd_entry_fixture, "gateways_with_an_entry_whose_layers_are_beyond_the_model_keep_running_and_serve")
+{
+  const double listed = Metric(0, "gateway_backends");
+  // The address is of a server that is not an engine, so that the entry's engine never holds anything.
+  const std::string spec =
+    R"({"service":"engines","address":"127.0.0.1:9","zone":"here","state":"ready","kind":"card","born":1,"layers":)";
+  for (const char* layers : { R"({"from":999999,"target":1000000})", R"({"from":4,"target":1000000})" }) {
+    INFO(layers);
+    WriteEntry(spec + layers + "}");
+    CHECK(WaitUntil([&] { return AllHave("gateway_backends", listed + 1); }));
+    CheckThatChangesAreFollowed();
+    RemoveEntry();
+    CHECK(WaitUntil([&] { return AllHave("gateway_backends", listed); }));
+  }
+}
--- a/tests/unit/policy_layer_plan_test.cpp
+++ b/tests/unit/policy_layer_plan_test.cpp
@@ -359,3 +359,22 @@
     RC_ASSERT(orders <= 6 * fixture.mEngines.size());
   }));
 }
+
+TEST_CASE_METHOD(layer_plan_fixture, "layer_plan_with_engines_that_list_layers_beyond_the_model_orders_only_its_layers")
+{
+  for (const layer_span held :
+       { layer_span{ 80, 81 }, layer_span{ 81, 82 }, layer_span{ 70, 81 }, layer_span{ 999'990, 1'000'000 } }) {
+    INFO(held.mFrom);
+    for (plan_engine& engine : mEngines) {
+      engine.mHeld = {};
+    }
+    mEngines.front().mHeld = held;
+    mEngines.back().mHeld = held;
+    for (const layer_order& order : PlanLayers(mModel, mEngines, interruption_rule::AnyStream)) {
+      CHECK(order.mRange.mEnd <= mModel.mLayers);
+      CHECK(order.mRange.mFrom < order.mRange.mEnd);
+    }
+    PlanAndApply();
+    CHECK(Uncovered("east") == 0);
+  }
+}
