--- a/src/policy/layer_plan.cpp
+++ b/src/policy/layer_plan.cpp
@@ -281,7 +281,8 @@
   if (aModel.mLayerMb <= 0) {
     return 0;
   }
-  const auto fitting = static_cast<std::uint32_t>(aKind.mMemoryMb * aWeightShare / aModel.mLayerMb);
+  const double layers = aKind.mMemoryMb * aWeightShare / aModel.mLayerMb;
+  const auto fitting = layers < aModel.mLayers ? static_cast<std::uint32_t>(layers) : aModel.mLayers;
   return std::min(fitting, aModel.mLayers);
 }
 
--- a/tests/unit/platform_odd_entry_test.cpp
+++ b/tests/unit/platform_odd_entry_test.cpp
@@ -5,6 +5,7 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "gateway/relay_messages.h"
 #include "gateway/wire.h"
@@ -129,6 +130,72 @@
   CHECK(wire::DecodeMember("b", SpecWith("version", "1"), fault));
 }
 
+TEST_CASE("request_headers_with_numbers_out_of_range_are_bounded")
+{
+  for (const char* number : { "1e300", "inf", "99999999999999999999999" }) {
+    INFO(number);
+    net::http_headers headers;
+    headers.Add("X-Deadline-Ms", number);
+    headers.Add("Last-Event-Id", number);
+    headers.Add("X-Token-Counts", std::string(number) + "," + number);
+    headers.Add("X-Length-Hint", number);
+    const auto metadata = wire::DecodeMetadata(headers);
+    CHECK(metadata.mCallerTimeout == std::chrono::hours(24));
+    CHECK(metadata.mLastEvent == std::nullopt);
+    CHECK(metadata.mPromptTokens == 1e8);
+    CHECK(metadata.mMaxOutputTokens == 1e8);
+    CHECK(metadata.mOutputTokensHint == 1e8);
+  }
+}
+
+TEST_CASE("report_and_configuration_with_numbers_out_of_range_are_bounded")
+{
+  for (const std::string number : { "1e300", "-1e300", "1e400", "-1e400", "4294967297", "-1" }) {
+    INFO(number);
+    std::string fault;
+    const auto report =
+      wire::DecodeReport(R"({"pace":)" + number + R"(,"kvUsed":)" + number + R"(,"kvTotal":)" + number + R"(,"seq":)" +
+                           number + R"(,"layers":{"from":0,"target":)" + number + "}}",
+                         fault);
+    REQUIRE(report);
+    CHECK((report->mSlowdownFactor >= 0 && report->mSlowdownFactor <= 1000));
+    CHECK((std::isfinite(report->mUsedMemory) && std::isfinite(report->mTotalMemory)));
+    CHECK(report->mLayers.IsEmpty());
+    const auto member = [&](const std::string& aName) { return '"' + aName + "\":" + number; };
+    const auto configuration = wire::DecodeConfiguration(
+      R"({"version":7,"routes":[{"host":"a","pathPrefix":"/",)" + member("timeoutMs") + "," +
+        member("targetLatencyMs") + "," + member("gapTargetMs") + "," + member("maxAttempts") +
+        R"(,"trafficSplit":[{"service":"e",)" + member("weight") + R"(}]}],"services":[{"name":"e",)" +
+        member("maxConns") + R"(,"engine":{)" + member("layers") + "," + member("slots") + "," + member("layerMb") +
+        "," + member("step_ms") + "," + member("read_per_s") + R"(,"models":[{)" + member("loadS") +
+        R"(}],"kinds":[{"name":"k",)" + member("mb") + "," + member("pace") + R"(}]}}],"limits":{)" +
+        member("maxHeaderBytes") + "," + member("idleTimeoutMs") + "}}",
+      fault);
+    REQUIRE(configuration);
+    const route& route = configuration->mRoutes.front();
+    for (const duration time :
+         { route.mTimeout, route.mObjective, route.mGapObjective, configuration->mLimits.mIdleTimeout }) {
+      CHECK((time >= duration::zero() && time < std::chrono::hours(1'000'000)));
+    }
+    CHECK(route.mMaxAttempts >= 1);
+    CHECK(configuration->mLimits.mMaxHeaderBytes > 1000);
+    const auto& model = *configuration->mPools.front().mEngine;
+    CHECK(model.mLayers <= 1'000'000);
+    for (const double value : { model.mLayerMb,
+                                model.mStep.count(),
+                                model.mLoadTime.count(),
+                                model.mKinds[0].mMemoryMb,
+                                route.mPools.front().mWeight }) {
+      CHECK((value >= 0 && value < 1e18));
+    }
+    CHECK(policy::LayerCapacity(model, model.mKinds[0], 1) <= model.mLayers);
+    if (number == "4294967297") {
+      CHECK(model.mSlots == 4294967295U);
+      CHECK(configuration->mPools.front().mMaxConnections == 4294967295U);
+    }
+  }
+}
+
 TEST_CASE("list_with_an_odd_status_or_odd_metadata_of_an_entry_keeps_all_sound_specs")
 {
   std::string fault;
