--- a/src/policy/layer_plan.cpp
+++ b/src/policy/layer_plan.cpp
@@ -281,7 +281,8 @@
   if (aModel.mLayerMb <= 0) {
     return 0;
   }
-  const auto fitting = static_cast<std::uint32_t>(aKind.mMemoryMb * aWeightShare / aModel.mLayerMb);
+  const double layers = aKind.mMemoryMb * aWeightShare / aModel.mLayerMb;
+  const auto fitting = layers < aModel.mLayers ? static_cast<std::uint32_t>(layers) : aModel.mLayers;
   return std::min(fitting, aModel.mLayers);
 }
 
@@ -312,6 +313,13 @@
   if (aModel.mLayers == 0) {
     return {};
   }
+  // What an engine lists may not fit the model.
+  for (plan_engine& engine : aEngines) {
+    engine.mHeld.mEnd = std::min(engine.mHeld.mEnd, aModel.mLayers);
+    if (engine.mHeld.IsEmpty()) {
+      engine.mHeld = {};
+    }
+  }
   return planner(aModel, std::move(aEngines), aInterruptionRule).Run();
 }
 
