A stream that its caller resumes after its last event is complete

A caller whose stream broke off after the last event sent the request again with Last-Event-Id. The engine answered 200 with its stamp and an empty body that is complete by its framing; the gateway took that for a failed run, sent the request to a second engine, answered 502, and counted both runs towards the suspicion that the request crashes engines.

Cause: a stream had to have an event of its own to be complete, also when the caller has events already. Such a response is now forwarded as it is. It still clears no suspicion, since no output was produced, and one that ends with its connection is still a failed run.

On the code before, stream_that_its_caller_resumes_after_the_last_event_* got "HTTP/1.1 502 Bad Gateway" after 2 requests. stream_whose_engines_all_end_* passed.

--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -178,13 +178,9 @@
   if (!events.empty()) {
     LeaveEngineQueue();
     if (!mHasBegun) {
-      mHasBegun = true;
-      net::http_reply head;
-      head.mStatus = mStatus;
-      head.mHeaders = EndToEnd(mHeaders);
       mFirstEventAfter = now - mRequest.mArrived;
       mEnvironment.mMetrics->FirstEvent(mFirstEventAfter);
-      mRequest.mSession->Begin(head, events);
+      BeginResponse(events);
     } else {
       mEnvironment.mMetrics->Gap(now - mLastEvent);
       mGaps.Observed(now - mLastEvent);
@@ -211,6 +207,15 @@
   }
 }
 
+void stream_request::BeginResponse(std::string_view aEvents)
+{
+  mHasBegun = true;
+  net::http_reply head;
+  head.mStatus = mStatus;
+  head.mHeaders = EndToEnd(mHeaders);
+  mRequest.mSession->Begin(head, aEvents);
+}
+
 /// Records a run that ended early; the request may have crashed the engine if it has never had output.
 void stream_request::RunInterrupted(instant aNow)
 {
@@ -229,12 +234,12 @@
   }
 }
 
-/// Whether a stream is complete when the current run ends in this way. A run that adds no event to those of the run
-/// before it shows that there are no more only if it says where it ends: one that ends with its connection may as well
+/// Whether a stream is complete when the current run ends in this way. A run that adds no event to those that the
+/// caller has shows that there are no more only if it says where it ends: one that ends with its connection may as well
 /// have been interrupted before its first event.
 bool stream_request::IsWholeStream(call_end aEnd) const
 {
-  if (mCursor.HasPartialEvent() || !mHasBegun) {
+  if (mCursor.HasPartialEvent() || !mCursor.Last()) {
     return false;
   }
   return mCursor.CountFromSource() > 0 || (aEnd == call_end::Complete && mCursor.EndsWithSource());
@@ -271,6 +276,9 @@
       HandleFailure("response ended before the stream was complete", now);
       return;
     }
+    if (!mHasBegun) {
+      BeginResponse("");
+    }
     mRequest.mSession->Finish();
     End(request_end::Served, mStatus, "");
     return;
@@ -462,7 +470,9 @@
   if (served && mPath) {
     mEnvironment.mFleet->RecordOutcome(mPath->mStages.front().mEngine, false);
     mEnvironment.mCapacityQueue.Ran(now - mSentAt);
-    ProducedEvents();
+    if (mCursor.Count() > 0) {
+      ProducedEvents();
+    }
   }
   EndAttempt();
   mPhase = phase::Ended;
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -78,6 +78,7 @@
   void HandleFailure(const std::string& aReason, instant aNow);
   void Retry(const std::string& aReason, instant aNow);
   void GiveUp(const std::string& aReason, instant aNow, std::optional<duration> aRetryAfter = std::nullopt);
+  void BeginResponse(std::string_view aEvents);
   bool IsWholeStream(call_end aEnd) const;
   void RunInterrupted(instant aNow);
   void ProducedEvents();
--- a/tests/contract/gateway_broken_stream_test.cpp
+++ b/tests/contract/gateway_broken_stream_test.cpp
@@ -543,6 +543,37 @@
   }
 }
 
+TEST_CASE("stream_that_its_caller_resumes_after_the_last_event_is_complete_when_the_engine_says_so")
+{
+  for (const framing framing : { framing::Length, framing::Chunked }) {
+    broken_stream_fixture fixture;
+    fixture.mEngines.AnswerAllOthers(Frame(kOtherStream, "", framing));
+    fixture.Call("Last-Event-Id: 5\r\n");
+    INFO(fixture.mReceived);
+    CHECK(fixture.mEngines.Requests() == 1);
+    CHECK(fixture.CompleteBody() == "");
+    CHECK(fixture.Count("HTTP/1.1 200") == 1);
+    CHECK(fixture.Count("X-Response-Stamp: other") == 1);
+  }
+}
+
+TEST_CASE("stream_whose_engines_all_end_before_the_first_event_has_no_success")
+{
+  for (const char* const lastEvent : { "", "Last-Event-Id: 5\r\n" }) {
+    for (const auto& [name, framing] : kFramings) {
+      if (*lastEvent != 0 && framing != framing::None) {
+        continue;
+      }
+      broken_stream_fixture fixture;
+      fixture.mEngines.AnswerAllOthers(Frame(kOtherStream, "", framing));
+      fixture.Call(lastEvent);
+      INFO(name << "; received: " << fixture.mReceived);
+      CHECK(fixture.Count("HTTP/1.1 502") == 1);
+      CHECK(fixture.Count("X-Response-Stamp") == 0);
+    }
+  }
+}
+
 TEST_CASE("stream_that_breaks_off_at_any_byte_and_is_resumed_or_repeated_reaches_the_caller_once")
 {
   const std::string all = Events(0, kEvents);
