A leaving gateway resumes a stream that lost its engine

A caller whose stream lost its engine after SIGTERM of its gateway got a closed connection at once, long before the end of the grace period, if the rest was expected to take longer than that: compared the time that the rest takes with the time left also for streams that the caller had received a part of. When the engine has only fallen silent, or refuses a new path, no server has ended the response: the gateway did, although another engine could have gone on.

A stream that has begun is resumed until the gateway stops: it may end in time (the expected time has a margin), and if not, nothing is lost by trying. New requests are compared as before.

stream_whose_first_engine_falls_silent_under_a_leaving_gateway_is_resumed failed on ("1 == 2" runs) and passes.

--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -98,12 +98,12 @@
   return std::max(ToDuration(aPath->mCost.mTotal), ToDuration(aPath->mCost.mFirstToken) + output);
 }
 
-/// Whether the stream would end before the instance stops, if that is leaving. A caller whose stream would not is
-/// better off elsewhere at once, also one that has received a part of it.
+/// Whether the stream may be sent now. A leaving instance begins only streams that end before it stops; its caller is
+/// better off elsewhere at once. One that the caller has received a part of is resumed in any case: it may end in time,
+/// and ending it earlier than necessary would only lose it.
 bool stream_request::MayContinue(const chosen_path* aPath, instant aNow) const
 {
-  const duration expected = ExpectedTime(aPath);
-  return mHasBegun ? mEnvironment.mStop.EndsInTime(expected, aNow) : mEnvironment.mStop.MayBegin(expected, aNow);
+  return mHasBegun || mEnvironment.mStop.MayBegin(ExpectedTime(aPath), aNow);
 }
 
 policy::waiting_request stream_request::ToWaitingRequest() const
--- a/tests/processes/gateway_termination_test.cpp
+++ b/tests/processes/gateway_termination_test.cpp
@@ -103,6 +103,18 @@
   CHECK(isComplete);
 }
 
+TEST_CASE_METHOD(slow_engines_fixture, "stream_whose_first_engine_falls_silent_under_a_leaving_gateway_is_resumed")
+{
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Stream("resumed", 80))));
+  REQUIRE(caller.ReadUntil("token 3\n"));
+  Terminate();
+  SetServer(std::string(Records("run", "resumed").front().at("server").as_string()), "dark");
+  caller.ReadToEnd();
+  INFO(Gateway().Output());
+  CHECK(RunCount("resumed") == 2);
+}
+
 TEST_CASE_METHOD(terminated_gateway_fixture, "booking_that_runs_when_its_gateway_stops_gets_a_response")
 {
   SetServer("service-0", "dark");
