A short grace period is used to its last sixth

Callers of streams that outlast the grace period lost them earlier than necessary where that is shorter than three seconds: the times before its end (300 ms to stop, 200 ms for last responses) are fixed, and half a second is more than a sixth of it. What is interrupted before the last sixth counts as lost, even if it was sent before SIGTERM.

Both times take at most a twelfth and a fifteenth of the grace period. From 3.6 s on nothing changes.

stream_longer_than_a_short_grace_period_runs_until_the_last_sixth_of_it failed on ("1503367457ns >= 1666ms") and passes.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -40,6 +40,10 @@
 constexpr duration kStopMargin = std::chrono::milliseconds(300);
 /// Requests that still run are ended this long before the process stops, so that their responses reach the callers.
 constexpr duration kLastResponseTime = std::chrono::milliseconds(200);
+/// Largest parts of the grace period that these times may take, as 1/n: together less than the last sixth, before which
+/// no running request should be interrupted.
+constexpr int kStopMarginPart = 12;
+constexpr int kLastResponsePart = 15;
 /// Time that a connected caller has to send its next request before a leaving instance closes the connection.
 constexpr duration kNextRequestTime = std::chrono::seconds(1);
 constexpr duration kDrainPollInterval = std::chrono::milliseconds(50);
@@ -447,8 +451,10 @@
 asio::awaitable<void> gateway_process::Leave()
 {
   const instant begun = Now();
-  const instant kill = begun + Milliseconds(mSettings.gateway().stop_grace_s() * 1000) - kStopMargin;
-  mEnvironment.mStop.StopAt(kill - kLastResponseTime);
+  const duration grace = Milliseconds(mSettings.gateway().stop_grace_s() * 1000);
+  const instant kill = begun + grace - std::min<duration>(kStopMargin, grace / kStopMarginPart);
+  const instant lastResponses = kill - std::min<duration>(kLastResponseTime, grace / kLastResponsePart);
+  mEnvironment.mStop.StopAt(lastResponses);
   mPlacement->Leave();
   mRegistry->Leave();
   mRelay->Leave();
@@ -457,7 +463,7 @@
   do {
     mCallers->CloseIdle(kNextRequestTime);
     co_await Pause(kDrainPollInterval);
-  } while (mCallers->Open() > 0 && Now() < kill - kLastResponseTime);
+  } while (mCallers->Open() > 0 && Now() < lastResponses);
   const std::size_t cut = EndRequests(Now());
   while (mCallers->Open() > 0 && Now() < kill) {
     mCallers->CloseIdle(duration::zero());
--- a/tests/processes/gateway_termination_test.cpp
+++ b/tests/processes/gateway_termination_test.cpp
@@ -16,10 +16,10 @@
 /// One gateway with a grace period of three seconds before engines that write an event each aEventMs milliseconds.
 struct terminated_gateway_fixture : gateway_fixture
 {
-  explicit terminated_gateway_fixture(const std::string& aEventMs = "10")
+  explicit terminated_gateway_fixture(const std::string& aEventMs = "10", double aGraceS = 3)
     : gateway_fixture({ "--event_ms=" + aEventMs })
   {
-    mGraceS = 3;
+    mGraceS = aGraceS;
     StartGateway();
   }
 
@@ -65,8 +65,16 @@
 /// Engines whose streams of 80 tokens take four seconds.
 struct slow_engines_fixture : terminated_gateway_fixture
 {
-  slow_engines_fixture()
-    : terminated_gateway_fixture("100")
+  explicit slow_engines_fixture(double aGraceS = 3)
+    : terminated_gateway_fixture("100", aGraceS)
+  {
+  }
+};
+
+struct short_grace_period_fixture : slow_engines_fixture
+{
+  short_grace_period_fixture()
+    : slow_engines_fixture(2)
   {
   }
 };
@@ -115,6 +123,19 @@
   CHECK(RunCount("resumed") == 2);
 }
 
+TEST_CASE_METHOD(short_grace_period_fixture, "stream_longer_than_a_short_grace_period_runs_until_the_last_sixth_of_it")
+{
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Stream("long", 80))));
+  REQUIRE(caller.ReadUntil("token 3\n"));
+  const auto terminatedAt = std::chrono::steady_clock::now();
+  Terminate();
+  caller.ReadToEnd();
+  INFO(Gateway().Output());
+  CHECK(std::chrono::steady_clock::now() - terminatedAt >= 2000ms * 5 / 6);
+  CHECK(Gateway().WaitForExit().value_or(kNotExited) == kExited);
+}
+
 TEST_CASE_METHOD(terminated_gateway_fixture, "booking_that_runs_when_its_gateway_stops_gets_a_response")
 {
   SetServer("service-0", "dark");
