--- a/tests/processes/raw_caller.cpp
+++ b/tests/processes/raw_caller.cpp
@@ -3,8 +3,10 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <optional>
 
 namespace chervilpulley::processes {
 
@@ -14,6 +16,30 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::string_view kLineEnd = "\r\n";
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+/// Decodes a chunked body from aAt on; sets aEnd to its end when it is complete.
+std::string DecodeChunks(std::string_view aBytes, std::size_t aAt, std::optional<std::size_t>& aEnd)
+{
+  std::string body;
+  while (aAt < aBytes.size()) {
+    const std::size_t lineEnd = aBytes.find(kLineEnd, aAt);
+    if (lineEnd == std::string_view::npos) {
+      break;
+    }
+    const std::size_t size = std::strtoul(std::string(aBytes.substr(aAt, lineEnd - aAt)).c_str(), nullptr, 16);
+    aAt = lineEnd + kLineEnd.size();
+    if (size == 0) {
+      if (aBytes.substr(aAt, kLineEnd.size()) == kLineEnd) {
+        aEnd = aAt + kLineEnd.size();
+      }
+      break;
+    }
+    body.append(aBytes.substr(std::min(aAt, aBytes.size()), size));
+    aAt += size + kLineEnd.size();
+  }
+  return body;
+}
 
 } // namespace
 
@@ -35,12 +61,13 @@
   return !error;
 }
 
-bool raw_caller::ReadSome(duration aLimit)
+bool raw_caller::ReadSome(duration aLimit, std::size_t aMaxBytes)
 {
   std::array<char, 4096> piece{};
+  const std::size_t limit = std::min(aMaxBytes, piece.size());
   boost::system::error_code error = asio::error::would_block;
   std::size_t size = 0;
-  mSocket.async_read_some(asio::buffer(piece), [&](const boost::system::error_code& aError, std::size_t aSize) {
+  mSocket.async_read_some(asio::buffer(piece, limit), [&](const boost::system::error_code& aError, std::size_t aSize) {
     error = aError;
     size = aSize;
   });
@@ -92,27 +119,38 @@
 
 std::string raw_caller::ChunkedBody(bool& aIsComplete) const
 {
-  std::string body;
-  aIsComplete = false;
-  std::size_t at = mReceived.find("\r\n\r\n");
-  at = at == std::string::npos ? mReceived.size() : at + 4;
-  while (at < mReceived.size()) {
-    const std::size_t lineEnd = mReceived.find(kLineEnd, at);
-    if (lineEnd == std::string::npos) {
-      break;
-    }
-    const std::size_t size = std::strtoul(mReceived.c_str() + at, nullptr, 16);
-    at = lineEnd + kLineEnd.size();
-    if (size == 0) {
-      aIsComplete = mReceived.compare(at, kLineEnd.size(), kLineEnd) == 0;
-      break;
-    }
-    body.append(mReceived, at, size);
-    at += size + kLineEnd.size();
-  }
+  const std::size_t head = mReceived.find(kHeadEnd);
+  std::optional<std::size_t> end;
+  std::string body = head == std::string::npos ? "" : DecodeChunks(mReceived, head + kHeadEnd.size(), end);
+  aIsComplete = end.has_value();
   return body;
 }
 
+received_response ParseResponse(std::string_view aBytes)
+{
+  static constexpr std::string_view kLength = "\r\nContent-Length: ";
+  received_response response;
+  const std::size_t headEnd = aBytes.find(kHeadEnd);
+  if (headEnd == std::string_view::npos) {
+    return response;
+  }
+  const std::string head(aBytes.substr(0, headEnd + kLineEnd.size()));
+  const std::size_t begin = headEnd + kHeadEnd.size();
+  response.mStatus = static_cast<unsigned>(std::strtoul(head.c_str() + head.find(' '), nullptr, 10));
+  response.mCloses = head.find("\r\nConnection: close\r\n") != std::string::npos;
+  std::optional<std::size_t> end;
+  if (const std::size_t at = head.find(kLength); at != std::string::npos) {
+    const std::size_t length = std::strtoul(head.c_str() + at + kLength.size(), nullptr, 10);
+    response.mBody = std::string(aBytes.substr(begin, length));
+    end = response.mBody.size() == length ? std::optional(begin + length) : std::nullopt;
+  } else {
+    response.mBody = DecodeChunks(aBytes, begin, end);
+  }
+  response.mIsComplete = end.has_value();
+  response.mSize = end.value_or(0);
+  return response;
+}
+
 std::string EncodeRequest(const gateway_call& aCall)
 {
   std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: demo.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\n",
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -34,6 +34,12 @@
 constexpr duration kPollInterval = std::chrono::milliseconds(5);
 constexpr std::uint64_t kTokensPerEvent = 2;
 
+/// Time of the steady clock in milliseconds, for the records.
+std::int64_t NowMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Now().time_since_epoch()).count();
+}
+
 std::uint64_t ParseNumber(std::string_view aText)
 {
   std::uint64_t number = 0;
@@ -178,7 +184,11 @@
   }
   stream->second.mPath = path;
   stream->second.mFaultyAddress.clear();
-  mFleet.Records().Append({ { "kind", "repath" }, { "server", mName }, { "id", body.Text("id") } });
+  mFleet.Records().Append({ { "kind", "repath" },
+                            { "server", mName },
+                            { "id", body.Text("id") },
+                            { "path", body.Text("path") },
+                            { "at_ms", NowMs() } });
   return ObjectReply(200, {});
 }
 
@@ -194,11 +204,10 @@
 void fleet_server::Record(std::string_view aKind, const std::string& aId, const net::http_request& aRequest) const
 {
   const net::http_headers& headers = aRequest.mHeaders;
-  const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(Now().time_since_epoch()).count();
   mFleet.Records().Append({ { "kind", aKind },
                             { "server", mName },
                             { "started_at", mStartedAt },
-                            { "at_ms", now },
+                            { "at_ms", NowMs() },
                             { "id", aId },
                             { "method", aRequest.mMethod },
                             { "target", aRequest.mTarget },
@@ -211,6 +220,14 @@
                             { "deadline_ms", ParseNumber(headers.Get("X-Deadline-Ms")) } });
 }
 
+/// Records how a run ended: "end" when the response is complete, "left" when the gateway disconnected before, and
+/// "broke_off" when the server ended it or fell silent.
+void fleet_server::RecordEnd(std::string_view aKind, const std::string& aId, std::uint64_t aEvents) const
+{
+  mFleet.Records().Append(
+    { { "kind", aKind }, { "server", mName }, { "id", aId }, { "events", aEvents }, { "at_ms", NowMs() } });
+}
+
 /// Adds the header of a leaving server in state "announcing".
 net::http_reply fleet_server::Announce(net::http_reply aReply) const
 {
@@ -298,6 +315,7 @@
     co_return;
   }
   if (mState == "cutting") {
+    RecordEnd("broke_off", id, 0);
     co_return;
   }
   head.mBody = "answer to " + id;
@@ -328,6 +346,7 @@
   while (event < events && !hasDisconnected) {
     co_await SleepFor(mFleet.Options().mEventInterval);
     if (startedAt != mStartedAt) {
+      RecordEnd("broke_off", aId, event);
       co_return;
     }
     if (HasSlowStage(aId)) {
@@ -335,6 +354,7 @@
     }
     const bool onPath = co_await WaitForPath(aId);
     if (!onPath || IsDark()) {
+      RecordEnd("broke_off", aId, event);
       if (IsDark()) {
         co_await SleepFor(kUnresponsiveTime);
       }
@@ -346,11 +366,11 @@
     text.resize(isTruncated ? text.size() / 2 : text.size());
     const auto written = co_await aExchange.Write(std::move(text));
     if (isTruncated || !written) {
+      RecordEnd(isTruncated ? "broke_off" : "left", aId, event);
       co_return;
     }
   }
-  mFleet.Records().Append(
-    { { "kind", hasDisconnected ? "left" : "end" }, { "server", mName }, { "id", aId }, { "events", event } });
+  RecordEnd(hasDisconnected ? "left" : "end", aId, event);
   if (!hasDisconnected) {
     co_await aExchange.End();
   }
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -79,6 +79,7 @@
   net::http_reply NotExecutedReply(unsigned aStatus, const std::string& aFaultyAddress) const;
   net::http_reply Announce(net::http_reply aReply) const;
   void Record(std::string_view aKind, const std::string& aId, const net::http_request& aRequest) const;
+  void RecordEnd(std::string_view aKind, const std::string& aId, std::uint64_t aEvents) const;
   std::string FindFaultyAddress(const std::vector<stage>& aPath) const;
   static std::vector<stage> ParsePath(std::string_view aText);
   void Register();
