A leaving gateway counts late streams with all the tokens that they allow

A caller whose stream was sent to a leaving gateway late (after three eighths of the grace period) lost it when the output became longer than its hint: whether it would end in time was decided by the caller's estimate, which is often far off, and by the usual output. An early request may be interrupted in the last sixth of the grace period, a late one may not.

Streams that arrive in the last two thirds of the grace period begin only if they end in time with all output tokens that X-Token-Counts allows; others are rejected at once and served elsewhere. A third instead of three eighths, because the platform counts from when it sends SIGTERM. Earlier ones count with the estimate as before.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,6 +44,9 @@
 /// no running request should be interrupted.
 constexpr int kStopMarginPart = 12;
 constexpr int kLastResponsePart = 15;
+/// Requests that arrive after this part of the grace period must not be interrupted at its end. The platform counts
+/// from when it sends SIGTERM and allows three eighths.
+constexpr int kEarlyPart = 3;
 /// Time that a connected caller has to send its next request before a leaving instance closes the connection.
 constexpr duration kNextRequestTime = std::chrono::seconds(1);
 constexpr duration kDrainPollInterval = std::chrono::milliseconds(50);
@@ -454,7 +457,7 @@
   const duration grace = Milliseconds(mSettings.gateway().stop_grace_s() * 1000);
   const instant kill = begun + grace - std::min<duration>(kStopMargin, grace / kStopMarginPart);
   const instant lastResponses = kill - std::min<duration>(kLastResponseTime, grace / kLastResponsePart);
-  mEnvironment.mStop.StopAt(lastResponses);
+  mEnvironment.mStop.StopAt(lastResponses, begun + grace / kEarlyPart);
   mPlacement->Leave();
   mRegistry->Leave();
   mRelay->Leave();
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -85,17 +85,27 @@
   return true;
 }
 
+/// Output tokens for which a leaving instance must have time: callers' estimates are often far off, so one that must
+/// not be interrupted counts with all tokens that it allows.
+double stream_request::TokensToStop() const
+{
+  const double most = mEnvironment.mStop.IsLate(mRequest.mArrived) ? mRequest.mMetadata.mMaxOutputTokens : 0;
+  return std::max(TokensLeft(), most - static_cast<double>(mCursor.Count()));
+}
+
 /// Predicted time from now to the end of the stream, with the gaps between events as they are measured; without a path,
 /// only what the output takes.
 duration stream_request::ExpectedTime(const chosen_path* aPath) const
 {
   const pool* pool = mRequest.mConfiguration->FindPool(mRequest.mPool);
   const double stride = pool != nullptr && pool->mEngine ? std::max(1U, pool->mEngine->mStride) : 1;
-  const auto output = std::chrono::duration_cast<duration>(mEnvironment.mEventGaps.Mean() * (TokensLeft() / stride));
+  const double tokens = TokensToStop();
+  const auto output = std::chrono::duration_cast<duration>(mEnvironment.mEventGaps.Mean() * (tokens / stride));
   if (aPath == nullptr) {
     return output;
   }
-  return std::max(ToDuration(aPath->mCost.mTotal), ToDuration(aPath->mCost.mFirstToken) + output);
+  const policy::fractional_ms predicted = (aPath->mCost.mTotal - aPath->mCost.mFirstToken) * tokens / TokensLeft();
+  return ToDuration(aPath->mCost.mFirstToken) + std::max(ToDuration(predicted), output);
 }
 
 /// Whether the stream may be sent now. A leaving instance begins only streams that end before it stops; its caller is
--- a/src/policy/stop_schedule.h
+++ b/src/policy/stop_schedule.h
@@ -16,8 +16,16 @@
 class stop_schedule
 {
 public:
-  /// The instance is leaving, and requests that still run at aTime are ended then.
-  void StopAt(instant aTime) { mStop = aTime; }
+  /// The instance is leaving, and requests that still run at aTime are ended then. Requests that arrive after aLateFrom
+  /// must not be interrupted by that.
+  void StopAt(instant aTime, instant aLateFrom)
+  {
+    mStop = aTime;
+    mLateFrom = aLateFrom;
+  }
+  /// Whether a request that arrived at aArrived may begin only if it ends before the instance stops even when it takes
+  /// as long as it can.
+  bool IsLate(instant aArrived) const { return mStop && aArrived > mLateFrom; }
   /// Whether a request that is expected to take aExpected ends before the instance stops. Always true for an instance
   /// that is not leaving.
   bool EndsInTime(duration aExpected, instant aNow) const { return !mStop || aNow + aExpected <= *mStop; }
@@ -29,6 +37,7 @@
 
 private:
   std::optional<instant> mStop;
+  instant mLateFrom;
 };
 
 } // namespace chervilpulley::policy
--- a/tests/processes/raw_caller.cpp
+++ b/tests/processes/raw_caller.cpp
@@ -151,7 +151,7 @@
   return response;
 }
 
-std::string EncodeRequest(const gateway_call& aCall)
+std::string EncodeRequest(const gateway_call& aCall, unsigned aLengthHint)
 {
   std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: demo.example\r\nX-Attempt-Id: {}\r\nX-Deadline-Ms: {}\r\n",
                                  aCall.mMethod,
@@ -162,7 +162,9 @@
     text += fmt::format("X-Credential: {}\r\n", aCall.mKey);
   }
   if (aCall.mOutputTokens > 0) {
-    text += fmt::format("X-Token-Counts: 10,{0}\r\nX-Length-Hint: {0}\r\n", aCall.mOutputTokens);
+    text += fmt::format("X-Token-Counts: 10,{}\r\nX-Length-Hint: {}\r\n",
+                        aCall.mOutputTokens,
+                        aLengthHint > 0 ? aLengthHint : aCall.mOutputTokens);
   }
   if (!aCall.mPromptParts.empty()) {
     text += fmt::format("X-Prompt-Prefix: {}\r\n", aCall.mPromptParts);
--- a/tests/processes/raw_caller.h
+++ b/tests/processes/raw_caller.h
@@ -62,7 +62,8 @@
 /// Decodes the response that begins at the beginning of aBytes.
 received_response ParseResponse(std::string_view aBytes);
 
-/// A request to a gateway as bytes, for a connection that is kept open.
-std::string EncodeRequest(const gateway_call& aCall);
+/// A request to a gateway as bytes, for a connection that is kept open. @param aLengthHint estimate of a stream's
+/// output tokens; 0 for their exact number.
+std::string EncodeRequest(const gateway_call& aCall, unsigned aLengthHint = 0);
 
 } // namespace chervilpulley::processes
--- a/tests/unit/policy_stop_schedule_test.cpp
+++ b/tests/unit/policy_stop_schedule_test.cpp
@@ -24,7 +24,7 @@
 
 TEST_CASE_METHOD(stop_schedule_fixture, "stop_schedule_of_a_leaving_instance_lets_only_requests_that_end_in_time_begin")
 {
-  mSchedule.StopAt(mNow + 6s);
+  mSchedule.StopAt(mNow + 6s, mNow + 3s);
   CHECK(mSchedule.MayBegin(4s, mNow));
   CHECK_FALSE(mSchedule.MayBegin(4100ms, mNow));
   CHECK_FALSE(mSchedule.MayBegin(4s, mNow + 1ms));
@@ -32,3 +32,11 @@
   CHECK_FALSE(mSchedule.EndsInTime(6001ms, mNow));
   CHECK_FALSE(mSchedule.MayBegin(0s, mNow + 7s));
 }
+
+TEST_CASE_METHOD(stop_schedule_fixture, "stop_schedule_of_a_leaving_instance_tells_late_requests")
+{
+  CHECK_FALSE(mSchedule.IsLate(mNow));
+  mSchedule.StopAt(mNow + 6s, mNow + 3s);
+  CHECK_FALSE(mSchedule.IsLate(mNow + 3s));
+  CHECK(mSchedule.IsLate(mNow + 3001ms));
+}
