The soak of terminations sends wrong length hints and knows silent servers

It now records "silent" at once, for all running streams. The check stays strict: silence excuses only a response that lasted until the last sixth, so ending one sooner is still a loss.

Hints are now between a fifth and four times of the output.

--- a/tests/processes/gateway_termination_soak_test.cpp
+++ b/tests/processes/gateway_termination_soak_test.cpp
@@ -389,7 +389,7 @@
     const gateway_call call = DrawCall(outcome, aRandom);
     aConnection.mHasSentAfterClose = aConnection.mIsClosing;
     outcome.mSentMs = SteadyMs();
-    outcome.mIsSent = aConnection.mCaller.Send(EncodeRequest(call));
+    outcome.mIsSent = aConnection.mCaller.Send(EncodeRequest(call, DrawLengthHint(call, aRandom)));
     aConnection.mProgressMs = outcome.mSentMs;
     aConnection.mNextMs = outcome.mSentMs + DrawGap(aConnection, aRandom);
     aConnection.mSent.push_back(std::move(outcome));
@@ -403,6 +403,13 @@
     return (isRefused ? 50 : 8) + static_cast<std::int64_t>(aRandom() % (aConnection.mManner.mMaxGapMs + 1));
   }
 
+  /// An estimate of a stream's output tokens, which is often far off.
+  static unsigned DrawLengthHint(const gateway_call& aCall, std::mt19937_64& aRandom)
+  {
+    static const std::vector<double> kFactors{ 0.2, 0.6, 1, 1, 1, 1.5, 4 };
+    return static_cast<unsigned>(aCall.mOutputTokens * kFactors[aRandom() % kFactors.size()]);
+  }
+
   gateway_call DrawCall(request_outcome& aOutcome, std::mt19937_64& aRandom) const
   {
     static const std::vector<unsigned> kDeadlinesMs{ 600, 2000, 4000, 6000, 6000 };
--- a/tests/processes/termination_judge.cpp
+++ b/tests/processes/termination_judge.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <sstream>
 
 #include "base/clock.h"
@@ -154,9 +155,13 @@
   if (aOutcome.mEndedMs - aOutcome.mSentMs >= std::min<std::int64_t>(aOutcome.mDeadlineMs, kRouteTimeoutMs)) {
     return "deadline";
   }
-  if (BrokeOff(aOutcome)) {
+  if (LastServerDid(aOutcome, "broke_off")) {
     return "server broke off";
   }
+  // Silence is no reason to end a response sooner.
+  if (LastServerDid(aOutcome, "silent") && aOutcome.mEndedMs >= LastPartMs(aOutcome)) {
+    return "server silent";
+  }
   return WasAtWork(aOutcome) ? "server at work to the last" : "";
 }
 
@@ -181,14 +186,24 @@
   return aOutcome.mIsSlow && !isRead ? "crossed the close, unseen by a slow caller" : "";
 }
 
-/// Whether the server that ran the request last ended it, or fell silent, before the caller's connection ended.
-bool termination_judge::BrokeOff(const request_outcome& aOutcome) const
+/// Whether there is a record of a kind from the server that ran the request last, before the caller's connection ended.
+bool termination_judge::LastServerDid(const request_outcome& aOutcome, std::string_view aKind) const
 {
   const auto& records = RecordsOf(aOutcome.mId);
-  const auto last = std::find_if(records.rbegin(), records.rend(), [](const auto& aRecord) {
-    return KindOf(aRecord) == "run" || KindOf(aRecord) == "broke_off";
-  });
-  return last != records.rend() && KindOf(*last) == "broke_off" && AtOf(*last) <= aOutcome.mEndedMs;
+  const auto run =
+    std::find_if(records.rbegin(), records.rend(), [](const auto& aRecord) { return KindOf(aRecord) == "run"; });
+  return run != records.rend() && std::any_of(records.rbegin(), run, [&](const auto& aRecord) {
+           return KindOf(aRecord) == aKind && AtOf(aRecord) <= aOutcome.mEndedMs &&
+                  aRecord.at("server") == run->at("server");
+         });
+}
+
+/// When the last part of the grace period of the request's gateway began; never for one that was not terminated.
+std::int64_t termination_judge::LastPartMs(const request_outcome& aOutcome) const
+{
+  const std::int64_t terminated = aOutcome.mGateway->mTerminatedMs;
+  return terminated == 0 ? std::numeric_limits<std::int64_t>::max()
+                         : terminated + static_cast<std::int64_t>(static_cast<double>(mGraceMs) * (1 - kLastPart));
 }
 
 /// Whether the request was sent early, and a server still ran it in the last part of the grace period.
@@ -196,8 +211,8 @@
 {
   const std::int64_t terminated = aOutcome.mGateway->mTerminatedMs;
   const auto early = terminated + static_cast<std::int64_t>(static_cast<double>(mGraceMs) * kEarlyPart);
-  const auto late = terminated + static_cast<std::int64_t>(static_cast<double>(mGraceMs) * (1 - kLastPart));
-  if (terminated == 0 || aOutcome.mSentMs > early || aOutcome.mEndedMs < late || Runs(aOutcome.mId) == 0) {
+  const std::int64_t late = LastPartMs(aOutcome);
+  if (aOutcome.mSentMs > early || aOutcome.mEndedMs < late || Runs(aOutcome.mId) == 0) {
     return false;
   }
   const auto& records = RecordsOf(aOutcome.mId);
--- a/tests/processes/termination_judge.h
+++ b/tests/processes/termination_judge.h
@@ -78,7 +78,8 @@
   std::string WrongResponse(const request_outcome& aOutcome) const;
   std::string WrongRuns(const request_outcome& aOutcome) const;
   std::string ExcuseOf(const request_outcome& aOutcome) const;
-  bool BrokeOff(const request_outcome& aOutcome) const;
+  bool LastServerDid(const request_outcome& aOutcome, std::string_view aKind) const;
+  std::int64_t LastPartMs(const request_outcome& aOutcome) const;
   bool WasAtWork(const request_outcome& aOutcome) const;
   std::string CrossingOf(const request_outcome& aOutcome) const;
   std::size_t Runs(const std::string& aId) const;
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -86,6 +86,11 @@
     mOrderCount = mFence = 0;
     ++mStartedAt;
   }
+  if (IsDark()) {
+    for (const auto& [id, stream] : mRunning) {
+      RecordEnd("silent", id, 0);
+    }
+  }
   if (aState == "gone") {
     mFleet.Store().Remove("servers", mName);
   } else if (aState != "dark") {
@@ -220,8 +225,8 @@
                             { "deadline_ms", ParseNumber(headers.Get("X-Deadline-Ms")) } });
 }
 
-/// Records how a run ended: "end" when the response is complete, "left" when the gateway disconnected before, and
-/// "broke_off" when the server ended it or fell silent.
+/// Records how a run ended: "end" when the response is complete, "left" when the gateway disconnected before,
+/// "broke_off" when the server ended it, and "silent" when the server does nothing any more.
 void fleet_server::RecordEnd(std::string_view aKind, const std::string& aId, std::uint64_t aEvents) const
 {
   mFleet.Records().Append(
