--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,14 +36,6 @@
 /// Time until the balancer has noticed that this instance is leaving and the last connection that it has assigned to
 /// this instance has arrived.
 constexpr duration kBalancerDetectionTime = std::chrono::milliseconds(2600);
-/// The process stops this long before the end of the grace period.
-constexpr duration kStopMargin = std::chrono::milliseconds(300);
-/// Requests that still run are ended this long before the process stops, so that their responses reach the callers.
-constexpr duration kLastResponseTime = std::chrono::milliseconds(200);
-/// Largest parts of the grace period that these times may take, as 1/n: together less than the last sixth, before which
-/// no running request should be interrupted.
-constexpr int kStopMarginPart = 12;
-constexpr int kLastResponsePart = 15;
 /// Requests that arrive after this part of the grace period must not be interrupted at its end. The platform counts
 /// from when it sends SIGTERM and allows three eighths.
 constexpr int kEarlyPart = 3;
@@ -55,6 +47,8 @@
 /// a connection that nobody reads.
 constexpr duration kMaxConfigurationWait = std::chrono::milliseconds(330);
 constexpr duration kConfigurationPollInterval = std::chrono::milliseconds(4);
+/// Number of ticks in which a measured delay falls to about a third.
+constexpr int kTickDelayMemory = 16;
 constexpr duration kReportInterval = std::chrono::milliseconds(1000);
 
 duration Milliseconds(double aTime)
@@ -158,6 +152,7 @@
   caller_limits mDefaultLimits;
   bool mIsLeaving = false;
   bool mWasReady = false;
+  duration mTickDelay{ 0 }; ///< longest recent delay of Tick()
 };
 
 /// Serves the connections of the balancer and of metrics scrapers.
@@ -388,8 +383,10 @@
 asio::awaitable<void> gateway_process::Tick()
 {
   while (true) {
+    const instant due = Now() + kStreamTick;
     co_await Pause(kStreamTick);
     const instant now = Now();
+    mTickDelay = std::max<duration>(now - due, mTickDelay * (kTickDelayMemory - 1) / kTickDelayMemory);
     for (auto stream = mStreams.begin(); stream != mStreams.end();) {
       const ref<stream_request> kept(&*stream);
       ++stream;
@@ -455,20 +452,20 @@
 {
   const instant begun = Now();
   const duration grace = Milliseconds(mSettings.gateway().stop_grace_s() * 1000);
-  const instant kill = begun + grace - std::min<duration>(kStopMargin, grace / kStopMarginPart);
-  const instant lastResponses = kill - std::min<duration>(kLastResponseTime, grace / kLastResponsePart);
-  mEnvironment.mStop.StopAt(lastResponses, begun + grace / kEarlyPart);
+  const auto stop = [&] { return begun + grace - policy::StopMargin(grace, mTickDelay); };
+  const auto lastResponses = [&] { return stop() - policy::LastResponseTime(grace); };
+  mEnvironment.mStop.StopAt(lastResponses(), begun + grace / kEarlyPart);
   mPlacement->Leave();
   mRegistry->Leave();
   mRelay->Leave();
-  co_await Pause(std::min<duration>(kBalancerDetectionTime, (kill - begun) / 2));
+  co_await Pause(std::min<duration>(kBalancerDetectionTime, (stop() - begun) / 2));
   mCallers->StopAccepting();
   do {
     mCallers->CloseIdle(kNextRequestTime);
     co_await Pause(kDrainPollInterval);
-  } while (mCallers->Open() > 0 && Now() < lastResponses);
+  } while (mCallers->Open() > 0 && Now() < lastResponses());
   const std::size_t cut = EndRequests(Now());
-  while (mCallers->Open() > 0 && Now() < kill) {
+  while (mCallers->Open() > 0 && Now() < stop()) {
     mCallers->CloseIdle(duration::zero());
     co_await Pause(kLastResponsePollInterval);
   }
--- a/src/policy/stop_schedule.h
+++ b/src/policy/stop_schedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <optional>
 
 #include "chervilpulley/policy_types.h"
@@ -13,6 +14,33 @@
 /// more than a rejection.
 inline constexpr double kNewRequestFactor = 1.5;
 
+/// An instance stops this long before the end of the grace period if it always gets processor time at once.
+inline constexpr duration kMinStopMargin = std::chrono::milliseconds(300);
+/// Share of the grace period by which the margin grows at most.
+inline constexpr int kMaxMarginDivisor = 12;
+
+/// Requests that still run are ended this long before the instance stops, so that their responses reach the callers.
+inline constexpr duration kLastResponseTime = std::chrono::milliseconds(200);
+/// Share of the grace period that this time takes at most.
+inline constexpr int kLastResponseDivisor = 15;
+/// No running request should be interrupted before this last share of the grace period.
+inline constexpr int kLastPartDivisor = 6;
+
+/// Time before the stop at which running requests are ended.
+inline duration LastResponseTime(duration aGrace)
+{
+  return std::min<duration>(kLastResponseTime, aGrace / kLastResponseDivisor);
+}
+
+/// Time before the end of the grace period at which an instance stops.
+/// @param aDelay longest recent time by which the instance got processor time late.
+inline duration StopMargin(duration aGrace, duration aDelay)
+{
+  const duration margin = kMinStopMargin + std::min<duration>(aDelay * 2, aGrace / kMaxMarginDivisor);
+  return std::min<duration>(margin, aGrace / kLastPartDivisor - LastResponseTime(aGrace));
+}
+
+/// The time at which a leaving instance stops.
 class stop_schedule
 {
 public:
--- a/tests/unit/policy_stop_schedule_test.cpp
+++ b/tests/unit/policy_stop_schedule_test.cpp
@@ -16,6 +16,22 @@
 
 } // namespace
 
+TEST_CASE("stop_margin_of_an_instance_that_gets_processor_time_late_is_longer")
+{
+  CHECK(StopMargin(8s, 0s) == kMinStopMargin);
+  CHECK(StopMargin(8s, 100ms) == kMinStopMargin + 200ms);
+  CHECK(StopMargin(6s, 5s) == kMinStopMargin + 500ms);
+}
+
+TEST_CASE("stop_margin_of_a_short_grace_period_leaves_requests_their_time_until_the_last_sixth")
+{
+  for (const duration grace : { duration(100ms), duration(2s), duration(4s), duration(8s) }) {
+    for (const duration delay : { duration(0ms), duration(100ms), duration(5s) }) {
+      CHECK(StopMargin(grace, delay) + LastResponseTime(grace) <= grace / 6);
+    }
+  }
+}
+
 TEST_CASE_METHOD(stop_schedule_fixture, "stop_schedule_of_an_instance_that_stays_lets_every_request_begin")
 {
   CHECK(mSchedule.MayBegin(24h, mNow));
