--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,8 +36,9 @@
 /// Time until the balancer has noticed that this instance is leaving and the last connection that it has assigned to
 /// this instance has arrived.
 constexpr duration kBalancerDetectionTime = std::chrono::milliseconds(2600);
-/// Requests that still run are ended this long before the process stops, so that their responses reach the callers.
-constexpr duration kLastResponseTime = std::chrono::milliseconds(200);
+/// Requests that arrive after this part of the grace period must not be interrupted at its end. The platform counts
+/// from when it sends SIGTERM and allows three eighths.
+constexpr int kEarlyPart = 3;
 /// Time that a connected caller has to send its next request before a leaving instance closes the connection.
 constexpr duration kNextRequestTime = std::chrono::seconds(1);
 constexpr duration kDrainPollInterval = std::chrono::milliseconds(50);
@@ -452,7 +453,8 @@
   const instant begun = Now();
   const duration grace = Milliseconds(mSettings.gateway().stop_grace_s() * 1000);
   const auto stop = [&] { return begun + grace - policy::StopMargin(grace, mTickDelay); };
-  mEnvironment.mStop.StopAt(stop() - kLastResponseTime);
+  const auto lastResponses = [&] { return stop() - policy::LastResponseTime(grace); };
+  mEnvironment.mStop.StopAt(lastResponses(), begun + grace / kEarlyPart);
   mPlacement->Leave();
   mRegistry->Leave();
   mRelay->Leave();
@@ -461,7 +463,7 @@
   do {
     mCallers->CloseIdle(kNextRequestTime);
     co_await Pause(kDrainPollInterval);
-  } while (mCallers->Open() > 0 && Now() < stop() - kLastResponseTime);
+  } while (mCallers->Open() > 0 && Now() < lastResponses());
   const std::size_t cut = EndRequests(Now());
   while (mCallers->Open() > 0 && Now() < stop()) {
     mCallers->CloseIdle(duration::zero());
--- a/tests/processes/gateway_termination_test.cpp
+++ b/tests/processes/gateway_termination_test.cpp
@@ -17,10 +17,10 @@
 /// One gateway with a grace period of three seconds before engines that write an event each aEventMs milliseconds.
 struct terminated_gateway_fixture : gateway_fixture
 {
-  explicit terminated_gateway_fixture(const std::string& aEventMs = "10")
+  explicit terminated_gateway_fixture(const std::string& aEventMs = "10", double aGraceS = 3)
     : gateway_fixture({ "--event_ms=" + aEventMs })
   {
-    mGraceS = 3;
+    mGraceS = aGraceS;
     StartGateway();
   }
 
@@ -66,8 +66,16 @@
 /// Engines whose streams of 80 tokens take four seconds.
 struct slow_engines_fixture : terminated_gateway_fixture
 {
-  slow_engines_fixture()
-    : terminated_gateway_fixture("100")
+  explicit slow_engines_fixture(double aGraceS = 3)
+    : terminated_gateway_fixture("100", aGraceS)
+  {
+  }
+};
+
+struct short_grace_period_fixture : slow_engines_fixture
+{
+  short_grace_period_fixture()
+    : slow_engines_fixture(2)
   {
   }
 };
@@ -104,6 +112,49 @@
   CHECK(isComplete);
 }
 
+TEST_CASE_METHOD(terminated_gateway_fixture,
+                 "stream_far_longer_than_its_hint_sent_late_to_a_leaving_gateway_is_rejected_or_complete")
+{
+  raw_caller earlier(Callers());
+  REQUIRE(earlier.Send(EncodeRequest(Stream("earlier", 400))));
+  REQUIRE(earlier.ReadUntil("token 10\n"));
+  const auto terminatedAt = std::chrono::steady_clock::now();
+  Terminate();
+  raw_caller late(Callers());
+  std::this_thread::sleep_until(terminatedAt + 3000ms * 3 / 8 + 50ms);
+  REQUIRE(late.Send(EncodeRequest(Stream("late", 600), 4)));
+  late.ReadToEnd();
+  bool isComplete = false;
+  const std::string body = late.ChunkedBody(isComplete);
+  INFO("got " << late.LastStatus() << " and " << body.size() << " bytes\n" << Gateway().Output());
+  CHECK((late.LastStatus() == 503 || isComplete));
+}
+
+TEST_CASE_METHOD(slow_engines_fixture, "stream_whose_first_engine_falls_silent_under_a_leaving_gateway_is_resumed")
+{
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Stream("resumed", 80))));
+  REQUIRE(caller.ReadUntil("token 3\n"));
+  Terminate();
+  SetServer(std::string(Records("run", "resumed").front().at("server").as_string()), "dark");
+  caller.ReadToEnd();
+  INFO(Gateway().Output());
+  CHECK(RunCount("resumed") == 2);
+}
+
+TEST_CASE_METHOD(short_grace_period_fixture, "stream_longer_than_a_short_grace_period_runs_until_the_last_sixth_of_it")
+{
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Stream("long", 80))));
+  REQUIRE(caller.ReadUntil("token 3\n"));
+  const auto terminatedAt = std::chrono::steady_clock::now();
+  Terminate();
+  caller.ReadToEnd();
+  INFO(Gateway().Output());
+  CHECK(std::chrono::steady_clock::now() - terminatedAt >= 2000ms * 5 / 6);
+  CHECK(Gateway().WaitForExit().value_or(kNotExited) == kExited);
+}
+
 TEST_CASE_METHOD(terminated_gateway_fixture, "stream_whose_engine_ends_while_its_gateway_leaves_is_completed")
 {
   StartGateway();
