A leaving gateway closes used connections as soon as they are without a request

The second is meant for connections that have just been accepted, whose first request is under way; only they keep it.

request_that_arrives_as_its_gateway_stops_accepting_gets_a_response is about both and passes.

--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -70,12 +70,12 @@
   mAcceptor.close(error);
 }
 
-void listener_impl::CloseIdle(duration aIdleTime)
+void listener_impl::CloseIdle(duration aFirstRequestTime)
 {
   for (auto session = mSessions.begin(); session != mSessions.end();) {
     const ref<session_impl> sessionRef(&*session);
     ++session;
-    sessionRef->CloseIfIdle(aIdleTime);
+    sessionRef->CloseIfIdle(aFirstRequestTime);
   }
 }
 
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -153,6 +153,7 @@
   mPhase = session_phase::Responding;
   mPhaseSince = Now();
   ++mGeneration;
+  mHasHadRequest = true;
   mTimer.cancel();
   auto message = mParser->release();
   mParser.reset();
@@ -381,11 +382,12 @@
     .Number("in_phase_ms", std::chrono::duration<double, std::milli>(aNow - mPhaseSince).count());
 }
 
-void session_impl::CloseIfIdle(duration aIdleTime)
+void session_impl::CloseIfIdle(duration aFirstRequestTime)
 {
-  // Closing the connection would reset a request that has arrived but has not been read yet.
   error_code error;
-  if (mPhase == session_phase::Idle && Now() - mPhaseSince >= aIdleTime && mSocket.available(error) == 0) {
+  const bool mayBeClosed = mHasHadRequest || Now() - mPhaseSince >= aFirstRequestTime;
+  // Closing the connection would lose a request that has arrived but has not been read yet.
+  if (mPhase == session_phase::Idle && mayBeClosed && mSocket.available(error) == 0) {
     Linger();
   }
 }
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -73,8 +73,8 @@
   virtual net::endpoint LocalEndpoint() const = 0;
   /// Stops accepting new connections.
   virtual void StopAccepting() = 0;
-  /// Closes connections that have been without a request for aIdleTime.
-  virtual void CloseIdle(duration aIdleTime) = 0;
+  /// Closes connections without a request in progress. New ones get aFirstRequestTime for their first request.
+  virtual void CloseIdle(duration aFirstRequestTime) = 0;
   /// Logs the connections that the end of the process cuts off.
   virtual void LogOpen(instant aNow) const = 0;
   /// Number of open connections.
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -35,7 +35,7 @@
   ~session_impl() override;
 
   void WaitForRequest();
-  void CloseIfIdle(duration aIdleTime);
+  void CloseIfIdle(duration aFirstRequestTime);
   void LogOpen(instant aNow) const;
 
   void SetHandler(ref<request_handler> aHandler) override;
@@ -77,6 +77,7 @@
   bool mIsWriting = false;
   bool mIsWatching = false;
   bool mKeepAlive = true;
+  bool mHasHadRequest = false;
   bool mIsHead = false;     ///< the request's method is HEAD
   bool mIsChunked = false;  ///< the response was begun without a length and is sent in chunks
   bool mIsComplete = false; ///< the response is written, though perhaps not yet sent
@@ -99,7 +100,7 @@
   void Accept() override;
   net::endpoint LocalEndpoint() const override;
   void StopAccepting() override;
-  void CloseIdle(duration aIdleTime) override;
+  void CloseIdle(duration aFirstRequestTime) override;
   void LogOpen(instant aNow) const override;
   std::size_t Open() const override { return mSessions.size(); }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -39,8 +39,8 @@
 /// Requests that arrive after this part of the grace period must not be interrupted at its end. The platform counts
 /// from when it sends SIGTERM and allows three eighths.
 constexpr int kEarlyPart = 3;
-/// Time that a connected caller has to send its next request before a leaving instance closes the connection.
-constexpr duration kNextRequestTime = std::chrono::seconds(1);
+/// Time that a caller who has connected has to send its first request before a leaving instance closes the connection.
+constexpr duration kFirstRequestTime = std::chrono::seconds(1);
 constexpr duration kDrainPollInterval = std::chrono::milliseconds(50);
 constexpr duration kLastResponsePollInterval = std::chrono::milliseconds(10);
 /// Longest time that callers wait for the configuration after a start: a third of the time after which they give up on
@@ -461,7 +461,7 @@
   co_await Pause(std::min<duration>(kBalancerDetectionTime, (stop() - begun) / 2));
   mCallers->StopAccepting();
   do {
-    mCallers->CloseIdle(kNextRequestTime);
+    mCallers->CloseIdle(kFirstRequestTime);
     co_await Pause(kDrainPollInterval);
   } while (mCallers->Open() > 0 && Now() < lastResponses());
   const std::size_t cut = EndRequests(Now());
