A leaving gateway predicts streams by their measured events per token

An event holds several tokens, so the output was taken to be longer than it was; and the predicted total of a path contains penalties that are no time.

The number of events per estimated token is measured on streams that end, and the total of the path counts only before anything was measured.

--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -13,6 +13,7 @@
 #include "gateway/wire.h"
 #include "policy/stall_detector.h"
 #include "policy/stop_schedule.h"
+#include "policy/stream_pace.h"
 
 /// Objects and data that streaming requests and requests to plain services have in common, and functions that build
 /// requests to backend servers and responses to callers.
@@ -50,7 +51,7 @@
   duration mDrainBound{ 0 }; ///< minimum time for which a leaving backend server keeps serving
   std::mt19937_64 mRandom;
   policy::stop_schedule mStop;
-  policy::gap_statistics mEventGaps;                      ///< between the events of all streams
+  policy::stream_pace mStreamPace;
   std::map<pool_name, policy::gap_statistics> mCallTimes; ///< to the responses of plain services
 };
 
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -97,15 +97,12 @@
 /// only what the output takes.
 duration stream_request::ExpectedTime(const chosen_path* aPath) const
 {
-  const pool* pool = mRequest.mConfiguration->FindPool(mRequest.mPool);
-  const double stride = pool != nullptr && pool->mEngine ? std::max(1U, pool->mEngine->mStride) : 1;
-  const double tokens = TokensToStop();
-  const auto output = std::chrono::duration_cast<duration>(mEnvironment.mEventGaps.Mean() * (tokens / stride));
+  const duration output = mEnvironment.mStreamPace.OutputTime(TokensToStop());
   if (aPath == nullptr) {
     return output;
   }
-  const policy::fractional_ms predicted = (aPath->mCost.mTotal - aPath->mCost.mFirstToken) * tokens / TokensLeft();
-  return ToDuration(aPath->mCost.mFirstToken) + std::max(ToDuration(predicted), output);
+  // The predicted total includes penalties that are no time, so it counts only before anything was measured.
+  return output > duration::zero() ? ToDuration(aPath->mCost.mFirstToken) + output : ToDuration(aPath->mCost.mTotal);
 }
 
 /// Whether the stream may be sent now. A leaving instance begins only streams that end before it stops; its caller is
