A server whose entry became odd during an outage of the store is dropped at once

What could happen: after the list was lost and read again, a server whose entry can't be decoded any more was used for up to two seconds, as one whose entry lapsed in the outage and may come back. The entry is there, and it names no server to use.

Fix: the member table drops it, from the whole list and from changes (Discard).

Evidence: with the former store_sync, store_sync_that_lists_again_after_an_outage_drops_a_server_whose_entry_became_odd fails at Find("one") == nullptr; a lapsed server beside it is still waited for.

--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -286,6 +286,9 @@
     AppendMember(object, members, isKnown);
   }
   mFleet->Members().Listed(std::move(members), Now());
+  for (const std::string& name : mUnreadableEntries) {
+    mFleet->Members().Discard(backend_id(name));
+  }
   mFleet->MembersChanged(Now());
   mMetrics->UnreadableEntries(mUnreadableEntries.size());
   mHasMembers = true;
@@ -359,9 +362,10 @@
       } else {
         AppendMember(change.mObject, changed, false);
       }
-      // A server with a malformed entry can't be used.
-      if (changed.empty()) {
+      if (change.mIsDeleted) {
         mFleet->Members().Removed(backend_id(change.mObject.mName), Now());
+      } else if (changed.empty()) {
+        mFleet->Members().Discard(backend_id(change.mObject.mName));
       } else {
         mFleet->Members().Changed(std::move(changed.front()));
       }
--- a/src/policy/member_table.cpp
+++ b/src/policy/member_table.cpp
@@ -42,6 +42,14 @@
   }
 }
 
+void member_table::Discard(const backend_id& aId)
+{
+  mRemoveAt.erase(aId);
+  if (mMembers.erase(aId) > 0) {
+    ++mVersion;
+  }
+}
+
 void member_table::ListLost()
 {
   mIsListLost = true;
--- a/src/policy/member_table.h
+++ b/src/policy/member_table.h
@@ -50,6 +50,9 @@
   void Changed(backend_member aMember);
   /// Handles the removal of a list entry.
   void Removed(const backend_id& aId, instant aNow);
+  /// The entry of a server is there and names no server to use. Unlike one that lapsed in an outage, it isn't waited
+  /// for.
+  void Discard(const backend_id& aId);
   /// Records that the list can't be read. Members are kept.
   void ListLost();
   /// Drops members that were not listed again in time.
--- a/tests/contract/gateway_store_sync_test.cpp
+++ b/tests/contract/gateway_store_sync_test.cpp
@@ -29,6 +29,7 @@
   bool mStoreResponds = true;
   relay_response mRelayResponse;
   unsigned mRelayRequests = 0;
+  ref<fleet> mFleet;
   std::string mListItems;
   std::string mEvents; ///< sent once, as the changes up to revision 11
 
@@ -41,9 +42,10 @@
                 net::http_limits())
                 .value();
     const auto metrics = gateway_metrics::Create();
+    mFleet = MakeRef<fleet>(failure_domain_id("here"), std::chrono::minutes(10), policy::retry_bounds());
     mSync = MakeRef<store_sync>(mContext,
                                 MakeRef<store_client>(mContext, mServer->LocalEndpoint(), metrics),
-                                MakeRef<fleet>(failure_domain_id("here"), milliseconds(100), policy::retry_bounds()),
+                                mFleet,
                                 metrics,
                                 store_bounds{ milliseconds(1000), milliseconds(2000), milliseconds(1000) });
     mSync->Start();
@@ -187,3 +189,20 @@
     CHECK(usable == 1);
   }
 }
+
+TEST_CASE_METHOD(store_sync_fixture,
+                 "store_sync_that_lists_again_after_an_outage_drops_a_server_whose_entry_became_odd")
+{
+  policy::backend_member member;
+  member.mId = backend_id("one");
+  mFleet->Members().Changed(member);
+  member.mId = backend_id("lapsed");
+  mFleet->Members().Changed(member);
+  mStoreResponds = false;
+  REQUIRE(RunUntil([this] { return mSync->Cache()->IsListLost(); }));
+  mListItems = R"({"metadata":{"name":"one","revision":9},"spec":)" + testing::SpecWith("born", "1e9999999999") + "}";
+  mStoreResponds = true;
+  REQUIRE(RunUntil([this] { return !mSync->Cache()->IsListLost(); }));
+  CHECK(mFleet->Members().Find(backend_id("one")) == nullptr);
+  CHECK(mFleet->Members().Find(backend_id("lapsed")) != nullptr);
+}
--- a/tests/unit/policy_member_table_test.cpp
+++ b/tests/unit/policy_member_table_test.cpp
@@ -85,3 +85,21 @@
   mTable.Changed(member_table_fixture::Member("b"));
   CHECK(mTable.Version() > before);
 }
+
+TEST_CASE_METHOD(member_table_fixture, "member_table_after_an_outage_waits_for_no_server_whose_entry_is_malformed")
+{
+  List({ "a", "b" });
+  mTable.ListLost();
+  mNow += 10s;
+  List({ "b" });
+  REQUIRE(Has("a"));
+  const auto version = mTable.Version();
+  mTable.Discard(backend_id("a"));
+  CHECK(!Has("a"));
+  CHECK(Has("b"));
+  CHECK(mTable.Version() > version);
+  mTable.Changed(Member("a"));
+  mNow += 60s;
+  mTable.TimePassed(mNow);
+  CHECK(Has("a"));
+}
