A list is read on after a name of any bytes

What could happen: the name of the last entry of a page goes into the target of the next page's request. A name with a space, an ampersand or a line break from another writer made that request invalid, and the list ended there.

Fix: the name is percent-encoded, by the function that the other client of a store had.

Evidence: platform_list_after_a_name_of_any_bytes_is_a_valid_target fails on the code before (the name read back is cut off, and the target has a space).

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -32,6 +32,15 @@
   return decoded;
 }
 
+constexpr char kHexDigits[] = "0123456789ABCDEF";
+
+bool IsUnescaped(char aCharacter)
+{
+  const bool letter = (aCharacter >= 'a' && aCharacter <= 'z') || (aCharacter >= 'A' && aCharacter <= 'Z');
+  const bool digit = aCharacter >= '0' && aCharacter <= '9';
+  return letter || digit || std::string_view("-._~/").find(aCharacter) != std::string_view::npos;
+}
+
 } // namespace
 
 bool EqualNames(std::string_view aLeft, std::string_view aRight)
@@ -92,6 +101,22 @@
   return aTarget.substr(0, aTarget.find('?'));
 }
 
+std::string PercentEncode(std::string_view aText)
+{
+  std::string encoded;
+  for (const char character : aText) {
+    if (IsUnescaped(character)) {
+      encoded.push_back(character);
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(character);
+    encoded.push_back('%');
+    encoded.push_back(kHexDigits[byte >> 4U]);
+    encoded.push_back(kHexDigits[byte & 15U]);
+  }
+  return encoded;
+}
+
 std::optional<std::string> QueryValue(std::string_view aTarget, std::string_view aName)
 {
   const auto queryStart = aTarget.find('?');
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -49,6 +49,8 @@
 
 /// The path of a request target, without its query.
 std::string_view PathOf(std::string_view aTarget);
+/// Encodes a text for the path or the query of a request target; slashes stay.
+std::string PercentEncode(std::string_view aText);
 /// Decoded value of a query parameter; nullopt when it is absent.
 std::optional<std::string> QueryValue(std::string_view aTarget, std::string_view aName);
 /// Compares header names, ignoring case.
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -10,34 +10,9 @@
 
 namespace {
 
-constexpr char kHexDigits[] = "0123456789ABCDEF";
-
-bool IsUnescaped(char aCharacter)
-{
-  const bool letter = (aCharacter >= 'a' && aCharacter <= 'z') || (aCharacter >= 'A' && aCharacter <= 'Z');
-  const bool digit = aCharacter >= '0' && aCharacter <= '9';
-  return letter || digit || std::string_view("-._~/").find(aCharacter) != std::string_view::npos;
-}
-
-std::string PercentEncode(std::string_view aText)
-{
-  std::string encoded;
-  for (const char character : aText) {
-    if (IsUnescaped(character)) {
-      encoded.push_back(character);
-      continue;
-    }
-    const auto byte = static_cast<unsigned char>(character);
-    encoded.push_back('%');
-    encoded.push_back(kHexDigits[byte >> 4U]);
-    encoded.push_back(kHexDigits[byte & 15U]);
-  }
-  return encoded;
-}
-
 std::string ObjectTarget(std::string_view aKey)
 {
-  return "/objects/" + PercentEncode(aKey);
+  return "/objects/" + net::PercentEncode(aKey);
 }
 
 std::string Quoted(object_version aVersion)
@@ -146,7 +121,7 @@
                                                                    std::string aAfter,
                                                                    std::size_t aLimit)
 {
-  const std::string target = "/objects?prefix=" + PercentEncode(aPrefix) + "&after=" + PercentEncode(aAfter) +
+  const std::string target = "/objects?prefix=" + net::PercentEncode(aPrefix) + "&after=" + net::PercentEncode(aAfter) +
                              "&limit=" + std::to_string(aLimit);
   auto reply = co_await Read(target, mTimeout);
   if (auto error = ReadError(reply, "list of \"" + aPrefix + "\"")) {
@@ -163,8 +138,8 @@
 platform_call<watch_reply> http_object_store::Watch(std::string aPrefix, object_version aAfter, duration aTime)
 {
   const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
-  const std::string target = "/watch?prefix=" + PercentEncode(aPrefix) + "&after=" + std::to_string(aAfter.Value()) +
-                             "&timeout_ms=" + std::to_string(milliseconds);
+  const std::string target = "/watch?prefix=" + net::PercentEncode(aPrefix) +
+                             "&after=" + std::to_string(aAfter.Value()) + "&timeout_ms=" + std::to_string(milliseconds);
   auto reply = co_await Read(target, aTime + mTimeout);
   if (auto error = ReadError(reply, "watch of \"" + aPrefix + "\"")) {
     co_return *error;
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -221,6 +221,15 @@
   CHECK(!wire::DecodeChanges("x", fault));
 }
 
+TEST_CASE("platform_list_after_a_name_of_any_bytes_is_a_valid_target")
+{
+  const std::string name = "a b&c=\r\n#\xff/1";
+  const auto request = wire::EncodeList(wire::object_kind::Backends, name, true);
+  CHECK(net::QueryValue(request.mTarget, "after") == name);
+  CHECK(net::QueryValue(request.mTarget, "serializable") == "1");
+  CHECK(request.mTarget.find_first_of(" \r\n#") == std::string::npos);
+}
+
 TEST_CASE("platform_layer_order_encodes_whether_it_waits_for_streams")
 {
   const policy::layer_order waits{ backend_id("i-1"), { 3, 9 }, false };
