A 503, 429 or 408 of a server that may have run the request becomes 502

Callers got these statuses as the server sent them, although the server did not state that the request had not run. To a caller they are a promise that it has not run and never will, so it sends a booking once more, which then runs twice. Only X-Not-Executed states it (421 implies it), and such a response is retried or answered by the gateway itself.

A response with one of these statuses and without that statement now counts as a run that failed: lookups and resumable streams are retried within the budget, and what is left over gets 502, which promises nothing. The gateway's own refusals stay as they are.

--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -167,7 +167,7 @@
     return;
   }
   const bool isGood = mStatus < 300 && mResponseMetadata.mIsStamped && !mHeaders.Has("Content-Encoding");
-  if (isGood || (mStatus >= 300 && mStatus < 500)) {
+  if (isGood || (mStatus >= 300 && mStatus < 500 && !wire::PromisesNotRun(mStatus))) {
     ForwardResponse();
     return;
   }
@@ -191,7 +191,7 @@
     .Text("backend", mServer->Str())
     .Text("reason", aReason)
     .Count("runs", mRuns);
-  const bool hasResponse = mCall == nullptr && mHasHead && mStatus >= 500;
+  const bool hasResponse = mCall == nullptr && mHasHead && mStatus >= 500 && !wire::PromisesNotRun(mStatus);
   EndAttempt(true);
   if (MayRetry(aNow)) {
     mEnvironment.mMetrics->Repaired(repair_kind::Retried);
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -322,7 +322,7 @@
   Exclude(first, aNow);
   EndAttempt();
   if (!MayRunAgain() || (!mHasBegun && LiveRuns() >= mRequest.mRoute->mMaxAttempts)) {
-    if (!mHasBegun && mStatus >= 400) {
+    if (!mHasBegun && mStatus >= 400 && !wire::PromisesNotRun(mStatus)) {
       ForwardFailure(aNow);
       return;
     }
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -83,6 +83,8 @@
 /// those of the dispatch.
 net::http_headers EncodeDispatch(const net::http_headers& aCallers, const dispatch& aDispatch);
 response_metadata DecodeResponseMetadata(unsigned aStatus, const net::http_headers& aHeaders);
+/// Whether callers take a response with this status to mean that the request has not run and never will.
+bool PromisesNotRun(unsigned aStatus);
 /// A header that asks a caller to retry after this time.
 net::http_header RetryAfterHeader(duration aTime);
 /// The path of a request as the value of a header or JSON member.
--- a/tests/processes/gateway_test.cpp
+++ b/tests/processes/gateway_test.cpp
@@ -518,3 +518,25 @@
   StartGateway();
   CHECK(Records("place").size() >= 4);
 }
+
+TEST_CASE("gateway_whose_servers_run_a_request_and_answer_503_429_or_408_does_not_promise_that_it_did_not_run")
+{
+  one_gateway_fixture fixture({ "--once_route" });
+  for (const std::string status : { "503", "429", "408" }) {
+    for (const auto& server : fixture.Servers()) {
+      fixture.SetServer(std::string(server.as_object().at("name").as_string()), "failing" + status);
+    }
+    gateway_call once = one_gateway_fixture::Stream("once-" + status, 4);
+    once.mTarget = "/once/1";
+    for (const gateway_call& call : { one_gateway_fixture::Booking("booking-" + status),
+                                      one_gateway_fixture::Lookup("lookup-" + status),
+                                      one_gateway_fixture::Stream("stream-" + status, 4),
+                                      once }) {
+      INFO(call.mId);
+      CHECK(fixture.Send(call).mStatus == 502);
+      CHECK(fixture.RunCount(call.mId) >= 1);
+    }
+    CHECK(fixture.RunCount("booking-" + status) == 1);
+    CHECK(fixture.RunCount("once-" + status) == 1);
+  }
+}
--- a/tests/standin/standin_fleet.cpp
+++ b/tests/standin/standin_fleet.cpp
@@ -76,12 +76,17 @@
                          json::array{ json::object{ { "name", "card" },
                                                     { "mb", 100 * (mOptions.mLayersPerEngine + 0.5) / 0.73 },
                                                     { "pace", 1 } } } } };
+  json::array routes{ MakeRoute("streams", "/draft/", "streaming", "engines", 2),
+                      MakeRoute("bookings", "/book/", "unsafe", "services", 2),
+                      MakeRoute("lookups", "/look/", "safe", "services", 2) };
+  if (mOptions.mHasOnceRoute) {
+    json::object once = MakeRoute("once", "/once/", "streaming", "engines", 2);
+    once["resumable"] = false;
+    routes.push_back(std::move(once));
+  }
   json::object spec{
     { "version", aVersion },
-    { "routes",
-      json::array{ MakeRoute("streams", "/draft/", "streaming", "engines", 2),
-                   MakeRoute("bookings", "/book/", "unsafe", "services", 2),
-                   MakeRoute("lookups", "/look/", "safe", "services", 2) } },
+    { "routes", std::move(routes) },
     { "services",
       json::array{ json::object{ { "name", "engines" }, { "healthPath", "/h" }, { "engine", engine } },
                    json::object{ { "name", "services" }, { "healthPath", "/h" } } } },
@@ -107,8 +112,8 @@
 }
 
 /// Handles a control call, with any of these members:
-/// {"server":NAME,"state":"ok|dark|slow|closing|refusing|pausing|failing|cutting|announcing|leaving|gone|reborn"} sets
-/// the state of a server,
+/// {"server":NAME,"state":"ok|dark|slow|closing|refusing|pausing|failing|cutting|announcing|leaving|gone|reborn|...}
+/// sets the state of a server,
 /// {"store":{faults}} sets faults of the store, and {"version":N,"key":KEY} writes a new configuration.
 net::http_reply fleet::Control(const net::http_request& aRequest)
 {
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -27,6 +27,8 @@
 constexpr std::string_view kCrashPart = "bad0bad0";
 /// The same, but the response looks complete, like one without a length that ends with its connection.
 constexpr std::string_view kQuietCrashPart = "bad1bad1";
+/// State in which requests run and fail; the status of the responses may follow, as in failing503.
+constexpr std::string_view kFailing = "failing";
 /// How long a server in state "dark" or "gone" holds a connection before it closes it without a response.
 constexpr duration kUnresponsiveTime = std::chrono::seconds(60);
 /// A stream that waits for a lost engine is interrupted after this time.
@@ -281,8 +283,9 @@
     SetState("reborn");
     co_return;
   }
-  if (mState == "failing") {
-    net::http_reply reply = ErrorReply(500, "failed");
+  if (mState.starts_with(kFailing)) {
+    const std::uint64_t status = ParseNumber(std::string_view(mState).substr(kFailing.size()));
+    net::http_reply reply = ErrorReply(status == 0 ? 500 : static_cast<unsigned>(status), "failed");
     reply.mHeaders.Set("X-Attempt-Id", id);
     reply.mHeaders.Set("X-Response-Stamp", mName);
     co_await aExchange.Reply(std::move(reply));
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -38,7 +38,7 @@
   /// - "closing": refuses to join a new path of a running stream, before the list says that it leaves
   /// - "refusing": responds that it did not execute the request
   /// - "pausing": responds that it did not execute the request and wants no other for kPauseSeconds
-  /// - "failing": responds with status 500
+  /// - "failing": runs the request and responds with status 500; "failingN" with status N
   /// - "cutting": closes the connection before or in the middle of a response
   /// - "announcing": works, and every response says that it leaves; the list does not
   /// - "leaving": listed as draining, and refuses to join a new path of a running stream
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -259,6 +259,14 @@
   CHECK(!wire::DecodeResponseMetadata(503, Headers({})).mDidNotRun);
 }
 
+TEST_CASE("platform_status_promises_that_the_request_did_not_run_for_408_421_429_and_503_alone")
+{
+  for (unsigned status = 100; status < 600; ++status) {
+    INFO(status);
+    CHECK(wire::PromisesNotRun(status) == (status == 408 || status == 421 || status == 429 || status == 503));
+  }
+}
+
 TEST_CASE("platform_response_says_that_its_server_leaves_only_with_the_value_1")
 {
   CHECK(wire::DecodeResponseMetadata(200, Headers({ { "server-leaving", "1" } })).mIsLeaving);
