A response of another content type does not continue a stream

A stream broke off, and the next engine answered 200 with its stamp and another content type than text/event-stream. If its body had no event, such as an empty one, the caller's stream was ended as complete; if text in it looked like events, the caller found that in its stream.

Cause: the type of a response was not looked at. A 200 of another type is now a failed run, for a first run too; a response without a type is read as before, since the platform's pages show one.

--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -45,6 +45,17 @@
   return text;
 }
 
+/// Whether a response may be a stream of events by its content type. A response without one may be.
+bool MayBeEventStream(const net::http_headers& aHeaders)
+{
+  constexpr std::string_view kBlanks = " \t";
+  std::string_view type = aHeaders.Get("Content-Type");
+  type = type.substr(0, type.find(';'));
+  type.remove_prefix(std::min(type.find_first_not_of(kBlanks), type.size()));
+  type = type.substr(0, type.find_last_not_of(kBlanks) + 1);
+  return !aHeaders.Has("Content-Type") || net::EqualNames(type, "text/event-stream");
+}
+
 } // namespace
 
 stream_request::stream_request(request_environment& aEnvironment, admitted_request aRequest)
@@ -159,7 +170,8 @@
   mStatus = aStatus;
   mHeaders = std::move(aHeaders);
   mResponseMetadata = wire::DecodeResponseMetadata(mStatus, mHeaders);
-  mIsEventStream = aStatus == 200 && mResponseMetadata.mIsStamped && !mHeaders.Has("Content-Encoding");
+  mIsEventStream =
+    aStatus == 200 && mResponseMetadata.mIsStamped && !mHeaders.Has("Content-Encoding") && MayBeEventStream(mHeaders);
 }
 
 void stream_request::OnBody(std::string_view aBytes)
--- a/tests/contract/gateway_broken_stream_test.cpp
+++ b/tests/contract/gateway_broken_stream_test.cpp
@@ -429,6 +429,8 @@
   { "200 with an error's text as an event", kStreamHead + "X-Response-Stamp: other\r\n", "data: failed\n\n" },
   { "200 with a later event", kStreamHead + "X-Response-Stamp: other\r\n", Event(kEvents) },
   { "200 that ends inside an event", kStreamHead + "X-Response-Stamp: other\r\n", "id: 4\ndata: to" },
+  { "200 of another type with events", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + kErrorHead, kOtherEvents },
+  { "200 of another type without a body", "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + kErrorHead, "" },
   { "206 with events", "HTTP/1.1 206 Partial Content\r\n" + kErrorHead, kOtherEvents },
   { "302", "HTTP/1.1 302 Found\r\nLocation: /\r\n" + kErrorHead, "moved" },
 };
@@ -574,6 +576,21 @@
   }
 }
 
+TEST_CASE("stream_whose_type_is_written_in_another_way_or_not_given_reaches_the_caller")
+{
+  for (const char* const type : { "Content-Type: Text/Event-Stream; charset=utf-8\r\n",
+                                  "Content-Type:  text/event-stream \r\n",
+                                  "Content-Type: text/event-stream;charset=utf-8\r\n",
+                                  "" }) {
+    broken_stream_fixture fixture;
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Stamp: first\r\n";
+    fixture.mEngines.AnswerAllOthers(Frame(head + type, Events(0, kEvents), framing::Chunked));
+    fixture.Call();
+    INFO(type << "; received: " << fixture.mReceived);
+    CHECK(fixture.CompleteBody() == Events(0, kEvents));
+  }
+}
+
 TEST_CASE("stream_that_breaks_off_at_any_byte_and_is_resumed_or_repeated_reaches_the_caller_once")
 {
   const std::string all = Events(0, kEvents);
