A request that can't be read is rejected on a kept connection too

On a connection that had been answered before, a caller whose next request was invalid, too large or unfinished got no 400, 413, 431 or 408, and the gateway neither answered nor closed the connection: it stayed open until the caller closed it, and a leaving gateway waited for it. A caller that asked whether to send its body (Expect: 100-continue) was not told to.

Cause: that the earlier response was complete was only forgotten when a request had been read, and until then everything written was dropped. It is now forgotten when a request begins.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -104,6 +104,9 @@
   mPhase = session_phase::Reading;
   mPhaseSince = Now();
   ++mGeneration;
+  mIsChunked = false;
+  mIsComplete = false;
+  mIsHead = false;
   StartTimeout(mListener->Host().Limits().mHeaderTimeout);
   mParser.emplace();
   mParser->header_limit(static_cast<std::uint32_t>(mListener->Host().Limits().mMaxHeaderBytes));
@@ -150,8 +153,6 @@
   mPhaseSince = Now();
   ++mGeneration;
   mTimer.cancel();
-  mIsChunked = false;
-  mIsComplete = false;
   auto message = mParser->release();
   mParser.reset();
   mKeepAlive = message.keep_alive();
