A session refuses output that does not fit its response

A handler that answers with an error after it has begun a response would write the error's whole head into its caller's stream; each handler had to check that it has not begun. Bytes before the head, a second head, and the last chunk of a response that was never begun went out as well, and a response to HEAD that was begun had a body.

Nothing in the gateway does so now: stream_request is the only handler that begins responses, and it asks in GiveUp and HandleFailure whether it has. The session now refuses such output itself, logs response_invalid and closes the connection, so that what the caller has does not look complete.

On the code before, caller_session_with_output_that_does_not_fit_* showed "5 begun HTTP/1.1 200 OK Content-Length: 5 error" and a connection that stayed open, and caller_session_that_begins_a_response_to_HEAD_* failed. caller_session_with_output_after_a_complete_response_* passed.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -90,6 +90,7 @@
   CallServed,
   CallEnded,
   AcceptFailed,
+  ResponseInvalid,
   RequestCut,
   ConnectionCut
 };
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -133,7 +133,8 @@
   ++mGeneration;
   StartTimeout(mListener->Host().Limits().mHeaderTimeout * kBodyTimeoutFactor);
   if (boost::beast::iequals(mParser->get()[http::field::expect], "100-continue")) {
-    Write("HTTP/1.1 100 Continue\r\n\r\n");
+    mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
+    Flush();
   }
   http::async_read(mSocket, mBuffer, *mParser, [self = ref<session_impl>(this)](const error_code& aError, std::size_t) {
     if (self->mPhase != session_phase::Reading) {
@@ -217,9 +218,25 @@
   return head;
 }
 
-void session_impl::Respond(net::http_reply aReply)
+/// Whether output may be added to the response. If the response has not reached the stage that the output is for, or is
+/// past it, the connection is closed: the caller would find the output in the middle of another response.
+bool session_impl::CheckOutput(std::string_view aCall, bool aNeedsBegun)
 {
   if (mPhase != session_phase::Responding || mIsComplete) {
+    return false;
+  }
+  if (mIsChunked != aNeedsBegun) {
+    log_line(log_event::ResponseInvalid).Text("call", aCall).Text("begun", mIsChunked ? "yes" : "no");
+    mKeepAlive = false;
+    Abort();
+    return false;
+  }
+  return true;
+}
+
+void session_impl::Respond(net::http_reply aReply)
+{
+  if (!CheckOutput("respond", false)) {
     return;
   }
   mOutput += EncodeHead(aReply, fmt::format("Content-Length: {}", aReply.mBody.size()));
@@ -231,7 +248,7 @@
 
 void session_impl::Begin(const net::http_reply& aHead, std::string_view aBytes)
 {
-  if (mPhase != session_phase::Responding || mIsComplete) {
+  if (!CheckOutput("begin", false)) {
     return;
   }
   mIsChunked = true;
@@ -241,25 +258,25 @@
 
 void session_impl::Write(std::string_view aBytes)
 {
-  if (IsEnded() || mIsComplete) {
+  if (!CheckOutput("write", true)) {
     return;
   }
-  if (mIsChunked && !aBytes.empty()) {
+  if (!mIsHead && !aBytes.empty()) {
     mOutput += fmt::format("{:x}\r\n", aBytes.size());
     mOutput += aBytes;
     mOutput += "\r\n";
-  } else {
-    mOutput += aBytes;
   }
   Flush();
 }
 
 void session_impl::Finish()
 {
-  if (mPhase != session_phase::Responding || mIsComplete) {
+  if (!CheckOutput("finish", true)) {
     return;
   }
-  mOutput += "0\r\n\r\n";
+  if (!mIsHead) {
+    mOutput += "0\r\n\r\n";
+  }
   EndResponse();
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -29,7 +29,8 @@
   virtual void OnWritten() = 0;
 };
 
-/// A caller's connection, as seen by the handler of its current request.
+/// A caller's connection, as seen by the handler of its current request. Output that does not fit the response so far,
+/// such as a second head, is not sent and closes the connection. Output after the end of the response is ignored.
 class caller_session : public ref_counted
 {
 public:
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -53,6 +53,7 @@
   void HandleRequest();
   void RejectRequest(const boost::system::error_code& aError);
   std::string EncodeHead(const net::http_reply& aReply, std::string_view aFraming);
+  bool CheckOutput(std::string_view aCall, bool aNeedsBegun);
   void EndResponse();
   void Flush();
   void OnFlushed();
--- a/tests/contract/gateway_caller_session_test.cpp
+++ b/tests/contract/gateway_caller_session_test.cpp
@@ -135,3 +135,86 @@
     CHECK(fixture.WaitUntil([&] { return fixture.mReceived.ends_with("\r\n\r\nsecond"); }));
   }
 }
+
+TEST_CASE("caller_session_with_output_that_does_not_fit_its_response_ends_it_visibly_incomplete")
+{
+  struct misuse
+  {
+    const char* mName;
+    session_use mUse;
+    std::string mEnd; ///< of the bytes that the caller gets
+  };
+  const session_use begin = [](caller_session& aSession) { aSession.Begin(Reply(""), "begun"); };
+  const std::vector<misuse> misuses{
+    { "response after the beginning of another",
+      [&](caller_session& aSession) {
+        begin(aSession);
+        aSession.Respond(Reply("error"));
+      },
+      "\r\n\r\n5\r\nbegun\r\n" },
+    { "second beginning",
+      [&](caller_session& aSession) {
+        begin(aSession);
+        begin(aSession);
+      },
+      "\r\n\r\n5\r\nbegun\r\n" },
+    { "bytes before the beginning", [](caller_session& aSession) { aSession.Write("bytes"); }, "" },
+    { "end before the beginning", [](caller_session& aSession) { aSession.Finish(); }, "" },
+  };
+  for (const misuse& misuse : misuses) {
+    caller_session_fixture fixture;
+    fixture.mUses.push_back([&](caller_session& aSession) {
+      misuse.mUse(aSession);
+      aSession.Write("more");
+      aSession.Finish();
+    });
+    fixture.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    INFO(misuse.mName);
+    CHECK(fixture.WaitUntil([&] { return fixture.mIsClosed; }));
+    INFO(fixture.mReceived);
+    CHECK(fixture.mReceived.ends_with(misuse.mEnd));
+    CHECK(fixture.mReceived.empty() == misuse.mEnd.empty());
+    CHECK(fixture.mReceived.find("HTTP/1.1") == fixture.mReceived.rfind("HTTP/1.1"));
+    CHECK(fixture.mReceived.find("more") == std::string::npos);
+  }
+}
+
+TEST_CASE("caller_session_with_output_after_a_complete_response_sends_nothing_more")
+{
+  for (const session_use& more : std::vector<session_use>{
+         [](caller_session& aSession) { aSession.Respond(Reply("second")); },
+         [](caller_session& aSession) { aSession.Begin(Reply(""), "second"); },
+         [](caller_session& aSession) { aSession.Write("second"); },
+         [](caller_session& aSession) { aSession.Finish(); },
+       }) {
+    caller_session_fixture fixture;
+    fixture.mUses.push_back([&](caller_session& aSession) {
+      aSession.Respond(Reply("first"));
+      more(aSession);
+    });
+    fixture.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(fixture.WaitUntil([&] { return fixture.mReceived.ends_with("\r\n\r\nfirst"); }));
+    fixture.mUses.push_back([](caller_session& aSession) { aSession.Respond(Reply("next")); });
+    fixture.mReceived.clear();
+    fixture.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(fixture.WaitUntil([&] { return fixture.mIsClosed; }));
+    CHECK(fixture.mReceived.starts_with("HTTP/1.1 200 OK\r\n"));
+    CHECK(fixture.mReceived.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(fixture.mReceived.ends_with("\r\n\r\nnext"));
+  }
+}
+
+TEST_CASE("caller_session_that_begins_a_response_to_HEAD_sends_no_body")
+{
+  caller_session_fixture fixture;
+  fixture.mUses.push_back([](caller_session& aSession) {
+    aSession.Begin(Reply(""), "begun");
+    aSession.Write("more");
+    aSession.Finish();
+  });
+  fixture.Send("HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(fixture.WaitUntil([&] { return fixture.mIsClosed; }));
+  INFO(fixture.mReceived);
+  CHECK(fixture.mReceived.starts_with("HTTP/1.1 200 OK\r\n"));
+  CHECK(fixture.mReceived.find("\r\n\r\n") == fixture.mReceived.size() - 4);
+}
