--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -89,6 +89,7 @@
   CallSent,
   CallServed,
   CallEnded,
+  ResponseInvalid,
   RequestCut,
   ConnectionCut,
   AcceptFailed
