An entry that will be killed responds to every request before that

Callers of streams, completions and bookings that ran longer than the platform's grace period saw a reset at SIGKILL: an entry that leaves had no end, and waited for the longest request.

limits.stop_grace_ms says when the SIGKILL comes. Half a second before, the entry ends what still runs: a stream with an error event ('failed'; its state stays at the sidecars, so that another entry resumes it by its Last-Event-ID), a completion without output with 503, a call with 504 'unknown'. A call or request that was not dispatched is 'not_run'. At the end the process exits by itself. The default 0 keeps the behaviour for platforms without SIGKILL: nothing is cut off, and the longest request decides.

--- a/src/entry/api_error.cpp
+++ b/src/entry/api_error.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Another entry can serve the retry.
+constexpr duration kRetryElsewhereAfter = std::chrono::seconds(1);
+
 unsigned StatusOf(link::refusal_reason aReason, link::call_outcome aOutcome)
 {
   switch (aReason) {
@@ -71,6 +74,11 @@
   return error;
 }
 
+api_error StoppingError()
+{
+  return { 503, "server_error", "this entry is stopping", link::OUTCOME_NOT_RUN, kRetryElsewhereAfter };
+}
+
 api_error BadRequest(unsigned aStatus, const std::string& aMessage)
 {
   return { aStatus, "invalid_request_error", aMessage, link::OUTCOME_NOT_RUN, std::nullopt };
--- a/src/entry/api_error.h
+++ b/src/entry/api_error.h
@@ -29,6 +29,8 @@
 net::http_reply ErrorReply(const api_error& aError);
 /// Converts a refusal by a sidecar into the error for the caller.
 api_error FromRefusal(const link::refusal& aRefusal);
+/// The error for a request that this entry can't serve any more because its process ends; another entry can.
+api_error StoppingError();
 /// The error for an invalid request, which did not run and would fail again if retried.
 api_error BadRequest(unsigned aStatus, const std::string& aMessage);
 
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -268,6 +268,9 @@
   resume.mutable_resume()->set_next_position(id->mNext.Value());
   mRouter.Links().Send(head, std::move(resume));
   const auto event = co_await aMailbox->Pop(Now() + kResumeTimeout);
+  if (event && event->mKind == request_event::kind::Stopping) {
+    co_return StoppingError();
+  }
   if (!event || !event->mFrame.has_state() || !event->mFrame.state().found()) {
     co_return streamGoneError;
   }
@@ -342,6 +345,7 @@
 {
   event_stream_sink sink(aExchange, aIdentity, aJob.mRequest, aJob.mWorkspace, mOptions.mClusterKey);
   sink.SkipBelow(aNext);
+  aJob.mIsResumable = true;
   const instance_id head(aJob.mHolders.empty() ? "" : aJob.mHolders.front());
   for (std::size_t i = 0; i < aJob.mTokens.size(); ++i) {
     const bool isLast = i + 1 == aJob.mTokens.size();
--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -49,12 +49,15 @@
       waitingSince = mIsOpened ? Now() : waitingSince;
     } else if (MayWait(waitingSince)) {
       co_await WaitForRoute();
+      keepsRunning = !mEnd.mError.has_value();
     } else {
       FailWithoutRoute();
       keepsRunning = false;
     }
   }
-  Cancel(mEnd.mIsComplete ? "finished" : "given up");
+  if (!mIsLeftToResume) {
+    Cancel(mEnd.mIsComplete ? "finished" : "given up");
+  }
   CancelFormerHeads();
   co_return mEnd;
 }
@@ -131,6 +134,8 @@
   const auto event = co_await mMailbox->Pop(Now() + kRouteRetryInterval);
   if (event && event->mKind == request_event::kind::CallerDisconnected) {
     mEnd.mCallerDisconnected = true;
+  } else if (event && event->mKind == request_event::kind::Stopping) {
+    OnStopping();
   }
 }
 
@@ -190,6 +195,8 @@
     if (mEnd.mCallerDisconnected || (event && event->mKind == request_event::kind::CallerDisconnected)) {
       mEnd.mCallerDisconnected = true;
       next = step::Ended;
+    } else if (event && event->mKind == request_event::kind::Stopping) {
+      next = OnStopping();
     } else if (Now() >= mJob.mDeadline) {
       next = Fail({ 504, "timeout_error", "the request's deadline has passed", link::OUTCOME_FAILED, std::nullopt });
     } else if (!event) {
@@ -299,6 +306,16 @@
   return step::NextAttempt;
 }
 
+completion_run::step completion_run::OnStopping()
+{
+  mIsLeftToResume = mJob.mIsResumable && !mJob.mTokens.empty();
+  api_error error = StoppingError();
+  if (mIsLeftToResume) {
+    error.mMessage += "; another one resumes the stream after its Last-Event-ID";
+  }
+  return Fail(std::move(error));
+}
+
 completion_run::step completion_run::OnLost(const link::attempt_lost& aLost)
 {
   mAvoid.insert(aLost.instance());
--- a/src/entry/completion_run.h
+++ b/src/entry/completion_run.h
@@ -39,6 +39,8 @@
   std::uint32_t mLastAttempt = 0;
   std::vector<std::string> mHolders;
   std::string mFinishReason; ///< not empty if mTokens is the complete output
+  /// Whether the caller can resume the output at another entry, so that the sidecars have to keep its state.
+  bool mIsResumable = false;
 };
 
 /// One token of the output.
@@ -110,6 +112,7 @@
   boost::asio::awaitable<step> OnFrame(const link::frame& aFrame, token_sink& aSink);
   boost::asio::awaitable<step> OnToken(const link::token& aToken, token_sink& aSink);
   step OnRefused(const link::refusal& aRefusal);
+  step OnStopping();
   step OnLost(const link::attempt_lost& aLost);
   step OnHeadLost(bool aStalled);
   /// Checks for a stalled sidecar when no event has arrived for a while.
@@ -135,6 +138,7 @@
   ref<link::connection> mHeadLink;               ///< link over which the attempt was opened
   std::vector<ref<link::provider>> mFormerHeads; ///< heads of earlier attempts, not cancelled yet
   bool mIsOpened = false;
+  bool mIsLeftToResume = false;    ///< the sidecars keep the state for a caller who resumes the output elsewhere
   std::vector<std::string> mChain; ///< sidecars of the last opened attempt that are not lost
   std::set<std::string> mAvoid;    ///< sidecars that failed in an earlier attempt
   std::set<std::string> mRefused;  ///< sidecars that refused since an attempt was last opened
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -17,6 +17,9 @@
 
 constexpr part_log kLog("entry");
 constexpr duration kTickInterval = std::chrono::milliseconds(50);
+/// Requests that still run get a response this long before the end of the grace period.
+constexpr duration kStopMargin = std::chrono::milliseconds(500);
+constexpr duration kExitMargin = std::chrono::milliseconds(100);
 constexpr duration kReportTimeout = std::chrono::seconds(1);
 
 caller_options CallerOptions(const settings::settings& aSettings)
@@ -170,18 +173,38 @@
   mMetrics->Revision(mCore.Config().Current()->Revision().Value());
   mMetrics->InProgress(mHttpServer->OpenExchanges());
   mMetrics->PlatformUp(mCore.IsPlatformUp());
-  if (!mLeaving) {
-    return;
+  if (mLeaving) {
+    OnLeavingTick(now);
+  }
+}
+
+void entry_server::OnLeavingTick(instant aNow)
+{
+  const duration grace = std::chrono::milliseconds(mCore.Settings().limits().stop_grace_ms());
+  const bool hasEnd = grace > duration::zero();
+  const duration left = mLeavingSince + grace - aNow;
+  duration drain = std::chrono::milliseconds(mCore.Settings().limits().drain_ms());
+  if (hasEnd) {
+    drain = std::min(drain, grace / 2);
   }
-  const duration drain = std::chrono::milliseconds(mCore.Settings().limits().drain_ms());
-  if (!mHasStoppedAccepting && now - mLeavingSince > drain) {
+  if (!mHasStoppedAccepting && aNow - mLeavingSince > drain) {
     kLog.Info("Stopped accepting connections.");
     mHttpServer->StopAccepting();
     mHasStoppedAccepting = true;
   }
-  if (mHasStoppedAccepting && !mStopping.joinable() && mHttpServer->OpenExchanges() == 0) {
+  if (hasEnd && left < std::min(kStopMargin, grace / 4)) {
+    mRouter->StopAll();
+  }
+  if (!mHasStoppedAccepting || mStopping.joinable()) {
+    return;
+  }
+  const std::size_t open = mHttpServer->OpenExchanges();
+  if (open == 0) {
     kLog.Info("No request is in progress; exiting.");
     Stop();
+  } else if (hasEnd && left < kExitMargin) {
+    kLog.Warning("The grace period ends; exiting with {} open connections.", open);
+    Stop();
   }
 }
 
--- a/src/entry/entry_server.h
+++ b/src/entry/entry_server.h
@@ -39,6 +39,7 @@
   boost::asio::awaitable<void> HandleHttp(net::http_exchange& aExchange);
   void OnLiveList(const runtime::instance_core::live_instances& aLive);
   void OnTick();
+  void OnLeavingTick(instant aNow);
   /// Ends the operators' calls, which need the context, then stops it.
   void Stop();
   /// Reports a crash to all other entries.
--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -31,6 +31,13 @@
   }
 }
 
+void request_router::StopAll()
+{
+  for (const auto& mailbox : mMailboxes.Values()) {
+    mailbox->Push({ request_event::kind::Stopping, nullptr, {} });
+  }
+}
+
 ref<link::provider> request_router::Choose(const provider_query& aQuery) const
 {
   const instant now = Now();
--- a/src/entry/request_router.h
+++ b/src/entry/request_router.h
@@ -18,9 +18,10 @@
 {
   enum class kind
   {
-    Frame,             ///< a frame about this request
-    ProviderLost,      ///< the link to a sidecar closed
-    CallerDisconnected ///< the caller closed the connection
+    Frame,              ///< a frame about this request
+    ProviderLost,       ///< the link to a sidecar closed
+    CallerDisconnected, ///< the caller closed the connection
+    Stopping            ///< the process is about to end, and the request with it
   };
   kind mKind = kind::Frame;
   ref<link::provider> mProvider;
@@ -54,6 +55,8 @@
   void OnFrame(const ref<link::provider>& aProvider, link::frame aFrame);
   /// Notifies all requests in progress that the link to a sidecar closed.
   void OnProviderLost(const ref<link::provider>& aProvider);
+  /// Tells all requests in progress to end now.
+  void StopAll();
   /// Selects a sidecar for a request; null if none accepts such work now.
   ref<link::provider> Choose(const provider_query& aQuery) const;
   /// Whether a matching sidecar is listed but its link is not established yet.
--- a/src/entry/service_run.cpp
+++ b/src/entry/service_run.cpp
@@ -54,7 +54,10 @@
     mProvider = mRouter.Choose(query);
     const instant until = std::min(Now() + kLinkWait, mJob.mDeadline);
     while (!mProvider && Now() < until && mRouter.IsAwaited(query)) {
-      co_await mMailbox->Pop(Now() + kLinkPollInterval);
+      const auto event = co_await mMailbox->Pop(Now() + kLinkPollInterval);
+      if (event && event->mKind == request_event::kind::Stopping) {
+        co_return service_result(CorrectOutcome(StoppingError()));
+      }
       mProvider = mRouter.Choose(query);
     }
     if (!mProvider) {
@@ -94,6 +97,10 @@
       }
       continue;
     }
+    if (event->mKind == request_event::kind::Stopping) {
+      mMayHaveRun = true;
+      co_return service_result(CorrectOutcome(StoppingError()));
+    }
     if (event->mKind == request_event::kind::ProviderLost && event->mProvider == mProvider) {
       co_return OnProviderLost();
     }
--- a/tests/processes/entry_termination_test.cpp
+++ b/tests/processes/entry_termination_test.cpp
@@ -24,8 +24,9 @@
 struct entry_termination_fixture
 {
   explicit entry_termination_fixture(std::map<std::string, std::string> aLimits = { { "drain_ms", "300" } },
-                                     std::uint32_t aStepUs = kStepUs)
-    : mCluster({ TwoChains(aStepUs), { "domain-a", "domain-b" }, { "domain-a" }, 8, std::move(aLimits) })
+                                     std::uint32_t aStepUs = kStepUs,
+                                     std::vector<std::string> aEntries = { "domain-a" })
+    : mCluster({ TwoChains(aStepUs), { "domain-a", "domain-b" }, std::move(aEntries), 8, std::move(aLimits) })
   {
   }
 
@@ -87,6 +88,35 @@
   }
 };
 
+/// Two entries that are killed four seconds after SIGTERM, and engines that take 160 ms for a token.
+struct grace_period_fixture : entry_termination_fixture
+{
+  grace_period_fixture()
+    : entry_termination_fixture({ { "drain_ms", "1500" }, { "stop_grace_ms", "4000" } },
+                                20'000,
+                                { "domain-a", "domain-a" })
+  {
+  }
+
+  /// Sends SIGTERM; returns once the entry has noticed it.
+  void Terminate()
+  {
+    mTerminatedAt = std::chrono::steady_clock::now();
+    Entry().Terminate();
+    REQUIRE(WaitUntil([&] { return Entry().Log().find("Shutting down") != std::string::npos; }));
+  }
+
+  /// Does what the platform does: sends SIGKILL at the end of the grace period.
+  std::optional<int> KillAfterGrace()
+  {
+    Entry().WaitForExit(std::chrono::duration_cast<duration>(mTerminatedAt + 4s - std::chrono::steady_clock::now()));
+    Entry().Kill();
+    return Entry().Status();
+  }
+
+  std::chrono::steady_clock::time_point mTerminatedAt;
+};
+
 } // namespace
 
 TEST_CASE_METHOD(entry_termination_fixture, "entry_and_sidecars_that_get_sighup_or_sigpipe_interrupt_nothing")
@@ -224,3 +254,48 @@
     CHECK(caller->LastStatus() == 200);
   }
 }
+
+TEST_CASE_METHOD(grace_period_fixture, "stream_longer_than_the_grace_period_of_its_entry_gets_an_error_and_is_resumed")
+{
+  const std::string prompt = "Long brief";
+  std::future<response> stream = StartStream(prompt, kTokens);
+  Terminate();
+  CHECK(KillAfterGrace().value_or(kNotExited) == kExited);
+  const response cut = stream.get();
+  CHECK_FALSE(cut.mNetError.has_value());
+  CHECK(cut.mStatus == 200);
+  CHECK(cut.mOutcome == "failed");
+  CHECK(cut.mTokens > 10);
+  completion_call rest{ prompt, kTokens };
+  rest.mLastEventId = cut.mLastEventId;
+  const response resumed = mCluster.CallerAt(1).Complete(rest);
+  CHECK(resumed.mStatus == 200);
+  observed_stream both = resumed.mStream;
+  both.mText = cut.mStream.mText + resumed.mStream.mText;
+  CHECK(Text(CheckStream(both, prompt, kTokens, 8)) == "");
+  CHECK(Text(CheckLayers(mCluster.AllEngineRuns(), cut.mRequest, kTokens, 8)) == "");
+}
+
+TEST_CASE_METHOD(grace_period_fixture, "requests_that_run_at_the_end_of_the_grace_period_of_their_entry_get_a_response")
+{
+  for (const std::size_t service : { std::size_t(0), std::size_t(1) }) {
+    Control(*mCluster.Service(service).mServer, { { "slow_ms", 8000 } });
+  }
+  auto booking = std::async(std::launch::async, [&] { return mCluster.CallerAt(0).Book("winch", "cut"); });
+  auto whole = std::async(std::launch::async, [&] {
+    completion_call call{ "Whole brief", kTokens };
+    call.mIsStream = false;
+    return mCluster.CallerAt(0).Complete(call);
+  });
+  REQUIRE(WaitUntil([&] {
+    return CheckBookings(mCluster.AllServiceRuns(), { { "winch", booking_outcome::NotRun } }).size() > 0;
+  }));
+  Terminate();
+  CHECK(KillAfterGrace().value_or(kNotExited) == kExited);
+  const response booked = booking.get();
+  CHECK(booked.mStatus == 504);
+  CHECK(booked.mOutcome == "unknown");
+  const response completed = whole.get();
+  CHECK(completed.mStatus == 503);
+  CHECK(completed.mOutcome == "failed");
+}
