A leaving entry rejects what it can't end in time

Callers got an error in the middle of requests that were begun after SIGTERM although they could not end before SIGKILL. Another entry would have served them.

With limits.stop_grace_ms set, a completion whose remaining tokens take longer than the time left, by the mean time between tokens at this entry, gets 503 'not_run' with Retry-After at once, and so does any request in the last half second. Shorter ones are served. request_that_can_t_end_within_the_grace_period_of_its_entry_is_rejected_at_once failed on the commit before ('200 == 503', '"failed" == "not_run"'), and a short request sent after it was not completed either, as the long one had used up the time.

--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -21,6 +21,8 @@
 constexpr std::size_t kRequestIdBytes = 12;
 constexpr std::size_t kMaxCallerIdLength = 128;
 constexpr duration kResumeTimeout = std::chrono::seconds(2);
+/// A request that has less time left before the end of the process is not begun.
+constexpr duration kShortestRequest = std::chrono::milliseconds(500);
 constexpr duration kLinkCheckInterval = std::chrono::milliseconds(10);
 constexpr duration kDefaultServiceTimeout = std::chrono::seconds(30);
 constexpr std::uint32_t kDefaultRetentionHours = 72;
@@ -196,6 +198,15 @@
   return std::min<duration>(std::chrono::milliseconds(milliseconds), aDefault);
 }
 
+bool caller_api::CanEnd(std::size_t aTokens) const
+{
+  const instant end = mEnd;
+  if (end == instant::max()) {
+    return true;
+  }
+  return Now() + kShortestRequest + static_cast<duration::rep>(aTokens) * mRouter.TokenGap() < end;
+}
+
 boost::asio::awaitable<void> caller_api::HandleCompletion(net::http_exchange& aExchange,
                                                           const config::config_view& aView,
                                                           const admin::workspace& aWorkspace,
@@ -304,6 +315,11 @@
       co_return;
     }
   }
+  if (aJob.mFinishReason.empty() &&
+      !CanEnd(aJob.mMaxTokens - std::min<std::size_t>(aJob.mMaxTokens, aJob.mTokens.size()))) {
+    co_await SendError(aExchange, StoppingError());
+    co_return;
+  }
   completion_identity identity{ aRequest.mStyle, ResponseIdOf(aExchange.Request(), aJob.mRequest), aJob.mModel, 0 };
   identity.mCreatedUnix = std::chrono::duration_cast<std::chrono::seconds>(CalendarNow().time_since_epoch()).count();
   if (aRequest.mStream) {
@@ -440,6 +456,10 @@
     co_await SendError(aExchange, BadRequest(400, "route \"" + name + "\" needs an Idempotency-Key"));
     co_return;
   }
+  if (!CanEnd(0)) {
+    co_await SendError(aExchange, StoppingError());
+    co_return;
+  }
   service_job job = ServiceJobOf(request, aWorkspace, *route, end == std::string_view::npos ? "/" : rest.substr(end));
   const std::string responseId = ResponseIdOf(request, job.mRequest);
   const auto mailbox = WatchCaller(aExchange);
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -35,6 +35,8 @@
   /// Returns the current list of live instances.
   using live_source = std::function<std::vector<platform::live_instance>()>;
   caller_api(const completion_context& aContext, view_source aView, live_source aLive, caller_options aOptions);
+  /// From now on requests that would not end before aEnd are rejected.
+  void EndBy(instant aEnd) { mEnd = aEnd; }
   /// Handles one request; runs on the connection's strand.
   boost::asio::awaitable<void> HandleRequest(net::http_exchange& aExchange);
 
@@ -80,6 +82,8 @@
                            std::string_view aPath) const;
   net::http_reply ReplyOf(const service_result& aResult) const;
   std::optional<api_error> CheckRate(const admin::workspace& aWorkspace);
+  /// Whether a request that produces aTokens more tokens ends before the process does.
+  bool CanEnd(std::size_t aTokens) const;
   duration DeadlineOf(const net::http_request& aRequest, duration aDefault) const;
 
   completion_context mContext;
@@ -87,6 +91,7 @@
   view_source mView;
   live_source mLive;
   caller_options mOptions;
+  std::atomic<instant> mEnd{ instant::max() };
 };
 
 } // namespace chervilpulley::entry
--- a/src/entry/completion_run.cpp
+++ b/src/entry/completion_run.cpp
@@ -253,6 +253,7 @@
     mMetrics.FirstToken(now - mJob.mArrived);
   } else if (mLastToken != instant{}) {
     mMetrics.TokenGap(now - mLastToken);
+    mRouter.ObserveTokenGap(now - mLastToken);
   }
   mLastToken = now;
   if (std::exchange(mIsSuspect, false)) {
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -39,6 +39,11 @@
   return limits;
 }
 
+duration StopMargin(duration aGrace)
+{
+  return std::min(kStopMargin, aGrace / 4);
+}
+
 /// Maximum number of digests in a report.
 constexpr std::size_t kMaxDigests = 64;
 
@@ -192,7 +197,7 @@
     mHttpServer->StopAccepting();
     mHasStoppedAccepting = true;
   }
-  if (hasEnd && left < std::min(kStopMargin, grace / 4)) {
+  if (hasEnd && left < StopMargin(grace)) {
     mRouter->StopAll();
   }
   if (!mHasStoppedAccepting || mStopping.joinable()) {
@@ -221,6 +226,10 @@
   kLog.Info("Shutting down: /readyz fails from now on.");
   mLeavingSince = Now();
   mCore.Health().mLeaving = true;
+  const duration grace = std::chrono::milliseconds(mCore.Settings().limits().stop_grace_ms());
+  if (grace > duration::zero()) {
+    mApi->EndBy(mLeavingSince + grace - StopMargin(grace));
+  }
   mLeaving = true;
 }
 
--- a/src/entry/request_router.cpp
+++ b/src/entry/request_router.cpp
@@ -7,6 +7,13 @@
 
 namespace chervilpulley::entry {
 
+namespace {
+
+/// Each gap between tokens changes the mean by one part in as many.
+constexpr duration::rep kTokenGapWeight = 16;
+
+} // namespace
+
 void request_router::Register(const request_id& aRequest, ref<request_mailbox> aMailbox)
 {
   mMailboxes.Insert(aRequest, std::move(aMailbox));
@@ -31,6 +38,12 @@
   }
 }
 
+void request_router::ObserveTokenGap(duration aGap)
+{
+  const duration::rep mean = mTokenGap;
+  mTokenGap = mean == 0 ? aGap.count() : mean + (aGap.count() - mean) / kTokenGapWeight;
+}
+
 void request_router::StopAll()
 {
   for (const auto& mailbox : mMailboxes.Values()) {
--- a/src/entry/request_router.h
+++ b/src/entry/request_router.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <functional>
 #include <set>
 #include <string>
@@ -55,6 +56,10 @@
   void OnFrame(const ref<link::provider>& aProvider, link::frame aFrame);
   /// Notifies all requests in progress that the link to a sidecar closed.
   void OnProviderLost(const ref<link::provider>& aProvider);
+  /// Records the time between two output tokens of a request.
+  void ObserveTokenGap(duration aGap);
+  /// Mean time between two output tokens; zero when none was observed.
+  duration TokenGap() const { return duration(mTokenGap.load()); }
   /// Tells all requests in progress to end now.
   void StopAll();
   /// Selects a sidecar for a request; null if none accepts such work now.
@@ -67,6 +72,7 @@
 private:
   ref<link::provider_links> mLinks;
   sharded_map<request_id, ref<request_mailbox>> mMailboxes;
+  std::atomic<duration::rep> mTokenGap{ 0 };
 };
 
 } // namespace chervilpulley::entry
--- a/tests/processes/entry_termination_test.cpp
+++ b/tests/processes/entry_termination_test.cpp
@@ -299,3 +299,16 @@
   CHECK(completed.mStatus == 503);
   CHECK(completed.mOutcome == "failed");
 }
+
+TEST_CASE_METHOD(grace_period_fixture,
+                 "request_that_can_t_end_within_the_grace_period_of_its_entry_is_rejected_at_once")
+{
+  REQUIRE(mCluster.CallerAt(0).Complete({ "Short note", 8 }).mStream.mDone);
+  Terminate();
+  const response late = mCluster.CallerAt(0).Complete({ "Late brief", kTokens });
+  CHECK(late.mStatus == 503);
+  CHECK(late.mOutcome == "not_run");
+  CHECK_FALSE(late.mHeaders.Get("Retry-After").empty());
+  CHECK(mCluster.CallerAt(0).Complete({ "Short note", 6 }).mStream.mDone);
+  CHECK(KillAfterGrace().value_or(kNotExited) == kExited);
+}
