--- a/src/entry/request_router.h
+++ b/src/entry/request_router.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <functional>
 #include <set>
 #include <string>
@@ -18,9 +19,10 @@
 {
   enum class kind
   {
-    Frame,             ///< a frame about this request
-    ProviderLost,      ///< the link to a sidecar closed
-    CallerDisconnected ///< the caller closed the connection
+    Frame,              ///< a frame about this request
+    ProviderLost,       ///< the link to a sidecar closed
+    CallerDisconnected, ///< the caller closed the connection
+    Stopping            ///< the process is about to end, and the request with it
   };
   kind mKind = kind::Frame;
   ref<link::provider> mProvider;
@@ -54,6 +56,12 @@
   void OnFrame(const ref<link::provider>& aProvider, link::frame aFrame);
   /// Notifies all requests in progress that the link to a sidecar closed.
   void OnProviderLost(const ref<link::provider>& aProvider);
+  /// Records the time between two output tokens of a request.
+  void ObserveTokenGap(duration aGap);
+  /// Mean time between two output tokens; zero when none was observed.
+  duration TokenGap() const { return duration(mTokenGap.load()); }
+  /// Tells all requests in progress to end now.
+  void StopAll();
   /// Selects a sidecar for a request; null if none accepts such work now.
   ref<link::provider> Choose(const provider_query& aQuery) const;
   /// Whether a matching sidecar is listed but its link is not established yet.
@@ -64,6 +72,7 @@
 private:
   ref<link::provider_links> mLinks;
   sharded_map<request_id, ref<request_mailbox>> mMailboxes;
+  std::atomic<duration::rep> mTokenGap{ 0 };
 };
 
 } // namespace chervilpulley::entry
