A leaving gateway that has measured no gaps begins no late streams

A caller whose stream was sent late to a leaving gateway lost it when that gateway had not served a stream with two events yet, such as one that is replaced soon after its start: its expected time came from the configured model of the engines alone, which knows neither their load nor slow ones.

Such streams are rejected at once while no gap between events was measured.

stream_sent_late_to_a_leaving_gateway_that_has_measured_no_gaps_is_rejected_or_complete failed before ("got 200 and 281 bytes", not complete) and passes.

--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -113,6 +113,11 @@
 /// and ending it earlier than necessary would only lose it.
 bool stream_request::MayContinue(const chosen_path* aPath, instant aNow) const
 {
+  if (!mHasBegun && mEnvironment.mStop.IsLate(mRequest.mArrived) &&
+      mEnvironment.mEventGaps.Mean() == duration::zero()) {
+    // Nothing was measured that bounds the time of a stream.
+    return false;
+  }
   return mHasBegun || mEnvironment.mStop.MayBegin(ExpectedTime(aPath), aNow);
 }
 
--- a/tests/processes/gateway_termination_test.cpp
+++ b/tests/processes/gateway_termination_test.cpp
@@ -130,6 +130,21 @@
   CHECK((late.LastStatus() == 503 || isComplete));
 }
 
+TEST_CASE_METHOD(slow_engines_fixture,
+                 "stream_sent_late_to_a_leaving_gateway_that_has_measured_no_gaps_is_rejected_or_complete")
+{
+  const auto terminatedAt = std::chrono::steady_clock::now();
+  Terminate();
+  raw_caller late(Callers());
+  std::this_thread::sleep_until(terminatedAt + 3000ms * 3 / 8 + 50ms);
+  REQUIRE(late.Send(EncodeRequest(Stream("late", 80))));
+  late.ReadToEnd();
+  bool isComplete = false;
+  const std::string body = late.ChunkedBody(isComplete);
+  INFO("got " << late.LastStatus() << " and " << body.size() << " bytes\n" << Gateway().Output());
+  CHECK((late.LastStatus() == 503 || isComplete));
+}
+
 TEST_CASE_METHOD(slow_engines_fixture, "stream_whose_first_engine_falls_silent_under_a_leaving_gateway_is_resumed")
 {
   raw_caller caller(Callers());
