The soak of terminations catches lost output buffers; a refused new path is tested

With the two-step close of connections switched off (Linger closes at once) the soak passed: responses were too small to wait at the gateway for a slow caller. Events come twice as often, slow callers have the smallest receive buffer and pause for up to 1.2 s. CHERVILPULLEY_SOAK_LOGS keeps the logs.

--- a/tests/processes/gateway_termination_soak_test.cpp
+++ b/tests/processes/gateway_termination_soak_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
 #include <mutex>
 #include <random>
@@ -21,13 +22,17 @@
 
 namespace {
 
-constexpr unsigned kEventMs = 20;
+constexpr unsigned kEventMs = 10;
 constexpr unsigned kTokensPerEvent = 2;
 constexpr unsigned kCallersPerGateway = 10;
 constexpr std::int64_t kCrossingMs = 200;
 /// A caller that has got nothing for so long after its deadline gives up.
 constexpr std::int64_t kGiveUpMs = 10'000;
 constexpr std::size_t kMaxFaultsShown = 12;
+/// Sizes with which a slow caller's responses wait at the gateway.
+constexpr int kSmallBufferBytes = 1;
+constexpr std::size_t kSmallPieceBytes = 200;
+constexpr std::size_t kPieceBytes = 4096;
 
 /// A number from the environment, for longer runs by hand.
 unsigned Option(const char* aName, unsigned aDefault)
@@ -58,9 +63,9 @@
   static const std::vector<unsigned> kGaps{ 0, 10, 100, 400, 1500 };
   caller_manner manner;
   manner.mMaxGapMs = kGaps[aRandom() % kGaps.size()];
-  manner.mIsPipelining = aRandom() % 3 == 0;
+  manner.mIsPipelining = aRandom() % 2 == 0;
   manner.mSendsAfterClose = aRandom() % 3 == 0;
-  manner.mIsSlow = aRandom() % 8 == 0;
+  manner.mIsSlow = aRandom() % 5 == 0;
   manner.mIsUsedOnce = aRandom() % 4 == 0;
   return manner;
 }
@@ -83,7 +88,7 @@
   std::int64_t mProgressMs = SteadyMs();
 
   caller_connection(std::shared_ptr<gateway_life> aGateway, caller_manner aManner, std::string aName)
-    : mCaller(aGateway->mCallers, aManner.mIsSlow ? 2048 : 0)
+    : mCaller(aGateway->mCallers, aManner.mIsSlow ? kSmallBufferBytes : 0)
     , mManner(aManner)
     , mGateway(std::move(aGateway))
     , mName(std::move(aName))
@@ -110,10 +115,11 @@
   void Read(std::mt19937_64& aRandom)
   {
     if (mManner.mIsSlow) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(aRandom() % 40));
+      const unsigned mostMs = aRandom() % 20 == 0 ? 1200 : 20;
+      std::this_thread::sleep_for(std::chrono::milliseconds(aRandom() % mostMs));
     }
     const std::int64_t before = SteadyMs();
-    const bool hasRead = mCaller.ReadSome(10ms, mManner.mIsSlow ? 200 : 4096);
+    const bool hasRead = mCaller.ReadSome(10ms, mManner.mIsSlow ? kSmallPieceBytes : kPieceBytes);
     if (!hasRead && mCaller.End() == connection_end::Open) {
       mOpenMs = before;
     }
@@ -204,6 +210,7 @@
     }
     CheckExits();
     CheckOutcomes(judge);
+    KeepLogs();
   }
 
 private:
@@ -469,6 +476,14 @@
     CHECK(byKind["lookup 200"] > 0);
   }
 
+  /// Copies the gateways' logs to a folder that is named in the environment.
+  void KeepLogs() const
+  {
+    if (const char* folder = std::getenv("CHERVILPULLEY_SOAK_LOGS"); folder != nullptr) {
+      std::filesystem::copy(mFolder.File(""), folder, std::filesystem::copy_options::overwrite_existing);
+    }
+  }
+
   static void Print(const std::string& aHead, const std::map<std::string, std::size_t>& aCounts)
   {
     for (const auto& [what, count] : aCounts) {
--- a/tests/processes/gateway_termination_test.cpp
+++ b/tests/processes/gateway_termination_test.cpp
@@ -157,6 +157,22 @@
   CHECK(RunCount("resumed") == 2);
 }
 
+TEST_CASE_METHOD(slow_engines_fixture, "stream_whose_new_path_is_refused_under_a_leaving_gateway_is_resumed")
+{
+  raw_caller caller(Callers());
+  REQUIRE(caller.Send(EncodeRequest(Stream("refused", 80))));
+  REQUIRE(caller.ReadUntil("token 3\n"));
+  const auto run = Records("run", "refused").front();
+  const std::string path(run.at("path").as_string());
+  const std::string second = path.substr(path.find(',') + 1);
+  SetServer(std::string(run.at("server").as_string()), "closing");
+  Terminate();
+  SetServer(ServerNameAt(second.substr(0, second.find('='))), "dark");
+  caller.ReadToEnd();
+  INFO(Gateway().Output());
+  CHECK(RunCount("refused") == 2);
+}
+
 TEST_CASE_METHOD(short_grace_period_fixture, "stream_longer_than_a_short_grace_period_runs_until_the_last_sixth_of_it")
 {
   raw_caller caller(Callers());
