Late streams at a leaving gateway count with an event for each token that they allow

Joins the measured pace with the rule for late streams: the measured number of events per token holds for estimates, so it can't bound an output that is far longer than estimated.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,8 +36,8 @@
 /// Time until the balancer has noticed that this instance is leaving and the last connection that it has assigned to
 /// this instance has arrived.
 constexpr duration kBalancerDetectionTime = std::chrono::milliseconds(2600);
-/// Requests that arrive after this part of the grace period must not be interrupted at its end. The platform counts
-/// from when it sends SIGTERM and allows three eighths.
+/// From this part of the grace period on, a request is begun only if it ends in time even when its output is far longer
+/// than estimated: little time is left for a wrong estimate. The platform counts later requests that are cut as lost.
 constexpr int kEarlyPart = 3;
 /// Time that a caller who has connected has to send its first request before a leaving instance closes the connection.
 constexpr duration kFirstRequestTime = std::chrono::seconds(1);
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -101,7 +101,6 @@
   void ProbeStages();
   duration StallThreshold() const;
   double EstimatedOutputTokens() const;
-  double TokensToStop() const;
   duration ExpectedTime(const chosen_path* aPath) const;
   bool MayContinue(const chosen_path* aPath, instant aNow) const;
   double TokensLeft() const;
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -85,19 +85,14 @@
   return true;
 }
 
-/// Output tokens for which a leaving instance must have time: callers' estimates are often far off, so one that must
-/// not be interrupted counts with all tokens that it allows.
-double stream_request::TokensToStop() const
-{
-  const double most = mEnvironment.mStop.IsLate(mRequest.mArrived) ? mRequest.mMetadata.mMaxOutputTokens : 0;
-  return std::max(TokensLeft(), most - static_cast<double>(mCursor.Count()));
-}
-
-/// Predicted time from now to the end of the stream, with the gaps between events as they are measured; without a path,
-/// only what the output takes.
+/// Predicted time from now to the end of the stream at the measured pace; without a path, only what the output takes.
+/// Callers' estimates are often far off, so a stream that must not be interrupted counts with all tokens that it
+/// allows.
 duration stream_request::ExpectedTime(const chosen_path* aPath) const
 {
-  const duration output = mEnvironment.mStreamPace.OutputTime(TokensToStop());
+  const duration output = mEnvironment.mStop.IsLate(mRequest.mArrived)
+                            ? mEnvironment.mStreamPace.LongestOutputTime(mRequest.mMetadata.mMaxOutputTokens)
+                            : mEnvironment.mStreamPace.OutputTime(TokensLeft());
   if (aPath == nullptr) {
     return output;
   }
@@ -110,12 +105,12 @@
 /// and ending it earlier than necessary would only lose it.
 bool stream_request::MayContinue(const chosen_path* aPath, instant aNow) const
 {
-  if (!mHasBegun && mEnvironment.mStop.IsLate(mRequest.mArrived) &&
-      mEnvironment.mEventGaps.Mean() == duration::zero()) {
-    // Nothing was measured that bounds the time of a stream.
-    return false;
+  if (mHasBegun) {
+    return true;
   }
-  return mHasBegun || mEnvironment.mStop.MayBegin(ExpectedTime(aPath), aNow);
+  // Without a measurement nothing bounds the time of a stream.
+  const bool isBounded = mEnvironment.mStreamPace.IsMeasured() || !mEnvironment.mStop.IsLate(mRequest.mArrived);
+  return isBounded && mEnvironment.mStop.MayBegin(ExpectedTime(aPath), aNow);
 }
 
 policy::waiting_request stream_request::ToWaitingRequest() const
--- a/src/policy/stream_pace.h
+++ b/src/policy/stream_pace.h
@@ -21,6 +21,12 @@
     mEventsPerToken = mHasEnded ? mEventsPerToken + kEventsPerTokenGain * (ratio - mEventsPerToken) : ratio;
     mHasEnded = true;
   }
+  bool IsMeasured() const { return mGaps.Mean() > duration::zero(); }
+  /// Predicted time of an output of at most aTokens, with an event for each token.
+  duration LongestOutputTime(double aTokens) const
+  {
+    return std::chrono::duration_cast<duration>(mGaps.Mean() * aTokens);
+  }
   /// Predicted time of an output; zero while nothing was measured.
   duration OutputTime(double aEstimatedTokens) const
   {
--- a/tests/unit/policy_stream_pace_test.cpp
+++ b/tests/unit/policy_stream_pace_test.cpp
@@ -24,6 +24,7 @@
 
 TEST_CASE_METHOD(stream_pace_fixture, "stream_pace_without_measurements_predicts_nothing")
 {
+  CHECK_FALSE(mPace.IsMeasured());
   CHECK(mPace.OutputTime(100) == 0ms);
 }
 
@@ -33,6 +34,7 @@
   CHECK(mPace.OutputTime(80) == 8s);
   mPace.Ended(40, 80);
   CHECK(mPace.OutputTime(80) == 4s);
+  CHECK(mPace.LongestOutputTime(80) == 8s);
   ObserveGaps(20ms);
   CHECK(mPace.OutputTime(80) < 900ms);
 }
