--- a/src/base/json_split.h
+++ b/src/base/json_split.h
@@ -21,12 +21,14 @@
   /// The value of a member, the last one of this name; empty if there is none. Escaped names are not found.
   std::string_view Find(std::string_view aName) const;
 
-private:
   struct member
   {
     std::string_view mName;
     std::string_view mValue;
   };
+  const std::vector<member>& All() const { return mMembers; }
+
+private:
   std::vector<member> mMembers;
 };
 
--- a/src/platform/live_list.cpp
+++ b/src/platform/live_list.cpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "base/json_split.h"
 #include "platform/json_fields.h"
 #include "platform/platform_status.h"
 
@@ -30,23 +31,19 @@
     return true;
   }
   auto parsed = net::ParseEndpoint(*text);
-  if (!parsed) {
+  if (!parsed || parsed.value().mPort == 0) {
     return false;
   }
   aEndpoint = std::move(parsed.value());
   return true;
 }
 
-std::optional<live_instance> ParseInstance(const boost::json::value& aValue)
+std::optional<live_instance> ParseInstance(const boost::json::object& aItem)
 {
-  if (!aValue.is_object()) {
-    return std::nullopt;
-  }
-  const auto& item = aValue.get_object();
-  const auto name = TextField(item, "instance");
-  const auto role = ParseRole(TextField(item, "role").value_or(""));
-  const auto domain = TextField(item, "failure_domain");
-  const auto state = TextField(item, "state").value_or("live");
+  const auto name = TextField(aItem, "instance");
+  const auto role = ParseRole(TextField(aItem, "role").value_or(""));
+  const auto domain = TextField(aItem, "failure_domain");
+  const auto state = TextField(aItem, "state").value_or("live");
   if (!name || name->empty() || !role || !domain || domain->empty() || (state != "live" && state != "leaving")) {
     return std::nullopt;
   }
@@ -54,10 +51,10 @@
   instance.mInstance = instance_id(*name);
   instance.mRole = *role;
   instance.mFailureDomain = failure_domain_id(*domain);
-  instance.mPool = pool_name(TextField(item, "pool").value_or(""));
+  instance.mPool = pool_name(TextField(aItem, "pool").value_or(""));
   instance.mLeaving = state == "leaving";
-  const bool read = ReadAddress(item, "http", instance.mHttp) && ReadAddress(item, "link", instance.mLink) &&
-                    ReadAddress(item, "peer", instance.mPeer) && ReadAddress(item, "admin", instance.mAdmin);
+  const bool read = ReadAddress(aItem, "http", instance.mHttp) && ReadAddress(aItem, "link", instance.mLink) &&
+                    ReadAddress(aItem, "peer", instance.mPeer) && ReadAddress(aItem, "admin", instance.mAdmin);
   return read ? std::optional(std::move(instance)) : std::nullopt;
 }
 
@@ -87,15 +84,17 @@
 
 platform_result<std::vector<live_instance>> ParseLiveList(const std::string& aBody)
 {
-  const auto body = ParseObject(aBody);
-  const auto* items = body ? ArrayField(*body, "instances") : nullptr;
-  if (items == nullptr) {
+  // Split first, so that an item that can't be read concerns itself alone.
+  const auto body = json_members::Split(aBody);
+  const auto items = body ? SplitArray(body->Find("instances")) : std::nullopt;
+  if (!items) {
     return BadReply("live list can't be read");
   }
   std::vector<live_instance> instances;
   instances.reserve(items->size());
-  for (const auto& item : *items) {
-    if (auto instance = ParseInstance(item)) {
+  for (const std::string_view text : *items) {
+    const auto item = ParseObject(text);
+    if (auto instance = item ? ParseInstance(*item) : std::nullopt) {
       instances.push_back(std::move(*instance));
     }
   }
--- a/tests/unit/platform_odd_entry_test.cpp
+++ b/tests/unit/platform_odd_entry_test.cpp
@@ -9,6 +9,7 @@
 
 #include "gateway/relay_messages.h"
 #include "gateway/wire.h"
+#include "platform/live_list.h"
 #include "support/odd_entries.h"
 
 using namespace chervilpulley;
@@ -196,6 +197,45 @@
   }
 }
 
+TEST_CASE("report_with_an_unreadable_member_keeps_the_others")
+{
+  for (const std::string& odd :
+       { Nested(40), Nested(100'000), std::string("1e9999999999"), std::string("\"\xff\""), std::string("NaN") }) {
+    std::string fault;
+    const auto report = wire::DecodeReport(
+      R"({"models":)" + odd + R"(,"seq":2,"pace":3.5,"layers":{"from":0,"target":9},"extra":)" + odd + "}", fault);
+    INFO(fault);
+    REQUIRE(report);
+    CHECK(report->mOrders == 2);
+    CHECK(report->mSlowdownFactor == 3.5);
+    CHECK(report->mLayers == policy::layer_span{ 0, 9 });
+  }
+}
+
+TEST_CASE("live_list_with_an_unreadable_or_invalid_item_keeps_the_sound_ones")
+{
+  const auto item = [](const std::string& aName, const std::string& aExtra) {
+    return R"({"instance":")" + aName + R"(","role":"entry","failure_domain":"f","http":"127.0.0.1:80","extra":)" +
+           aExtra + "}";
+  };
+  for (const std::string& odd : { item("b", Nested(40)),
+                                  item("b", Nested(100'000)),
+                                  item("b", "1e9999999999"),
+                                  item("b", "\"\xff\""),
+                                  item("b", R"(1,"link":"127.0.0.1:0")"),
+                                  item("b", R"(1,"link":"127.0.0.1:99999")"),
+                                  std::string("NaN"),
+                                  Nested(60) }) {
+    const auto list =
+      platform::ParseLiveList(R"({"instances":[)" + item("a", "1") + "," + odd + "," + item("c", "1e400") + "]}");
+    REQUIRE(list.has_value());
+    REQUIRE(list.value().size() == 2);
+    CHECK(list.value()[0].mInstance.Str() == "a");
+    CHECK(list.value()[1].mInstance.Str() == "c");
+  }
+  CHECK(platform::ParseLiveList(R"({"instances":[)" + item("a", "1")).has_error());
+}
+
 TEST_CASE("list_with_an_odd_status_or_odd_metadata_of_an_entry_keeps_all_sound_specs")
 {
   std::string fault;
