--- a/tests/unit/platform_odd_entry_test.cpp
+++ b/tests/unit/platform_odd_entry_test.cpp
@@ -236,6 +236,25 @@
   CHECK(platform::ParseLiveList(R"({"instances":[)" + item("a", "1")).has_error());
 }
 
+TEST_CASE("list_entry_with_a_repeated_or_enormous_member_leaves_the_sound_ones_and_its_last_value_counts")
+{
+  std::string fault;
+  const std::string repeated = R"({"service":"x","address":7,)" + kSound.substr(1);
+  const auto member = wire::DecodeMember("b", repeated, fault);
+  REQUIRE(member);
+  CHECK(member->mPool.Str() == "s");
+  const std::string removed = kSound.substr(0, kSound.size() - 1) + R"(,"state":"asleep"})";
+  CHECK(UsableIn(ListWith(Object("b", removed))) == kSoundNames);
+  const std::string twice = R"({"metadata":{"name":"x","name":"b"},"spec":)" + kSound + R"(,"spec":{}})";
+  CHECK(UsableIn(ListWith(twice)) == kSoundNames);
+  const std::string enormous = '"' + std::string(4'000'000, 'x') + '"';
+  CHECK(UsableIn(ListWith(Object("b", enormous))) == kSoundNames);
+  CHECK(UsableIn(ListWith(Object("b", SpecWith("extra", enormous)))) == std::vector<std::string>{ "a", "b", "c" });
+  for (const char* name : { "service", "zone", "kind", "address" }) {
+    CHECK(UsableIn(ListWith(Object("b", SpecWith(name, enormous)))) == kSoundNames);
+  }
+}
+
 TEST_CASE("list_with_an_odd_status_or_odd_metadata_of_an_entry_keeps_all_sound_specs")
 {
   std::string fault;
