On a kept connection, only a refusal that names the request is believed

A server that wrote an earlier refusal once more, without its ID, on a connection that was used again made the gateway believe that the request in progress had not run: after the check for unread bytes, while the body was still being sent, before its own response. The gateway sent the request to a second server while the first ran it, or told the caller 503 for a request that ran.

A refusal now counts if it names the request, or if it is the first response on a connection that no request used before: nothing earlier can be written there. Others may be meant for another request: lookups and resumable streams are retried within the budget, the rest gets 502. Bookings always had connections of their own and are as safe as before. Refusals that name the request are believed at once on any connection. The stand-in's refusals now name their request, as the users' page says of workers.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -74,6 +74,7 @@
   void Start();
   void Cancel() override;
   void SetPaused(bool aIsPaused) override;
+  bool IsResponseCertain() const override { return mIsResponseCertain; }
 
 private:
   void Connect();
@@ -98,7 +99,8 @@
   asio::steady_timer mTimer;
   std::string mInput; ///< bytes read but not yet parsed
   std::optional<http::response_parser<http::string_body>> mParser;
-  bool mIsReused = false;    ///< the connection has carried other requests
+  bool mIsReused = false; ///< the connection has carried other requests
+  bool mIsResponseCertain = false;
   bool mIsUnrelated = false; ///< the response being read belongs to another request
   bool mIsHeadHandled = false;
   bool mIsPaused = false;
@@ -370,6 +372,8 @@
   const wire::response_metadata metadata = wire::DecodeResponseMetadata(head.result_int(), headers);
   mCalls->Observe(mOptions.mTo.mServer, metadata);
   mIsUnrelated = IsUnrelated(metadata.mAnsweredRequestId);
+  const bool isNamed = !mOptions.mRequestId.empty() && metadata.mAnsweredRequestId == mOptions.mRequestId;
+  mIsResponseCertain = isNamed || (!mIsReused && mUnrelatedResponses == 0);
   if (mIsUnrelated) {
     if (++mUnrelatedResponses > kMaxUnrelatedResponses || mParser->need_eof()) {
       End(call_end::Abort, "too many or unbounded responses to other requests");
--- a/src/gateway/backend_call.h
+++ b/src/gateway/backend_call.h
@@ -50,7 +50,7 @@
 struct call_options
 {
   backend_address mTo;
-  std::string mRequestId; ///< a response that names another request is skipped
+  std::string mRequestId; ///< a response that names another request is skipped; empty if the request has no ID
   duration mConnectTimeout{ 0 };
   /// Whether to avoid pooled connections: one might be reset, which leaves it unknown whether the request ran.
   bool mNeedsNewConnection = false;
@@ -64,6 +64,9 @@
   virtual void Cancel() = 0;
   /// Pauses or resumes reading the response, for a caller that reads slowly.
   virtual void SetPaused(bool aIsPaused) = 0;
+  /// Whether the response whose head was passed on certainly belongs to this request: it names the request, or it is
+  /// the first on its connection. On a reused connection, a response without an ID may be an earlier one sent again.
+  virtual bool IsResponseCertain() const = 0;
 };
 
 /// Gets the head of a response, with the server that the call was meant for.
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -120,6 +120,7 @@
   mStatus = aStatus;
   mHeaders = std::move(aHeaders);
   mResponseMetadata = wire::DecodeResponseMetadata(mStatus, mHeaders);
+  mResponseMetadata.mDidNotRun = mResponseMetadata.mDidNotRun && mCall->IsResponseCertain();
 }
 
 void service_request::OnBody(std::string_view aBytes)
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -159,6 +159,7 @@
   mStatus = aStatus;
   mHeaders = std::move(aHeaders);
   mResponseMetadata = wire::DecodeResponseMetadata(mStatus, mHeaders);
+  mResponseMetadata.mDidNotRun = mResponseMetadata.mDidNotRun && mCall->IsResponseCertain();
   mIsEventStream = aStatus == 200 && mResponseMetadata.mIsStamped && !mHeaders.Has("Content-Encoding");
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -43,6 +43,7 @@
   void CloseUnlessRequestArrives();
 
   http_request& Request() override { return mRequest; }
+  std::uint64_t EarlierRequests() const override { return mExchange - 1; }
   asio::any_io_executor Executor() override { return mStream.get_executor(); }
   asio::awaitable<net_result<void>> Reply(http_reply aReply) override;
   asio::awaitable<net_result<void>> Begin(http_reply aHead) override;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -35,6 +35,8 @@
 public:
   virtual ~http_exchange() = default;
   virtual http_request& Request() = 0;
+  /// Number of requests that arrived on the connection before this one.
+  virtual std::uint64_t EarlierRequests() const = 0;
   /// Strand of the connection, on which the handler runs.
   virtual boost::asio::any_io_executor Executor() = 0;
   /// Sends a complete response.
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -33,6 +33,11 @@
 constexpr duration kUnresponsiveTime = std::chrono::seconds(60);
 /// A stream that waits for a lost engine is interrupted after this time.
 constexpr duration kStallTimeout = std::chrono::milliseconds(2500);
+/// In the states that repeat refusals: one in this many requests is refused, what is written once more comes at this
+/// many moments in turn, and this long before or after the response.
+constexpr unsigned kRefusedShare = 4;
+constexpr unsigned kRepeatMoments = 3;
+constexpr duration kRepeatPause = std::chrono::milliseconds(3);
 constexpr duration kPollInterval = std::chrono::milliseconds(5);
 constexpr std::uint64_t kTokensPerEvent = 2;
 
@@ -102,6 +107,8 @@
   } else if (path == "/chervilpulley/order") {
     net::http_reply reply = Announce(HandleOrder(aExchange.Request()));
     co_await aExchange.Reply(std::move(reply));
+  } else if (mState.starts_with("repeating")) {
+    co_await RunRepeating(aExchange);
   } else {
     co_await Run(aExchange);
   }
@@ -185,9 +192,12 @@
 }
 
 /// A reply that says that the request was not executed, and which server is the cause.
-net::http_reply fleet_server::NotExecutedReply(unsigned aStatus, const std::string& aFaultyAddress) const
+net::http_reply fleet_server::NotExecutedReply(unsigned aStatus,
+                                               const std::string& aFaultyAddress,
+                                               const std::string& aId) const
 {
   net::http_reply reply = ErrorReply(aStatus, "not run");
+  reply.mHeaders.Set("X-Attempt-Id", aId);
   reply.mHeaders.Set("X-Not-Executed", "1");
   reply.mHeaders.Set("At-Server", aFaultyAddress);
   return Announce(std::move(reply));
@@ -258,20 +268,20 @@
   const std::string id(request.mHeaders.Get("X-Attempt-Id"));
   const std::string path(request.mHeaders.Get("X-Hop-Count"));
   if (request.mHeaders.Get("X-Expect-Instance") != mName) {
-    net::http_reply reply = NotExecutedReply(421, Address());
+    net::http_reply reply = NotExecutedReply(421, Address(), id);
     co_await aExchange.Reply(std::move(reply));
     co_return;
   }
   if (mState == "pausing") {
     Record("turned_away", id, request);
-    net::http_reply reply = NotExecutedReply(503, Address());
+    net::http_reply reply = NotExecutedReply(503, Address(), id);
     reply.mHeaders.Set("Retry-After", std::to_string(kPauseSeconds));
     co_await aExchange.Reply(std::move(reply));
     co_return;
   }
   const std::string faulty = FindFaultyAddress(ParsePath(path));
   if (mState == "refusing" || !faulty.empty()) {
-    net::http_reply reply = NotExecutedReply(503, faulty.empty() ? Address() : faulty);
+    net::http_reply reply = NotExecutedReply(503, faulty.empty() ? Address() : faulty, id);
     co_await aExchange.Reply(std::move(reply));
     co_return;
   }
@@ -307,6 +317,49 @@
   co_await aExchange.Reply(std::move(head));
 }
 
+asio::awaitable<void> fleet_server::RunRepeating(net::http_exchange& aExchange)
+{
+  const net::http_request request = aExchange.Request();
+  const std::string id(request.mHeaders.Get("X-Attempt-Id"));
+  kept_connection& kept = mKept[&aExchange];
+  if (aExchange.EarlierRequests() == 0) {
+    kept = {};
+  }
+  if (++mRequestsWhileRepeating % kRefusedShare == 0) {
+    Record("turned_away", id, request);
+    net::http_reply refusal = NotExecutedReply(503, Address(), id);
+    kept.mRefusal = refusal;
+    co_await aExchange.Reply(std::move(refusal));
+    co_return;
+  }
+  if (!kept.mRefusal) {
+    co_await Run(aExchange);
+    co_return;
+  }
+  net::http_reply refusal = *kept.mRefusal;
+  if (mState == "repeating_unnamed") {
+    refusal.mHeaders.Remove("X-Attempt-Id");
+  }
+  const unsigned moment = kept.mRequests++ % kRepeatMoments;
+  if (moment == 0) {
+    co_await RepeatRefusal(aExchange, std::move(refusal));
+    co_await SleepFor(kRepeatPause);
+    co_await Run(aExchange);
+    co_return;
+  }
+  co_await Run(aExchange);
+  if (moment == 1) {
+    co_await SleepFor(kRepeatPause);
+  }
+  co_await RepeatRefusal(aExchange, std::move(refusal));
+}
+
+asio::awaitable<void> fleet_server::RepeatRefusal(net::http_exchange& aExchange, net::http_reply aRefusal)
+{
+  mFleet.Records().Append({ { "kind", "repeated" }, { "server", mName } });
+  co_await aExchange.Reply(std::move(aRefusal));
+}
+
 asio::awaitable<void> fleet_server::Stream(net::http_exchange& aExchange, std::string aId, net::http_reply aHead)
 {
   const net::http_request& request = aExchange.Request();
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,9 @@
   /// - "closing": refuses to join a new path of a running stream, before the list says that it leaves
   /// - "refusing": responds that it did not execute the request
   /// - "pausing": responds that it did not execute the request and wants no other for kPauseSeconds
+  /// - "repeating": refuses every fourth request, and writes the last refusal of a connection once more on it: before
+  ///   its next response, a moment after it or beside it, in turn
+  /// - "repeating_unnamed": the same, but what it writes once more names no request
   /// - "failing": runs the request and responds with status 500; "failingN" with status N
   /// - "cutting": closes the connection before or in the middle of a response
   /// - "announcing": works, and every response says that it leaves; the list does not
@@ -66,9 +70,18 @@
     std::string mFaultyAddress; ///< address of the engine it waits for; empty if none
   };
 
+  /// A connection on which requests were refused.
+  struct kept_connection
+  {
+    std::optional<net::http_reply> mRefusal; ///< the last one
+    unsigned mRequests = 0;                  ///< after the first refusal
+  };
+
   bool IsDark() const { return mState == "dark" || mState == "gone"; }
   boost::asio::awaitable<void> Handle(net::http_exchange& aExchange);
   boost::asio::awaitable<void> Run(net::http_exchange& aExchange);
+  boost::asio::awaitable<void> RunRepeating(net::http_exchange& aExchange);
+  boost::asio::awaitable<void> RepeatRefusal(net::http_exchange& aExchange, net::http_reply aRefusal);
   boost::asio::awaitable<void> Stream(net::http_exchange& aExchange, std::string aId, net::http_reply aHead);
   bool HasSlowStage(const std::string& aId) const;
   boost::asio::awaitable<bool> WaitForPath(const std::string& aId);
@@ -76,7 +89,7 @@
   net::http_reply HandleOrder(const net::http_request& aRequest);
   net::http_reply Place(const net::http_request& aRequest);
   net::http_reply Repath(const net::http_request& aRequest);
-  net::http_reply NotExecutedReply(unsigned aStatus, const std::string& aFaultyAddress) const;
+  net::http_reply NotExecutedReply(unsigned aStatus, const std::string& aFaultyAddress, const std::string& aId) const;
   net::http_reply Announce(net::http_reply aReply) const;
   void Record(std::string_view aKind, const std::string& aId, const net::http_request& aRequest) const;
   std::string FindFaultyAddress(const std::vector<stage>& aPath) const;
@@ -94,6 +107,8 @@
   std::uint64_t mFence = 0;
   std::uint64_t mStartedAt = 1; ///< grows with each restart
   std::map<std::string, running_stream> mRunning;
+  std::map<const net::http_exchange*, kept_connection> mKept; ///< in the states that repeat refusals
+  unsigned mRequestsWhileRepeating = 0;
 };
 
 } // namespace chervilpulley::standin
