A request that goes to the same server again gets a connection of its own

A server that refuses a request may get it again, when the others have refused or failed too. The pool then returned the connection of the refusal, and a server that wrote that refusal once more named the right request with it: the gateway took the run in progress for a refusal, told the caller 503, or ran a stream that may run once at a further engine.

Such a request is now sent on a new connection, where nothing earlier can arrive. The first send to each server still uses the pool.

--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -78,7 +78,8 @@
   options.mTo = aServer;
   options.mRequestId = Id();
   options.mConnectTimeout = kConnectTimeout;
-  options.mNeedsNewConnection = !IsIdempotent();
+  // A server that gets the request again may send its earlier refusal once more, with the same ID.
+  options.mNeedsNewConnection = !IsIdempotent() || mExcluded.contains(*mServer);
   ++mSends;
   log_line(log_event::CallSent)
     .Text("request", Id())
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -112,6 +112,8 @@
   call_options options;
   options.mRequestId = Id();
   options.mConnectTimeout = kConnectTimeout;
+  // An engine that gets the request again may send its earlier refusal once more, with the same ID.
+  options.mNeedsNewConnection = !mSentTo.insert(mPath->mStages.front().mEngine).second;
   if (const auto server = mEnvironment.mFleet->AddressOf(mPath->mStages.front().mEngine)) {
     options.mTo = *server;
   }
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -119,6 +119,7 @@
   ref<backend_call> mCall;
   std::set<backend_id> mExcluded; ///< engines that failed or refused the request
   instant mExcludedAt;            ///< when the last engine was added to mExcluded
+  std::set<backend_id> mSentTo;   ///< all first engines so far
   /// Engines that run the request or may have run it. Those that have terminated do not count towards the route's
   /// maximum number of attempts.
   std::vector<policy::backend_member> mRanOn;
--- a/tests/processes/gateway_repeated_refusal_test.cpp
+++ b/tests/processes/gateway_repeated_refusal_test.cpp
@@ -132,3 +132,10 @@
 {
   Check("repeating_unnamed");
 }
+
+TEST_CASE_METHOD(
+  repeated_refusal_fixture,
+  "gateway_whose_servers_write_a_refusal_once_more_when_they_get_the_same_request_again_refuses_none_that_runs")
+{
+  Check("repeating");
+}
