--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -123,6 +123,8 @@
   call_options options;
   options.mRequestId = Id();
   options.mConnectTimeout = kConnectTimeout;
+  // An engine that gets the request again may send its earlier refusal once more, with the same ID.
+  options.mNeedsNewConnection = !mSentTo.insert(mPath->mStages.front().mEngine).second;
   if (const auto server = mEnvironment.mFleet->AddressOf(mPath->mStages.front().mEngine)) {
     options.mTo = *server;
   }
@@ -170,6 +172,7 @@
   mStatus = aStatus;
   mHeaders = std::move(aHeaders);
   mResponseMetadata = wire::DecodeResponseMetadata(mStatus, mHeaders);
+  mResponseMetadata.mDidNotRun = mResponseMetadata.mDidNotRun && mCall->IsResponseCertain();
   mIsEventStream =
     aStatus == 200 && mResponseMetadata.mIsStamped && !mHeaders.Has("Content-Encoding") && MayBeEventStream(mHeaders);
 }
