Process tests: streams that break off while other engines fail

The stand-in fleet has engines that answer with a body that looks like a stream: in a 500, in a 200 without a stamp, with another content type, or with a content encoding. A stream breaks off inside an event while all other engines are in one of these states, fail or refuse: its caller gets events 1 to n once and in order and no end, or all of them once the engines work again, with the head of the first engine.

--- a/tests/standin/standin_fleet.cpp
+++ b/tests/standin/standin_fleet.cpp
@@ -107,8 +107,7 @@
 }
 
 /// Handles a control call, with any of these members:
-/// {"server":NAME,"state":"ok|dark|slow|closing|refusing|pausing|failing|cutting|announcing|leaving|gone|reborn"} sets
-/// the state of a server,
+/// {"server":NAME,"state":STATE} sets the state of a server, see fleet_server::SetState(),
 /// {"store":{faults}} sets faults of the store, and {"version":N,"key":KEY} writes a new configuration.
 net::http_reply fleet::Control(const net::http_request& aRequest)
 {
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -33,6 +33,8 @@
 constexpr duration kStallTimeout = std::chrono::milliseconds(2500);
 constexpr duration kPollInterval = std::chrono::milliseconds(5);
 constexpr std::uint64_t kTokensPerEvent = 2;
+/// Events in a response that only looks like a stream; more than a test's streams have.
+constexpr unsigned kImitatedEvents = 99;
 
 std::uint64_t ParseNumber(std::string_view aText)
 {
@@ -211,6 +213,30 @@
                             { "deadline_ms", ParseNumber(headers.Get("X-Deadline-Ms")) } });
 }
 
+bool fleet_server::IsImitating() const
+{
+  return mState == "failing-with-events" || mState == "unstamped" || mState == "mistyped" || mState == "encoded";
+}
+
+/// A response that is no stream, with a body that looks like one.
+net::http_reply fleet_server::ImitatedStream(const std::string& aId) const
+{
+  net::http_reply reply;
+  reply.mStatus = mState == "failing-with-events" ? 500 : 200;
+  reply.mHeaders.Set("X-Attempt-Id", aId);
+  reply.mHeaders.Set("Content-Type", mState == "mistyped" ? "text/html" : "text/event-stream");
+  if (mState != "unstamped") {
+    reply.mHeaders.Set("X-Response-Stamp", mName);
+  }
+  if (mState == "encoded") {
+    reply.mHeaders.Set("Content-Encoding", "gzip");
+  }
+  for (unsigned event = 1; event <= kImitatedEvents; ++event) {
+    reply.mBody += fmt::format("id: {}\ndata: imitated\n\n", event);
+  }
+  return reply;
+}
+
 /// Adds the header of a leaving server in state "announcing".
 net::http_reply fleet_server::Announce(net::http_reply aReply) const
 {
@@ -288,6 +314,11 @@
     co_await aExchange.Reply(std::move(reply));
     co_return;
   }
+  if (IsImitating()) {
+    net::http_reply reply = ImitatedStream(id);
+    co_await aExchange.Reply(std::move(reply));
+    co_return;
+  }
   net::http_reply head = Announce({});
   head.mHeaders.Set("X-Attempt-Id", id);
   head.mHeaders.Set("X-Response-Stamp", mName);
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -39,6 +39,10 @@
   /// - "refusing": responds that it did not execute the request
   /// - "pausing": responds that it did not execute the request and wants no other for kPauseSeconds
   /// - "failing": responds with status 500
+  /// - "failing-with-events": responds with status 500 and a body that looks like a stream
+  /// - "unstamped": responds with such a body, status 200 and no stamp
+  /// - "mistyped": responds with such a body, status 200 and the content type of a page
+  /// - "encoded": responds with such a body, status 200 and a content encoding
   /// - "cutting": closes the connection before or in the middle of a response
   /// - "announcing": works, and every response says that it leaves; the list does not
   /// - "leaving": listed as draining, and refuses to join a new path of a running stream
@@ -77,6 +81,8 @@
   net::http_reply Place(const net::http_request& aRequest);
   net::http_reply Repath(const net::http_request& aRequest);
   net::http_reply NotExecutedReply(unsigned aStatus, const std::string& aFaultyAddress) const;
+  bool IsImitating() const;
+  net::http_reply ImitatedStream(const std::string& aId) const;
   net::http_reply Announce(net::http_reply aReply) const;
   void Record(std::string_view aKind, const std::string& aId, const net::http_request& aRequest) const;
   std::string FindFaultyAddress(const std::vector<stage>& aPath) const;
