--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -40,6 +40,8 @@
 constexpr duration kRepeatPause = std::chrono::milliseconds(3);
 constexpr duration kPollInterval = std::chrono::milliseconds(5);
 constexpr std::uint64_t kTokensPerEvent = 2;
+/// Events in a response that only looks like a stream; more than a test's streams have.
+constexpr unsigned kImitatedEvents = 99;
 
 /// Time of the steady clock in milliseconds, for the records.
 std::int64_t NowMs()
@@ -245,6 +247,30 @@
     { { "kind", aKind }, { "server", mName }, { "id", aId }, { "events", aEvents }, { "at_ms", NowMs() } });
 }
 
+bool fleet_server::IsImitating() const
+{
+  return mState == "failing-with-events" || mState == "unstamped" || mState == "mistyped" || mState == "encoded";
+}
+
+/// A response that is no stream, with a body that looks like one.
+net::http_reply fleet_server::ImitatedStream(const std::string& aId) const
+{
+  net::http_reply reply;
+  reply.mStatus = mState == "failing-with-events" ? 500 : 200;
+  reply.mHeaders.Set("X-Attempt-Id", aId);
+  reply.mHeaders.Set("Content-Type", mState == "mistyped" ? "text/html" : "text/event-stream");
+  if (mState != "unstamped") {
+    reply.mHeaders.Set("X-Response-Stamp", mName);
+  }
+  if (mState == "encoded") {
+    reply.mHeaders.Set("Content-Encoding", "gzip");
+  }
+  for (unsigned event = 1; event <= kImitatedEvents; ++event) {
+    reply.mBody += fmt::format("id: {}\ndata: imitated\n\n", event);
+  }
+  return reply;
+}
+
 /// Adds the header of a leaving server in state "announcing".
 net::http_reply fleet_server::Announce(net::http_reply aReply) const
 {
@@ -315,6 +341,11 @@
     SetState("reborn");
     co_return;
   }
+  if (IsImitating()) {
+    net::http_reply reply = ImitatedStream(id);
+    co_await aExchange.Reply(std::move(reply));
+    co_return;
+  }
   if (mState.starts_with(kFailing)) {
     const std::uint64_t status = ParseNumber(std::string_view(mState).substr(kFailing.size()));
     net::http_reply reply = ErrorReply(status == 0 ? 500 : static_cast<unsigned>(status), "failed");
