Own form: calls that may not run twice are sent to the service on connections of their own

A sidecar sent bookings over pooled connections, and services name no request in their responses. A response that the service had written for an earlier call, and wrote once more after the request was sent, was the booking's outcome: 503 for a booking that runs, or the confirmation of another one. It was recorded under its idempotency key as well.

Calls with a method other than GET, HEAD or OPTIONS now go through http_client::FetchAlone(), on a connection that no other request uses. This also spares them the reset of a pooled connection, which leaves it unknown whether they ran.

--- a/src/engine/service_client.cpp
+++ b/src/engine/service_client.cpp
@@ -21,7 +21,10 @@
 
   boost::asio::awaitable<service_result> Call(net::http_request aRequest, duration aTimeout) override
   {
-    auto reply = co_await mHttp->Fetch(mEndpoint, std::move(aRequest), aTimeout);
+    const bool isSafe = aRequest.mMethod == "GET" || aRequest.mMethod == "HEAD" || aRequest.mMethod == "OPTIONS";
+    auto call = isSafe ? mHttp->Fetch(mEndpoint, std::move(aRequest), aTimeout)
+                       : mHttp->FetchAlone(mEndpoint, std::move(aRequest), aTimeout);
+    auto reply = co_await std::move(call);
     if (reply.has_error()) {
       co_return ToServiceError(reply.error());
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -43,6 +43,7 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   bool mReused = false;
+  bool mIsPooled = true; ///< used for further requests when its request has ended
 };
 
 class client_impl : public http_client
@@ -55,7 +56,14 @@
 
   asio::awaitable<net_result<http_reply>> Fetch(endpoint aEndpoint, http_request aRequest, duration aTimeout) override
   {
-    return Exchange(std::move(aEndpoint), std::move(aRequest), aTimeout, nullptr);
+    return Exchange(std::move(aEndpoint), std::move(aRequest), aTimeout, nullptr, true);
+  }
+
+  asio::awaitable<net_result<http_reply>> FetchAlone(endpoint aEndpoint,
+                                                     http_request aRequest,
+                                                     duration aTimeout) override
+  {
+    return Exchange(std::move(aEndpoint), std::move(aRequest), aTimeout, nullptr, false);
   }
 
   asio::awaitable<net_result<http_reply>> Stream(endpoint aEndpoint,
@@ -63,19 +71,21 @@
                                                  duration aTimeout,
                                                  body_sink aSink) override
   {
-    return Exchange(std::move(aEndpoint), std::move(aRequest), aTimeout, std::move(aSink));
+    return Exchange(std::move(aEndpoint), std::move(aRequest), aTimeout, std::move(aSink), true);
   }
 
 private:
   asio::awaitable<net_result<http_reply>> Exchange(endpoint aEndpoint,
                                                    http_request aRequest,
                                                    duration aTimeout,
-                                                   body_sink aSink)
+                                                   body_sink aSink,
+                                                   bool aUsesPool)
   {
     const ref<client_impl> self(this);
-    ref<client_connection> connection = AcquireIdle(aEndpoint);
+    ref<client_connection> connection = aUsesPool ? AcquireIdle(aEndpoint) : nullptr;
     if (!connection) {
       connection = MakeRef<client_connection>(mContext);
+      connection->mIsPooled = aUsesPool;
     }
     const auto strand = connection->mStream.get_executor();
     std::optional<net_result<http_reply>> returned;
@@ -114,7 +124,7 @@
       reply.emplace(co_await ReadComplete(*aConnection, aTimeout, keepAlive));
     }
     // Bytes after the response belong to no request, but would be read as the next response.
-    if (reply->has_value() && keepAlive && aConnection->mBuffer.size() == 0) {
+    if (reply->has_value() && keepAlive && aConnection->mIsPooled && aConnection->mBuffer.size() == 0) {
       ReleaseIdle(aEndpoint, aConnection);
     }
     co_return std::move(*reply);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -31,6 +31,12 @@
                                                                http_request aRequest,
                                                                duration aTimeout) = 0;
 
+  /// Like Fetch, but on a connection that is used for this request alone, so that no response to an earlier one can be
+  /// taken for its own.
+  virtual boost::asio::awaitable<net_result<http_reply>> FetchAlone(endpoint aEndpoint,
+                                                                    http_request aRequest,
+                                                                    duration aTimeout) = 0;
+
   /// Like Fetch, but passes the body to aSink in chunks; mBody of the response stays empty.
   /// @param aTimeout timeout for the headers, and then for each chunk.
   virtual boost::asio::awaitable<net_result<http_reply>> Stream(endpoint aEndpoint,
--- a/tests/contract/service_client_test.cpp
+++ b/tests/contract/service_client_test.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "net/http_server.h"
+#include "support/scripted_server.h"
 
 using namespace chervilpulley;
 using namespace chervilpulley::engine;
@@ -107,3 +108,34 @@
   REQUIRE(reply.error().mCode == service_errc::MaybeRun);
   REQUIRE(mRunCount == 1);
 }
+
+TEST_CASE("service_client_booking_does_not_take_an_earlier_response_that_comes_once_more_for_its_own")
+{
+  for (const std::string& method : { "POST", "PUT", "DELETE", "PATCH" }) {
+    for (const std::string& status : { "503 Busy", "429 Too Many", "201 Created" }) {
+      INFO(method << " " << status);
+      boost::asio::io_context context(1);
+      const std::string earlier = "HTTP/1.1 " + status + "\r\nContent-Length: 7\r\n\r\nearlier";
+      const scripted_server server(context, [&](std::size_t aConnection, std::size_t aRequest) {
+        const std::string own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+        return aConnection == 0 ? (aRequest == 0 ? earlier : earlier + own) : own;
+      });
+      const auto client = service_client::Create(net::http_client::Create(context), server.Address());
+      std::optional<service_result> second;
+      boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void> {
+          net::http_request request;
+          request.mMethod = method;
+          co_await client->Call(request, std::chrono::seconds(10));
+          second.emplace(co_await client->Call(request, std::chrono::seconds(10)));
+        },
+        boost::asio::detached);
+      while (!second && context.run_one() > 0) {
+      }
+      REQUIRE((second && second->has_value()));
+      CHECK(second->value().mStatus == 200);
+      CHECK(second->value().mBody == "own");
+    }
+  }
+}
--- a/tests/unit/platform_http_object_store_test.cpp
+++ b/tests/unit/platform_http_object_store_test.cpp
@@ -27,6 +27,12 @@
     }
     co_return mReply;
   }
+  boost::asio::awaitable<net::net_result<net::http_reply>> FetchAlone(net::endpoint aEndpoint,
+                                                                      net::http_request aRequest,
+                                                                      duration aTimeout) override
+  {
+    return Fetch(std::move(aEndpoint), std::move(aRequest), aTimeout);
+  }
   boost::asio::awaitable<net::net_result<net::http_reply>> Stream(net::endpoint aEndpoint,
                                                                   net::http_request aRequest,
                                                                   duration aTimeout,
