A stopping HTTP server doesn't reset connections that are established while it closes its listener

Callers that connected to an entry in the moment in which it stopped accepting got a reset: the kernel had established the connection between the last accept and the close, and the close resets what is in its queue. Such a caller can't tell whether its request ran.

The listener first ignores new handshakes by a socket filter, those that have begun end within 200 ms and are accepted, and then it is closed.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <optional>
 
+#include "net/handshake_filter.h"
 #include "net/http_p.h"
 
 namespace chervilpulley::net {
@@ -450,7 +451,7 @@
 
 asio::awaitable<void> server_impl::AcceptLoop(ref<server_impl> aSelf)
 {
-  while (!mStopping) {
+  while (true) {
     auto [error, socket] = co_await mAcceptor.async_accept(asio::make_strand(mContext), kAwait);
     if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
       break;
@@ -498,10 +499,15 @@
   mAccepting.fetch_add(1);
   mStopping = true;
   asio::post(mAcceptor.get_executor(), [self = ref<server_impl>(this)] {
-    self->AcceptPending();
-    boost::system::error_code ignored;
-    self->mAcceptor.close(ignored);
-    self->mAccepting.fetch_sub(1);
+    // The kernel would reset connections that it establishes between the last accept and the close.
+    IgnoreNewHandshakes(self->mAcceptor.native_handle());
+    auto timer = std::make_shared<asio::steady_timer>(self->mAcceptor.get_executor(), kHandshakeTime);
+    timer->async_wait([self, timer](const boost::system::error_code&) {
+      self->AcceptPending();
+      boost::system::error_code ignored;
+      self->mAcceptor.close(ignored);
+      self->mAccepting.fetch_sub(1);
+    });
   });
   std::lock_guard lock(mMutex);
   for (server_connection& connection : mConnections) {
--- a/tests/contract/net_http_server_test.cpp
+++ b/tests/contract/net_http_server_test.cpp
@@ -27,6 +27,7 @@
 namespace {
 
 constexpr auto kWaitTimeout = std::chrono::seconds(20);
+constexpr auto kConnectTimeout = std::chrono::milliseconds(50);
 
 /// A server whose handler counts hang-ups and responds after a short delay, 200 ms for /slow.
 struct http_server_fixture
@@ -244,3 +245,58 @@
     REQUIRE(reply.value().mStatus == 413);
   }
 }
+
+TEST_CASE("http_server_stopping_in_a_burst_of_new_callers_responds_to_each_that_is_connected")
+{
+  std::atomic<int> lost{ 0 };
+  std::atomic<int> served{ 0 };
+  for (int round = 0; round < 60; ++round) {
+    boost::asio::io_context context;
+    const auto answer = [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+      co_await aExchange.Reply(net::JsonReply(200, "{}"));
+    };
+    const auto server = net::http_server::Start(context, { "127.0.0.1", 0 }, answer, {}).value();
+    const boost::asio::ip::tcp::endpoint address(boost::asio::ip::make_address("127.0.0.1"),
+                                                 server->LocalEndpoint().mPort);
+    std::vector<std::thread> loops;
+    loops.reserve(2);
+    for (int i = 0; i < 2; ++i) {
+      loops.emplace_back([&] { context.run(); });
+    }
+    std::atomic<int> responses{ 0 };
+    std::vector<std::thread> callers;
+    callers.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+      callers.emplace_back([&] {
+        while (true) {
+          boost::asio::io_context callerContext;
+          boost::asio::ip::tcp::socket socket(callerContext);
+          boost::system::error_code error = boost::asio::error::would_block;
+          socket.async_connect(address, [&](const boost::system::error_code& aError) { error = aError; });
+          callerContext.run_for(kConnectTimeout);
+          if (error) {
+            return;
+          }
+          boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")), error);
+          std::string text;
+          boost::asio::read_until(socket, boost::asio::dynamic_buffer(text), "\r\n", error);
+          (error ? lost : served) += 1;
+          ++responses;
+        }
+      });
+    }
+    while (responses < 20) {
+      std::this_thread::yield();
+    }
+    server->StopAccepting();
+    for (auto& caller : callers) {
+      caller.join();
+    }
+    context.stop();
+    for (auto& loop : loops) {
+      loop.join();
+    }
+  }
+  INFO(served << " served");
+  CHECK(lost == 0);
+}
