The stand-in fleet records each run that a server ends; the soak connects to no gateway that has ended

"silent" is now recorded also for streams that other servers run through the server, and "broke_off" for a response of 500.

With 40 gateways some requests got 404: the address of a gateway that had ended belonged to another process. Callers connect only to gateways whose end has not been seen.

--- a/tests/processes/gateway_termination_soak_test.cpp
+++ b/tests/processes/gateway_termination_soak_test.cpp
@@ -232,7 +232,11 @@
     const std::lock_guard lock(mMutex);
     if (aRandom() % 4 == 0) {
       const std::size_t recent = std::min(mLives.size(), 2 * mLive.size());
-      return mLives[mLives.size() - 1 - aRandom() % recent];
+      const auto& life = mLives[mLives.size() - 1 - aRandom() % recent];
+      // The address of one that has ended may be in use again.
+      if (life->mExitedMs == 0) {
+        return life;
+      }
     }
     return mLives[mLive[aRandom() % mLive.size()]];
   }
@@ -482,7 +486,7 @@
   void KeepLogs() const
   {
     if (const char* folder = std::getenv("CHERVILPULLEY_SOAK_LOGS"); folder != nullptr) {
-      std::filesystem::copy(mFolder.File(""), folder, std::filesystem::copy_options::overwrite_existing);
+      std::filesystem::copy(mFolder.File(""), folder, std::filesystem::copy_options::recursive);
     }
   }
 
--- a/tests/standin/standin_fleet.cpp
+++ b/tests/standin/standin_fleet.cpp
@@ -57,6 +57,13 @@
   return nullptr;
 }
 
+void fleet::RecordSilence(const std::string& aAddress) const
+{
+  for (const auto& server : mServers) {
+    server->RecordSilence(aAddress);
+  }
+}
+
 /// Writes the configuration to the store. aKey is the API key of workspace-1.
 void fleet::WriteConfiguration(std::uint64_t aVersion, const std::string& aKey)
 {
--- a/tests/standin/standin_fleet.h
+++ b/tests/standin/standin_fleet.h
@@ -43,6 +43,8 @@
   const fleet_options& Options() const { return mOptions; }
   object_store& Store() { return mStore; }
   record_log& Records() { return mRecords; }
+  /// Records all streams that wait for the server at an address.
+  void RecordSilence(const std::string& aAddress) const;
   /// Returns nullptr if no server has the address.
   fleet_server* FindServer(const std::string& aAddress);
 
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -86,10 +86,8 @@
     mOrderCount = mFence = 0;
     ++mStartedAt;
   }
-  if (IsDark()) {
-    for (const auto& [id, stream] : mRunning) {
-      RecordEnd("silent", id, 0);
-    }
+  if (IsDark() || aState == "reborn") {
+    mFleet.RecordSilence(Address());
   }
   if (aState == "gone") {
     mFleet.Store().Remove("servers", mName);
@@ -225,8 +223,18 @@
                             { "deadline_ms", ParseNumber(headers.Get("X-Deadline-Ms")) } });
 }
 
+void fleet_server::RecordSilence(const std::string& aAddress) const
+{
+  for (const auto& [id, stream] : mRunning) {
+    if (std::any_of(
+          stream.mPath.begin(), stream.mPath.end(), [&](const stage& aStage) { return aStage.mAddress == aAddress; })) {
+      RecordEnd("silent", id, 0);
+    }
+  }
+}
+
 /// Records how a run ended: "end" when the response is complete, "left" when the gateway disconnected before,
-/// "broke_off" when the server ended it, and "silent" when the server does nothing any more.
+/// "broke_off" when the server ended it, and "silent" when a server of its path does nothing any more.
 void fleet_server::RecordEnd(std::string_view aKind, const std::string& aId, std::uint64_t aEvents) const
 {
   mFleet.Records().Append(
@@ -304,6 +312,7 @@
     co_return;
   }
   if (mState == "failing") {
+    RecordEnd("broke_off", id, 0);
     net::http_reply reply = ErrorReply(500, "failed");
     reply.mHeaders.Set("X-Attempt-Id", id);
     reply.mHeaders.Set("X-Response-Stamp", mName);
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -45,6 +45,8 @@
   /// - "gone": dark, and removed from the list
   /// - "reborn": restarted under the same ID without its former state; "ok" from then on
   void SetState(const std::string& aState);
+  /// Records that streams which this server runs wait for the server at an address, which does nothing any more.
+  void RecordSilence(const std::string& aAddress) const;
   /// Whether the server is reachable and holds all layers from aFrom to before aEnd.
   bool HoldsLayers(std::uint32_t aFrom, std::uint32_t aEnd) const
   {
