The pace of streams is measured for each pool, and by whole streams with a limit on their output alone

Found by the review, by reading: a gateway before two pools of different speed predicted the slow one's streams by the fast one's events, and would begin after SIGTERM what it can't end; a late stream without X-Token-Counts was bounded by nothing; streams resumed by their caller counted a rest as a whole. No test of its own shows these yet; the tests of the termination and of stream_pace pass over the new code.

--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -51,7 +51,7 @@
   duration mDrainBound{ 0 }; ///< minimum time for which a leaving backend server keeps serving
   std::mt19937_64 mRandom;
   policy::stop_schedule mStop;
-  policy::stream_pace mStreamPace;
+  std::map<pool_name, policy::stream_pace> mStreamPaces;
   std::map<pool_name, policy::gap_statistics> mCallTimes; ///< to the responses of plain services
 };
 
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -199,7 +199,7 @@
     } else {
       mEnvironment.mMetrics->Gap(now - mLastEvent);
       mGaps.Observed(now - mLastEvent);
-      mEnvironment.mStreamPace.GapObserved(now - mLastEvent);
+      mEnvironment.mStreamPaces[mRequest.mPool].GapObserved(now - mLastEvent);
       mLongestGap = std::max(mLongestGap, now - mLastEvent);
       mRequest.mSession->Write(events);
     }
@@ -495,7 +495,9 @@
   if (served && mPath) {
     mEnvironment.mFleet->RecordOutcome(mPath->mStages.front().mEngine, false);
     mEnvironment.mCapacityQueue.Ran(now - mSentAt);
-    mEnvironment.mStreamPace.Ended(mCursor.Count(), EstimatedOutputTokens());
+    if (!mRequest.mMetadata.mLastEvent && mRequest.mMetadata.mMaxOutputTokens > 0) {
+      mEnvironment.mStreamPaces[mRequest.mPool].Ended(mCursor.Count(), EstimatedOutputTokens());
+    }
     if (mCursor.Count() > 0) {
       ProducedEvents();
     }
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -101,6 +101,7 @@
   void ProbeStages();
   duration StallThreshold() const;
   double EstimatedOutputTokens() const;
+  policy::stream_pace Pace() const;
   duration ExpectedTime(const chosen_path* aPath) const;
   bool MayContinue(const chosen_path* aPath, instant aNow) const;
   double TokensLeft() const;
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -85,14 +85,22 @@
   return true;
 }
 
+/// The measured pace of the streams of this request's pool.
+policy::stream_pace stream_request::Pace() const
+{
+  const auto found = mEnvironment.mStreamPaces.find(mRequest.mPool);
+  return found == mEnvironment.mStreamPaces.end() ? policy::stream_pace() : found->second;
+}
+
 /// Predicted time from now to the end of the stream at the measured pace; without a path, only what the output takes.
 /// Callers' estimates are often far off, so a stream that must not be interrupted counts with all tokens that it
 /// allows.
 duration stream_request::ExpectedTime(const chosen_path* aPath) const
 {
+  const policy::stream_pace pace = Pace();
   const duration output = mEnvironment.mStop.IsLate(mRequest.mArrived)
-                            ? mEnvironment.mStreamPace.LongestOutputTime(mRequest.mMetadata.mMaxOutputTokens)
-                            : mEnvironment.mStreamPace.OutputTime(TokensLeft());
+                            ? pace.LongestOutputTime(mRequest.mMetadata.mMaxOutputTokens)
+                            : pace.OutputTime(TokensLeft());
   if (aPath == nullptr) {
     return output;
   }
@@ -108,9 +116,10 @@
   if (mHasBegun) {
     return true;
   }
-  // Without a measurement nothing bounds the time of a stream.
-  const bool isBounded = mEnvironment.mStreamPace.IsMeasured() || !mEnvironment.mStop.IsLate(mRequest.mArrived);
-  return isBounded && mEnvironment.mStop.MayBegin(ExpectedTime(aPath), aNow);
+  // Without a measurement or a limit on the output nothing bounds the time of a stream.
+  const bool isBounded = Pace().IsMeasured() && mRequest.mMetadata.mMaxOutputTokens > 0;
+  return (isBounded || !mEnvironment.mStop.IsLate(mRequest.mArrived)) &&
+         mEnvironment.mStop.MayBegin(ExpectedTime(aPath), aNow);
 }
 
 policy::waiting_request stream_request::ToWaitingRequest() const
