--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -454,7 +454,8 @@
   const duration grace = Milliseconds(mSettings.gateway().stop_grace_s() * 1000);
   const auto stop = [&] { return begun + grace - policy::StopMargin(grace, mTickDelay); };
   const auto lastResponses = [&] { return stop() - policy::LastResponseTime(grace); };
-  mEnvironment.mStop.StopAt(lastResponses(), begun + grace / kEarlyPart);
+  const instant lateFrom = begun + std::min<duration>(grace / kEarlyPart, kBalancerDetectionTime);
+  mEnvironment.mStop.StopAt(lastResponses(), lateFrom);
   mPlacement->Leave();
   mRegistry->Leave();
   mRelay->Leave();
@@ -463,6 +464,7 @@
   do {
     mCallers->CloseIdle(kFirstRequestTime);
     co_await Pause(kDrainPollInterval);
+    mEnvironment.mStop.StopAt(lastResponses(), lateFrom);
   } while (mCallers->Open() > 0 && Now() < lastResponses());
   const std::size_t cut = EndRequests(Now());
   while (mCallers->Open() > 0 && Now() < stop()) {
