A failure of a plain service that may be an earlier request's is not forwarded

Found by the review, by reading: a 400 without an ID on a reused connection, written once more by a faulty server, ended another caller's request with a final status. A response that is not certainly this request's now counts as a failed run, unless it is a stamped success.

--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -125,7 +125,8 @@
   mStatus = aStatus;
   mHeaders = std::move(aHeaders);
   mResponseMetadata = wire::DecodeResponseMetadata(mStatus, mHeaders);
-  mResponseMetadata.mDidNotRun = mResponseMetadata.mDidNotRun && mCall->IsResponseCertain();
+  mIsResponseCertain = mCall->IsResponseCertain();
+  mResponseMetadata.mDidNotRun = mResponseMetadata.mDidNotRun && mIsResponseCertain;
 }
 
 void service_request::OnBody(std::string_view aBytes)
@@ -174,7 +175,7 @@
   }
   const bool isGood = mStatus < 300 && mResponseMetadata.mIsStamped && !mHeaders.Has("Content-Encoding");
   mEnvironment.mCallTimes[mRequest.mPool].Observed(now - mSentAt);
-  if (isGood || (mStatus >= 300 && mStatus < 500 && !wire::PromisesNotRun(mStatus))) {
+  if (isGood || (mStatus >= 300 && mStatus < 500 && !wire::PromisesNotRun(mStatus) && mIsResponseCertain)) {
     ForwardResponse();
     return;
   }
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -56,6 +56,7 @@
   instant mSentAt;
   unsigned mStatus = 0;
   bool mHasHead = false;
+  bool mIsResponseCertain = false; ///< the response surely belongs to this request
   net::http_headers mHeaders;
   wire::response_metadata mResponseMetadata;
   std::string mBody;
