--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,5 +1,6 @@
 #include "gateway/caller_session_p.h"
 
+#include <boost/asio/post.hpp>
 #include <fmt/format.h>
 
 #include <array>
@@ -73,7 +74,11 @@
       self->Respond(std::move(reply));
       return;
     }
-    self->Linger();
+    // A request that arrived in time is read, even if this runs first.
+    error_code error;
+    if (self->mSocket.available(error) == 0) {
+      self->Linger();
+    }
   });
 }
 
@@ -230,6 +235,12 @@
   if (mIsChunked != aNeedsBegun) {
     log_line(log_event::ResponseInvalid).Text("call", aCall).Text("begun", mIsChunked ? "yes" : "no");
     mKeepAlive = false;
+    // The handler still has a call to a backend server, which it ends.
+    asio::post(mListener->Context(), [handler = mHandler] {
+      if (handler) {
+        handler->OnCallerGone();
+      }
+    });
     Abort();
     return false;
   }
