Test: an earlier refusal that comes once more over a link does not end a call

Whether an earlier refusal could be taken for the answer of a running call between an entry and a sidecar too. It can't: each frame names its request and its attempt.

--- a/tests/contract/entry_service_run_test.cpp
+++ b/tests/contract/entry_service_run_test.cpp
@@ -19,6 +19,7 @@
 enum class reaction
 {
   Reply,
+  RepeatRefusalsThenReply, ///< the refusal of the attempt before comes once more, and that of another request
   CloseLink,
   RefuseNotRun,  ///< any other sidecar may accept the call
   RefuseForGood, ///< the platform is down: no sidecar accepts the call
@@ -108,12 +109,19 @@
       aLink->Close();
       return;
     }
-    if (nextReaction == reaction::Reply) {
+    if (nextReaction == reaction::RepeatRefusalsThenReply) {
+      link::SendFrame(aLink.get(), *mBoard, mLastRefusal);
+      link::frame other = response;
+      other.set_request("r-0");
+      link::SendFrame(aLink.get(), *mBoard, other);
+    }
+    if (nextReaction == reaction::Reply || nextReaction == reaction::RepeatRefusalsThenReply) {
       response.mutable_reply()->set_status(201);
     } else if (nextReaction == reaction::RefuseForGood) {
       response.mutable_refused()->set_reason(link::REFUSAL_PLATFORM_DOWN);
     } else {
       response.mutable_refused()->set_reason(link::REFUSAL_LEAVING);
+      mLastRefusal = response;
     }
     link::SendFrame(aLink.get(), *mBoard, response);
   }
@@ -146,6 +154,7 @@
   ref<link::provider_links> mLinks;
   std::vector<ref<link::server>> mServers;
   std::vector<reaction> mReactions;
+  link::frame mLastRefusal;
   std::atomic<bool> mReportsLoss{ true };
   std::size_t mCalls = 0;
   std::thread mThread;
@@ -169,6 +178,13 @@
   return {
     { "reply", { Reply }, false, "", 201, link::OUTCOME_UNSPECIFIED, 1 },
     { "refused, then taken", { RefuseNotRun, Reply }, false, "", 201, link::OUTCOME_UNSPECIFIED, 2 },
+    { "refused, then earlier refusals once more",
+      { RefuseNotRun, RepeatRefusalsThenReply },
+      false,
+      "",
+      201,
+      link::OUTCOME_UNSPECIFIED,
+      2 },
     { "lost without a key", { CloseLink }, false, "", 0, link::OUTCOME_UNKNOWN, 1 },
     { "lost with a key, then answered", { CloseLink, Reply }, false, "k", 201, link::OUTCOME_UNSPECIFIED, 2 },
     { "lost with a key, then platform down", { CloseLink, RefuseForGood }, false, "k", 0, link::OUTCOME_UNKNOWN, 2 },
