A connection whose caller has not received its response yet is not closed after a second

A slow caller of a leaving gateway lost the end of a response that the gateway had logged as served. After the sending side was closed the connection was closed completely one second later, also with output of the response still waiting in the kernel; the caller's next bytes then reset it, and what waited was dropped.

While the kernel holds bytes that the caller has not acknowledged (SIOCOUTQ) the wait begins again, for 15 s at most; a leaving gateway still ends in time. Callers that have received everything are waited for one second as before.

response_that_waits_for_a_slow_caller_of_a_leaving_gateway_is_not_reset failed before (body not complete) and passes.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -20,6 +22,8 @@
 constexpr int kBodyTimeoutFactor = 5;
 /// Limits on waiting for the caller to close its side of a connection that was closed by this side.
 constexpr duration kLingerTime = std::chrono::seconds(1);
+/// Longest wait for a caller that has not received all of its response yet.
+constexpr duration kMaxLingerTime = std::chrono::seconds(15);
 constexpr std::size_t kMaxDiscardedBytes = 16U << 20U;
 /// Filled and dropped within one read; all sessions share it because there is a single thread.
 std::array<char, 16U << 10U> sDiscarded;
@@ -405,13 +409,26 @@
     Close();
     return;
   }
+  LimitLinger();
+  Discard();
+}
+
+/// Closes the connection after kLingerTime, unless the kernel still holds output that the caller has not received.
+void session_impl::LimitLinger()
+{
   mTimer.expires_after(kLingerTime);
-  mTimer.async_wait([self](const error_code& aError) {
-    if (!aError) {
+  mTimer.async_wait([self = ref<session_impl>(this)](const error_code& aError) {
+    if (aError || self->mPhase != session_phase::Lingering) {
+      return;
+    }
+    int unsent = 0;
+    const bool hasOutput = ::ioctl(self->mSocket.native_handle(), SIOCOUTQ, &unsent) == 0 && unsent > 0;
+    if (hasOutput && Now() - self->mPhaseSince < kMaxLingerTime) {
+      self->LimitLinger();
+    } else {
       self->Close();
     }
   });
-  Discard();
 }
 
 void session_impl::Discard()
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -58,6 +58,7 @@
   void WatchCaller();
   void HandleDisconnect();
   void Linger();
+  void LimitLinger();
   void Discard();
   void Close();
   bool IsEnded() const { return mPhase == session_phase::Lingering || mPhase == session_phase::Closed; }
--- a/tests/processes/gateway_termination_test.cpp
+++ b/tests/processes/gateway_termination_test.cpp
@@ -72,6 +72,14 @@
   }
 };
 
+struct long_grace_period_fixture : terminated_gateway_fixture
+{
+  long_grace_period_fixture()
+    : terminated_gateway_fixture("10", 8)
+  {
+  }
+};
+
 struct short_grace_period_fixture : slow_engines_fixture
 {
   short_grace_period_fixture()
@@ -287,3 +295,21 @@
   CHECK(caller.ChunkedBody(isComplete) == EventsUpTo(120));
   CHECK(isComplete);
 }
+
+TEST_CASE_METHOD(long_grace_period_fixture, "response_that_waits_for_a_slow_caller_of_a_leaving_gateway_is_not_reset")
+{
+  raw_caller caller(Callers(), 1);
+  Terminate();
+  REQUIRE(caller.Send(EncodeRequest(Stream("long", 240))));
+  REQUIRE(caller.ReadUntil("token 1\n"));
+  REQUIRE(
+    WaitUntil([&] { return Gateway().Output().find("stream_served\",\"request\":\"long") != std::string::npos; }));
+  // The caller does nothing for longer than the gateway waits for callers that have received everything.
+  std::this_thread::sleep_for(1500ms);
+  caller.Send(EncodeRequest(Lookup("next")));
+  caller.ReadToEnd();
+  bool isComplete = false;
+  CHECK(caller.ChunkedBody(isComplete) == EventsUpTo(120));
+  CHECK(isComplete);
+  CHECK(Gateway().WaitForExit().value_or(kNotExited) == kExited);
+}
