The HTTP server refuses output that does not fit its response

The same guard for entries, sidecars and all others that use net::http_server: a reply after the beginning of another, a second reply, pieces after the end and pieces without a head were written as they came, and a begun response to HEAD had a body. Such output now fails with an error, is logged and is not sent, and the connection is closed when the handler returns. No handler of ours was found to do so: event_stream_sink asks whether it has begun.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <mutex>
 #include <optional>
 
+#include "base/log.h"
 #include "net/http_p.h"
 
 namespace chervilpulley::net {
@@ -20,6 +21,7 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+constexpr part_log kLog("http");
 constexpr std::size_t kLingerChunkBytes = 16U << 10U;
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
 /// Time that a connected caller has to send its first request once the server stops.
@@ -62,6 +64,7 @@
   void CheckForHangUp();
   void ReportHangUp();
   bool KeepAlive() const;
+  std::optional<net_error> CheckOutput(bool aNeedsBegun);
   template<class Message>
   void SetConnectionHeader(Message& aMessage);
 
@@ -73,6 +76,7 @@
   bool mIsHead = false;
   bool mAwaitsRequest = true; ///< its first request, or one sent while the server stops, is still to be read
   bool mBusy = false;
+  bool mHasBegun = false; ///< the head of the response has been passed to the connection
   bool mResponded = false;
   bool mFailed = false;
   bool mHungUp = false;
@@ -181,6 +185,8 @@
 
 asio::awaitable<bool> server_connection::ReadRequest()
 {
+  mHasBegun = false;
+  mResponded = false;
   http::request_parser<http::string_body> parser;
   parser.body_limit(mServer->Limits().mMaxBodyBytes);
   parser.header_limit(static_cast<std::uint32_t>(mServer->Limits().mMaxHeaderBytes));
@@ -240,7 +246,6 @@
 asio::awaitable<void> server_connection::HandleRequest()
 {
   mBusy = true;
-  mResponded = false;
   ++mExchange;
   mServer->mOpenExchanges.fetch_add(1);
   StopAwaitingRequest();
@@ -304,8 +309,24 @@
   aMessage.keep_alive(mRequestKeepAlive);
 }
 
+/// Returns an error for output that does not fit the response so far, such as a second head. It is not sent, and the
+/// connection is closed when the handler returns: the caller would find the output in the middle of another response.
+std::optional<net_error> server_connection::CheckOutput(bool aNeedsBegun)
+{
+  if (mHasBegun == aNeedsBegun && !mResponded) {
+    return std::nullopt;
+  }
+  mFailed = true;
+  kLog.Error("A handler wrote output that does not fit its response. The connection is closed.");
+  return net_error{ net_errc::Malformed, "output does not fit the response", true };
+}
+
 asio::awaitable<net_result<void>> server_connection::Reply(http_reply aReply)
 {
+  if (auto error = CheckOutput(false)) {
+    co_return std::move(*error);
+  }
+  mHasBegun = true;
   http::response<http::string_body> message(http::int_to_status(aReply.mStatus), 11);
   message.result(aReply.mStatus);
   SetHeaders(aReply.mHeaders, message);
@@ -327,6 +348,10 @@
 
 asio::awaitable<net_result<void>> server_connection::Begin(http_reply aHead)
 {
+  if (auto error = CheckOutput(false)) {
+    co_return std::move(*error);
+  }
+  mHasBegun = true;
   http::response<http::empty_body> message(http::int_to_status(aHead.mStatus), 11);
   SetHeaders(aHead.mHeaders, message);
   SetConnectionHeader(message);
@@ -343,6 +368,12 @@
 
 asio::awaitable<net_result<void>> server_connection::Write(std::string aChunk)
 {
+  if (auto error = CheckOutput(true)) {
+    co_return std::move(*error);
+  }
+  if (mIsHead || aChunk.empty()) {
+    co_return outcome::success();
+  }
   mStream.expires_after(mServer->Limits().mWriteTimeout);
   const auto [error, size] = co_await asio::async_write(mStream, http::make_chunk(asio::buffer(aChunk)), kAwait);
   if (error) {
@@ -354,7 +385,13 @@
 
 asio::awaitable<net_result<void>> server_connection::End()
 {
+  if (auto error = CheckOutput(true)) {
+    co_return std::move(*error);
+  }
   mResponded = true;
+  if (mIsHead) {
+    co_return outcome::success();
+  }
   mStream.expires_after(mServer->Limits().mWriteTimeout);
   const auto [error, size] = co_await asio::async_write(mStream, http::make_chunk_last(), kAwait);
   if (error) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -29,7 +29,8 @@
   duration mWriteTimeout = std::chrono::seconds(30); ///< for a caller that stops reading
 };
 
-/// One request and its response. Valid until the handler returns.
+/// One request and its response. Valid until the handler returns. Output that does not fit the response so far, such as
+/// a second head, fails, and the connection is closed when the handler returns.
 class http_exchange
 {
 public:
--- a/tests/contract/net_http_server_test.cpp
+++ b/tests/contract/net_http_server_test.cpp
@@ -244,3 +244,100 @@
     REQUIRE(reply.value().mStatus == 413);
   }
 }
+
+namespace {
+
+/// Sends a request to a server with this handler and returns all bytes until the connection ends.
+std::string ReceiveAll(const std::string& aRequest, net::http_handler aHandler)
+{
+  boost::asio::io_context context;
+  const auto server = net::http_server::Start(context, { "127.0.0.1", 0 }, std::move(aHandler), {}).value();
+  boost::asio::io_context callerContext;
+  boost::asio::ip::tcp::socket socket(callerContext);
+  socket.connect({ boost::asio::ip::make_address("127.0.0.1"), server->LocalEndpoint().mPort });
+  boost::asio::write(socket, boost::asio::buffer(aRequest));
+  std::thread loop([&] { context.run(); });
+  std::string text;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(text), error);
+  socket.close();
+  server->StopAccepting();
+  loop.join();
+  return text;
+}
+
+const std::string kGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string kGetAndClose = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+boost::asio::awaitable<void> Begin(net::http_exchange& aExchange)
+{
+  net::http_reply head;
+  co_await aExchange.Begin(std::move(head));
+}
+
+boost::asio::awaitable<void> Write(net::http_exchange& aExchange, std::string aText)
+{
+  co_await aExchange.Write(std::move(aText));
+}
+
+boost::asio::awaitable<void> Reply(net::http_exchange& aExchange, unsigned aStatus, std::string aText)
+{
+  net::http_reply reply = net::JsonReply(aStatus, std::move(aText));
+  co_await aExchange.Reply(std::move(reply));
+}
+
+} // namespace
+
+TEST_CASE("http_server_with_output_that_does_not_fit_its_response_closes_the_connection_without_it")
+{
+  const std::string replyAfterBegin =
+    ReceiveAll(kGet, [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+      co_await Begin(aExchange);
+      co_await Write(aExchange, std::string("begun"));
+      co_await Reply(aExchange, 500, std::string("error"));
+    });
+  CHECK(replyAfterBegin.ends_with("\r\n\r\n5\r\nbegun\r\n"));
+  CHECK(replyAfterBegin.find("HTTP/1.1", 1) == std::string::npos);
+  const std::string twoReplies = ReceiveAll(kGet, [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+    co_await Reply(aExchange, 200, std::string("first"));
+    co_await Reply(aExchange, 500, std::string("second"));
+  });
+  CHECK(twoReplies.ends_with("\r\n\r\nfirst"));
+  const std::string writeAfterEnd = ReceiveAll(kGet, [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+    co_await Begin(aExchange);
+    co_await Write(aExchange, std::string("begun"));
+    co_await aExchange.End();
+    co_await Write(aExchange, std::string("more"));
+    co_await aExchange.End();
+  });
+  CHECK(writeAfterEnd.ends_with("\r\n\r\n5\r\nbegun\r\n0\r\n\r\n"));
+  const std::string noHead = ReceiveAll(kGet, [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+    co_await Write(aExchange, std::string("begun"));
+    co_await aExchange.End();
+  });
+  CHECK(noHead.empty());
+}
+
+TEST_CASE("http_server_with_an_empty_piece_of_a_response_does_not_end_the_response")
+{
+  const std::string received =
+    ReceiveAll(kGetAndClose, [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+      co_await Begin(aExchange);
+      co_await Write(aExchange, std::string(""));
+      co_await Write(aExchange, std::string("begun"));
+      co_await aExchange.End();
+    });
+  CHECK(received.ends_with("\r\n\r\n5\r\nbegun\r\n0\r\n\r\n"));
+}
+
+TEST_CASE("http_server_that_begins_a_response_to_HEAD_sends_no_body")
+{
+  const std::string request = "HEAD / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  const std::string received = ReceiveAll(request, [](net::http_exchange& aExchange) -> boost::asio::awaitable<void> {
+    co_await Begin(aExchange);
+    co_await Write(aExchange, std::string("begun"));
+    co_await aExchange.End();
+  });
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  CHECK(received.find("\r\n\r\n") == received.size() - 4);
+}
