A sidecar that ends closes its links in two steps, after its last frame is sent

Callers got 504 'unknown' for calls whose replies the sidecar had: its process ended 350 ms after its last work, whether or not the replies had been sent to an entry that reads slowly.

--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -49,6 +49,7 @@
   asio::any_io_executor Executor() { return mSocket.get_executor(); }
 
   bool Send(std::string aMessage) override;
+  void Finish() override;
   void Close() override;
   bool IsOpen() const override { return mOpen; }
   duration TimeSinceLastReceive() const override { return duration(NowTicks() - mLastReceive); }
@@ -69,6 +70,7 @@
   std::deque<std::string> mQueue; ///< messages not yet passed to mSocket
   std::size_t mQueuedBytes = 0;
   bool mIsWriting = false;
+  bool mIsFinishing = false;
   std::string mWriting; ///< message that mSocket is writing
 };
 
@@ -174,7 +176,7 @@
   bool isOverLimit = false;
   {
     std::lock_guard lock(mMutex);
-    if (!mOpen) {
+    if (!mOpen || mIsFinishing) {
       return false;
     }
     mQueuedBytes += aMessage.size();
@@ -199,6 +201,10 @@
     std::lock_guard lock(mMutex);
     if (!mOpen || mQueue.empty()) {
       mIsWriting = false;
+      if (mOpen && mIsFinishing) {
+        boost::system::error_code ignored;
+        beast::get_lowest_layer(mSocket).socket().shutdown(tcp::socket::shutdown_send, ignored);
+      }
       return;
     }
     mWriting = std::move(mQueue.front());
@@ -220,6 +226,18 @@
   WriteNext();
 }
 
+void connection_impl::Finish()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mIsFinishing = true;
+    if (std::exchange(mIsWriting, true)) {
+      return;
+    }
+  }
+  asio::post(mSocket.get_executor(), [self = ref<connection_impl>(this)] { self->WriteNext(); });
+}
+
 void connection_impl::Close()
 {
   mOpen = false;
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -22,6 +22,9 @@
   /// Queues a message; false when the link is closed. A message that exceeds the limit of the send queue closes the
   /// link.
   virtual bool Send(std::string aMessage) = 0;
+  /// Closes the sending side once all queued messages are sent; the link closes when the peer closes its side. Messages
+  /// are still received until then.
+  virtual void Finish() = 0;
   /// Closes the link; queued messages may be lost.
   virtual void Close() = 0;
   virtual bool IsOpen() const = 0;
--- a/src/sidecar/sidecar_server.cpp
+++ b/src/sidecar/sidecar_server.cpp
@@ -18,6 +18,8 @@
 constexpr duration kTick = std::chrono::milliseconds(50);
 /// Ticks without work before the process exits, so that the last frames are sent.
 constexpr std::uint32_t kIdleTicksBeforeExit = 6;
+/// For the last frames to reach requesters that read slowly.
+constexpr duration kMaxLinkCloseTime = std::chrono::seconds(10);
 
 backend_options BackendOptions(const settings::settings& aSettings, const net::endpoint& aAddress, backend_kind aKind)
 {
@@ -299,8 +301,24 @@
   mMetrics->PlatformUp(mCore.IsPlatformUp());
   mStage->OnTick(now);
   mIdleTicks = InProgress() == 0 ? mIdleTicks + 1 : 0;
-  if (mIsTerminating && mIdleTicks > kIdleTicksBeforeExit) {
-    kLog.Info("Nothing is in progress; the process ends.");
+  if (mIsStopping || (mIsTerminating && mIdleTicks > kIdleTicksBeforeExit)) {
+    Stop(now);
+  }
+}
+
+void sidecar_server::Stop(instant aNow)
+{
+  const auto requesters = mRequesters.Values();
+  if (!mIsStopping.exchange(true)) {
+    kLog.Info("Nothing is in progress; closing {} links.", requesters.size());
+    mStoppingSince = aNow;
+    mLinkServer->StopAccepting();
+  }
+  for (const auto& requester : requesters) {
+    requester.mLink->Finish();
+  }
+  if (requesters.empty() || aNow - mStoppingSince > kMaxLinkCloseTime) {
+    kLog.Info("The process ends with {} open links.", requesters.size());
     mCore.Context().stop();
   }
 }
--- a/src/sidecar/sidecar_server.h
+++ b/src/sidecar/sidecar_server.h
@@ -59,6 +59,8 @@
   std::vector<policy::member_key> PendingLoads() const;
   void OnConfig(const config::config_view& aView);
   void OnTick();
+  /// Ends the process in steps once nothing is in progress: first the links, so that no response is lost with them.
+  void Stop(instant aNow);
   bool IsEngine() const { return mKind == backend_kind::Engine; }
 
   runtime::instance_core& mCore;
@@ -77,6 +79,8 @@
   std::atomic<bool> mDraining{ false };
   std::atomic<bool> mIsTerminating{ false };
   std::uint32_t mIdleTicks = 0; ///< used only in OnTick()
+  instant mStoppingSince{};     ///< used only in OnTick()
+  std::atomic<bool> mIsStopping{ false };
 };
 
 } // namespace chervilpulley::sidecar
--- a/tests/processes/entry_termination_test.cpp
+++ b/tests/processes/entry_termination_test.cpp
@@ -88,6 +88,15 @@
   }
 };
 
+/// Links that outlive an entry that does not read.
+struct large_replies_fixture : entry_termination_fixture
+{
+  large_replies_fixture()
+    : entry_termination_fixture({ { "link_idle_ms", "20000" }, { "stall_floor_ms", "20000" } })
+  {
+  }
+};
+
 /// Two entries that are killed four seconds after SIGTERM, and engines that take 160 ms for a token.
 struct grace_period_fixture : entry_termination_fixture
 {
@@ -312,3 +321,37 @@
   CHECK(mCluster.CallerAt(0).Complete({ "Short note", 6 }).mStream.mDone);
   CHECK(KillAfterGrace().value_or(kNotExited) == kExited);
 }
+
+TEST_CASE_METHOD(large_replies_fixture, "calls_with_large_replies_of_sidecars_that_end_get_them")
+{
+  REQUIRE(mCluster.Apply(0, "[route demo/plain]\npool = services\n").mStatus == 0);
+  for (const std::size_t service : { std::size_t(0), std::size_t(1) }) {
+    Control(*mCluster.Service(service).mServer, { { "slow_ms", 1500 } });
+  }
+  const std::size_t earlier = mCluster.AllServiceRuns().size();
+  std::vector<std::future<response>> calls;
+  calls.reserve(24);
+  for (int each = 0; each < 24; ++each) {
+    calls.push_back(std::async(std::launch::async, [&] {
+      net::http_request request;
+      request.mMethod = "POST";
+      request.mTarget = "/services/plain/echo";
+      request.mBody = std::string(900'000, 'x');
+      return mCluster.CallerAt(0).Send(request);
+    }));
+  }
+  REQUIRE(WaitUntil([&] { return mCluster.AllServiceRuns().size() >= earlier + calls.size(); }));
+  // The entry does not read: most of the replies stay in the sidecars when they have nothing else to do.
+  Entry().Freeze();
+  for (const std::size_t service : { std::size_t(0), std::size_t(1) }) {
+    mCluster.Service(service).mSidecar->Terminate();
+  }
+  mCluster.Service(0).mSidecar->WaitForExit(3s);
+  Entry().Wake();
+  for (auto& call : calls) {
+    CHECK(call.get().mStatus == 200);
+  }
+  for (const std::size_t service : { std::size_t(0), std::size_t(1) }) {
+    CHECK(mCluster.Service(service).mSidecar->WaitForExit().value_or(kNotExited) == kExited);
+  }
+}
--- a/tests/support/recording_link.h
+++ b/tests/support/recording_link.h
@@ -20,6 +20,7 @@
     mFrames.push_back(std::move(frame));
     return true;
   }
+  void Finish() override {}
   void Close() override {}
   bool IsOpen() const override { return true; }
   duration TimeSinceLastReceive() const override { return duration::zero(); }
