--- a/tests/processes/rolling_test.cpp
+++ b/tests/processes/rolling_test.cpp
@@ -131,7 +131,11 @@
   }
   for (std::size_t i = 0; i < mCluster.EntryCount(); ++i) {
     mCluster.Entry(i).Terminate();
-    CHECK(mCluster.Entry(i).WaitForExit().value_or(-1) == 0);
+    const int status = mCluster.Entry(i).WaitForExit().value_or(-1);
+    if (status != 0) {
+      UNSCOPED_INFO(mCluster.Logs());
+    }
+    CHECK(status == 0);
     std::unique_ptr<process> replacement = mCluster.StartReplacement(i);
     {
       std::lock_guard lock(callers.mEntries);
