Log: the limit that a backend server names, when it changes and when it ends

The header Server-Limit is decoded: a decimal number, of several the lowest, and anything else is no limit. The choice of servers does not use it yet.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -51,6 +51,8 @@
   BackendSeen,
   BackendLeaving,
   BackendPaused,
+  BackendLimited,
+  BackendLimitEnded,
   BackendGone,
   BackendBelievedLost,
   BackendUnreachable,
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -57,6 +57,7 @@
 {
   std::optional<instant> mLeavingSince; ///< when it was first seen leaving
   instant mPausedUntil;                 ///< it wants no requests from this gateway until then
+  std::optional<double> mLimit;         ///< requests a second that it takes from all gateways together
 };
 
 /// State of one backend server in addition to its list entry.
@@ -258,6 +259,7 @@
   server_notices* NoticesOf(const policy::server_start& aServer);
   void MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow);
   void Pause(const policy::server_start& aServer, duration aTime, instant aNow);
+  void Limit(const policy::server_start& aServer, const wire::response_metadata& aResponse);
   void FillEngines(const pool& aPool);
   void AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow);
 
--- a/src/gateway/fleet_notices.cpp
+++ b/src/gateway/fleet_notices.cpp
@@ -41,6 +41,25 @@
   if (aResponse.mPause) {
     Pause(aServer, *aResponse.mPause, aNow);
   }
+  Limit(aServer, aResponse);
+}
+
+/// Logs the limit that a server names; the choice of servers does not use it.
+void fleet::Limit(const policy::server_start& aServer, const wire::response_metadata& aResponse)
+{
+  server_notices* notices = NoticesOf(aServer);
+  const bool isUnreadable = aResponse.mNamesLimit && !aResponse.mLimit;
+  if (notices == nullptr || isUnreadable || notices->mLimit == aResponse.mLimit) {
+    return;
+  }
+  const double former = notices->mLimit.value_or(-1);
+  notices->mLimit = aResponse.mLimit;
+  log_line(notices->mLimit ? log_event::BackendLimited : log_event::BackendLimitEnded)
+    .Text("backend", aServer.mId.Str())
+    .Count("started_at", aServer.mStartedAt)
+    .Number("per_second", notices->mLimit.value_or(-1))
+    .Number("former", former)
+    .Text("found_by", "response");
 }
 
 server_notices* fleet::NoticesOf(const policy::server_start& aServer)
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -55,9 +55,14 @@
   bool mIsStamped = false;        ///< the response carries the server's stamp
   std::string mFaultyAddress;     ///< the server on the path that caused the failure
   std::string mActualInstance;
-  bool mIsLeaving = false; ///< the server says that it is leaving
+  bool mIsLeaving = false;     ///< the server says that it is leaving
+  bool mIsMisdirected = false; ///< the request reached another server than the one that it was meant for
   /// How long the server, which turned the request away, wants no requests from this gateway.
   std::optional<duration> mPause;
+  /// Whether the server names the rate of requests that it takes from all gateways together; the rate, in requests a
+  /// second, if it can be read.
+  bool mNamesLimit = false;
+  std::optional<double> mLimit;
 };
 
 /// An engine's report of its own state.
--- a/tests/unit/platform_wire_test.cpp
+++ b/tests/unit/platform_wire_test.cpp
@@ -304,6 +304,26 @@
   CHECK(!pause(503, {}));
 }
 
+TEST_CASE("platform_response_that_names_a_limit_yields_the_lowest_readable_rate_and_none_for_other_values")
+{
+  const auto decoded = [](const std::vector<net::http_header>& aHeaders) {
+    return wire::DecodeResponseMetadata(200, Headers(aHeaders));
+  };
+  const auto limit = [&](const std::string& aText) { return decoded({ { "Server-Limit", aText } }).mLimit; };
+  CHECK(limit("5") == 5.0);
+  CHECK(limit("0.3") == 0.3);
+  CHECK(limit("0") == 0.0);
+  CHECK(limit("5, 4 ,6") == 4.0);
+  CHECK(limit("5,,x") == 5.0);
+  CHECK(decoded({ { "server-limit", "7" }, { "Server-Limit", "2.5" }, { "Server-Limit", "-1" } }).mLimit == 2.5);
+  for (const char* text : { "", "-1", "-0.5", "nan", "inf", "1e400", "1e3", "+5", "5 a second", "0x5", "," }) {
+    INFO(text);
+    CHECK(!limit(text));
+    CHECK(decoded({ { "Server-Limit", text } }).mNamesLimit);
+  }
+  CHECK_FALSE(decoded({}).mNamesLimit);
+}
+
 TEST_CASE("platform_refusal_of_a_new_path_yields_the_engine_in_its_body_or_none")
 {
   CHECK(wire::DecodePathRefusal(R"({"address":"10.0.0.1:80"})") == "10.0.0.1:80");
