--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -29,6 +29,8 @@
 constexpr std::string_view kQuietCrashPart = "bad1bad1";
 /// State in which requests run and fail; the status of the responses may follow, as in failing503.
 constexpr std::string_view kFailing = "failing";
+/// State in which responses name the limit that follows, as in limited2.5.
+constexpr std::string_view kLimited = "limited";
 /// How long a server in state "dark" or "gone" holds a connection before it closes it without a response.
 constexpr duration kUnresponsiveTime = std::chrono::seconds(60);
 /// A stream that waits for a lost engine is interrupted after this time.
@@ -229,6 +231,7 @@
                             { "method", aRequest.mMethod },
                             { "target", aRequest.mTarget },
                             { "body", aRequest.mBody },
+                            { "limit", NamedLimit() },
                             { "path", headers.Get("X-Hop-Count") },
                             { "parts", headers.Get("X-Prompt-Prefix") },
                             { "workspace", headers.Get("X-Tenant") },
@@ -279,9 +282,18 @@
   return reply;
 }
 
-/// Adds the header of a leaving server in state "announcing".
+/// The limit that responses name; empty for none.
+std::string fleet_server::NamedLimit() const
+{
+  return mState.starts_with(kLimited) ? mState.substr(kLimited.size()) : "";
+}
+
+/// Adds the header of a leaving server in state "announcing", and that of one that names a limit.
 net::http_reply fleet_server::Announce(net::http_reply aReply) const
 {
+  if (mState.starts_with(kLimited)) {
+    aReply.mHeaders.Set("Server-Limit", NamedLimit());
+  }
   if (mState == "announcing") {
     aReply.mHeaders.Set("Server-Leaving", "1");
   }
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -49,6 +49,7 @@
   /// - "encoded": responds with such a body, status 200 and a content encoding
   /// - "cutting": closes the connection before or in the middle of a response
   /// - "announcing": works, and every response says that it leaves; the list does not
+  /// - "limitedN": works, and every response names N as the requests a second that it takes from all gateways
   /// - "leaving": listed as draining, and refuses to join a new path of a running stream
   /// - "gone": dark, and removed from the list
   /// - "reborn": restarted under the same ID without its former state; "ok" from then on
@@ -99,6 +100,7 @@
   bool IsImitating() const;
   net::http_reply ImitatedStream(const std::string& aId) const;
   net::http_reply Announce(net::http_reply aReply) const;
+  std::string NamedLimit() const;
   void Record(std::string_view aKind, const std::string& aId, const net::http_request& aRequest) const;
   void RecordEnd(std::string_view aKind, const std::string& aId, std::uint64_t aEvents) const;
   std::string FindFaultyAddress(const std::vector<stage>& aPath) const;
