Requests to a server that names a limit need a permit of its coordinator

The class: a bound that holds for all gateways together, and a decision that knows this gateway alone.

Change: a request is sent to a limited server only with a permit, valid for a second. Paths begin elsewhere while there is no permit; what fits nowhere waits in its order for as long as its caller allows, or is refused at once with the time to its permit. The limit belongs to a process of a server. It ends or rises only with the response to a request sent after it was last named; a lower one holds at once.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -53,6 +53,7 @@
   BackendPaused,
   BackendLimited,
   BackendLimitEnded,
+  LimitCoordinator,
   BackendGone,
   BackendBelievedLost,
   BackendUnreachable,
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -106,6 +106,7 @@
   bool mIsPaused = false;
   bool mIsReading = false;
   bool mIsSent = false;
+  instant mSentAt;
   unsigned mUnrelatedResponses = 0;
   std::size_t mUnrelatedBytes = 0;
   unsigned mInterimResponses = 0;
@@ -127,10 +128,10 @@
   connection_pool<idle_socket>& Connections() { return mConnections; }
   asio::io_context& Context() { return mContext; }
   void CountOpened() { ++mOpenedCount; }
-  void Observe(const policy::server_start& aServer, const wire::response_metadata& aResponse) const
+  void Observe(const policy::server_start& aServer, const wire::response_metadata& aResponse, instant aSentAt) const
   {
     if (mObserver) {
-      mObserver(aServer, aResponse);
+      mObserver(aServer, aResponse, aSentAt);
     }
   }
 
@@ -215,6 +216,7 @@
     return;
   }
   mIsSent = true;
+  mSentAt = Now();
   mTimer.cancel();
   asio::async_write(
     mSocket, asio::buffer(mRequestBytes), [self = ref<call_impl>(this)](const error_code& aError, std::size_t aSize) {
@@ -370,10 +372,10 @@
     headers.Add(std::string_view(name.data(), name.size()), std::string_view(value.data(), value.size()));
   }
   const wire::response_metadata metadata = wire::DecodeResponseMetadata(head.result_int(), headers);
-  mCalls->Observe(mOptions.mTo.mServer, metadata);
   mIsUnrelated = IsUnrelated(metadata.mAnsweredRequestId);
   const bool isNamed = !mOptions.mRequestId.empty() && metadata.mAnsweredRequestId == mOptions.mRequestId;
   mIsResponseCertain = isNamed || (!mIsReused && mUnrelatedResponses == 0);
+  mCalls->Observe(mOptions.mTo.mServer, metadata, mIsUnrelated || !mIsResponseCertain ? instant() : mSentAt);
   if (mIsUnrelated) {
     if (++mUnrelatedResponses > kMaxUnrelatedResponses || mParser->need_eof()) {
       End(call_end::Abort, "too many or unbounded responses to other requests");
--- a/src/gateway/backend_call.h
+++ b/src/gateway/backend_call.h
@@ -70,8 +70,9 @@
   virtual bool IsResponseCertain() const = 0;
 };
 
-/// Gets the head of a response, with the server that the call was meant for.
-using head_observer = std::function<void(const policy::server_start&, const wire::response_metadata&)>;
+/// Gets the head of a response, with the server that the call was meant for and when its request was sent;
+/// the epoch of the clock when the response may belong to an earlier request.
+using head_observer = std::function<void(const policy::server_start&, const wire::response_metadata&, instant)>;
 
 /// Starts calls to backend servers and reuses their connections.
 class backend_calls : public ref_counted
--- a/src/gateway/capacity_queue.cpp
+++ b/src/gateway/capacity_queue.cpp
@@ -24,9 +24,20 @@
   return state;
 }
 
+std::size_t capacity_queue::Ahead(const stream_request& aRequest, instant aNow) const
+{
+  const policy::waiting_request request = aRequest.ToWaitingRequest();
+  return static_cast<std::size_t>(std::count_if(mWaiting.begin(), mWaiting.end(), [&](const auto& aWaiting) {
+    return aWaiting.get() != &aRequest && aWaiting->IsWaiting() && aWaiting->Pool() == aRequest.Pool() &&
+           policy::IsServedBefore(aWaiting->ToWaitingRequest(), request, aNow);
+  }));
+}
+
 void capacity_queue::Add(const ref<stream_request>& aRequest, instant aNow)
 {
-  if (policy::MayWait(aRequest->ToWaitingRequest(), QueueState(mWaiting.size()), aNow)) {
+  policy::queue_state state = QueueState(mWaiting.size());
+  state.mPermitWait = aRequest->PermitWait(aNow);
+  if (policy::MayWait(aRequest->ToWaitingRequest(), state, aNow)) {
     mWaiting.push_back(aRequest);
   } else {
     aRequest->RefuseForCapacity(aNow);
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -12,17 +12,12 @@
 /// Weight of the newest outcome in the moving average of a server's failures.
 constexpr double kOutcomeWeight = 0.15;
 
-/// Whether a server may get new requests.
-bool MayGetWork(const backend_state& aState, instant aNow)
-{
-  return !aState.mNotices.mLeavingSince && aState.mNotices.mPausedUntil <= aNow && aState.mLostUntil <= aNow;
-}
-
 } // namespace
 
 fleet::fleet(failure_domain_id aHome, duration aReturnTime, policy::retry_bounds aRetryBounds)
   : mHome(std::move(aHome))
   , mMembers(aReturnTime)
+  , mLimits(mHome)
   , mRetryBounds(aRetryBounds)
 {
 }
@@ -42,6 +37,7 @@
       continue;
     }
     states.emplace(id, NewState(member));
+    mLimits.Restarted({ id, member.mStartedAt });
     log_line(log_event::BackendSeen)
       .Text("backend", id.Str())
       .Text("pool", member.mPool.Str())
@@ -110,6 +106,7 @@
   request.mDomainAfter = aQuery.mDomainAfter;
   request.mMaxQueueWait = policy::fractional_ms(aQuery.mMaxQueueWait);
   request.mFastEnginesOnly = aQuery.mFastEnginesOnly;
+  std::vector<backend_id> overLimit;
   for (policy::path_engine& engine : mEngines) {
     const backend_state& state = State(engine.mId);
     const double sharingGateways = engine.mDomain == mHome ? static_cast<double>(mGatewaysInDomain) : 1.0;
@@ -119,8 +116,15 @@
     engine.mSlowdownFactor = state.mSlowdownFactor;
     engine.mUsable = MayGetWork(state, aNow) && state.mRefusingUntil <= aNow && !IsMoving(engine.mId, aNow) &&
                      !aQuery.mExcluded.contains(engine.mId);
+    engine.mMayBegin = mLimits.MayBegin({ engine.mId, state.mStartedAt }, aNow);
+    if (!engine.mMayBegin && engine.mUsable && engine.mHeld.Holds(0) && !aQuery.mSpan) {
+      overLimit.push_back(engine.mId);
+    }
   }
   const auto path = policy::ChoosePath(*pool->mEngine, mEngines, request);
+  // A path that begins in another failure domain is worse, so permits are wanted for the engines of this one.
+  std::erase_if(overLimit, [&](const backend_id& aId) { return path && DomainOf(aId) != mHome; });
+  MissPermits(overLimit, !aQuery.mIsRepeated, aNow);
   if (!path) {
     return std::nullopt;
   }
@@ -157,6 +161,7 @@
     availability.mMoving += moving ? 1 : 0;
     availability.mLeaving += leaving ? 1 : 0;
     availability.mPaused += paused ? 1 : 0;
+    availability.mOverLimit += mLimits.MayBegin({ engine.mId, state.mStartedAt }, aNow) ? 0 : 1;
     const instant usableAt = leaving || lost || moving ? instant::max() : state.mNotices.mPausedUntil;
     const std::uint32_t end = std::min(engine.mHeld.mEnd, pool->mEngine->mLayers);
     for (std::uint32_t layer = engine.mHeld.mFrom; layer < end; ++layer) {
@@ -189,16 +194,22 @@
 {
   std::vector<policy::service_candidate> candidates;
   std::vector<const backend_id*> ids;
+  std::vector<backend_id> overLimit;
   for (const auto& [id, member] : mMembers.Members()) {
     if (member.mPool != aPool) {
       continue;
     }
     const backend_state& state = State(id);
-    const bool usable = MayGetWork(state, aNow) && !IsReplaced(id) && !aExcluded.contains(id);
+    const bool mayGetWork = MayGetWork(state, aNow) && !IsReplaced(id) && !aExcluded.contains(id);
+    const bool usable = mayGetWork && mLimits.MayBegin({ id, member.mStartedAt }, aNow);
+    if (mayGetWork && !usable) {
+      overLimit.push_back(id);
+    }
     const double refusing = state.mRefusingUntil > aNow ? 1.0 : 0.0;
     candidates.push_back({ member.mDomain == mHome, state.mRunning, std::max(state.mFailures, refusing), usable });
     ids.push_back(&id);
   }
+  MissPermits(overLimit, true, aNow);
   const auto index = policy::ChooseService(candidates, aRandom);
   return index ? std::optional(*ids[*index]) : std::nullopt;
 }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -10,6 +10,7 @@
 
 #include "gateway/backend_call.h"
 #include "gateway/configuration.h"
+#include "gateway/server_limits.h"
 #include "gateway/wire.h"
 #include "net/endpoint.h"
 #include "policy/engine_queue.h"
@@ -57,7 +58,6 @@
 {
   std::optional<instant> mLeavingSince; ///< when it was first seen leaving
   instant mPausedUntil;                 ///< it wants no requests from this gateway until then
-  std::optional<double> mLimit;         ///< requests a second that it takes from all gateways together
 };
 
 /// State of one backend server in addition to its list entry.
@@ -79,6 +79,12 @@
   policy::layer_span mMovingFrom; ///< layers that it held when it got the order
 };
 
+/// Whether a server may get new requests, as far as it and this gateway's calls say.
+inline bool MayGetWork(const backend_state& aState, instant aNow)
+{
+  return !aState.mNotices.mLeavingSince && aState.mNotices.mPausedUntil <= aNow && aState.mLostUntil <= aNow;
+}
+
 /// The engines chosen for a request, with what is needed to send the request and to reserve memory for it.
 struct chosen_path
 {
@@ -103,6 +109,7 @@
   std::size_t mMoving = 0;
   std::size_t mLeaving = 0;
   std::size_t mPaused = 0;            ///< want no requests from this gateway for a while
+  std::size_t mOverLimit = 0;         ///< no path may begin there until there is a permit
   std::size_t mUncoveredHere = 0;     ///< layers that no usable engine of this gateway's failure domain holds
   std::size_t mUncoveredAnywhere = 0; ///< layers that no usable engine holds
   duration mCoveredIn{ 0 };           ///< until the ends of pauses leave no layer without a usable engine
@@ -123,6 +130,7 @@
   std::optional<failure_domain_id> mDomainAfter;
   duration mMaxQueueWait = duration::max(); ///< wait at the first engine beyond which the first event is late
   bool mFastEnginesOnly = false;
+  bool mIsRepeated = false; ///< a path for the same request was searched for before, and none was found
 };
 
 /// A server that is no longer listed. It has terminated, or it is leaving without having reported it and serves its
@@ -231,9 +239,28 @@
   bool IsMoving(const backend_id& aId, instant aNow) const;
   /// Handles the head of a server's response. One that says it is leaving gets no new requests until it restarts,
   /// whatever the list shows; one that asks for a pause gets none during it.
-  void HandleHead(const policy::server_start& aServer, const wire::response_metadata& aResponse, instant aNow);
+  /// @param aSentAt when the request of the response was sent; the epoch of the clock if that is unknown.
+  void HandleHead(const policy::server_start& aServer,
+                  const wire::response_metadata& aResponse,
+                  instant aSentAt,
+                  instant aNow);
   /// Whether a server wants no requests from this gateway for a while.
   bool IsPaused(const backend_id& aId, instant aNow) const;
+  /// The limits that servers name, with the permits to send requests to them.
+  server_limits& Limits() { return mLimits; }
+  const server_limits& Limits() const { return mLimits; }
+  /// Limits of the listed servers.
+  std::vector<server_limit> LimitsInForce(instant aNow) const;
+  /// Responds to another gateway's ask for permits.
+  permit_grant GrantPermits(const permit_ask& aAsk, instant aNow);
+  /// Uses up a permit for a request that is sent to a server.
+  void RequestSent(const backend_id& aId, instant aNow);
+  /// Number of servers of a pool that could be sent requests if their limits allowed it.
+  std::size_t OverLimit(const pool_name& aPool, instant aNow) const;
+  /// Time until a request with aAhead others before it gets a permit for one of the servers of a pool at which it can
+  /// begin; zero when it needs none there, or no server is usable for another reason.
+  duration PermitWait(const pool_name& aPool, std::size_t aAhead, instant aNow) const;
+
   /// When a server was first seen leaving; nothing when it is not leaving or no longer listed.
   std::optional<instant> LeavingSince(const backend_id& aId) const;
 
@@ -259,7 +286,13 @@
   server_notices* NoticesOf(const policy::server_start& aServer);
   void MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow);
   void Pause(const policy::server_start& aServer, duration aTime, instant aNow);
-  void Limit(const policy::server_start& aServer, const wire::response_metadata& aResponse);
+  void Limit(const policy::server_start& aServer,
+             const wire::response_metadata& aResponse,
+             instant aSentAt,
+             instant aNow);
+  policy::server_start StartOf(const backend_id& aId) const;
+  failure_domain_id DomainOf(const backend_id& aId) const;
+  void MissPermits(const std::vector<backend_id>& aServers, bool aIsNew, instant aNow);
   void FillEngines(const pool& aPool);
   void AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow);
 
@@ -271,6 +304,7 @@
   std::map<backend_id, backend_state> mStates;
   std::unordered_map<std::string, backend_id> mByAddress;
   std::map<backend_id, departed_backend> mDeparted;
+  server_limits mLimits;
   policy::interconnect_load mInterconnect;
   policy::retry_bounds mRetryBounds;
   std::unordered_map<pool_name, policy::retry_allowance> mRetries;
--- a/src/gateway/fleet_notices.cpp
+++ b/src/gateway/fleet_notices.cpp
@@ -28,7 +28,10 @@
   return state;
 }
 
-void fleet::HandleHead(const policy::server_start& aServer, const wire::response_metadata& aResponse, instant aNow)
+void fleet::HandleHead(const policy::server_start& aServer,
+                       const wire::response_metadata& aResponse,
+                       instant aSentAt,
+                       instant aNow)
 {
   // A response of another server at a reused address says nothing about the one that the call was meant for.
   const bool isOther = !aResponse.mActualInstance.empty() && aResponse.mActualInstance != aServer.mId.Str();
@@ -41,25 +44,93 @@
   if (aResponse.mPause) {
     Pause(aServer, *aResponse.mPause, aNow);
   }
-  Limit(aServer, aResponse);
+  Limit(aServer, aResponse, aSentAt, aNow);
 }
 
-/// Logs the limit that a server names; the choice of servers does not use it.
-void fleet::Limit(const policy::server_start& aServer, const wire::response_metadata& aResponse)
+void fleet::Limit(const policy::server_start& aServer,
+                  const wire::response_metadata& aResponse,
+                  instant aSentAt,
+                  instant aNow)
 {
-  server_notices* notices = NoticesOf(aServer);
   const bool isUnreadable = aResponse.mNamesLimit && !aResponse.mLimit;
-  if (notices == nullptr || isUnreadable || notices->mLimit == aResponse.mLimit) {
-    return;
+  // A response that only says that the request reached the wrong server may come from another one.
+  const bool isUncertain = !aResponse.mNamesLimit && aResponse.mIsMisdirected;
+  if (!isUnreadable && !isUncertain && NoticesOf(aServer) != nullptr) {
+    mLimits.Responded(aServer, DomainOf(aServer.mId), aResponse.mLimit, aSentAt, aNow);
   }
-  const double former = notices->mLimit.value_or(-1);
-  notices->mLimit = aResponse.mLimit;
-  log_line(notices->mLimit ? log_event::BackendLimited : log_event::BackendLimitEnded)
-    .Text("backend", aServer.mId.Str())
-    .Count("started_at", aServer.mStartedAt)
-    .Number("per_second", notices->mLimit.value_or(-1))
-    .Number("former", former)
-    .Text("found_by", "response");
+}
+
+policy::server_start fleet::StartOf(const backend_id& aId) const
+{
+  const auto found = mStates.find(aId);
+  return { aId, found == mStates.end() ? 0 : found->second.mStartedAt };
+}
+
+failure_domain_id fleet::DomainOf(const backend_id& aId) const
+{
+  const auto* member = mMembers.Find(aId);
+  return member == nullptr ? failure_domain_id() : member->mDomain;
+}
+
+void fleet::MissPermits(const std::vector<backend_id>& aServers, bool aIsNew, instant aNow)
+{
+  for (const backend_id& id : aServers) {
+    mLimits.Missed(StartOf(id), aIsNew, aNow);
+  }
+}
+
+void fleet::RequestSent(const backend_id& aId, instant aNow)
+{
+  mLimits.Begun(StartOf(aId), aNow);
+}
+
+permit_grant fleet::GrantPermits(const permit_ask& aAsk, instant aNow)
+{
+  return mLimits.Grant(aAsk, DomainOf(aAsk.mServer.mId), aNow);
+}
+
+std::vector<server_limit> fleet::LimitsInForce(instant aNow) const
+{
+  std::vector<server_limit> limits = mLimits.InForce(aNow);
+  std::erase_if(limits, [&](const server_limit& aLimit) { return !mStates.contains(aLimit.mServer); });
+  return limits;
+}
+
+std::size_t fleet::OverLimit(const pool_name& aPool, instant aNow) const
+{
+  if (mLimits.IsEmpty()) {
+    return 0;
+  }
+  return static_cast<std::size_t>(
+    std::count_if(mMembers.Members().begin(), mMembers.Members().end(), [&](const auto& aEntry) {
+      return aEntry.second.mPool == aPool && !mLimits.MayBegin({ aEntry.first, aEntry.second.mStartedAt }, aNow);
+    }));
+}
+
+duration fleet::PermitWait(const pool_name& aPool, std::size_t aAhead, instant aNow) const
+{
+  const pool* pool = mConfiguration ? mConfiguration->FindPool(aPool) : nullptr;
+  if (mLimits.IsEmpty() || pool == nullptr) {
+    return duration::zero();
+  }
+  double perSecond = 0;
+  for (const auto& [id, member] : mMembers.Members()) {
+    const auto state = mStates.find(id);
+    const bool canBegin = !pool->mEngine || member.mLayers.Holds(0);
+    if (member.mPool != aPool || state == mStates.end() || !canBegin || !MayGetWork(state->second, aNow) ||
+        IsReplaced(id) || (pool->mEngine && IsMoving(id, aNow))) {
+      continue;
+    }
+    if (!mLimits.IsLimited({ id, member.mStartedAt })) {
+      return duration::zero();
+    }
+    perSecond += mLimits.PermitsPerSecond({ id, member.mStartedAt });
+  }
+  if (perSecond <= 0) {
+    return duration::zero();
+  }
+  return std::chrono::duration_cast<duration>(
+    std::chrono::duration<double>(static_cast<double>(aAhead + 1) / perSecond));
 }
 
 server_notices* fleet::NoticesOf(const policy::server_start& aServer)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -187,9 +187,11 @@
   const store_bounds bounds{ Milliseconds(mSettings.gateway().configuration_bound_ms()),
                              Milliseconds(mSettings.gateway().key_bound_ms()),
                              Milliseconds(mSettings.gateway().drain_bound_ms()) };
-  mCalls->OnEachHead([fleet = mFleet](const policy::server_start& aServer, const wire::response_metadata& aResponse) {
-    fleet->HandleHead(aServer, aResponse, Now());
-  });
+  mCalls->OnEachHead([fleet = mFleet](const policy::server_start& aServer,
+                                      const wire::response_metadata& aResponse,
+                                      instant aSentAt) { fleet->HandleHead(aServer, aResponse, aSentAt, Now()); });
+  mFleet->Limits().SetSelf(instance_id(mSettings.instance().id()));
+  mFleet->Limits().OnPermits([this] { mCapacityQueue.TimePassed(Now()); });
   if (!StartHints()) {
     return false;
   }
@@ -244,6 +246,9 @@
     return false;
   }
   mFleet->OnLossFound([hints = mHints](const backend_id& aEngine) { hints->NotifyLost(aEngine); });
+  mFleet->Limits().OnAsk([hints = mHints](const net::endpoint& aCoordinator, const permit_ask& aAsk) {
+    hints->AskPermits(aCoordinator, aAsk);
+  });
   mFleet->OnSlowFound([hints = mHints](const backend_id& aEngine) { hints->NotifySlow(aEngine); });
   return true;
 }
@@ -278,6 +283,7 @@
   }
   mMetrics->Backends(mFleet->Members().Members().size(), uncovered, heldOnce);
   mMetrics->SlowEngines(mFleet->SlowEngines());
+  mMetrics->Limits(mFleet->LimitsInForce(Now()));
   mMetrics->BlockedTraits(mCrashes->BlockCount(Now()));
   mMetrics->PeersAndQueue(mFleet->Gateways(), mCapacityQueue.Size());
   mMetrics->Relaying(mSync->IsFollowing(), mRelay->Readers());
@@ -392,6 +398,7 @@
       ++stream;
       kept->TimePassed(now);
     }
+    mFleet->Limits().TimePassed(now);
     mCapacityQueue.TimePassed(now);
     mMetrics->CrashesFound(mCrashes->Confirm(now));
   }
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -41,6 +41,9 @@
     , mUncovered(Gauge("gateway_uncovered_layers", "Layers without a holder in this failure domain"))
     , mHeldOnce(Gauge("gateway_layers_held_once", "Layers with a single holder in this failure domain"))
     , mSlowEngines(Gauge("gateway_slow_engines", "Engines that say that they are slow"))
+    , mLimits(
+        Gauges("gateway_server_limit", "Requests a second that a backend server takes from all gateways together"))
+    , mLimitUse(Gauges("gateway_server_limit_used", "Requests of the last second that this gateway sent to it"))
     , mVersion(Gauge("gateway_configuration_version", "Version of the configuration in force"))
     , mAge(Gauge("gateway_configuration_age_seconds", "Time since the configuration was confirmed as the newest"))
     , mGateways(Gauge("gateway_gateways", "Gateways that share what is bounded for all, this one too"))
@@ -77,6 +80,21 @@
   }
   void UnreadableEntries(std::size_t aCount) override { mUnreadable.Set(static_cast<double>(aCount)); }
   void SlowEngines(std::size_t aCount) override { mSlowEngines.Set(static_cast<double>(aCount)); }
+  void Limits(const std::vector<server_limit>& aLimits) override
+  {
+    for (prometheus::Gauge* gauge : mLimitGauges) {
+      mLimits.Remove(gauge);
+      mLimitUse.Remove(gauge);
+    }
+    mLimitGauges.clear();
+    for (const server_limit& limit : aLimits) {
+      const prometheus::Labels labels{ { "backend", limit.mServer.Str() } };
+      mLimitGauges.push_back(&mLimits.Add(labels));
+      mLimitGauges.back()->Set(limit.mPerSecond);
+      mLimitGauges.push_back(&mLimitUse.Add(labels));
+      mLimitGauges.back()->Set(static_cast<double>(limit.mUsedLately));
+    }
+  }
   void Backends(std::size_t aListed, std::size_t aUncoveredLayers, std::size_t aLayersHeldOnce) override
   {
     mBackends.Set(static_cast<double>(aListed));
@@ -112,10 +130,11 @@
   {
     return prometheus::BuildCounter().Name(aName).Help(aHelp).Register(mRegistry);
   }
-  prometheus::Gauge& Gauge(const std::string& aName, const std::string& aHelp)
+  prometheus::Family<prometheus::Gauge>& Gauges(const std::string& aName, const std::string& aHelp)
   {
-    return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(mRegistry).Add({});
+    return prometheus::BuildGauge().Name(aName).Help(aHelp).Register(mRegistry);
   }
+  prometheus::Gauge& Gauge(const std::string& aName, const std::string& aHelp) { return Gauges(aName, aHelp).Add({}); }
 
   mutable prometheus::Registry mRegistry;
   prometheus::Family<Histogram>& mTimes;
@@ -129,6 +148,9 @@
   prometheus::Gauge& mUncovered;
   prometheus::Gauge& mHeldOnce;
   prometheus::Gauge& mSlowEngines;
+  prometheus::Family<prometheus::Gauge>& mLimits;
+  prometheus::Family<prometheus::Gauge>& mLimitUse;
+  std::vector<prometheus::Gauge*> mLimitGauges; ///< of both families
   prometheus::Gauge& mVersion;
   prometheus::Gauge& mAge;
   prometheus::Gauge& mGateways;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "base/ref_counted.h"
 #include "chervilpulley/units.h"
+#include "gateway/server_limits.h"
 
 /// Metrics of a gateway, served at /metrics. They show overload, failing backend servers and a store that is down.
 namespace chervilpulley::gateway {
@@ -50,6 +52,8 @@
   /// Entries of the list of backend servers that can't be decoded and are skipped.
   virtual void UnreadableEntries(std::size_t aCount) = 0;
   virtual void SlowEngines(std::size_t aCount) = 0;
+  /// Limits that backend servers name, and what this gateway uses of them.
+  virtual void Limits(const std::vector<server_limit>& aLimits) = 0;
   /// Version of the configuration in force, and the time since it was confirmed as the newest.
   virtual void Configuration(std::uint64_t aVersion, duration aAge) = 0;
   /// Live gateways including this one, and requests that wait for capacity on engines.
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -133,6 +133,7 @@
   std::vector<net::endpoint> peersBefore;
   std::vector<net::endpoint> peersAfter;
   mRelayAddresses.clear();
+  std::vector<permit_peer> permitPeers;
   while (true) {
     auto request = wire::EncodeList(wire::object_kind::Gateways, after, true);
     const auto response = co_await mStore->Call(std::move(request), kStoreTimeout);
@@ -150,12 +151,16 @@
         const auto address = net::ParseEndpoint(gateway->mAddress);
         if (address && object.mName != mSelf.Str()) {
           (object.mName < mSelf.Str() ? peersBefore : peersAfter).push_back(address.value());
+          permitPeers.push_back({ instance_id(object.mName), gateway->mDomain, address.value() });
         }
       }
     }
     if (!list->mIsTruncated || list->mItems.empty()) {
       peersAfter.insert(peersAfter.end(), peersBefore.begin(), peersBefore.end());
       mHints->SetPeers(std::move(peersAfter));
+      std::erase_if(permitPeers,
+                    [&](const permit_peer& aPeer) { return !mPeerCounter.IsLive(aPeer.mInstance, Now()); });
+      mFleet->Limits().SetPeers(std::move(permitPeers));
       co_return true;
     }
     after = list->mItems.back().mName;
--- a/src/gateway/peer_hints.cpp
+++ b/src/gateway/peer_hints.cpp
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/decision_log.h"
+#include "gateway/permit_messages.h"
 
 namespace chervilpulley::gateway {
 
@@ -252,11 +253,41 @@
     HandleSlow(slow);
   } else if (textIn(kAskField) == kBlockedField) {
     AnswerAsker();
-  } else if (object == nullptr || !HandleCrash(*object)) {
+  } else if (object == nullptr || !(HandlePermits(*object) || HandleCrash(*object))) {
     log_line(log_event::HintUnreadable).Count("bytes", aDatagram.size());
   }
 }
 
+void peer_hints::AskPermits(const net::endpoint& aCoordinator, const permit_ask& aAsk)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aCoordinator.mAddress, error);
+  if (!error) {
+    SendMessage(EncodePermitAsk(aAsk), { address, aCoordinator.mPort });
+  }
+}
+
+/// Sends a message that is repeated if it is lost, and not logged: there are a few each second.
+void peer_hints::SendMessage(const boost::json::object& aMessage, const udp::endpoint& aTo)
+{
+  boost::system::error_code ignored;
+  mSocket.send_to(asio::buffer(boost::json::serialize(aMessage)), aTo, 0, ignored);
+}
+
+bool peer_hints::HandlePermits(const boost::json::object& aMessage)
+{
+  const instant now = Now();
+  if (const auto ask = DecodePermitAsk(aMessage)) {
+    SendMessage(EncodePermitGrant(mFleet->GrantPermits(*ask, now)), mFrom);
+    return true;
+  }
+  if (const auto grant = DecodePermitGrant(aMessage)) {
+    mFleet->Limits().Granted({ mFrom.address().to_string(), mFrom.port() }, *grant, now);
+    return true;
+  }
+  return false;
+}
+
 bool peer_hints::HandleCrash(const boost::json::object& aHint)
 {
   if (!mOnCrash) {
--- a/src/gateway/peer_hints.h
+++ b/src/gateway/peer_hints.h
@@ -10,6 +10,7 @@
 
 #include "gateway/engine_probes.h"
 #include "gateway/fleet.h"
+#include "gateway/server_limits.h"
 #include "policy/crash_record.h"
 
 /// Datagrams between gateways about engines that were found lost or slow, or that are about to move to other layers,
@@ -52,6 +53,8 @@
   void OnCrash(std::function<void(const policy::interrupted_run&)> aCrashed,
                std::function<void(const policy::trait_block&)> aBlocked,
                std::function<void(const std::vector<run_trait>&, instant)> aCleared);
+  /// Asks another gateway for permits of a limited server. Its response goes to the limits of the fleet.
+  void AskPermits(const net::endpoint& aCoordinator, const permit_ask& aAsk);
 
 private:
   void Receive();
@@ -59,9 +62,11 @@
   void HandleLost(const backend_id& aEngine);
   void HandleSlow(const backend_id& aEngine);
   bool HandleCrash(const boost::json::object& aHint);
+  bool HandlePermits(const boost::json::object& aMessage);
   void AnswerAsker();
   void Broadcast(const boost::json::object& aHint);
   void Send(const boost::json::object& aHint, const std::vector<boost::asio::ip::udp::endpoint>& aTo);
+  void SendMessage(const boost::json::object& aMessage, const boost::asio::ip::udp::endpoint& aTo);
 
   ref<fleet> mFleet;
   ref<engine_probes> mProbes;
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -62,7 +62,8 @@
   }
   const auto address = server ? mEnvironment.mFleet->AddressOf(*server) : std::nullopt;
   if (!address) {
-    GiveUp("no_server", aNow);
+    const bool isLimited = mEnvironment.mFleet->OverLimit(mRequest.mPool, aNow) > 0;
+    GiveUp(isLimited ? "servers over their limits" : "no_server", aNow);
     return;
   }
   Send(*address, aNow);
@@ -85,10 +86,13 @@
   // A server that gets the request again may send its earlier refusal once more, with the same ID.
   options.mNeedsNewConnection = !IsIdempotent() || mExcluded.contains(*mServer);
   ++mSends;
+  const std::size_t overLimit = mEnvironment.mFleet->OverLimit(mRequest.mPool, aNow);
+  mEnvironment.mFleet->RequestSent(*mServer, aNow);
   log_line(log_event::CallSent)
     .Text("request", Id())
     .Text("backend", mServer->Str())
     .Count("send", mSends)
+    .Count("over_limit", overLimit)
     .Count("members_version", mEnvironment.mFleet->Members().Version());
   mCall = mEnvironment.mCalls->Start(options, Outgoing(mRequest, std::move(dispatch), aNow), *this);
   instant until = mRequest.mDeadline;
@@ -270,12 +274,14 @@
 /// Time after which a caller that is refused now is most likely to be served.
 duration service_request::RetryAfter(instant aNow)
 {
-  const auto returnsIn = mEnvironment.mFleet->ServiceReturnsIn(mRequest.mPool, aNow);
-  if (!returnsIn) {
+  const duration permitWait = mEnvironment.mFleet->PermitWait(mRequest.mPool, 0, aNow);
+  const auto pauseEndsIn = mEnvironment.mFleet->ServiceReturnsIn(mRequest.mPool, aNow);
+  if (!pauseEndsIn && permitWait <= duration::zero()) {
     return kRetryAfter;
   }
+  const duration returnsIn = pauseEndsIn.value_or(std::max(kRetryAfter, permitWait));
   std::uniform_real_distribution<double> spread(1, 1 + kRetryAfterSpread);
-  return std::chrono::duration_cast<duration>(*returnsIn * spread(mEnvironment.mRandom));
+  return std::chrono::duration_cast<duration>(returnsIn * spread(mEnvironment.mRandom));
 }
 
 void service_request::GiveUp(const std::string& aReason, instant aNow, std::optional<duration> aRetryAfter)
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -106,6 +106,7 @@
   mPath = std::move(aPath);
   ++mPathNumber;
   mEnvironment.mFleet->Reserve(*mPath);
+  mHasSearchedPath = false;
   mIsEventStream = false;
   mStatus = 0;
   mFailureBody.clear();
@@ -129,6 +130,8 @@
     options.mTo = *server;
   }
   ++mSends;
+  const std::size_t overLimit = mEnvironment.mFleet->OverLimit(mRequest.mPool, aNow);
+  mEnvironment.mFleet->RequestSent(mPath->mStages.front().mEngine, aNow);
   if (const auto* member = mEnvironment.mFleet->Members().Find(mPath->mStages.front().mEngine)) {
     mRanOn.push_back(*member);
   }
@@ -138,6 +141,7 @@
     .Text("path", wire::EncodePath(dispatch.mPath))
     .Count("send", mSends)
     .Count("members_version", mEnvironment.mFleet->Members().Version())
+    .Count("over_limit", overLimit)
     .Number("predicted_first_ms", mPath->mCost.mFirstToken.count());
   mCall = mEnvironment.mCalls->Start(options, Outgoing(mRequest, std::move(dispatch), aNow), *this);
 }
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -29,6 +29,10 @@
   bool IsWaiting() const { return mPhase == phase::Waiting; }
   bool IsRunning() const { return mPhase == phase::Running; }
   policy::waiting_request ToWaitingRequest() const;
+  const pool_name& Pool() const { return mRequest.mPool; }
+  /// Time until this request gets a permit for a server at which it can begin, behind those that wait and are served
+  /// before it; zero when it needs none.
+  duration PermitWait(instant aNow) const;
   /// Sends the request when a path has capacity and the retry budget allows it; otherwise returns false.
   bool SendIfCapacity(instant aNow);
   /// Ends the request with a refusal because no path has capacity for it.
@@ -132,6 +136,7 @@
   bool mMayHaveRun = false; ///< on any engine, including one that is lost
   unsigned mSends = 0;
   unsigned mFruitlessRuns = 0;    ///< runs that were interrupted before they produced output
+  bool mHasSearchedPath = false;  ///< for the current send
   bool mNeedsRetryBudget = false; ///< the next send is a retry, which the retry budget must allow
   bool mHasBegun = false;         ///< the caller has received the head of a response
   bool mHasProduced = false;      ///< a run has produced enough output to show that it crashes no engine
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -32,7 +33,10 @@
     GiveUp("leaving", aNow, kRetryElsewhereAfter);
     return;
   }
-  if (SendIfCapacity(aNow)) {
+  // Permits go to the requests that wait for them, in their order.
+  const bool isNext =
+    mHasBegun || PermitWait(aNow) <= duration::zero() || mEnvironment.mCapacityQueue.Ahead(*this, aNow) == 0;
+  if (isNext && SendIfCapacity(aNow)) {
     return;
   }
   if (!mHasBegun && mEnvironment.mFleet->Availability(mRequest.mPool, aNow).mCoveredIn > mRequest.mRoute->mObjective) {
@@ -58,6 +62,7 @@
   query.mInputTokens = mRequest.mMetadata.mPromptTokens + static_cast<double>(mCursor.Count());
   query.mOutputTokens = TokensLeft();
   query.mExcluded = mExcluded;
+  query.mIsRepeated = std::exchange(mHasSearchedPath, true);
   query.mMaxQueueWait = std::chrono::duration_cast<duration>(mRequest.mRoute->mObjective * kQueueShareOfObjective);
   auto path = mEnvironment.mFleet->ChoosePath(query, aNow);
   if (!path) {
@@ -127,6 +132,14 @@
   return { mRequest.mArrived, mRequest.mRoute->mObjective, mRequest.mDeadline - mRequest.mArrived, mRequest.mPriority };
 }
 
+duration stream_request::PermitWait(instant aNow) const
+{
+  if (mEnvironment.mFleet->Limits().IsEmpty()) {
+    return duration::zero();
+  }
+  return mEnvironment.mFleet->PermitWait(mRequest.mPool, mEnvironment.mCapacityQueue.Ahead(*this, aNow), aNow);
+}
+
 void stream_request::RefuseForCapacity(instant aNow)
 {
   LogAvailability(aNow);
@@ -142,7 +155,7 @@
   if (pool != nullptr && pool->mEngine) {
     const engine_availability availability = mEnvironment.mFleet->Availability(mRequest.mPool, aNow);
     shortage.mUncoveredLayers = availability.mUncoveredHere;
-    shortage.mPause = availability.mCoveredIn;
+    shortage.mPause = std::max(availability.mCoveredIn, PermitWait(aNow));
     shortage.mLayers = pool->mEngine->mLayers;
     shortage.mLoadTime = pool->mEngine->mLoadTime;
   }
@@ -162,6 +175,8 @@
     .Count("engines_moving", availability.mMoving)
     .Count("engines_leaving", availability.mLeaving)
     .Count("engines_paused", availability.mPaused)
+    .Count("engines_over_limit", availability.mOverLimit)
+    .Number("permit_wait_ms", Milliseconds(PermitWait(aNow)))
     .Count("layers_uncovered_here", availability.mUncoveredHere)
     .Count("layers_uncovered_anywhere", availability.mUncoveredAnywhere)
     .Number("tokens", mRequest.mMetadata.mPromptTokens + EstimatedOutputTokens())
--- a/src/policy/capacity_wait.cpp
+++ b/src/policy/capacity_wait.cpp
@@ -36,10 +36,13 @@
 bool MayWait(const waiting_request& aRequest, const queue_state& aQueue, instant aNow)
 {
   const duration waited = aNow - aRequest.mArrived;
+  const duration maxWait = std::min(aRequest.mPatience / kPatienceDivisor, aRequest.mObjective * kMaxWaitObjectives);
+  if (aQueue.mPermitWait > duration::zero() && waited + aQueue.mPermitWait > maxWait) {
+    return false;
+  }
   if (waited <= std::chrono::duration_cast<duration>(aRequest.mObjective * kMinWaitShareOfObjective)) {
     return true;
   }
-  const duration maxWait = std::min(aRequest.mPatience / kPatienceDivisor, aRequest.mObjective * kMaxWaitObjectives);
   return waited + WaitForecast(aQueue) <= maxWait;
 }
 
--- a/src/policy/capacity_wait.h
+++ b/src/policy/capacity_wait.h
@@ -23,6 +23,7 @@
   std::size_t mAhead = 0;        ///< requests that are served earlier
   std::size_t mRunning = 0;      ///< running requests; each frees capacity for one that waits
   duration mTypicalRunTime{ 0 }; ///< average run time of a request
+  duration mPermitWait{ 0 };     ///< until a server that names a limit takes the request; zero if another one does
 };
 
 /// A request that waits for capacity.
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -168,6 +168,9 @@
   /// Begins at the first engine of a request, which queues it when its slots or its memory are taken.
   bool BeginPath(const path_engine& aEngine, state& aBest) const
   {
+    if (!aEngine.mMayBegin) {
+      return false;
+    }
     if (mModel.mSlots > 0 && aEngine.mRunning + 1 > std::max(1.0, kUsableSlotShare * mModel.mSlots)) {
       return false;
     }
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -41,6 +41,7 @@
   double mRunning = 0;             ///< running requests of all gateways
   fractional_ms mQueueWait{ 0 };   ///< wait of a request whose path begins here, before the engine starts it
   bool mUsable = true;
+  bool mMayBegin = true; ///< a path may begin here
 };
 
 /// One stage of a path: an engine and the layers that it runs.
--- a/src/policy/peer_counter.cpp
+++ b/src/policy/peer_counter.cpp
@@ -22,6 +22,12 @@
   std::erase_if(mPeers, [&](const auto& aEntry) { return aEntry.second.mRenewedAt + mTimeToLive * 10 < aNow; });
 }
 
+bool peer_counter::IsLive(const instance_id& aPeer, instant aNow) const
+{
+  const auto found = mPeers.find(aPeer);
+  return found != mPeers.end() && found->second.mRenewedAt + mTimeToLive >= aNow;
+}
+
 std::size_t peer_counter::CountAll(instant aNow) const
 {
   if (!mIsListRead) {
--- a/src/policy/peer_counter.h
+++ b/src/policy/peer_counter.h
@@ -29,6 +29,8 @@
   void ListRead(instant aNow);
 
   /// Number of live instances, at least 1.
+  /// Whether an instance counts as live.
+  bool IsLive(const instance_id& aPeer, instant aNow) const;
   std::size_t CountAll(instant aNow) const;
   /// Instances of a failure domain that were renewed recently.
   std::vector<instance_id> LiveInDomain(const failure_domain_id& aDomain, instant aNow) const;
--- a/tests/contract/gateway_backend_call_test.cpp
+++ b/tests/contract/gateway_backend_call_test.cpp
@@ -220,10 +220,11 @@
     INFO(response);
     backend_call_fixture fixture;
     int reported = 0;
-    fixture.mCalls->OnEachHead([&](const policy::server_start& aServer, const wire::response_metadata& aResponse) {
-      CHECK(aServer == policy::server_start{ backend_id("server"), 1 });
-      reported += aResponse.mIsLeaving ? 1 : 0;
-    });
+    fixture.mCalls->OnEachHead(
+      [&](const policy::server_start& aServer, const wire::response_metadata& aResponse, instant) {
+        CHECK(aServer == policy::server_start{ backend_id("server"), 1 });
+        reported += aResponse.mIsLeaving ? 1 : 0;
+      });
     const endless_server server(fixture.mContext, response, "");
     fixture.Call(server);
     CHECK(fixture.mHandler.mEnd == call_end::Complete);
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -92,14 +92,14 @@
   {
     wire::response_metadata response;
     response.mIsLeaving = true;
-    mFleet->HandleHead({ backend_id(aId), aStartedAt }, response, aNow);
+    mFleet->HandleHead({ backend_id(aId), aStartedAt }, response, aNow, aNow);
   }
 
   void AskForPause(const std::string& aId, duration aTime, instant aNow, std::uint64_t aStartedAt = 1)
   {
     wire::response_metadata response;
     response.mPause = aTime;
-    mFleet->HandleHead({ backend_id(aId), aStartedAt }, response, aNow);
+    mFleet->HandleHead({ backend_id(aId), aStartedAt }, response, aNow, aNow);
   }
 
   void Report(const std::string& aId, double aSlowdownFactor, instant aNow)
@@ -288,7 +288,7 @@
   wire::response_metadata response;
   response.mIsLeaving = true;
   response.mActualInstance = "other";
-  mFleet->HandleHead({ backend_id(first), 1 }, response, mBegin);
+  mFleet->HandleHead({ backend_id(first), 1 }, response, mBegin, mBegin);
   CHECK(ChosenEngine(mBegin) == first);
   SayLeaving(first, mBegin, 2);
   CHECK(ChosenEngine(mBegin) == first);
