--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -102,6 +102,15 @@
     mFleet->HandleHead({ backend_id(aId), aStartedAt }, response, aNow, aNow);
   }
 
+  void NameLimit(const std::string& aId, std::optional<double> aLimit, instant aNow, unsigned aStatus = 200)
+  {
+    wire::response_metadata response;
+    response.mNamesLimit = aLimit.has_value();
+    response.mLimit = aLimit;
+    response.mIsMisdirected = aStatus == 421;
+    mFleet->HandleHead({ backend_id(aId), 1 }, response, aNow, aNow);
+  }
+
   void Report(const std::string& aId, double aSlowdownFactor, instant aNow)
   {
     wire::engine_report report;
@@ -357,3 +366,46 @@
   CHECK(mFleet->ServiceReturnsIn(mPool, mAfterReturnTime) == duration(milliseconds(4000)));
   CHECK(mFleet->ChooseService(mPool, {}, 0, mAfterReturnTime + milliseconds(4000)) == backend_id("east-2"));
 }
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_an_engine_that_names_a_limit_begins_paths_elsewhere_until_the_limit_ends")
+{
+  const std::string first = ChosenEngine(mBegin);
+  NameLimit(first, 5, mBegin);
+  CHECK(ChosenEngine(mBegin) != first);
+  CHECK(mFleet->OverLimit(mPool, mBegin) == 1);
+  NameLimit(first, std::nullopt, mBegin + milliseconds(10), 421);
+  CHECK(ChosenEngine(mBegin + milliseconds(10)) != first);
+  NameLimit(first, std::nullopt, mBegin + milliseconds(20));
+  CHECK(ChosenEngine(mBegin + milliseconds(20)) == first);
+}
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_whose_first_engines_all_name_limits_knows_when_a_waiting_request_gets_a_permit")
+{
+  CHECK(mFleet->PermitWait(mPool, 0, mBegin) == duration::zero());
+  for (const char* engine : { "east-1", "east-2", "west-1", "west-2" }) {
+    CHECK(mFleet->PermitWait(mPool, 0, mBegin) == duration::zero());
+    NameLimit(engine, 2, mBegin);
+  }
+  // Half of each limit is assumed before grants are measured.
+  CHECK(mFleet->PermitWait(mPool, 0, mBegin) == milliseconds(250));
+  CHECK(mFleet->PermitWait(mPool, 7, mBegin) == milliseconds(2000));
+  CHECK(ChosenEngine(mBegin).empty());
+  CHECK(mFleet->LimitsInForce(mBegin).size() == 4);
+}
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_a_limited_engine_that_restarts_or_leaves_the_list_shows_no_limit_for_it")
+{
+  NameLimit("east-1", 5, mBegin);
+  auto restarted = Engine("east-1", "east");
+  restarted.mStartedAt = 2;
+  mFleet->Members().Changed(restarted);
+  mFleet->MembersChanged(mBegin);
+  CHECK(mFleet->LimitsInForce(mBegin).empty());
+  CHECK(mFleet->OverLimit(mPool, mBegin) == 0);
+  // A late response of the process before the restart says nothing about the new one.
+  NameLimit("east-1", 5, mBegin);
+  CHECK(mFleet->OverLimit(mPool, mBegin) == 0);
+  NameLimit("east-2", 5, mBegin);
+  Remove(backend_id("east-2"));
+  CHECK(mFleet->LimitsInForce(mAfterReturnTime).empty());
+}
--- a/tests/unit/policy_capacity_wait_test.cpp
+++ b/tests/unit/policy_capacity_wait_test.cpp
@@ -156,6 +156,22 @@
   fresh->~run_time_average();
 }
 
+TEST_CASE("capacity_wait_refuses_a_request_at_once_whose_permit_comes_after_its_longest_wait")
+{
+  const instant now = instant() + std::chrono::seconds(10);
+  const waiting_request request{ now, milliseconds(500), milliseconds(20'000) };
+  queue_state queue;
+  queue.mRunning = 10;
+  queue.mTypicalRunTime = milliseconds(1000);
+  queue.mPermitWait = milliseconds(1400);
+  CHECK(MayWait(request, queue, now));
+  queue.mPermitWait = milliseconds(1600);
+  CHECK_FALSE(MayWait(request, queue, now));
+  const waiting_request brief{ now, milliseconds(500), milliseconds(2000) };
+  queue.mPermitWait = milliseconds(600);
+  CHECK_FALSE(MayWait(brief, queue, now));
+}
+
 TEST_CASE("capacity_wait_forecast_divides_requests_ahead_by_running_requests")
 {
   CHECK(WaitForecast({ 9, 20, milliseconds(3000) }) == milliseconds(1500));
--- a/tests/unit/policy_path_choice_test.cpp
+++ b/tests/unit/policy_path_choice_test.cpp
@@ -86,6 +86,21 @@
   CHECK(path->mStages.front().mEngine == 1);
 }
 
+TEST_CASE_METHOD(path_choice_fixture,
+                 "path_choice_with_an_engine_that_may_not_begin_a_path_uses_it_for_later_layers_only")
+{
+  Add("east", 0, 80, 3);
+  Add("east", 0, 40, 15);
+  mEngines[0].mMayBegin = false;
+  const auto path = Choose();
+  REQUIRE(path);
+  REQUIRE(path->mStages.size() == 2);
+  CHECK(path->mStages[0].mEngine == 1);
+  CHECK(path->mStages[1].mEngine == 0);
+  mEngines[1].mMayBegin = false;
+  CHECK_FALSE(Choose());
+}
+
 TEST_CASE_METHOD(path_choice_fixture, "path_choice_stays_at_home_though_others_are_faster")
 {
   Add("east", 0, 80, 15);
