Permits on demand: what is not used goes back, and a call waits a moment for its permit

What callers of a server with a limit saw: refusals while a part of the limit lay unused.

Cause: gateways with little demand held permits in stock, which expired; a gateway's share was enforced while nothing was short; an ask waited for the next tick; a call to a plain service was refused before the response to its ask.

Now a gateway asks at once for what it misses, keeps a stock only as its demand needs one, and reports what expired, which others get. A call waits up to 60 ms for the response to an ask, and is refused as soon as that has none.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -21,7 +21,7 @@
     { "route", bench::CompareRoutes },        { "fairness", bench::CompareFairness },
     { "rate", bench::CompareRateShares },     { "admission", bench::CompareAdmission },
     { "retry", bench::CompareRetries },       { "subset", bench::CompareSubsets },
-    { "placement", bench::ComparePlacement },
+    { "placement", bench::ComparePlacement }, { "limit", bench::CompareLimits },
   };
   for (const auto& [name, compare] : comparisons) {
     if (FLAGS_only.empty() || FLAGS_only == name) {
--- a/bench/comparisons.h
+++ b/bench/comparisons.h
@@ -13,6 +13,7 @@
 void CompareRoutes(table& aTable, const seed_list& aSeeds);
 void CompareFairness(table& aTable, const seed_list& aSeeds);
 void CompareRateShares(table& aTable, const seed_list& aSeeds);
+void CompareLimits(table& aTable, const seed_list& aSeeds);
 void CompareAdmission(table& aTable, const seed_list& aSeeds);
 void CompareRetries(table& aTable, const seed_list& aSeeds);
 void CompareSubsets(table& aTable, const seed_list& aSeeds);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -257,6 +257,8 @@
   void RequestSent(const backend_id& aId, instant aNow);
   /// Number of servers of a pool that could be sent requests if their limits allowed it.
   std::size_t OverLimit(const pool_name& aPool, instant aNow) const;
+  /// Whether an ask for permits of a plain service of a pool may be answered with some now.
+  bool MayGetPermits(const pool_name& aPool, instant aNow) const;
   /// Time until a request with aAhead others before it gets a permit for one of the servers of a pool at which it can
   /// begin; zero when it needs none there, or no server is usable for another reason.
   duration PermitWait(const pool_name& aPool, std::size_t aAhead, instant aNow) const;
--- a/src/gateway/fleet_notices.cpp
+++ b/src/gateway/fleet_notices.cpp
@@ -107,6 +107,16 @@
     }));
 }
 
+bool fleet::MayGetPermits(const pool_name& aPool, instant aNow) const
+{
+  return !mLimits.IsEmpty() &&
+         std::any_of(mMembers.Members().begin(), mMembers.Members().end(), [&](const auto& aEntry) {
+           const auto state = mStates.find(aEntry.first);
+           return aEntry.second.mPool == aPool && state != mStates.end() && MayGetWork(state->second, aNow) &&
+                  mLimits.MayGetPermits({ aEntry.first, aEntry.second.mStartedAt }, aNow);
+         });
+}
+
 duration fleet::PermitWait(const pool_name& aPool, std::size_t aAhead, instant aNow) const
 {
   const pool* pool = mConfiguration ? mConfiguration->FindPool(aPool) : nullptr;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
@@ -128,6 +129,7 @@
   asio::awaitable<void> FollowSignals();
   asio::awaitable<void> Leave();
   std::size_t EndRequests(instant aNow);
+  void PermitsArrived();
   void Reload();
 
   asio::io_context& mContext;
@@ -191,7 +193,10 @@
                                       const wire::response_metadata& aResponse,
                                       instant aSentAt) { fleet->HandleHead(aServer, aResponse, aSentAt, Now()); });
   mFleet->Limits().SetSelf(instance_id(mSettings.instance().id()));
-  mFleet->Limits().OnPermits([this] { mCapacityQueue.TimePassed(Now()); });
+  mFleet->Limits().OnPermits([this] { PermitsArrived(); });
+  mFleet->Limits().OnAskDue([this] {
+    asio::post(mContext, [self = ref<gateway_process>(this)] { self->mFleet->Limits().TimePassed(Now()); });
+  });
   if (!StartHints()) {
     return false;
   }
@@ -440,6 +445,17 @@
   log_line(log_event::SettingsReloaded).Text("in_force", "from the next start");
 }
 
+void gateway_process::PermitsArrived()
+{
+  const instant now = Now();
+  mCapacityQueue.TimePassed(now);
+  for (auto service = mServices.begin(); service != mServices.end();) {
+    const ref<service_request> kept(&*service);
+    ++service;
+    kept->PermitsArrived(now);
+  }
+}
+
 /// Ends all requests, so that each caller gets a response before the process stops; returns their number.
 std::size_t gateway_process::EndRequests(instant aNow)
 {
--- a/src/gateway/permit_messages.cpp
+++ b/src/gateway/permit_messages.cpp
@@ -14,7 +14,8 @@
 constexpr std::string_view kStartedAtField = "started_at";
 constexpr std::string_view kGatewayField = "gateway";
 constexpr std::string_view kDemandField = "per_second";
-constexpr std::string_view kLimitField = "limit"; ///< missing when the server names none
+constexpr std::string_view kExpiredField = "expired"; ///< permits that were not used; missing for none
+constexpr std::string_view kLimitField = "limit";     ///< missing when the server names none
 constexpr std::string_view kAgeField = "ms_ago";
 /// Largest number of permits that is read, and largest age: what is known of a server is dropped earlier.
 constexpr std::uint64_t kMaxPermits = 100'000;
@@ -65,6 +66,7 @@
 {
   boost::json::object object{ { kAskField, aAsk.mDemand.mWanted },
                               { kDemandField, aAsk.mDemand.mPerSecond },
+                              { kExpiredField, aAsk.mDemand.mExpired },
                               { kGatewayField, aAsk.mGateway.Str() } };
   Encode({ aAsk.mServer, aAsk.mLimit, aAsk.mKnownFor }, object);
   return object;
@@ -74,6 +76,7 @@
 {
   const auto wanted = wire::Count(aObject.if_contains(kAskField));
   const auto demand = wire::Number(aObject.if_contains(kDemandField));
+  const auto expired = wire::Count(aObject.if_contains(kExpiredField));
   const auto* gateway = aObject.if_contains(kGatewayField);
   auto fields = Decode(aObject);
   if (!wanted || !demand || *demand < 0 || gateway == nullptr || !gateway->is_string() || !fields) {
@@ -81,7 +84,7 @@
   }
   return permit_ask{ std::move(fields->mServer),
                      instance_id(std::string(gateway->as_string())),
-                     { *demand, ToPermits(*wanted) },
+                     { *demand, ToPermits(*wanted), ToPermits(expired.value_or(0)) },
                      fields->mLimit,
                      fields->mAge };
 }
--- a/src/gateway/server_limits.cpp
+++ b/src/gateway/server_limits.cpp
@@ -1,6 +1,7 @@
 #include "gateway/server_limits.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/decision_log.h"
 #include "base/random.h"
@@ -142,9 +143,17 @@
     limited_server& state = mServers.at(aServer);
     state.mPermits.Missed(aIsNew, aNow);
     state.mUsedAt = aNow;
+    if (mSchedule && !std::exchange(mIsScheduled, true)) {
+      mSchedule();
+    }
   }
 }
 
+bool server_limits::MayGetPermits(const policy::server_start& aServer, instant aNow) const
+{
+  return IsLimited(aServer) && !mServers.at(aServer).mPermits.AreExhausted(aNow);
+}
+
 double server_limits::PermitsPerSecond(const policy::server_start& aServer) const
 {
   if (!IsLimited(aServer)) {
@@ -246,6 +255,7 @@
 
 void server_limits::TimePassed(instant aNow)
 {
+  mIsScheduled = false;
   if (mServers.empty()) {
     return;
   }
@@ -308,7 +318,7 @@
 void server_limits::Receive(limited_server& aState, std::uint32_t aPermits, instant aNow)
 {
   aState.mPermits.Received(aPermits, aNow);
-  if (mOnPermits && (aPermits > 0 || !aState.mLimit)) {
+  if (mOnPermits) {
     mOnPermits();
   }
 }
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -76,8 +76,10 @@
   void SetSelf(instance_id aSelf) { mSelf = std::move(aSelf); }
   /// Sets the function that sends an ask to another gateway.
   void OnAsk(ask_sender aSender) { mSender = std::move(aSender); }
-  /// Sets the callback for permits that arrived after requests had found none.
+  /// Sets the callback for the response to an ask, with permits or without.
   void OnPermits(std::function<void()> aCallback) { mOnPermits = std::move(aCallback); }
+  /// Sets the function that calls TimePassed() soon, because an ask may be due.
+  void OnAskDue(std::function<void()> aSchedule) { mSchedule = std::move(aSchedule); }
   /// Sets the other live gateways.
   void SetPeers(std::vector<permit_peer> aPeers) { mPeers = std::move(aPeers); }
 
@@ -96,6 +98,8 @@
   void Begun(const policy::server_start& aServer, instant aNow);
   /// Records that a request went elsewhere, or waits, because no permit was left.
   void Missed(const policy::server_start& aServer, bool aIsNew, instant aNow);
+  /// Whether it is worth waiting for permits of a limited server: the last ask was not answered without any.
+  bool MayGetPermits(const policy::server_start& aServer, instant aNow) const;
   /// Whether a server names a limit.
   bool IsLimited(const policy::server_start& aServer) const;
   /// Rate at which this gateway gets permits for a limited server.
@@ -153,6 +157,8 @@
   instance_id mSelf;
   ask_sender mSender;
   std::function<void()> mOnPermits;
+  std::function<void()> mSchedule;
+  bool mIsScheduled = false;
   std::vector<permit_peer> mPeers;
   std::map<instance_id, instant> mSilentUntil; ///< gateways that did not answer
   std::map<policy::server_start, limited_server> mServers;
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -1,6 +1,7 @@
 #include "gateway/service_request.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -20,6 +21,8 @@
 constexpr duration kRetryAfter = std::chrono::milliseconds(300);
 /// Callers that wait for a server's pause to end are spread over this share of it.
 constexpr double kRetryAfterSpread = 0.25;
+/// Longest wait for the response to an ask for permits, which may be sent to a second gateway.
+constexpr duration kMaxPermitWait = std::chrono::milliseconds(60);
 /// Largest response that is buffered.
 constexpr std::size_t kMaxResponseBytes = 16U << 20U;
 
@@ -61,6 +64,9 @@
     server = mEnvironment.mFleet->ChooseService(mRequest.mPool, {}, mEnvironment.mRandom(), aNow);
   }
   const auto address = server ? mEnvironment.mFleet->AddressOf(*server) : std::nullopt;
+  if (!address && WaitForPermits(aNow)) {
+    return;
+  }
   if (!address) {
     const bool isLimited = mEnvironment.mFleet->OverLimit(mRequest.mPool, aNow) > 0;
     GiveUp(isLimited ? "servers over their limits" : "no_server", aNow);
@@ -69,6 +75,32 @@
   Send(*address, aNow);
 }
 
+/// Waits once for the response to an ask for permits, which takes a few milliseconds.
+bool service_request::WaitForPermits(instant aNow)
+{
+  if (mHasWaited || !mEnvironment.mFleet->MayGetPermits(mRequest.mPool, aNow)) {
+    return false;
+  }
+  mHasWaited = true;
+  mIsWaiting = true;
+  mTimer.expires_after(kMaxPermitWait);
+  mTimer.async_wait([self = ref<service_request>(this)](const boost::system::error_code& aError) {
+    if (!aError) {
+      self->PermitsArrived(Now());
+    }
+  });
+  return true;
+}
+
+void service_request::PermitsArrived(instant aNow)
+{
+  const ref<service_request> self(this);
+  if (std::exchange(mIsWaiting, false) && !mIsEnded) {
+    mTimer.cancel();
+    TryServer(aNow);
+  }
+}
+
 void service_request::Send(const backend_address& aServer, instant aNow)
 {
   mServer = aServer.mServer.mId;
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -22,6 +22,8 @@
   void Start();
   /// Ends the request with a response, because the process stops.
   void Stop(instant aNow);
+  /// Continues if the request waits for permits of limited servers, which may have arrived.
+  void PermitsArrived(instant aNow);
 
   void OnCallerGone() override;
   void OnWritten() override {}
@@ -31,6 +33,7 @@
 
 private:
   void TryServer(instant aNow);
+  bool WaitForPermits(instant aNow);
   void Send(const backend_address& aServer, instant aNow);
   void EndAttempt(bool aFailed);
   bool IsIdempotent() const { return mRequest.mRoute->mKind == request_kind::Idempotent; }
@@ -60,6 +63,8 @@
   net::http_headers mHeaders;
   wire::response_metadata mResponseMetadata;
   std::string mBody;
+  bool mHasWaited = false; ///< for permits
+  bool mIsWaiting = false;
   bool mIsEnded = false;
 };
 
--- a/src/policy/permits.cpp
+++ b/src/policy/permits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace chervilpulley::policy {
 
@@ -48,29 +49,30 @@
 {
   const double rate = std::max(kGrantedShare * aLimit, kMinRate);
   const double capacity = std::max(1.0, rate * kBurstSeconds);
-  mAvailable = std::min(capacity, mAvailable + rate * Seconds(aNow - mFilledAt.value_or(aNow)));
+  const double refill = mFilledAt ? rate * Seconds(aNow - *mFilledAt) : capacity;
+  mAvailable = std::min(capacity, mAvailable + refill);
   mFilledAt = aNow;
   TotalDemand(aNow);
   const auto [found, isNew] = mAskers.try_emplace(aGateway);
   asker& own = found->second;
   const instant askedBefore = isNew ? aNow : own.mAskedAt;
+  mAvailable = std::min(capacity, mAvailable + aDemand.mExpired);
   own.mPerSecond = std::max(0.0, aDemand.mPerSecond);
   own.mAskedAt = aNow;
   const double share = own.mPerSecond / std::max(TotalDemand(aNow), 1e-9);
   own.mCredit = std::min(std::max(1.0, capacity), own.mCredit + rate * share * Seconds(aNow - askedBefore));
-  double granted = std::floor(std::max(0.0, own.mCredit));
-  if (mAvailable >= capacity) {
-    // Nobody else has asked for what has accumulated.
-    granted = std::max(granted, 1.0);
-  }
+  // Shares matter only while more is wanted than there is.
+  const bool isShort = TotalDemand(aNow) > rate && mAvailable < capacity;
+  double granted = isShort ? std::floor(std::max(0.0, own.mCredit)) : mAvailable;
   granted = std::min({ granted, std::floor(mAvailable), static_cast<double>(aDemand.mWanted) });
-  own.mCredit -= granted;
+  own.mCredit = std::max(own.mCredit - granted, -capacity);
   mAvailable -= granted;
   return static_cast<std::uint32_t>(granted);
 }
 
 void held_permits::Received(std::uint32_t aCount, instant aNow)
 {
+  DropExpired(aNow);
   for (std::uint32_t each = 0; each < aCount; ++each) {
     mExpiries.push_back(aNow + kPermitTime);
   }
@@ -80,12 +82,19 @@
     mGrantedPerSecond = known + kGrantGain * (rate - known);
   }
   mReceivedAt = aNow;
+  if (aCount == 0) {
+    mExhaustedAt = aNow;
+  } else {
+    mExhaustedAt.reset();
+  }
 }
 
-std::uint32_t held_permits::Count(instant aNow) const
+void held_permits::DropExpired(instant aNow)
 {
-  return static_cast<std::uint32_t>(
-    std::count_if(mExpiries.begin(), mExpiries.end(), [&](instant aExpiry) { return aExpiry > aNow; }));
+  while (!mExpiries.empty() && mExpiries.front() <= aNow) {
+    mExpiries.pop_front();
+    ++mExpired;
+  }
 }
 
 bool held_permits::Has(instant aNow) const
@@ -93,11 +102,14 @@
   return !mExpiries.empty() && mExpiries.back() > aNow;
 }
 
+bool held_permits::AreExhausted(instant aNow) const
+{
+  return mExhaustedAt && aNow - *mExhaustedAt < kPermitMissInterval;
+}
+
 void held_permits::Use(instant aNow)
 {
-  while (!mExpiries.empty() && mExpiries.front() <= aNow) {
-    mExpiries.pop_front();
-  }
+  DropExpired(aNow);
   if (!mExpiries.empty()) {
     mExpiries.pop_front();
   }
@@ -111,29 +123,41 @@
 
 void held_permits::Missed(bool aIsNew, instant aNow)
 {
-  mHasMissed = true;
+  mMissed += aIsNew || mMissed == 0 ? 1 : 0;
   mRequests += aIsNew ? 1 : 0;
   mDemandAt = aNow;
 }
 
+void held_permits::MeasureDemand(instant aNow)
+{
+  const duration since = mMeasuredAt ? aNow - *mMeasuredAt : duration::max();
+  if (since < kPermitAskInterval) {
+    return;
+  }
+  const bool isFirst = since > kDemandTime;
+  const double measured = mRequests / Seconds(isFirst ? kPermitAskInterval : since);
+  mDemandPerSecond = isFirst ? measured : mDemandPerSecond + kDemandGain * (measured - mDemandPerSecond);
+  mMeasuredAt = aNow;
+  mRequests = 0;
+}
+
 std::optional<permit_demand> held_permits::DueAsk(instant aNow)
 {
   const bool hasDemand = mDemandAt && aNow - *mDemandAt < kDemandTime;
-  const duration interval = mHasMissed ? kPermitMissInterval : kPermitAskInterval;
-  if (!hasDemand || (mAskedAt && aNow - *mAskedAt < interval)) {
+  const duration since = mAskedAt ? aNow - *mAskedAt : duration::max();
+  const bool isInVain = AreExhausted(aNow) && since < kPermitMissInterval;
+  if (!hasDemand || (since < kPermitAskInterval && (mMissed == 0 || isInVain))) {
     return std::nullopt;
   }
-  const bool isFirst = !mAskedAt || aNow - *mAskedAt > kDemandTime;
-  const double time = isFirst ? Seconds(kPermitAskInterval) : Seconds(aNow - *mAskedAt);
-  const double measured = mRequests / time;
-  mDemandPerSecond = isFirst ? measured : mDemandPerSecond + kDemandGain * (measured - mDemandPerSecond);
+  DropExpired(aNow);
+  MeasureDemand(aNow);
   mAskedAt = aNow;
-  mRequests = 0;
-  mHasMissed = false;
-  const double needed = std::ceil(mDemandPerSecond * Seconds(kPermitAskInterval) * kWantedFactor + 1);
-  const auto wanted = static_cast<std::uint32_t>(std::max(1.0, needed));
-  const std::uint32_t held = Count(aNow);
-  return permit_demand{ std::max(mDemandPerSecond, 1 / Seconds(kDemandTime)), wanted > held ? wanted - held : 0 };
+  const auto expected = static_cast<std::uint32_t>(mDemandPerSecond * Seconds(kPermitAskInterval) * kWantedFactor);
+  const std::uint32_t needed = expected + std::exchange(mMissed, 0U);
+  const auto held = static_cast<std::uint32_t>(mExpiries.size());
+  return permit_demand{ std::max(mDemandPerSecond, 1 / Seconds(kDemandTime)),
+                        needed > held ? needed - held : 0,
+                        std::exchange(mExpired, 0U) };
 }
 
 std::optional<double> held_permits::GrantedPerSecond() const
--- a/src/policy/permits.h
+++ b/src/policy/permits.h
@@ -23,8 +23,9 @@
 /// What a gateway asks the coordinator for.
 struct permit_demand
 {
-  double mPerSecond = 0;     ///< rate of requests that would be sent to the server, for a fair share
-  std::uint32_t mWanted = 0; ///< permits needed until the next ask
+  double mPerSecond = 0;      ///< rate of requests that would be sent to the server, for a fair share
+  std::uint32_t mWanted = 0;  ///< permits needed until the next ask
+  std::uint32_t mExpired = 0; ///< permits that expired unused since the last ask; others may get them
 };
 
 /// Grants the permits of one server; used by its coordinator.
@@ -59,9 +60,11 @@
   bool Has(instant aNow) const;
   /// Uses up a permit, if there is one, for a request that is sent.
   void Use(instant aNow);
-  /// Records that a request would have been sent with a permit.
+  /// Records that a request would have been sent with a permit, and waits for one or goes elsewhere.
   /// @param aIsNew the request has not been recorded before.
   void Missed(bool aIsNew, instant aNow);
+  /// Whether an ask was answered lately without enough permits: asking again at once would be in vain.
+  bool AreExhausted(instant aNow) const;
   /// What to ask for now; nothing when no ask is due. Recent requests alone cause asks.
   std::optional<permit_demand> DueAsk(instant aNow);
   /// Permits a second that were granted lately; nothing before it was measured.
@@ -70,16 +73,20 @@
   std::size_t UsedLately(instant aNow) const;
 
 private:
-  std::uint32_t Count(instant aNow) const;
+  void DropExpired(instant aNow);
+  void MeasureDemand(instant aNow);
 
   std::deque<instant> mExpiries; ///< of each permit, the oldest first
   std::deque<instant> mUsed;
-  std::uint32_t mRequests = 0; ///< sent or missed since the last ask
-  bool mHasMissed = false;     ///< since the last ask
+  std::uint32_t mRequests = 0; ///< sent or missed since mMeasuredAt
+  std::uint32_t mMissed = 0;   ///< requests without a permit since the last ask
+  std::uint32_t mExpired = 0;  ///< since the last ask
   double mDemandPerSecond = 0;
-  std::optional<instant> mDemandAt; ///< of the last request
+  std::optional<instant> mDemandAt;   ///< of the last request
+  std::optional<instant> mMeasuredAt; ///< when mDemandPerSecond was computed
   std::optional<instant> mAskedAt;
   std::optional<instant> mReceivedAt;
+  std::optional<instant> mExhaustedAt; ///< when an ask was last answered without a permit
   std::optional<double> mGrantedPerSecond;
 };
 
--- a/tests/gateways/server_limit_test.cpp
+++ b/tests/gateways/server_limit_test.cpp
@@ -195,3 +195,13 @@
   }
   CHECK(ServedShare() == 1);
 }
+
+TEST_CASE_METHOD(server_limit_fixture, "lookups_within_the_limit_of_the_only_server_are_all_served_by_three_gateways")
+{
+  StartGateways(3);
+  SetServer("service-1", "gone");
+  SetServer("service-0", "limited12");
+  Load("/look/rope", 500ms, kLoadTime);
+  CheckLimits();
+  CHECK(ServedShare() == 1);
+}
