Log: the store has come back from a copy

The header Store-Era is decoded, and a later era than the last one gets a line with both and the call that showed it. Nothing else uses it yet.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -39,6 +39,7 @@
   Stopped,
   StoreLost,
   StoreRegained,
+  StoreRestored,
   ConfigurationInForce,
   ConfigurationOlder,
   ConfigurationUnreadable,
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -83,6 +83,7 @@
   outcome result;
   std::string reason;
   if (reply) {
+    SeeEra(reply.value().mHeaders, target);
     result.mStatus = reply.value().mStatus;
     result.mBody = std::move(reply.value().mBody);
     reason = "status " + std::to_string(result.mStatus);
@@ -102,6 +103,19 @@
   co_return result;
 }
 
+/// Logs that the store has come back from a copy.
+void store_client::SeeEra(const net::http_headers& aHeaders, const std::string& aCall)
+{
+  const auto era = wire::DecodeStoreEra(aHeaders);
+  if (mEra && era && *era > *mEra) {
+    log_line(log_event::StoreRestored)
+      .Count("era", era->Value())
+      .Count("former_era", mEra->Value())
+      .Text("call", aCall);
+  }
+  mEra = std::max(mEra, era);
+}
+
 store_sync::store_sync(boost::asio::io_context& aContext,
                        ref<store_client> aStoreClient,
                        ref<fleet> aFleet,
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -43,10 +43,13 @@
   boost::asio::awaitable<outcome> Call(net::http_request aRequest, duration aTimeout);
 
 private:
+  void SeeEra(const net::http_headers& aHeaders, const std::string& aCall);
+
   net::endpoint mStore;
   ref<net::http_client> mClient;
   ref<gateway_metrics> mMetrics;
-  bool mIsFailing = false; ///< the last call failed
+  bool mIsFailing = false;               ///< the last call failed
+  std::optional<policy::store_era> mEra; ///< the latest that a response named
 };
 
 /// A gateway that serves its cache of the store.
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -9,6 +9,7 @@
 #include "net/http.h"
 #include "policy/layer_plan.h"
 #include "policy/member_table.h"
+#include "policy/store_revision.h"
 
 /// Messages between the gateway and callers, backend servers and the platform's store, as typed structs. The functions
 /// are defined in platform/, the only place that knows the headers, JSON members and paths used on the wire.
@@ -140,6 +141,9 @@
   std::uint64_t mRevision = 0;
 };
 
+/// The era that a response of the store names; nothing when it names none.
+std::optional<policy::store_era> DecodeStoreEra(const net::http_headers& aHeaders);
+
 /// Kinds of objects in the store.
 enum class object_kind
 {
