Failing tests: gateways after the store came back from a copy

The stand-in's store takes a copy, returns to it and begins a new era; its watches get 410 from revisions that it doesn't have, and the operator and the servers write again. On this code followers lack the new configuration after 2 s, the list of servers stays that of before, an older configuration is logged at each poll, gateways' objects are missing after 5 s, and an order of the next leader is refused for its fence.

--- a/tests/standin/standin_fleet.cpp
+++ b/tests/standin/standin_fleet.cpp
@@ -69,6 +69,8 @@
 /// Writes the configuration to the store. aKey is the API key of workspace-1.
 void fleet::WriteConfiguration(std::uint64_t aVersion, const std::string& aKey)
 {
+  mVersion = aVersion;
+  mKey = aKey;
   json::object engine{ { "slots", 64 },
                        { "kvTokenBytes", 8'000 },
                        { "stride", 1 },
@@ -126,7 +128,9 @@
 /// Handles a control call, with any of these members:
 /// {"server":NAME,"state":STATE} sets the state of a server, see fleet_server::SetState(),
 /// {"remove_entry":NAME} removes an entry of the list,
-/// {"store":{faults}} sets faults of the store, and {"version":N,"key":KEY} writes a new configuration.
+/// {"store":{faults}} sets faults of the store, {"write_again":true} writes the last configuration and the entries of
+/// the servers that are up, as the operator and the servers do after the store has come back from a copy, and
+/// {"version":N,"key":KEY} writes a new configuration.
 net::http_reply fleet::Control(const net::http_request& aRequest)
 {
   json_body body(aRequest.mBody);
@@ -143,6 +147,12 @@
   if (body.Has("store")) {
     mStore.SetFaults(body.Object().at("store").as_object());
   }
+  if (body.Flag("write_again")) {
+    WriteConfiguration(mVersion, mKey);
+    for (const auto& server : mServers) {
+      server->RegisterAgain();
+    }
+  }
   if (body.Has("version")) {
     WriteConfiguration(body.Number("version"), body.Text("key"));
   }
--- a/tests/standin/standin_fleet.h
+++ b/tests/standin/standin_fleet.h
@@ -56,6 +56,8 @@
 
   boost::asio::io_context& mContext;
   fleet_options mOptions;
+  std::uint64_t mVersion = 0; ///< of the last configuration
+  std::string mKey;
   object_store mStore;
   record_log mRecords{ "" };
   std::vector<std::unique_ptr<fleet_server>> mServers;
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -88,6 +88,13 @@
   mFleet.Store().Write("servers", mName, std::move(spec));
 }
 
+void fleet_server::RegisterAgain()
+{
+  if (!IsDark()) {
+    Register();
+  }
+}
+
 void fleet_server::SetState(const std::string& aState)
 {
   mState = aState;
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -54,6 +54,8 @@
   /// - "gone": dark, and removed from the list
   /// - "reborn": restarted under the same ID without its former state; "ok" from then on
   void SetState(const std::string& aState);
+  /// Writes the entry of this server again, unless it is dark or gone.
+  void RegisterAgain();
   /// Records that streams which this server runs wait for the server at an address, which does nothing any more.
   void RecordSilence(const std::string& aAddress) const;
   /// Whether the server is reachable and holds all layers from aFrom to before aEnd.
--- a/tests/standin/standin_store.cpp
+++ b/tests/standin/standin_store.cpp
@@ -114,9 +114,24 @@
     mChanges.clear();
     mCompactedRevision = mRevision;
   }
+  if (body.Flag("copy")) {
+    mCopy = { mObjects, mRevision };
+  }
+  if (body.Flag("restore")) {
+    Restore();
+  }
   mChanged.NotifyAll();
 }
 
+void object_store::Restore()
+{
+  mObjects = mCopy.mObjects;
+  mRevision = mCopy.mRevision;
+  mCompactedRevision = mRevision;
+  mChanges.clear();
+  ++mEra;
+}
+
 asio::awaitable<void> object_store::Handle(net::http_exchange& aExchange)
 {
   const net::http_request request = aExchange.Request();
@@ -135,6 +150,7 @@
     --mResponsesToDrop;
     co_return; // the connection closes without a response
   }
+  reply.mHeaders.Set("Store-Era", std::to_string(mEra));
   co_await aExchange.Reply(std::move(reply));
 }
 
@@ -237,8 +253,10 @@
   const std::uint64_t after = QueryNumber(aRequest, "watch", 0);
   const auto wait = std::chrono::milliseconds(std::min(kMaxWaitMs, QueryNumber(aRequest, "waitMs", 0)));
   const instant deadline = Now() + wait;
+  const std::uint64_t era = mEra;
   while (true) {
-    if (after < mCompactedRevision) {
+    // A watch that waits is cut off when the store returns to a copy.
+    if (after < mCompactedRevision || after > mRevision || era != mEra) {
       co_return EmptyReply(410);
     }
     json::array events;
--- a/tests/standin/standin_store.h
+++ b/tests/standin/standin_store.h
@@ -29,7 +29,8 @@
   void WriteRaw(const std::string& aKind, const std::string& aName, const std::string& aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
   /// Sets the faults of a control call: "down" (responds with 503), "silent" (never responds), "lose_answers" (number
-  /// of responses to writes that are dropped) and "forget" (discards the history that watches read).
+  /// of responses to writes that are dropped), "forget" (discards the history that watches read), "copy" (takes a copy)
+  /// and "restore" (returns to that copy and begins a new era).
   void SetFaults(const boost::json::object& aFaults);
   std::uint64_t Revision() const { return mRevision; }
 
@@ -48,6 +49,12 @@
     bool mIsDeleted = false;
   };
   using kind_objects = std::map<std::string, stored_object>;
+  /// What a copy holds. Watches from other revisions than its own get 410.
+  struct contents
+  {
+    std::map<std::string, kind_objects> mObjects;
+    std::uint64_t mRevision = 100;
+  };
 
   boost::asio::awaitable<net::http_reply> HandleRequest(const net::http_request& aRequest);
   boost::asio::awaitable<net::http_reply> Watch(const std::string& aKind, const net::http_request& aRequest);
@@ -61,9 +68,13 @@
   void InsertRawSpecs(std::string& aBody) const;
 
   std::map<std::string, std::string> mRawSpecs; ///< by the placeholder that stands for each
+  void Restore();
+
   std::map<std::string, kind_objects> mObjects;
   std::deque<change> mChanges;
   std::uint64_t mRevision = 100;
+  std::uint64_t mEra = 1;
+  contents mCopy;
   std::uint64_t mCompactedRevision = 100; ///< changes up to this revision are discarded; a watch from before gets 410
   bool mIsDown = false;
   bool mIsUnresponsive = false;
