A server that had left gets no requests because the copy of the store lists it again

Cause: a departed server that is listed again counted as new. That is right when its entry lapsed in an outage and not when the store has come back from a copy of before it left. What it had said of its leaving was kept already.

For 6 s after the list of a later era, a departed server with the same start gets requests only when its entry is written again in that era; by then the platform has removed the entries of servers that are gone, so that one which is still listed is used.

--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -157,6 +157,14 @@
     "empty "
     "when none answers, so that the server gets no requests from here" },
   { BackendGone, "backend_gone", Notable, Backend, "backend", "a backend server is no longer listed" },
+  { BackendUnconfirmed,
+    "backend_unconfirmed",
+    Notable,
+    Backend,
+    "backend started_at for_ms",
+    "a backend server that had left is listed again by the copy from which the store came back; it gets no requests "
+    "until its "
+    "entry is written again, or for this time" },
   { BackendBelievedLost,
     "backend_believed_lost",
     Notable,
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -57,6 +57,7 @@
   BackendLimitEnded,
   LimitCoordinator,
   BackendGone,
+  BackendUnconfirmed,
   BackendBelievedLost,
   BackendUnreachable,
   BackendMoving,
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -36,7 +36,7 @@
       states.emplace(id, known->second);
       continue;
     }
-    states.emplace(id, NewState(member));
+    states.emplace(id, NewState(member, aNow));
     mLimits.Restarted({ id, member.mStartedAt });
     log_line(log_event::BackendSeen)
       .Text("backend", id.Str())
@@ -401,7 +401,7 @@
 bool fleet::IsLostOrUnlisted(const backend_id& aId, instant aNow) const
 {
   const auto found = mStates.find(aId);
-  return found == mStates.end() || found->second.mLostUntil > aNow;
+  return found == mStates.end() || found->second.mLostUntil > aNow || found->second.mUnconfirmedUntil > aNow;
 }
 
 bool fleet::IsMarkedLost(const backend_id& aId, instant aNow) const
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -43,6 +43,10 @@
 /// Used share of the memory for requests above which an engine counts as full.
 inline constexpr double kFullMemoryShare = 0.85;
 
+/// A departed server that the list of a copy of the store shows again gets no requests for this time unless its entry
+/// is written again: by then the platform has removed the entries of servers that are gone.
+inline constexpr duration kCopyEntryTime = std::chrono::seconds(6);
+
 /// An engine that moves to other layers gets no new requests for this time after the last message about the move.
 inline constexpr duration kMovingHoldTime = std::chrono::milliseconds(3000);
 
@@ -69,6 +73,7 @@
   policy::engine_queue mQueue; ///< requests of this gateway whose path begins here
   instant mLostUntil;
   instant mRefusingUntil;
+  instant mUnconfirmedUntil;   ///< its entry may be that of a server which had left
   double mFailures = 0;        ///< moving average of the share of failed requests
   double mSlowdownFactor = 1;  ///< as reported by the engine; 1 is normal speed
   instant mSlowdownReportedAt; ///< when mSlowdownFactor was last reported
@@ -82,7 +87,8 @@
 /// Whether a server may get new requests, as far as it and this gateway's calls say.
 inline bool MayGetWork(const backend_state& aState, instant aNow)
 {
-  return !aState.mNotices.mLeavingSince && aState.mNotices.mPausedUntil <= aNow && aState.mLostUntil <= aNow;
+  return !aState.mNotices.mLeavingSince && aState.mNotices.mPausedUntil <= aNow && aState.mLostUntil <= aNow &&
+         aState.mUnconfirmedUntil <= aNow;
 }
 
 /// The engines chosen for a request, with what is needed to send the request and to reserve memory for it.
@@ -160,6 +166,11 @@
   const policy::member_table& Members() const { return mMembers; }
   /// Updates the state of the servers; must be called after each change of Members().
   void MembersChanged(instant aNow);
+  /// The next change of Members() is the list of a store that has come back from a copy: it may show servers that had
+  /// left.
+  void ListRestored(instant aNow) { mCopyUntil = aNow + kCopyEntryTime; }
+  /// A server, or somebody else, has written its entry.
+  void EntryWritten(const backend_id& aId);
 
   /// Chooses the cheapest path through usable engines; nothing when some layer has none.
   std::optional<chosen_path> ChoosePath(const path_query& aQuery, instant aNow);
@@ -283,7 +294,7 @@
 
 private:
   backend_state& State(const backend_id& aId);
-  backend_state NewState(const policy::backend_member& aMember) const;
+  backend_state NewState(const policy::backend_member& aMember, instant aNow) const;
   /// What a process of a listed or departed server has said about itself, or nullptr.
   server_notices* NoticesOf(const policy::server_start& aServer);
   void MarkLeaving(const policy::server_start& aServer, std::string_view aSource, instant aNow);
@@ -306,6 +317,7 @@
   std::map<backend_id, backend_state> mStates;
   std::unordered_map<std::string, backend_id> mByAddress;
   std::map<backend_id, departed_backend> mDeparted;
+  instant mCopyUntil; ///< entries of departed servers may be of a copy of the store until then
   server_limits mLimits;
   policy::interconnect_load mInterconnect;
   policy::retry_bounds mRetryBounds;
--- a/src/gateway/fleet_notices.cpp
+++ b/src/gateway/fleet_notices.cpp
@@ -9,7 +9,7 @@
 
 /// The state of a server that is listed for the first time, again, or after a restart. An entry that is not newer than
 /// a process which is known to be leaving is an old picture of the list.
-backend_state fleet::NewState(const policy::backend_member& aMember) const
+backend_state fleet::NewState(const policy::backend_member& aMember, instant aNow) const
 {
   backend_state state;
   state.mStartedAt = aMember.mStartedAt;
@@ -20,14 +20,28 @@
       known != mStates.end() && aMember.mStartedAt <= known->second.mStartedAt) {
     state.mNotices = known->second.mNotices;
   }
-  if (const auto departed = mDeparted.find(aMember.mId); departed != mDeparted.end() &&
-                                                         aMember.mStartedAt <= departed->second.mStartedAt &&
-                                                         !state.mNotices.mLeavingSince) {
+  const auto departed = mDeparted.find(aMember.mId);
+  const bool hadLeft = departed != mDeparted.end() && aMember.mStartedAt <= departed->second.mStartedAt;
+  if (hadLeft && !state.mNotices.mLeavingSince) {
     state.mNotices = departed->second.mNotices;
   }
+  if (hadLeft && mCopyUntil > aNow) {
+    state.mUnconfirmedUntil = mCopyUntil;
+    log_line(log_event::BackendUnconfirmed)
+      .Text("backend", aMember.mId.Str())
+      .Count("started_at", aMember.mStartedAt)
+      .Number("for_ms", std::chrono::duration<double, std::milli>(mCopyUntil - aNow).count());
+  }
   return state;
 }
 
+void fleet::EntryWritten(const backend_id& aId)
+{
+  if (const auto found = mStates.find(aId); found != mStates.end()) {
+    found->second.mUnconfirmedUntil = {};
+  }
+}
+
 void fleet::HandleHead(const policy::server_start& aServer,
                        const wire::response_metadata& aResponse,
                        instant aSentAt,
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -310,6 +310,7 @@
   if (mHasMembers && aRevision.mEra != former.mEra) {
     // Servers that were listed since the copy was made are written again; until then they are kept as after an outage.
     mFleet->Members().ListLost();
+    mFleet->ListRestored(Now());
     log_line(log_event::ListRestored)
       .Count("era", aRevision.mEra.Value())
       .Count("revision", aRevision.mNumber)
@@ -398,6 +399,7 @@
   // Changes may arrive from two sources; the older response contains nothing new.
   if (aRevision > known && aRevision.mEra == known.mEra && !aChanges.empty()) {
     std::vector<policy::backend_member> changed;
+    std::vector<backend_id> written;
     for (wire::record_change& change : aChanges) {
       changed.clear();
       if (change.mIsDeleted) {
@@ -410,10 +412,14 @@
       } else if (changed.empty()) {
         mFleet->Members().Discard(backend_id(change.mObject.mName));
       } else {
+        written.push_back(changed.front().mId);
         mFleet->Members().Changed(std::move(changed.front()));
       }
     }
     mFleet->MembersChanged(Now());
+    for (const backend_id& id : written) {
+      mFleet->EntryWritten(id);
+    }
     mMetrics->UnreadableEntries(mUnreadableEntries.size());
   }
   mFleet->Members().TimePassed(Now());
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -409,3 +409,39 @@
   Remove(backend_id("east-2"));
   CHECK(mFleet->LimitsInForce(mAfterReturnTime).empty());
 }
+
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_a_departed_engine_in_the_list_of_a_copy_uses_it_once_written_again_or_in_time")
+{
+  ListOnly({ Engine("east-1", "east") });
+  Remove(backend_id("east-1"));
+  mFleet->ListRestored(mAfterReturnTime);
+  ListOnly({ Engine("east-1", "east") });
+  CHECK(ChosenEngine(mAfterReturnTime).empty());
+  CHECK(mFleet->IsLostOrUnlisted(backend_id("east-1"), mAfterReturnTime));
+  CHECK(ChosenEngine(mAfterReturnTime + kCopyEntryTime) == "east-1");
+  mFleet->EntryWritten(backend_id("east-1"));
+  CHECK(ChosenEngine(mAfterReturnTime) == "east-1");
+}
+
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet_with_a_leaving_engine_that_the_list_of_a_copy_shows_as_ready_gives_it_no_requests")
+{
+  ListOnly({ Engine("east-1", "east"), Engine("west-1", "west") });
+  SayLeaving("east-1", mAfterReturnTime);
+  mFleet->ListRestored(mAfterReturnTime);
+  ListOnly({ Engine("east-1", "east"), Engine("west-1", "west") });
+  CHECK(ChosenEngine(mAfterReturnTime) == "west-1");
+  CHECK(ChosenEngine(mAfterReturnTime + kCopyEntryTime * 2) == "west-1");
+}
+
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_an_engine_that_restarted_since_it_left_uses_it_though_a_copy_lists_it")
+{
+  ListOnly({ Engine("east-1", "east") });
+  Remove(backend_id("east-1"));
+  mFleet->ListRestored(mAfterReturnTime);
+  auto restarted = Engine("east-1", "east");
+  restarted.mStartedAt = 2;
+  ListOnly({ restarted });
+  CHECK(ChosenEngine(mAfterReturnTime) == "east-1");
+}
