Leases and fences know the era of the store

Cause: the fence was the revision's number. Beside it, the lease was renewed under a number that may belong to a rival's write by then, and who saw no object took the lease at once, though its holder had not noticed yet.

Who knew a lease in the earlier era waits for its length, its holder writes it again at once; a write under a condition of another era is not taken for a renewal, and a leaving leader doesn't delete under one. An instance that starts in the gap may hold the lease beside the leader of before for at most a renewal; the fences say which is later.

--- a/src/gateway/placement_leader.cpp
+++ b/src/gateway/placement_leader.cpp
@@ -19,6 +19,7 @@
 constexpr duration kLeaseLength = std::chrono::milliseconds(2400);
 /// Time between two renewals of the lease; two in a row may fail.
 constexpr duration kRenewInterval = std::chrono::milliseconds(500);
+constexpr duration kRewritePause = std::chrono::milliseconds(100);
 /// Time between two reads of another gateway's lease. It is longer at gateways that read the store through a relay: one
 /// gateway in each failure domain is enough to replace a lost leader soon.
 constexpr duration kReadInterval = std::chrono::milliseconds(900);
@@ -93,7 +94,9 @@
   while (!mIsLeaving) {
     if (mLease.IsHeld(BootNow())) {
       co_await WriteLease();
-      co_await Pause(kRenewInterval);
+      // After the store has come back from a copy the lease is written again soon.
+      const duration pause = mLease.HeldRevision() ? kRenewInterval : kRewritePause;
+      co_await Pause(pause);
       continue;
     }
     if (mLease.MayAcquire(BootNow())) {
@@ -108,7 +111,8 @@
       co_await ReadLease();
     }
   }
-  if (const auto held = mLease.HeldRevision(); held && mLease.IsHeld(BootNow())) {
+  const auto held = mLease.HeldRevision();
+  if (held && held->mEra == mStore->Era() && mLease.IsHeld(BootNow())) {
     // Deletes this revision only: a delayed delete would otherwise take the lease from the next leader.
     const auto response =
       co_await mStore->Call(wire::EncodeDelete(wire::object_kind::LeaderLeases, kLeaseName, *held), kStoreTimeout);
@@ -122,7 +126,7 @@
     co_await mStore->Call(wire::EncodeGet(wire::object_kind::LeaderLeases, kLeaseName, true), kStoreTimeout);
   std::string fault;
   if (response.mStatus == 404) {
-    mLease.SeenNone();
+    mLease.SeenNone(response.mEra, BootNow());
   } else if (response.IsSuccess()) {
     if (const auto object = wire::DecodeRecord(response.mBody, response.mEra, fault)) {
       mLease.Seen(object->mRevision, BootNow());
@@ -146,9 +150,9 @@
   if (response.IsSuccess() && object) {
     mLease.Accepted(attempt, object->mRevision);
   } else if (response.mStatus == 409 && object) {
-    mLease.Refused(object->mRevision, BootNow());
+    mLease.Refused(response.mEra, object->mRevision, BootNow());
   } else if (response.mStatus == 409 || response.mStatus == 404) {
-    mLease.Refused(std::nullopt, BootNow());
+    mLease.Refused(response.mEra, std::nullopt, BootNow());
   }
 }
 
