Gateways write their objects again when the store has come back from a copy

Cause: a gateway renews its object each 8 s under a remembered revision, and learned from the refusal alone that it was gone; after a refusal it waited for the next renewal.

A gateway now looks each second whether its object was written in the store's era, and repeats a write that was refused after 0.7 s. It doesn't delete its object under a revision of another era.

--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -109,6 +109,13 @@
     Other,
     "reason",
     "a watch's response can't be decoded; the list is read again" },
+  { ObjectWrittenAgain,
+    "object_written_again",
+    Notable,
+    Gateway,
+    "kind era",
+    "this gateway writes its object of this kind (`gateway`, `lease`) again, since the store has come back from a "
+    "copy" },
   { GatewaysCounted,
     "gateways_counted",
     Notable,
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -49,6 +49,7 @@
   ListUnreadable,
   ListEntryUnreadable,
   ChangesUnreadable,
+  ObjectWrittenAgain,
   GatewaysCounted,
   BackendSeen,
   BackendLeaving,
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -23,6 +23,9 @@
 constexpr duration kReadInterval = std::chrono::seconds(2);
 constexpr duration kReadIntervalPerGateway = std::chrono::milliseconds(100);
 constexpr duration kRetryPause = std::chrono::milliseconds(700);
+/// Interval at which a gateway looks whether its object was written in the store's era. The gateways' phases differ, so
+/// that they do not write all at once.
+constexpr duration kEraCheckInterval = std::chrono::milliseconds(1000);
 /// Time after a start within which a low count is ignored: other gateways that start as well are not listed yet.
 constexpr duration kSettleTime = std::chrono::seconds(2);
 constexpr duration kStoreTimeout = std::chrono::milliseconds(800);
@@ -68,14 +71,28 @@
 {
   const ref<gateway_registry> self(this);
   while (!mIsLeaving) {
-    co_await Write();
-    const duration pause = mRevision ? kRenewInterval : kRetryPause;
-    co_await Pause(pause);
+    const bool isWritten = co_await Write();
+    if (!isWritten) {
+      co_await Pause(kRetryPause);
+      continue;
+    }
+    const instant next = Now() + kRenewInterval;
+    // In a later era the object may be gone, or be that of a copy.
+    while (!mIsLeaving && Now() < next && mWrittenEra == mStore->Era()) {
+      co_await Pause(kEraCheckInterval);
+    }
+    if (mWrittenEra != mStore->Era()) {
+      log_line(log_event::ObjectWrittenAgain).Text("kind", "gateway").Count("era", mStore->Era().Value());
+    }
   }
 }
 
-boost::asio::awaitable<void> gateway_registry::Write()
+/// Writes this gateway's object once; false when that has to be repeated soon.
+boost::asio::awaitable<bool> gateway_registry::Write()
 {
+  if (mRevision && mRevision->mEra != mStore->Era()) {
+    mRevision.reset();
+  }
   const std::string spec = wire::EncodeGateway({ mDomain, mHints->LocalAddress(), mRelayAddress, BootNow() });
   const auto request = mRevision ? wire::EncodeReplace(wire::object_kind::Gateways, mSelf.Str(), spec, *mRevision)
                                  : wire::EncodeCreate(wire::object_kind::Gateways, mSelf.Str(), spec);
@@ -89,6 +106,10 @@
   } else if (response.mStatus == 404) {
     mRevision.reset();
   }
+  if (response.IsSuccess()) {
+    mWrittenEra = response.mEra;
+  }
+  co_return response.IsSuccess();
 }
 
 boost::asio::awaitable<void> gateway_registry::Remove()
@@ -96,7 +117,7 @@
   const ref<gateway_registry> self(this);
   // Deletes this revision only: a delayed delete would otherwise remove the object of the next process with this name.
   // A conflict means that a renewal succeeded whose response was lost.
-  for (int tries = 0; tries < kMaxRemovals && mRevision; ++tries) {
+  for (int tries = 0; tries < kMaxRemovals && mRevision && mRevision->mEra == mStore->Era(); ++tries) {
     const auto request = wire::EncodeDelete(wire::object_kind::Gateways, mSelf.Str(), *mRevision);
     const auto response = co_await mStore->Call(request, kStoreTimeout);
     std::string fault;
--- a/src/gateway/gateway_registry.h
+++ b/src/gateway/gateway_registry.h
@@ -33,7 +33,7 @@
 
 private:
   boost::asio::awaitable<void> Renew();
-  boost::asio::awaitable<void> Write();
+  boost::asio::awaitable<bool> Write();
   boost::asio::awaitable<void> Remove();
   boost::asio::awaitable<void> ReadPeriodically();
   boost::asio::awaitable<bool> ReadAll();
@@ -51,6 +51,7 @@
   policy::peer_counter mPeerCounter;
   std::map<instance_id, net::endpoint> mRelayAddresses;
   std::optional<policy::store_revision> mRevision; ///< revision of this gateway's object in the store
+  std::optional<policy::store_era> mWrittenEra;    ///< in which this gateway's object was last written
   std::size_t mGatewayCount = 0;
   instant mStartedAt;
   bool mIsRead = false;
--- a/src/gateway/placement_leader.cpp
+++ b/src/gateway/placement_leader.cpp
@@ -148,7 +148,11 @@
   std::string fault;
   const auto object = wire::DecodeRecord(response.mBody, response.mEra, fault);
   if (response.IsSuccess() && object) {
+    const bool isRewritten = mLease.IsHeld(BootNow()) && !attempt.mIsRenewal;
     mLease.Accepted(attempt, object->mRevision);
+    if (isRewritten) {
+      log_line(log_event::ObjectWrittenAgain).Text("kind", "lease").Count("era", response.mEra.Value());
+    }
   } else if (response.mStatus == 409 && object) {
     mLease.Refused(response.mEra, object->mRevision, BootNow());
   } else if (response.mStatus == 409 || response.mStatus == 404) {
