--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -30,6 +30,8 @@
 constexpr duration kMaxWatchWait = std::chrono::milliseconds(1500);
 /// Time by which the response of a watch may be late.
 constexpr duration kWatchSlack = std::chrono::milliseconds(400);
+/// Minimum interval between two queries of a relay, or two watches, that respond at once.
+constexpr duration kMinQueryInterval = std::chrono::milliseconds(20);
 /// Pauses after a failed call.
 constexpr duration kShortPause = std::chrono::milliseconds(100);
 constexpr duration kLongPause = std::chrono::milliseconds(500);
@@ -220,9 +222,13 @@
   const auto& current = mFleet->Configuration();
   if (current && decoded->mVersion < current->mVersion) {
     mLastBody.clear();
-    log_line(log_event::ConfigurationOlder).Count("version", decoded->mVersion).Count("in_force", current->mVersion);
+    // It comes with each read until the operator has written the newer one again.
+    if (std::exchange(mOlderVersion, decoded->mVersion) != decoded->mVersion) {
+      log_line(log_event::ConfigurationOlder).Count("version", decoded->mVersion).Count("in_force", current->mVersion);
+    }
     return;
   }
+  mOlderVersion.reset();
   Confirmed(aRequestedAt);
   if (!current || decoded->mVersion > current->mVersion) {
     log_line(log_event::ConfigurationInForce)
@@ -255,9 +261,12 @@
       co_await Pause(kLongPause);
       continue;
     }
+    const instant watchedAt = Now();
     const bool isWatched = co_await WatchMembers();
     if (!isWatched) {
       co_await Pause(kShortPause);
+    } else if (Now() - watchedAt < kMinQueryInterval) {
+      co_await Pause(kMinQueryInterval);
     }
   }
 }
@@ -449,6 +458,7 @@
       co_await Pause(kShortPause);
       continue;
     }
+    const instant queriedAt = Now();
     const std::string fault = co_await QueryRelay(address->second);
     if (fault.empty() && !mIsFollowing) {
       log_line(log_event::RelayFollowed).Text("gateway", relay->Str());
@@ -461,6 +471,10 @@
       mSources.Failed(*relay, Now());
     }
     mIsFollowing = fault.empty();
+    // A relay that responds at once may have nothing that this gateway can use.
+    if (Now() - queriedAt < kMinQueryInterval) {
+      co_await Pause(kMinQueryInterval);
+    }
   }
 }
 
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -118,8 +118,9 @@
   ref<net::http_client> mRelayClient;
   policy::source_choice mSources;
   std::map<instance_id, net::endpoint> mRelayAddresses;
-  std::set<std::string> mUnreadableEntries; ///< names of listed entries that name no backend server to use
-  std::string mLastBody;                    ///< of the configuration; an equal body needs no parsing
+  std::set<std::string> mUnreadableEntries;   ///< names of listed entries that name no backend server to use
+  std::string mLastBody;                      ///< of the configuration; an equal body needs no parsing
+  std::optional<std::uint64_t> mOlderVersion; ///< last configuration that was older than the one in force
   bool mHasMembers = false;
   bool mIsFollowing = false;
 };
--- a/tests/contract/gateway_store_sync_test.cpp
+++ b/tests/contract/gateway_store_sync_test.cpp
@@ -31,6 +31,9 @@
   bool mStoreResponds = true;
   relay_response mRelayResponse;
   unsigned mRelayRequests = 0;
+  duration mRelayDelay = milliseconds(20);
+  unsigned mWatches = 0;
+  duration mWatchDelay = milliseconds(100);
   ref<fleet> mFleet;
   std::string mListItems;
   std::string mEvents;              ///< sent once, as the changes up to revision 11
@@ -64,7 +67,7 @@
     const std::string target = aExchange.Request().mTarget;
     if (target.starts_with("/relay")) {
       ++mRelayRequests;
-      boost::asio::steady_timer timer(aExchange.Executor(), milliseconds(20));
+      boost::asio::steady_timer timer(aExchange.Executor(), mRelayDelay);
       co_await timer.async_wait(boost::asio::use_awaitable);
       net::http_reply reply = net::JsonReply(200, EncodeRelayResponse(mRelayResponse));
       co_await aExchange.Reply(std::move(reply));
@@ -77,7 +80,8 @@
       co_return;
     }
     if (target.find("watch=") != std::string::npos) {
-      boost::asio::steady_timer timer(aExchange.Executor(), milliseconds(100));
+      ++mWatches;
+      boost::asio::steady_timer timer(aExchange.Executor(), mWatchDelay);
       co_await timer.async_wait(boost::asio::use_awaitable);
       const bool hasEvents = !mEvents.empty() && target.find("watch=10") != std::string::npos;
       const std::string body = hasEvents ? R"({"events":[)" + mEvents + R"(],"currentRev":11})"
@@ -272,3 +276,25 @@
   CHECK(RunUntil([this] { return !mSync->IsFollowing(); }));
   CHECK(mSync->Cache()->Position().mMembers >= At(4, 2));
 }
+
+TEST_CASE_METHOD(store_sync_fixture,
+                 "store_sync_whose_sources_respond_at_once_with_nothing_new_asks_them_at_bounded_rates")
+{
+  mWatchDelay = duration::zero();
+  const auto askedIn = [&](const unsigned& aCount, duration aTime) {
+    const unsigned before = aCount;
+    const instant end = Now() + aTime;
+    CHECK(RunUntil([&] { return Now() >= end; }));
+    return aCount - before;
+  };
+  CHECK(askedIn(mWatches, milliseconds(1000)) <= 60);
+  // A relay with a configuration that is older than the one in force has news at each query.
+  mRelayDelay = duration::zero();
+  wire::record older{ "main", At(3), kSpec };
+  older.mSpec.replace(older.mSpec.find('7'), 1, "6");
+  mRelayResponse.mUpdates.mConfiguration = older;
+  mRelayResponse.mUpdates.mConfigurationVersion = 6;
+  FollowRelay();
+  REQUIRE(RunUntil([this] { return mRelayRequests > 0; }));
+  CHECK(askedIn(mRelayRequests, milliseconds(1000)) <= 60);
+}
