--- a/tests/contract/gateway_broken_stream_test.cpp
+++ b/tests/contract/gateway_broken_stream_test.cpp
@@ -258,6 +258,8 @@
   scripted_engines mEngines{ mContext, 5 };
   ref<caller_listener> mListener;
   duration mDeadline = kLimit;
+  request_kind mKind = request_kind::Stream;
+  route mRoute;          ///< of requests that are no streams
   std::string mReceived; ///< by the caller
 
   /// Starts a stream for each request.
@@ -281,7 +283,14 @@
       admitted.mDeadline = admitted.mArrived + mFixture.mDeadline;
       admitted.mSession = aSession;
       admitted.mRequest = std::move(aRequest);
-      MakeRef<stream_request>(mFixture.mEnvironment, std::move(admitted))->Start();
+      if (mFixture.mKind == request_kind::Stream) {
+        MakeRef<stream_request>(mFixture.mEnvironment, std::move(admitted))->Start();
+        return;
+      }
+      mFixture.mRoute = *admitted.mRoute;
+      mFixture.mRoute.mKind = mFixture.mKind;
+      admitted.mRoute = &mFixture.mRoute;
+      MakeRef<service_request>(mFixture.mEnvironment, std::move(admitted))->Start();
     }
 
   private:
@@ -618,3 +627,54 @@
   INFO(mReceived);
   CHECK(CompleteBody() == Events(0, kEvents));
 }
+
+TEST_CASE("stream_whose_response_is_cut_at_any_byte_reaches_the_caller_whole_by_another_engine")
+{
+  const std::string head = kStreamHead + "X-Response-Stamp: first\r\n";
+  for (const auto& [name, framing] : kFramings) {
+    const engine_response whole = Frame(head, Events(0, kEvents), framing);
+    // Without a length or chunks only the head, or an event that is not whole, shows that something is missing.
+    const std::size_t headEnd = whole.mBytes.find("\r\n\r\n") + 4;
+    const std::size_t end = framing == framing::None ? headEnd + 5 : whole.mBytes.size();
+    for (std::size_t size = 0; size < end; ++size) {
+      broken_stream_fixture fixture;
+      fixture.mEngines.Answer({ whole.mBytes.substr(0, size), std::string::npos, std::string::npos, true });
+      fixture.Call();
+      INFO(name << ", cut at " << size << "; received: " << fixture.mReceived);
+      REQUIRE(fixture.CompleteBody() == Events(0, kEvents));
+      CHECK(fixture.Count("HTTP/1.1") == 1);
+    }
+  }
+}
+
+TEST_CASE("call_whose_response_is_cut_at_any_byte_is_never_served_with_less")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nX-Response-Stamp: first\r\n";
+  const std::string body = "the whole answer";
+  for (const request_kind kind : { request_kind::Idempotent, request_kind::AtMostOnce }) {
+    for (const auto& [name, framing] : kFramings) {
+      const engine_response whole = Frame(head, body, framing);
+      const std::size_t headEnd = whole.mBytes.find("\r\n\r\n") + 4;
+      const std::size_t end = framing == framing::None ? headEnd : whole.mBytes.size();
+      for (std::size_t size = 0; size < end; ++size) {
+        for (const bool isSplit : { false, true }) {
+          broken_stream_fixture fixture;
+          fixture.mKind = kind;
+          const std::size_t split = isSplit && size > 0 ? size - 1 : std::string::npos;
+          fixture.mEngines.Answer({ whole.mBytes.substr(0, size), std::string::npos, split, true });
+          fixture.mEngines.AnswerAllOthers(Frame(head, body, framing::Length));
+          fixture.Call();
+          INFO(name << ", cut at " << size << "; received: " << fixture.mReceived);
+          if (kind == request_kind::Idempotent) {
+            CHECK(fixture.CompleteBody() == body);
+            CHECK(fixture.mReceived.starts_with("HTTP/1.1 200 "));
+          } else {
+            CHECK(fixture.mReceived.starts_with("HTTP/1.1 502 "));
+            CHECK(fixture.Count("X-Response-Stamp: ") == 0);
+            CHECK(fixture.mEngines.Requests() == 1);
+          }
+        }
+      }
+    }
+  }
+}
