A leaving gateway begins a booking only if the longest recent one would end in time

Report of another operator: requests that came late in the grace period of a planned stop were cut, among them some that may not be repeated.

Cause: the time of a new call was taken as one and a half times the mean, or its objective if that is longer.

Calls that must not run twice now count with the longest time of the last 30 to 60 s; when none was measured, those that come after the early part of the grace period are refused, as streams are. Lookups stay as they were: their callers may repeat them.

--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -11,6 +11,7 @@
 #include "gateway/fleet.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/wire.h"
+#include "policy/recent_maximum.h"
 #include "policy/stall_detector.h"
 #include "policy/stop_schedule.h"
 #include "policy/stream_pace.h"
@@ -53,6 +54,7 @@
   policy::stop_schedule mStop;
   std::map<pool_name, policy::stream_pace> mStreamPaces;
   std::map<pool_name, policy::gap_statistics> mCallTimes; ///< to the responses of plain services
+  std::map<pool_name, policy::recent_maximum> mLongestCallTimes;
 };
 
 /// A request that was admitted because its route and its key are known, with all that is needed to run it.
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -211,6 +211,7 @@
   }
   const bool isGood = mStatus < 300 && mResponseMetadata.mIsStamped && !mHeaders.Has("Content-Encoding");
   mEnvironment.mCallTimes[mRequest.mPool].Observed(now - mSentAt);
+  mEnvironment.mLongestCallTimes[mRequest.mPool].Observed(now - mSentAt, now);
   if (isGood || (mStatus >= 300 && mStatus < 500 && !wire::PromisesNotRun(mStatus) && mIsResponseCertain)) {
     ForwardResponse();
     return;
@@ -218,9 +219,18 @@
   HandleFailure("status " + std::to_string(mStatus), now);
 }
 
-/// Whether a call would end before the instance stops, if that is leaving.
+/// Whether a call would end before the instance stops, if that is leaving. One that must not run twice counts with the
+/// longest time of recent calls: interrupting it leaves its caller without a way to go on.
 bool service_request::MayBegin(instant aNow) const
 {
+  if (!IsIdempotent()) {
+    const auto longest = mEnvironment.mLongestCallTimes.find(mRequest.mPool);
+    const auto time = longest == mEnvironment.mLongestCallTimes.end() ? std::nullopt : longest->second.Longest(aNow);
+    if (!mEnvironment.mStop.EndsInTime(time.value_or(duration::zero()), aNow) ||
+        (!time && mEnvironment.mStop.IsLate(mRequest.mArrived))) {
+      return false;
+    }
+  }
   const auto times = mEnvironment.mCallTimes.find(mRequest.mPool);
   const duration measured = times == mEnvironment.mCallTimes.end() ? duration::zero() : times->second.Mean();
   return mEnvironment.mStop.MayBegin(std::max(measured, mRequest.mRoute->mObjective), aNow);
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -29,6 +29,10 @@
 constexpr std::string_view kQuietCrashPart = "bad1bad1";
 /// State in which requests run and fail; the status of the responses may follow, as in failing503.
 constexpr std::string_view kFailing = "failing";
+/// Times of calls in state "uneven", and the share of long ones.
+constexpr duration kUsualCallTime = std::chrono::milliseconds(100);
+constexpr duration kLongCallTime = std::chrono::milliseconds(2400);
+constexpr unsigned kLongCallShare = 8;
 /// State in which responses name the limit that follows, as in limited2.5.
 constexpr std::string_view kLimited = "limited";
 /// How long a server in state "dark" or "gone" holds a connection before it closes it without a response.
@@ -395,6 +399,10 @@
     RecordEnd("broke_off", id, 0);
     co_return;
   }
+  if (mState == "uneven") {
+    const duration time = ++mCallsWhileUneven % kLongCallShare == 0 ? kLongCallTime : kUsualCallTime;
+    co_await SleepFor(time);
+  }
   head.mBody = "answer to " + id;
   co_await aExchange.Reply(std::move(head));
 }
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -50,6 +50,7 @@
   /// - "cutting": closes the connection before or in the middle of a response
   /// - "announcing": works, and every response says that it leaves; the list does not
   /// - "limitedN": works, and every response names N as the requests a second that it takes from all gateways
+  /// - "uneven": a plain service of which every eighth call takes 24 times as long as the others
   /// - "leaving": listed as draining, and refuses to join a new path of a running stream
   /// - "gone": dark, and removed from the list
   /// - "reborn": restarted under the same ID without its former state; "ok" from then on
@@ -122,6 +123,7 @@
   std::map<std::string, running_stream> mRunning;
   std::map<const net::http_exchange*, kept_connection> mKept; ///< in the states that repeat refusals
   unsigned mRequestsWhileRepeating = 0;
+  unsigned mCallsWhileUneven = 0;
 };
 
 } // namespace chervilpulley::standin
