--- a/tests/gateways/server_limit_soak_test.cpp
+++ b/tests/gateways/server_limit_soak_test.cpp
@@ -57,8 +57,8 @@
   duration mTime{ 0 };
 };
 
-/// Gateways before servers that name limits, change and drop them, under signals, restarts and outages of the store in
-/// overlapping series. Clients keep their connections until the gateway is gone.
+/// Gateways before servers that name limits, change and drop them, under signals, restarts, outages of the store and
+/// its returns from a copy, in overlapping series. Clients keep their connections until the gateway is gone.
 class limit_soak : public gateway_fixture
 {
 public:
@@ -114,6 +114,7 @@
   void Settle()
   {
     Control(mFleet, { { "store", { { "down", false } } } });
+    Control(mFleet, { { "version", ++mVersion }, { "key", "key-settled" } });
     for (const auto& server : Servers()) {
       SetServer(std::string(server.as_object().at("name").as_string()), "ok");
     }
@@ -124,6 +125,7 @@
           gateway_call call;
           call.mMethod = std::string_view(target) == "/look/rope" ? "GET" : "POST";
           call.mTarget = target;
+          call.mKey = "key-settled";
           call.mOutputTokens = std::string_view(target) == "/draft/1" ? kEvents * 2 : 0;
           call.mId = fmt::format("settle{}/{}", gateway, ++tries);
           return Send(call, gateway).mStatus == 200;
@@ -164,11 +166,32 @@
       case 3:
         ::kill(mGateways[mLive[mRandom() % mLive.size()]]->Pid(), SIGHUP);
         break;
+      case 4:
+        Control(mFleet, { { "store", { { "copy", true } } } });
+        mHasCopy = true;
+        break;
+      case 5:
+        RestoreStore();
+        break;
+      case 6:
+        Control(mFleet, { { "version", ++mVersion }, { "key", "key-1" } });
+        break;
       default:
         ChangeServer();
     }
   }
 
+  /// Returns the store to its last copy. The operator and the servers write again at once or a little later.
+  void RestoreStore()
+  {
+    if (!mHasCopy) {
+      return;
+    }
+    Control(mFleet, { { "store", { { "restore", true } } } });
+    std::this_thread::sleep_for(std::chrono::milliseconds(mRandom() % 2 == 0 ? 0 : mRandom() % 600));
+    Control(mFleet, { { "write_again", true } });
+  }
+
   /// Stops a gateway and starts another in its place; a terminated one goes on serving meanwhile.
   void ReplaceGateway(bool aKills)
   {
@@ -326,6 +349,8 @@
   std::vector<std::shared_ptr<gateway_handle>> mHandles; ///< one for each process of mGateways
   std::vector<std::size_t> mLive;                        ///< indexes of the gateways that clients are sent to
   std::vector<pid_t> mFrozen;
+  std::uint64_t mVersion = 1;
+  bool mHasCopy = false;
   std::vector<outcome> mOutcomes;
   std::map<std::string, std::string> mStates;
   std::atomic<bool> mIsOver = false;
@@ -333,7 +358,8 @@
 
 } // namespace
 
-TEST_CASE_METHOD(limit_soak, "servers_that_name_limits_get_no_more_under_overlapping_signals_restarts_and_outages")
+TEST_CASE_METHOD(limit_soak,
+                 "servers_that_name_limits_get_no_more_under_overlapping_signals_restarts_and_returns_from_copies")
 {
   Run();
   Settle();
