--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr int kRequests = 24000;
+constexpr int kRequests = 32000;
 constexpr int kFailedInHundred = 14; ///< of the requests at each worker, as of rota-read at the site
 constexpr int kBrokenInHundred = 2;  ///< of the answers of the one faulty worker
 constexpr std::size_t kSentBytes = 23;
@@ -32,7 +32,7 @@
   const auto answer = [&](bool aIsFaulty) {
     return [&, aIsFaulty](connection& aConnection, const message& aRequest) {
       const std::string id = aRequest.Get("X-Attempt-Id");
-      SleepMs(2);
+      SleepMs(15);
       bool isFailure = false;
       bool isBroken = false;
       {
@@ -72,7 +72,7 @@
   std::atomic<int> own{ 0 };
   std::atomic<int> looksComplete{ 0 };
   std::vector<std::thread> callers;
-  constexpr int kCallers = 8;
+  constexpr int kCallers = 32;
   for (int number = 0; number < kCallers; ++number) {
     callers.emplace_back([&, number] {
       std::unique_ptr<connection> caller;
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -263,21 +263,22 @@
   return ntohs(address.sin_port);
 }
 
-/// A port that is free for TCP and UDP now.
+/// A port that is free for TCP and UDP now, below the ports that the system gives to connections: a gateway that starts
+/// again needs the same one.
 inline int FreePort()
 {
+  static int sNext = 20000 + static_cast<int>(::getpid()) * 37 % 8000;
   while (true) {
+    sNext = sNext >= 31000 ? 20000 : sNext + 1;
     const int tcp = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = Loopback(0);
-    ::bind(tcp, reinterpret_cast<sockaddr*>(&address), sizeof address);
-    const int port = PortOf(tcp);
     const int udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    address = Loopback(port);
-    const bool isFree = ::bind(udp, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+    const sockaddr_in address = Loopback(sNext);
+    const bool isFree = ::bind(tcp, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
+                        ::bind(udp, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
     ::close(udp);
     ::close(tcp);
     if (isFree) {
-      return port;
+      return sNext;
     }
   }
 }
@@ -349,6 +350,17 @@
     Put(aKind, aName, std::move(aSpec));
   }
 
+  void Remove(const std::string& aKind, const std::string& aName)
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    const auto found = mObjects[aKind].find(aName);
+    if (found != mObjects[aKind].end()) {
+      mChanges.push_back({ ++mRevision, aKind, ToJson(aName, found->second), true });
+      mObjects[aKind].erase(found);
+      mChanged.notify_all();
+    }
+  }
+
 private:
   struct object
   {
