--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -21,6 +21,7 @@
   id_set atSound;
   store platform;
   platform.Write("config", "main", Configuration());
+  windows disruption;
   std::atomic<int> answers{ 0 };
   std::atomic<int> spoilt{ 0 };
   const auto answer = [&](bool aIsFaulty) {
@@ -32,7 +33,7 @@
       SleepMs(30);
       const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Stamp: " + id + ".s\r\n";
       const std::string body(800, 'a');
-      if (aIsFaulty && trouble && ++answers % (100 / kSpoiltInHundred) == 0) {
+      if (aIsFaulty && trouble && disruption.IsOn() && ++answers % (100 / kSpoiltInHundred) == 0) {
         ++spoilt;
         Record().Line("spoil    the answer to " + id + ": a length of which only 800 bytes follow, then the end");
         aConnection.Write(head + "Content-Length: 800800800800800\r\n\r\n" + body);
@@ -57,6 +58,7 @@
   }
   SleepMs(1000);
   const auto end = NowMs() + kSeconds * 1000;
+  disruption.Begin(3000, 1);
   kept_callers callers(gateways, atSound, kCallers, end);
   const int ends = RestartUntil(gateways, end + 500);
   callers.Join();
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -12,7 +12,7 @@
 constexpr int kGateways = 2;
 constexpr int kCallers = 6;    ///< kept connections to each gateway, for plain requests
 constexpr int kResuming = 24;  ///< clients that resume streams, at each gateway
-constexpr int kSeconds = 60;   ///< of traffic
+constexpr int kSeconds = 50;   ///< of traffic
 constexpr int kLeaveInTen = 3; ///< of the clients that resume streams
 constexpr int kLastEvent = 77;
 
@@ -67,6 +67,8 @@
   }
   SleepMs(3000);
   const auto end = NowMs() + kSeconds * 1000;
+  windows disruption;
+  disruption.Begin(1000, 7);
   std::atomic<int> resumed{ 0 };
   std::atomic<int> completed{ 0 };
   std::atomic<int> left{ 0 };
@@ -92,7 +94,7 @@
                       "{}"));
         ++resumed;
         message reply;
-        if (trouble && static_cast<int>(random() % 10) < kLeaveInTen) {
+        if (trouble && disruption.IsOn() && static_cast<int>(random() % 10) < kLeaveInTen) {
           // It leaves within 250 ms, half of the objective, if there was no answer before.
           std::this_thread::sleep_for(std::chrono::microseconds(244'000 + random() % 6'000));
           client->Reset();
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -26,6 +26,7 @@
   const std::string bad = "the booking is refused: winch 7 is in repair until Monday, the crew of yard 3 is free";
   std::mutex mutex;
   std::mt19937 random(1);
+  windows disruption;
   std::atomic<int> failed{ 0 };
   std::atomic<int> broken{ 0 };
   std::atomic<int> brokenFailures{ 0 };
@@ -38,7 +39,7 @@
       {
         const std::lock_guard<std::mutex> lock(mutex);
         isFailure = static_cast<int>(random() % 100) < kFailedInHundred;
-        isBroken = aIsFaulty && trouble && static_cast<int>(random() % 100) < kBrokenInHundred;
+        isBroken = aIsFaulty && trouble && disruption.IsOn() && static_cast<int>(random() % 100) < kBrokenInHundred;
       }
       const std::string& body = isFailure ? bad : good;
       const std::string head = std::string("HTTP/1.1 ") + (isFailure ? "500 Internal Server Error" : "200 OK") +
@@ -71,6 +72,7 @@
   std::atomic<int> visiblyBroken{ 0 };
   std::atomic<int> own{ 0 };
   std::atomic<int> looksComplete{ 0 };
+  disruption.Begin(3000, 1);
   std::vector<std::thread> callers;
   constexpr int kCallers = 32;
   for (int number = 0; number < kCallers; ++number) {
--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -858,6 +858,27 @@
   return ends;
 }
 
+/// When a disruption is on: windows of 5 s, the length of the site's own, with pauses of 2 s.
+class windows
+{
+public:
+  /// The first window begins aDelayMs from now; there are aCount of them.
+  void Begin(int aDelayMs, int aCount)
+  {
+    mCount = aCount;
+    mBegin = NowMs() + aDelayMs;
+  }
+  bool IsOn() const
+  {
+    const std::int64_t time = NowMs() - mBegin;
+    return time >= 0 && time / 7000 < mCount && time % 7000 < 5000;
+  }
+
+private:
+  std::atomic<std::int64_t> mBegin{ std::int64_t{ 1 } << 60 };
+  std::atomic<int> mCount{ 0 };
+};
+
 inline bool HasTrouble()
 {
   const char* text = std::getenv("TROUBLE");
