--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -37,6 +37,7 @@
   Signal,
   SettingsReloaded,
   Stopped,
+  HandlerFailed,
   StoreLost,
   StoreRegained,
   StoreRestored,
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -98,7 +98,7 @@
   tcp::socket mSocket;
   asio::steady_timer mTimer;
   std::string mInput; ///< bytes read but not yet parsed
-  std::optional<http::response_parser<http::string_body>> mParser;
+  std::optional<net::response_message_parser> mParser;
   bool mIsReused = false; ///< the connection has carried other requests
   bool mIsResponseCertain = false;
   bool mIsUnrelated = false; ///< the response being read belongs to another request
@@ -413,7 +413,8 @@
       return;
     }
   }
-  End(call_end::Abort, aError.message());
+  const auto missing = mParser && mIsHeadHandled ? mParser->content_length_remaining() : boost::none;
+  End(call_end::Abort, aError.message() + (missing ? ", " + std::to_string(*missing) + " bytes missing" : ""));
 }
 
 void call_impl::End(call_end aEnd, const std::string& aReason)
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -69,7 +69,7 @@
   boost::asio::ip::tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
   boost::beast::flat_buffer mBuffer;
-  std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> mParser;
+  std::optional<net::request_message_parser> mParser;
   session_phase mPhase = session_phase::Idle;
   instant mPhaseSince;
   ref<request_handler> mHandler;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,10 +1,9 @@
 #include "gateway/gateway.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
 #include <iostream>
@@ -231,12 +230,12 @@
     .Text("failure_domain", mSettings.instance().failure_domain());
   mControl->Accept();
   mSync->Start();
-  asio::co_spawn(mContext, AcceptCallers(), asio::detached);
+  Spawn(mContext, AcceptCallers());
   mPlacement->Start();
   mRegistry->Start();
-  asio::co_spawn(mContext, Tick(), asio::detached);
-  asio::co_spawn(mContext, Report(), asio::detached);
-  asio::co_spawn(mContext, FollowSignals(), asio::detached);
+  Spawn(mContext, Tick());
+  Spawn(mContext, Report());
+  Spawn(mContext, FollowSignals());
   return true;
 }
 
@@ -435,7 +434,7 @@
       Reload();
     } else if (!mIsLeaving) {
       mIsLeaving = true;
-      asio::co_spawn(mContext, Leave(), asio::detached);
+      Spawn(mContext, Leave());
     }
   }
 }
@@ -513,7 +512,13 @@
   if (!process->Start()) {
     return 1;
   }
-  context.run();
+  try {
+    context.run();
+  } catch (const std::exception& error) {
+    // An interrupted handler may have left a request half changed, so none is served any more.
+    log_line(log_event::HandlerFailed).Text("reason", error.what());
+    return 1;
+  }
   return 0;
 }
 
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -1,7 +1,5 @@
 #include "gateway/gateway_registry.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -51,14 +49,14 @@
 void gateway_registry::Start()
 {
   mFleet->SetGateways(policy::kAssumedPeers, 1);
-  boost::asio::co_spawn(mContext, Renew(), boost::asio::detached);
-  boost::asio::co_spawn(mContext, ReadPeriodically(), boost::asio::detached);
+  Spawn(mContext, Renew());
+  Spawn(mContext, ReadPeriodically());
 }
 
 void gateway_registry::Leave()
 {
   mIsLeaving = true;
-  boost::asio::co_spawn(mContext, Remove(), boost::asio::detached);
+  Spawn(mContext, Remove());
 }
 
 boost::asio::awaitable<void> gateway_registry::Renew()
--- a/src/gateway/placement_leader.cpp
+++ b/src/gateway/placement_leader.cpp
@@ -1,8 +1,5 @@
 #include "gateway/placement_leader.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -64,8 +61,8 @@
 
 void placement_leader::Start()
 {
-  boost::asio::co_spawn(mContext, KeepLease(), boost::asio::detached);
-  boost::asio::co_spawn(mContext, Run(), boost::asio::detached);
+  Spawn(mContext, KeepLease());
+  Spawn(mContext, Run());
 }
 
 boost::asio::awaitable<void> placement_leader::Run()
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -1,7 +1,6 @@
 #include "gateway/store_sync.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -52,6 +51,15 @@
 
 } // namespace
 
+void Spawn(boost::asio::io_context& aContext, boost::asio::awaitable<void> aCoroutine)
+{
+  boost::asio::co_spawn(aContext, std::move(aCoroutine), [](const std::exception_ptr& aException) {
+    if (aException) {
+      std::rethrow_exception(aException);
+    }
+  });
+}
+
 boost::asio::awaitable<void> Pause(duration aTime)
 {
   boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
@@ -135,9 +143,9 @@
 
 void store_sync::Start()
 {
-  boost::asio::co_spawn(mContext, FollowConfiguration(), boost::asio::detached);
-  boost::asio::co_spawn(mContext, FollowMembers(), boost::asio::detached);
-  boost::asio::co_spawn(mContext, FollowRelays(), boost::asio::detached);
+  Spawn(mContext, FollowConfiguration());
+  Spawn(mContext, FollowMembers());
+  Spawn(mContext, FollowRelays());
 }
 
 void store_sync::SetRelays(std::vector<relay_address> aRelays, bool aReadsStore)
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -125,6 +125,10 @@
   bool mIsFollowing = false;
 };
 
+/// Starts a coroutine. An exception that it does not handle leaves the event loop and ends the process: the process
+/// would otherwise go on without the coroutine's work, and nothing would show it.
+void Spawn(boost::asio::io_context& aContext, boost::asio::awaitable<void> aCoroutine);
+
 /// Suspends the calling coroutine for this time.
 boost::asio::awaitable<void> Pause(duration aTime);
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -171,7 +171,7 @@
                                                        duration aTimeout,
                                                        bool& aKeepAlive)
   {
-    http::response_parser<http::string_body> parser;
+    response_message_parser parser;
     parser.body_limit(kMaxReplyBytes);
     aConnection.mStream.expires_after(aTimeout);
     const auto [error, size] = co_await http::async_read(aConnection.mStream, aConnection.mBuffer, parser, kAwait);
@@ -191,7 +191,7 @@
                                                        const body_sink& aSink,
                                                        bool& aKeepAlive)
   {
-    http::response_parser<http::string_body> parser;
+    response_message_parser parser;
     parser.body_limit(boost::none);
     aConnection.mStream.expires_after(aTimeout);
     const auto [headError, headSize] =
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -16,6 +17,66 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/// Longest name or value of a header that a parser takes; the library's container throws for those of 64 KiB or more.
+inline constexpr std::size_t kMaxFieldBytes = 65'000;
+
+/// Body of a message from another process. It takes as much memory as has arrived: a peer may announce any length, so
+/// nothing is reserved for it.
+struct received_body
+{
+  using value_type = std::string;
+
+  class reader
+  {
+  public:
+    template<bool IsRequest, class Fields>
+    reader(http::header<IsRequest, Fields>&, value_type& aBody)
+      : mBody(aBody)
+    {
+    }
+
+    void init(const boost::optional<std::uint64_t>&, boost::system::error_code& aError) { aError = {}; }
+
+    template<class Buffers>
+    std::size_t put(const Buffers& aBuffers, boost::system::error_code& aError)
+    {
+      aError = {};
+      const std::size_t before = mBody.size();
+      for (const auto buffer : beast::buffers_range_ref(aBuffers)) {
+        mBody.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      return mBody.size() - before;
+    }
+
+    void finish(boost::system::error_code& aError) { aError = {}; }
+
+  private:
+    value_type& mBody;
+  };
+};
+
+/// Parser of messages from other processes. Whatever they contain, it reports an error and does not throw.
+template<bool IsRequest>
+class message_parser : public http::parser<IsRequest, received_body>
+{
+private:
+  /// Also called for the fields of a trailer, which header_limit() does not cover.
+  void on_field_impl(http::field aField,
+                     beast::string_view aName,
+                     beast::string_view aValue,
+                     boost::system::error_code& aError) override
+  {
+    if (aName.size() > kMaxFieldBytes || aValue.size() > kMaxFieldBytes) {
+      aError = http::error::header_limit;
+      return;
+    }
+    this->get().insert(aField, aName, aValue);
+  }
+};
+
+using request_message_parser = message_parser<true>;
+using response_message_parser = message_parser<false>;
+
 /// Completion token for co_await that returns errors as values.
 inline constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -197,7 +197,7 @@
 {
   mHasBegun = false;
   mResponded = false;
-  http::request_parser<http::string_body> parser;
+  request_message_parser parser;
   parser.body_limit(mServer->Limits().mMaxBodyBytes);
   parser.header_limit(static_cast<std::uint32_t>(mServer->Limits().mMaxHeaderBytes));
   mStream.expires_after(mServer->Limits().mIdleTimeout);
--- a/tests/contract/gateway_backend_call_test.cpp
+++ b/tests/contract/gateway_backend_call_test.cpp
@@ -264,6 +264,30 @@
   }
 }
 
+// A server that announces an impossible length must not end the process: memory was reserved for what was announced.
+TEST_CASE_METHOD(backend_call_fixture, "backend_call_with_an_announced_length_beyond_all_memory_fails_alone")
+{
+  endless_server server(mContext, "HTTP/1.1 200 OK\r\nContent-Length: 800800800800800\r\n\r\nshort", "");
+  server.CloseAfterFirst(false);
+  Call(server);
+  CHECK(mHandler.mEnd == call_end::Abort);
+  CHECK(mHandler.mBytes == 5);
+  CHECK(mHandler.mReason == "End of file, 800800800800795 bytes missing");
+}
+
+// A trailer field that the library's container can't hold must not end the process.
+TEST_CASE_METHOD(backend_call_fixture, "backend_call_with_a_trailer_field_of_over_64_KiB_fails_alone")
+{
+  for (const std::string& field : { "X-Filler: " + std::string(70'000, 'x'), std::string(70'000, 'x') + ": value" }) {
+    mContext.restart();
+    recording_handler handler([this] { mContext.stop(); });
+    const endless_server server(mContext, kChunked + "0\r\n" + field + "\r\n\r\n", "");
+    const auto call = Start(server, handler);
+    mContext.run_for(kLimit);
+    CHECK(handler.mEnd == call_end::Abort);
+  }
+}
+
 TEST_CASE("backend_call_with_a_response_that_has_no_body_completes_without_the_end_of_the_connection")
 {
   struct bodiless
--- a/tests/contract/gateway_caller_session_test.cpp
+++ b/tests/contract/gateway_caller_session_test.cpp
@@ -127,6 +127,9 @@
     { "no request", "no request\r\n\r\n", "400" },
     { "long body", Request("/", "Content-Length: 2000\r\n", std::string(2000, 'x')), "413" },
     { "long head", Request("/", "X-Filler: " + std::string(2000, 'x') + "\r\n", ""), "431" },
+    { "long trailer field",
+      Request("/", "Transfer-Encoding: chunked\r\n", "0\r\nX-Filler: " + std::string(70'000, 'x') + "\r\n\r\n"),
+      "431" },
     { "incomplete head", "POST / HTTP/1.1\r\nHost: ", "408" },
     { "incomplete body", Request("/", "Content-Length: 3\r\n", "tw"), "408" },
   };
--- a/tests/contract/net_http_client_test.cpp
+++ b/tests/contract/net_http_client_test.cpp
@@ -99,6 +99,29 @@
   }
 }
 
+// What a response announces or puts into its trailer must fail its call and not end the process.
+TEST_CASE("http_client_with_a_length_beyond_all_memory_or_a_huge_trailer_field_fails_that_call_alone")
+{
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  for (const bool isStreamed : { false, true }) {
+    for (const std::string& response :
+         { std::string("HTTP/1.1 200 OK\r\nContent-Length: 800800800800800\r\nConnection: close\r\n\r\nshort"),
+           chunked + "X-Filler: " + std::string(70'000, 'x') + "\r\n\r\n" }) {
+      INFO(response.substr(0, 70) << (isStreamed ? " streamed" : ""));
+      http_client_fixture fixture;
+      scripted_server server(fixture.mContext, [&](std::size_t aConnection, std::size_t) {
+        return aConnection == 0 ? response : Response("200 OK", "sound");
+      });
+      server.CloseAfterFirstResponse();
+      const auto first = fixture.Call(server, isStreamed);
+      REQUIRE(first);
+      CHECK_FALSE(first->has_value());
+      const auto second = fixture.Call(server, isStreamed);
+      CHECK((second && second->has_value()));
+    }
+  }
+}
+
 TEST_CASE("http_client_with_sound_responses_reuses_its_connection")
 {
   for (const bool isStreamed : { false, true }) {
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -32,6 +32,8 @@
 
   /// Sets a script for the moment when the head of a request has been read, but not its body.
   void OnHead(script aOnHead) { mOnHead = std::move(aOnHead); }
+  /// Closes the first connection after its first response.
+  void CloseAfterFirstResponse() { mClosesFirst = true; }
   net::endpoint Address() const { return { "127.0.0.1", mAcceptor.local_endpoint().port() }; }
   std::size_t Connections() const { return mConnections.size(); }
   /// Writes bytes without a request. They are in the other side's socket buffer when this returns.
@@ -93,6 +95,10 @@
       each.mSocket, each.mBuffer, *each.mParser, [this, aConnection, &each](const error_code& aError, std::size_t) {
         if (!aError) {
           WriteIfOpen(each, mOnRequest(aConnection, each.mRequests++));
+          error_code ignored;
+          if (mClosesFirst && aConnection == 0) {
+            each.mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+          }
           ReadHead(aConnection);
         }
       });
@@ -107,6 +113,7 @@
   tcp::acceptor mAcceptor;
   script mOnRequest;
   script mOnHead;
+  bool mClosesFirst = false;
   std::vector<std::unique_ptr<connection>> mConnections;
 };
 
