--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -240,11 +240,7 @@
     log_line(log_event::ResponseInvalid).Text("call", aCall).Text("begun", mIsChunked ? "yes" : "no");
     mKeepAlive = false;
     // The handler still has a call to a backend server, which it ends.
-    asio::post(mListener->Context(), [handler = mHandler] {
-      if (handler) {
-        handler->OnCallerGone();
-      }
-    });
+    NotifyCallerGone();
     Abort();
     return false;
   }
@@ -330,6 +326,10 @@
           return;
         }
         self->Flush();
+        if (!self->mIsWriting && self->mHandler) {
+          const ref<request_handler> handler = self->mHandler;
+          handler->OnWritten();
+        }
       });
       return;
     }
@@ -351,11 +351,6 @@
       return;
     }
     WaitForRequest();
-    return;
-  }
-  if (mHandler) {
-    const ref<request_handler> handler = mHandler;
-    handler->OnWritten();
   }
 }
 
@@ -392,11 +387,15 @@
 
 void session_impl::HandleDisconnect()
 {
-  const ref<session_impl> self(this);
-  const ref<request_handler> handler = std::exchange(mHandler, nullptr);
+  NotifyCallerGone();
   Close();
-  if (handler) {
-    handler->OnCallerGone();
+}
+
+/// Notifies the handler from the event loop: it may be in the middle of the call that found the caller gone.
+void session_impl::NotifyCallerGone()
+{
+  if (const ref<request_handler> handler = std::exchange(mHandler, nullptr)) {
+    asio::post(mListener->Context(), [handler] { handler->OnCallerGone(); });
   }
 }
 
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -19,13 +19,14 @@
 class caller_session;
 
 /// Produces the response to a request. The session keeps it alive until the response is complete or the caller has
-/// disconnected.
+/// disconnected. Both functions are called from the event loop and never from within a call of the session, so that a
+/// handler which ends its request there does not end it below itself.
 class request_handler : public ref_counted
 {
 public:
   /// The caller has closed its connection, so the response is no longer needed.
   virtual void OnCallerGone() = 0;
-  /// All output written so far has been passed to the caller's connection.
+  /// Output that had to wait has all been passed to the caller's connection.
   virtual void OnWritten() = 0;
 };
 
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -58,6 +58,7 @@
   void OnFlushed();
   void WatchCaller();
   void HandleDisconnect();
+  void NotifyCallerGone();
   void Linger();
   void LimitLinger();
   void Discard();
--- a/tests/contract/gateway_caller_session_response_test.cpp
+++ b/tests/contract/gateway_caller_session_response_test.cpp
@@ -218,3 +218,36 @@
   CHECK(fixture.mReceived.starts_with("HTTP/1.1 200 OK\r\n"));
   CHECK(fixture.mReceived.find("\r\n\r\n") == fixture.mReceived.size() - 4);
 }
+
+// A handler that was told from within its own write that the caller is gone went on with a request that had ended.
+TEST_CASE("caller_session_whose_caller_has_reset_notifies_its_handler_after_the_write_that_finds_out")
+{
+  class recording_handler : public request_handler
+  {
+  public:
+    void OnCallerGone() override { ++mGone; }
+    void OnWritten() override {}
+    int mGone = 0;
+  };
+  for (const session_use& write : std::vector<session_use>{
+         [](caller_session& aSession) { aSession.Begin(Reply(""), "begun"); },
+         [](caller_session& aSession) {
+           aSession.Begin(Reply(""), "");
+           aSession.Write("more");
+         },
+       }) {
+    caller_session_fixture fixture;
+    const auto handler = MakeRef<recording_handler>();
+    bool isHandled = false;
+    fixture.mUses.push_back([&](caller_session& aSession) {
+      aSession.SetHandler(handler);
+      fixture.mSocket.set_option(boost::asio::socket_base::linger(true, 0));
+      fixture.mSocket.close();
+      write(aSession);
+      CHECK(handler->mGone == 0);
+      isHandled = true;
+    });
+    fixture.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(fixture.WaitUntil([&] { return isHandled && handler->mGone == 1; }));
+  }
+}
