--- a/src/gateway/backend_call.h
+++ b/src/gateway/backend_call.h
@@ -29,6 +29,13 @@
   Abort     ///< the connection broke or the bytes were no valid response; the request may have run
 };
 
+/// Whether the response is whole, so that it may be passed on or believed. What has arrived of another one may be the
+/// beginning of anything.
+inline bool IsWhole(call_end aEnd)
+{
+  return aEnd == call_end::Complete || aEnd == call_end::Closed;
+}
+
 /// Receives the response of a call in pieces. No function is called after OnEnd() or Cancel().
 class call_handler
 {
--- a/src/gateway/engine_probes.cpp
+++ b/src/gateway/engine_probes.cpp
@@ -56,7 +56,7 @@
   }
   void OnEnd(call_end aEnd, const std::string&) override
   {
-    if (aEnd == call_end::Complete || aEnd == call_end::Closed) {
+    if (IsWhole(aEnd)) {
       Done(std::move(mReply));
     } else {
       Done(std::nullopt);
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -108,6 +108,7 @@
   mEnvironment.mFleet->Started(*mServer);
   mHasHead = false;
   mStatus = 0;
+  mIsWhole = false;
   mBody.clear();
   wire::dispatch dispatch;
   dispatch.mExpected = *mServer;
@@ -179,6 +180,7 @@
   const ref<service_request> self(this);
   const instant now = Now();
   mCall.reset();
+  mIsWhole = IsWhole(aEnd);
   if (aEnd == call_end::Unsent) {
     mEnvironment.mFleet->MarkUnreachable(*mServer, Id(), aReason, now);
     EndAttempt(true);
@@ -252,7 +254,7 @@
     .Text("backend", mServer->Str())
     .Text("reason", aReason)
     .Count("runs", mRuns);
-  const bool hasResponse = mCall == nullptr && mHasHead && mStatus >= 500 && !wire::PromisesNotRun(mStatus);
+  const bool hasResponse = mIsWhole && mStatus >= 500 && !wire::PromisesNotRun(mStatus);
   EndAttempt(true);
   if (MayRetry(aNow)) {
     mEnvironment.mMetrics->Repaired(repair_kind::Retried);
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -58,6 +58,7 @@
   unsigned mSends = 0;
   instant mSentAt;
   unsigned mStatus = 0;
+  bool mIsWhole = false; ///< the response has arrived completely
   bool mHasHead = false;
   bool mIsResponseCertain = false; ///< the response surely belongs to this request
   net::http_headers mHeaders;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -109,6 +109,7 @@
   mHasSearchedPath = false;
   mIsEventStream = false;
   mStatus = 0;
+  mIsWhole = false;
   mFailureBody.clear();
   mCursor.SourceChanged();
   mSentAt = aNow;
@@ -270,6 +271,7 @@
   const ref<stream_request> self(this);
   const instant now = Now();
   mCall.reset();
+  mIsWhole = IsWhole(aEnd);
   if (aEnd == call_end::Unsent) {
     mEnvironment.mFleet->MarkUnreachable(mPath->mStages.front().mEngine, Id(), aReason, now);
     ForgetLastRun();
@@ -360,7 +362,7 @@
   Exclude(first, aNow);
   EndAttempt();
   if (!MayRunAgain() || (!mHasBegun && LiveRuns() >= mRequest.mRoute->mMaxAttempts)) {
-    if (!mHasBegun && mStatus >= 400 && !wire::PromisesNotRun(mStatus)) {
+    if (!mHasBegun && mIsWhole && mStatus >= 400 && !wire::PromisesNotRun(mStatus)) {
       ForwardFailure(aNow);
       return;
     }
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -146,6 +146,7 @@
   bool mHasProduced = false;     ///< a run has produced enough output to show that it crashes no engine
   bool mIsEventStream = false;   ///< the current response is a valid stream of events
   unsigned mStatus = 0;
+  bool mIsWhole = false; ///< the response has arrived completely
   net::http_headers mHeaders;
   wire::response_metadata mResponseMetadata;
   std::string mFailureBody;
