--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -37,7 +37,10 @@
   // Capturing this is safe: both objects live as long as the process.
   mHints->OnCrash([this](const policy::interrupted_run& aRun) { HandleCrash(aRun, Now()); },
                   [this](const policy::trait_block& aBlock) { HandleBlockHint(aBlock, Now()); },
-                  [this](const std::vector<run_trait>& aTraits, instant aAt) { mRecord.Cleared(aTraits, aAt); });
+                  [this](const std::vector<run_trait>& aTraits, instant aAt) {
+                    mRecord.Cleared(aTraits, aAt);
+                    ClearFindings(aTraits, aAt);
+                  });
   mHints->OnBlocksAsked([this](instant aNow) {
     auto blocks = mRecord.Blocks(aNow);
     blocks.resize(std::min(blocks.size(), kMaxBlocksTold));
@@ -116,6 +119,7 @@
       .Text("found_by_request", aRequest.mMetadata.mId.Str());
   }
   mHints->NotifyCleared(cleared, duration::zero());
+  ClearFindings(cleared, now);
 }
 
 std::size_t crash_watch::Confirm(instant aNow)
@@ -129,7 +133,12 @@
       .Count("traits", run.mTraits.size())
       .Number("interrupted_ms_ago", Milliseconds(aNow - run.mAt));
     mHints->NotifyCrash(run, aNow);
-    HandleCrash(run, aNow);
+    const std::uint64_t former = mJournal.Version();
+    mJournal.Found(run);
+    if (const auto block = HandleCrash(run, aNow)) {
+      mJournal.Blocked(*block, aNow);
+    }
+    NotifyFindings(former, mRecord.IsSuspect(run.mTraits, aNow));
   }
   return found.size();
 }
@@ -137,16 +146,64 @@
 void crash_watch::TimePassed(instant aNow)
 {
   mRecord.TimePassed(aNow);
+  const std::uint64_t former = mJournal.Version();
+  mJournal.TimePassed(aNow);
+  NotifyFindings(former, false);
   for (auto* times : { &mBlockHintAt, &mContradictedAt }) {
     std::erase_if(*times, [&](const auto& aEntry) { return aNow - aEntry.second > kBlockHintInterval * 2; });
   }
 }
 
-void crash_watch::HandleCrash(const policy::interrupted_run& aRun, instant aNow)
+std::optional<policy::trait_block> crash_watch::HandleCrash(const policy::interrupted_run& aRun, instant aNow)
 {
-  if (const auto block = mRecord.Crashed(aRun, aNow)) {
+  auto block = mRecord.Crashed(aRun, aNow);
+  if (block) {
     HandleBlock(*block, aNow);
   }
+  return block;
+}
+
+void crash_watch::ClearFindings(const std::vector<run_trait>& aTraits, instant aAt)
+{
+  const std::uint64_t former = mJournal.Version();
+  mJournal.Cleared(aTraits, aAt);
+  NotifyFindings(former, false);
+}
+
+void crash_watch::NotifyFindings(std::uint64_t aFormerVersion, bool aIsUrgent) const
+{
+  if (mOnFindings && mJournal.Version() != aFormerVersion) {
+    mOnFindings(aIsUrgent);
+  }
+}
+
+/// Replays findings in the order in which they count: output first, as it contradicts earlier crashes, then blocks, as
+/// they explain crashes, then the crashes by their time. All gateways read the store, so none is notified.
+void crash_watch::Restore(policy::crash_findings aFindings, instant aNow)
+{
+  for (const policy::cleared_trait& cleared : aFindings.mCleared) {
+    mRecord.Cleared({ cleared.mTrait }, cleared.mAt);
+  }
+  const auto logBlock = [](const policy::trait_block& aBlock) {
+    log_line(log_event::CrashTraitBlocked)
+      .Count("trait", aBlock.mTrait.Value())
+      .Count("crashes", aBlock.mCrashes)
+      .Text("found_by", "store")
+      .Number("for_ms", Milliseconds(aBlock.mTimeLeft));
+  };
+  for (const policy::trait_block& block : aFindings.mBlocks) {
+    if (mRecord.Blocked(block, aNow) == policy::block_verdict::Adopted) {
+      logBlock(block);
+    }
+  }
+  std::stable_sort(aFindings.mCrashes.begin(), aFindings.mCrashes.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mAt < aRight.mAt;
+  });
+  for (const policy::interrupted_run& crash : aFindings.mCrashes) {
+    if (const auto block = mRecord.Crashed(crash, aNow)) {
+      logBlock(*block);
+    }
+  }
 }
 
 void crash_watch::HandleBlock(const policy::trait_block& aBlock, instant aNow)
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -4,7 +4,7 @@
 #include "gateway/fleet.h"
 #include "gateway/peer_hints.h"
 #include "gateway/request_context.h"
-#include "policy/crash_record.h"
+#include "policy/crash_journal.h"
 
 /// Detects what makes requests crash backend servers, and blocks requests with it before they crash more of them,
 /// together with the other gateways.
@@ -35,10 +35,19 @@
   std::size_t Confirm(instant aNow);
   /// Ends blocks and forgets old crashes.
   void TimePassed(instant aNow);
+  /// Applies findings of all gateways that were read from the store.
+  void Restore(policy::crash_findings aFindings, instant aNow);
+  /// What this gateway keeps in the store.
+  policy::crash_journal& Journal() { return mJournal; }
+  /// Sets the callback for changes of the journal.
+  /// @param aIsUrgent whether one more crash would block a request or part.
+  void OnFindings(std::function<void(bool aIsUrgent)> aCallback) { mOnFindings = std::move(aCallback); }
   std::size_t BlockCount(instant aNow) const { return mRecord.Blocks(aNow).size(); }
 
 private:
-  void HandleCrash(const policy::interrupted_run& aRun, instant aNow);
+  std::optional<policy::trait_block> HandleCrash(const policy::interrupted_run& aRun, instant aNow);
+  void ClearFindings(const std::vector<run_trait>& aTraits, instant aAt);
+  void NotifyFindings(std::uint64_t aFormerVersion, bool aIsUrgent) const;
   void HandleBlockHint(const policy::trait_block& aBlock, instant aNow);
   void HandleBlock(const policy::trait_block& aBlock, instant aNow);
   void RemindOfBlock(const policy::trait_block& aBlock, instant aNow);
@@ -47,6 +56,8 @@
   ref<engine_probes> mProbes;
   ref<peer_hints> mHints;
   policy::crash_record mRecord;
+  policy::crash_journal mJournal;
+  std::function<void(bool)> mOnFindings;
   std::map<run_trait, instant> mBlockHintAt; ///< last hint about a blocked trait, of this or another gateway
   std::map<run_trait, instant> mContradictedAt;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "gateway/capacity_queue.h"
+#include "gateway/crash_store.h"
 #include "gateway/crash_watch.h"
 #include "gateway/gateway_registry.h"
 #include "gateway/placement_leader.h"
@@ -139,6 +140,7 @@
   ref<engine_probes> mProbes;
   ref<peer_hints> mHints;
   ref<crash_watch> mCrashes;
+  ref<crash_store> mCrashStore;
   ref<store_sync> mSync;
   ref<store_relay> mRelay;
   ref<placement_leader> mPlacement;
@@ -201,6 +203,7 @@
   }
   auto calls = MakeRef<store_client>(mContext, store.value(), mMetrics);
   mSync = MakeRef<store_sync>(mContext, calls, mFleet, mMetrics, bounds);
+  mCrashStore = MakeRef<crash_store>(mContext, instance_id(mSettings.instance().id()), calls, mCrashes);
   mRelay = MakeRef<store_relay>(mContext, mSync->Cache(), [sync = mSync] { return sync->MayRelay(); });
   if (!mSettings.gateway().peers().empty() && !StartRelay()) {
     return false;
@@ -233,6 +236,7 @@
   Spawn(mContext, AcceptCallers());
   mPlacement->Start();
   mRegistry->Start();
+  mCrashStore->Start();
   Spawn(mContext, Tick());
   Spawn(mContext, Report());
   Spawn(mContext, FollowSignals());
@@ -376,13 +380,14 @@
   }
 }
 
-/// Accepts callers once the configuration and the other gateways have been read, which takes about ten milliseconds:
-/// after a restart of all gateways, hundreds of callers connect at once. When the store does not respond in time,
-/// callers are accepted anyway and their requests refused with a retry-after time.
+/// Accepts callers once the configuration, the other gateways and their findings about crashes have been read, which
+/// takes about ten milliseconds: after a restart of all gateways, hundreds of callers connect at once. When the store
+/// does not respond in time, callers are accepted anyway and their requests refused with a retry-after time.
 asio::awaitable<void> gateway_process::AcceptCallers()
 {
   const instant begun = Now();
-  while (!(mSync->IsComplete() && mRegistry->IsRead()) && Now() - begun < kMaxConfigurationWait) {
+  while (!(mSync->IsComplete() && mRegistry->IsRead() && mCrashStore->IsRead()) &&
+         Now() - begun < kMaxConfigurationWait) {
     co_await Pause(kConfigurationPollInterval);
   }
   log_line(log_event::CallersAccepted)
--- a/src/gateway/wire.h
+++ b/src/gateway/wire.h
@@ -7,6 +7,7 @@
 
 #include "gateway/configuration.h"
 #include "net/http.h"
+#include "policy/crash_journal.h"
 #include "policy/layer_plan.h"
 #include "policy/member_table.h"
 #include "policy/store_revision.h"
@@ -150,7 +151,8 @@
   Configuration, ///< written by operators
   Backends,      ///< written by backend servers
   LeaderLeases,  ///< written by gateways: the leases of leaders
-  Gateways       ///< written by gateways: the list of live gateways
+  Gateways,      ///< written by gateways: the list of live gateways
+  Crashes        ///< written by gateways: what each has found out about crashes of backend servers
 };
 
 /// A gateway's own entry in the store.
@@ -164,6 +166,15 @@
 std::string EncodeGateway(const gateway_record& aRecord);
 std::optional<gateway_record> DecodeGateway(std::string_view aSpec, std::string& aFault);
 
+/// What a gateway has found out about crashes, as its object in the store. Times are stored as ages and with the time
+/// of day of the write; a reader whose clock differs takes ages that are wrong by the difference.
+std::string EncodeFindings(const policy::crash_findings& aFindings, instant aNow, calendar_time aWrittenAt);
+/// The findings that are not forgotten by now.
+std::optional<policy::crash_findings> DecodeFindings(std::string_view aSpec,
+                                                     instant aNow,
+                                                     calendar_time aReadAt,
+                                                     std::string& aFault);
+
 /// @param aMayBeStale allows a cheaper read that may return an older state.
 net::http_request EncodeGet(object_kind aKind, const std::string& aName, bool aMayBeStale);
 /// Requests one page of a list.
--- a/tests/processes/gateway_crash_test.cpp
+++ b/tests/processes/gateway_crash_test.cpp
@@ -73,6 +73,43 @@
   }
 };
 
+/// Two gateways, and one request that crashes each engine which runs it.
+struct crashing_request_fixture : crashing_part_fixture
+{
+  std::size_t mRuns = 0; ///< of the crashing request
+
+  void SendCrashingRequest(std::size_t aGateway)
+  {
+    gateway_call call;
+    call.mMethod = "POST";
+    call.mTarget = "/draft/1";
+    call.mId = "crashing-" + std::to_string(++mSent);
+    call.mBody = "ends its server";
+    call.mOutputTokens = 20;
+    Send(call, aGateway);
+    mRuns += RunCount(call.mId);
+  }
+
+  /// Number of crashes that the gateways keep in the store.
+  std::size_t StoredCrashes() const
+  {
+    const auto list = JsonOf(Call(mFleet.Address("http"), "GET", "/chervilpulley/objects/crashes"));
+    std::size_t count = 0;
+    for (const auto& item : list.at("items").as_array()) {
+      count += item.at("spec").at("crashes").as_array().size();
+    }
+    return count;
+  }
+
+  void KillAllAndRestart()
+  {
+    mGateways[0]->Kill();
+    mGateways[1]->Kill();
+    RestartGateway(0);
+    RestartGateway(1);
+  }
+};
+
 /// One gateway, and enough engines that some hold each layer after several have crashed.
 struct gateway_fixture_of_many_engines : gateway_fixture
 {
@@ -145,3 +182,46 @@
   // The rule counts from the fifth crash on, which was before the restarts.
   CHECK(runs <= 3);
 }
+
+// What a fleet has found out about a crashing request was in the memory of its processes only.
+TEST_CASE_METHOD(crashing_request_fixture,
+                 "gateways_all_killed_after_each_crash_send_a_crashing_request_to_three_engines_at_most")
+{
+  for (std::size_t kill = 0; kill < 4; ++kill) {
+    AwaitEngines();
+    SendCrashingRequest(kill % 2);
+    REQUIRE(WaitUntil([&] { return StoredCrashes() >= mRuns; }));
+    KillAllAndRestart();
+  }
+  CHECK(mRuns == 3);
+}
+
+TEST_CASE_METHOD(
+  crashing_request_fixture,
+  "gateways_without_the_store_keep_crashes_until_it_is_back_and_write_them_again_after_it_came_from_a_copy")
+{
+  Control(mFleet, { { "store", { { "copy", true } } } });
+  Control(mFleet, { { "store", { { "down", true } } } });
+  SendCrashingRequest(0);
+  REQUIRE(mRuns > 0);
+  Control(mFleet, { { "store", { { "down", false } } } });
+  CHECK(WaitUntil([&] { return StoredCrashes() >= mRuns; }));
+  Control(mFleet, { { "store", { { "restore", true } } } });
+  CHECK(StoredCrashes() == 0);
+  CHECK(WaitUntil([&] { return StoredCrashes() >= mRuns; }));
+}
+
+TEST_CASE_METHOD(crashing_part_fixture, "gateways_whose_retries_show_that_a_request_is_harmless_keep_no_crash_of_it")
+{
+  gateway_call call;
+  call.mMethod = "POST";
+  call.mTarget = "/draft/1";
+  call.mId = "sound";
+  call.mBody = "sound";
+  call.mOutputTokens = 20;
+  SetServer("engine-0", "reborn");
+  AwaitEngines();
+  CHECK(Send(call).mStatus == 200);
+  const auto list = JsonOf(Call(mFleet.Address("http"), "GET", "/chervilpulley/objects/crashes"));
+  CHECK(list.at("items").as_array().empty());
+}
