All requests together hold a bounded amount of incomplete responses

Cause: each call had a limit, their sum had none. Bytes read ahead of the HTTP parser (trailers, chunk extensions) had no limit for callers, store and relays.

Fix: beyond 64 MB in all, the request that holds the most loses its attempt; a response that announces too much fails at its head; a parser's buffer holds at most 256 KB. The sum is taken from what is held, so it can't drift.

--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -69,7 +69,7 @@
   ref<listener_impl> mListener;
   boost::asio::ip::tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
-  boost::beast::flat_buffer mBuffer;
+  boost::beast::flat_buffer mBuffer{ net::kMaxReadAheadBytes };
   std::optional<net::request_message_parser> mParser;
   session_phase mPhase = session_phase::Idle;
   instant mPhaseSince;
--- a/src/gateway/request_context.cpp
+++ b/src/gateway/request_context.cpp
@@ -1,7 +1,50 @@
 #include "gateway/request_context.h"
 
+#include <algorithm>
+
+#include "gateway/service_request.h"
+#include "gateway/stream_request.h"
+
 namespace chervilpulley::gateway {
 
+namespace {
+
+/// The request of a list that holds the most, or null; adds what all of them hold to aTotal.
+template<class List>
+typename List::pointer LargestOf(List& aRequests, std::size_t& aTotal)
+{
+  typename List::pointer largest = nullptr;
+  for (auto& request : aRequests) {
+    aTotal += request.HeldBytes();
+    if (largest == nullptr || request.HeldBytes() > largest->HeldBytes()) {
+      largest = &request;
+    }
+  }
+  return largest;
+}
+
+} // namespace
+
+void LimitHeldBytes(request_environment& aEnvironment, std::size_t aOwnBytes, instant aNow)
+{
+  if (aOwnBytes < kFreeHeldBytes) {
+    return;
+  }
+  std::size_t total = 0;
+  const ref<service_request> service(LargestOf(aEnvironment.mServices, total));
+  const ref<stream_request> stream(LargestOf(aEnvironment.mStreams, total));
+  if (total <= kMaxHeldBytes) {
+    return;
+  }
+  const std::size_t ofService = service ? service->HeldBytes() : 0;
+  const std::size_t ofStream = stream ? stream->HeldBytes() : 0;
+  if (ofService >= ofStream) {
+    service->HandleOversized(aNow);
+  } else {
+    stream->HandleOversized(aNow);
+  }
+}
+
 net::http_request Outgoing(const admitted_request& aAdmitted, wire::dispatch aDispatch, instant aNow)
 {
   aDispatch.mTimeLeft = aAdmitted.mDeadline - aNow;
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -73,6 +73,15 @@
   instant mDeadline; ///< deadline of the caller or of the route, whichever is earlier
 };
 
+/// Limit on the bytes of incomplete responses that all requests hold together: a quarter of the memory that instances
+/// have on the users' platform. Many requests may be at a server that sends without end.
+inline constexpr std::size_t kMaxHeldBytes = 64U << 20U;
+/// A request that holds less than this is not checked against the limit.
+inline constexpr std::size_t kFreeHeldBytes = 64U << 10U;
+/// Ends the attempt of the request that holds the most, if all requests together hold more than kMaxHeldBytes.
+/// @param aOwnBytes held by the request that has just received some.
+void LimitHeldBytes(request_environment& aEnvironment, std::size_t aOwnBytes, instant aNow);
+
 /// Builds the request to a backend server: the caller's request with the headers of aDispatch, the workspace, the
 /// priority and the time left.
 net::http_request Outgoing(const admitted_request& aAdmitted, wire::dispatch aDispatch, instant aNow);
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -1,6 +1,7 @@
 #include "gateway/service_request.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "base/clock.h"
@@ -164,6 +165,13 @@
   mResponseMetadata = wire::DecodeResponseMetadata(mStatus, mHeaders);
   mIsResponseCertain = mCall->IsResponseCertain();
   mResponseMetadata.mDidNotRun = mResponseMetadata.mDidNotRun && mIsResponseCertain;
+  const std::string_view length = mHeaders.Get("Content-Length");
+  std::size_t announced = 0;
+  std::from_chars(length.data(), length.data() + length.size(), announced);
+  if (announced > kMaxResponseBytes && !mResponseMetadata.mDidNotRun) {
+    const ref<service_request> self(this);
+    HandleOversized(Now());
+  }
 }
 
 void service_request::OnBody(std::string_view aBytes)
@@ -171,8 +179,16 @@
   const ref<service_request> self(this);
   mBody.append(aBytes);
   if (mBody.size() > kMaxResponseBytes) {
-    HandleFailure("response too large", Now());
+    HandleOversized(Now());
+    return;
   }
+  LimitHeldBytes(mEnvironment, HeldBytes(), Now());
+}
+
+void service_request::HandleOversized(instant aNow)
+{
+  mBody = {};
+  HandleFailure("response too large", aNow);
 }
 
 void service_request::OnEnd(call_end aEnd, const std::string& aReason)
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -25,6 +25,11 @@
   /// Continues if the request waits for permits of limited servers, which may have arrived.
   void PermitsArrived(instant aNow);
 
+  /// Bytes of the incomplete response.
+  std::size_t HeldBytes() const { return mBody.size(); }
+  /// Ends the current attempt, whose response is too large.
+  void HandleOversized(instant aNow);
+
   void OnCallerGone() override;
   void OnWritten() override {}
   void OnHead(unsigned aStatus, net::http_headers aHeaders) override;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -187,8 +187,10 @@
   const ref<stream_request> self(this);
   if (!mIsEventStream) {
     mFailureBody.append(aBytes);
-    if (mFailureBody.size() > kMaxFailureBytes && mPhase == phase::Running) {
-      HandleOversizedFailure(Now());
+    if (mFailureBody.size() > kMaxFailureBytes) {
+      HandleOversized(Now());
+    } else {
+      LimitHeldBytes(mEnvironment, HeldBytes(), Now());
     }
     return;
   }
@@ -222,7 +224,8 @@
     HandleFailure("events arrived out of order", now);
     return;
   }
-  if (mRequest.mSession->Backlog() > kMaxBacklogBytes && mCall) {
+  LimitHeldBytes(mEnvironment, HeldBytes(), now);
+  if (mPhase == phase::Running && mRequest.mSession->Backlog() > kMaxBacklogBytes && mCall) {
     mIsPaused = true;
     mCall->SetPaused(true);
   }
@@ -333,17 +336,19 @@
   Retry("refused", aNow);
 }
 
-/// Handles a failure response whose body is too large. If its head says that the request did not run, that holds
-/// however long the body is.
-void stream_request::HandleOversizedFailure(instant aNow)
+void stream_request::HandleOversized(instant aNow)
 {
-  mFailureBody.clear();
+  if (mPhase != phase::Running) {
+    return;
+  }
+  mFailureBody = {};
+  mCursor.SourceChanged();
   if (mResponseMetadata.mDidNotRun) {
     HandleRefusal(aNow);
     return;
   }
-  mStatus = 0;
-  HandleFailure("failure response too large", aNow);
+  mStatus = mHasBegun ? mStatus : 0;
+  HandleFailure("response too large", aNow);
 }
 
 /// Handles a response that broke off, is invalid or reports a failure.
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -42,6 +42,12 @@
   /// path, otherwise replaces the engine.
   void OnStall(const backend_id& aEngine, instant aNow);
 
+  /// Bytes of an incomplete failure response or event.
+  std::size_t HeldBytes() const { return mFailureBody.size() + mCursor.PartialBytes(); }
+  /// Ends the current attempt, whose failure response or event is too large. If the head of a failure response says
+  /// that the request did not run, that holds however long the body is.
+  void HandleOversized(instant aNow);
+
   void OnCallerGone() override;
   void OnWritten() override;
   void OnHead(unsigned aStatus, net::http_headers aHeaders) override;
@@ -79,7 +85,6 @@
   void LeaveEngineQueue();
   void EndAttempt();
   void HandleRefusal(instant aNow);
-  void HandleOversizedFailure(instant aNow);
   void HandleFailure(const std::string& aReason, instant aNow);
   void Retry(const std::string& aReason, instant aNow);
   void GiveUp(const std::string& aReason, instant aNow, std::optional<duration> aRetryAfter = std::nullopt);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -41,7 +41,7 @@
   }
 
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxReadAheadBytes };
   bool mReused = false;
   bool mIsPooled = true; ///< used for further requests when its request has ended
 };
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -20,6 +20,10 @@
 /// Longest name or value of a header that a parser takes; the library's container throws for those of 64 KiB or more.
 inline constexpr std::size_t kMaxFieldBytes = 65'000;
 
+/// Largest amount that is read ahead of a parser: a head, a chunk's size line or a trailer that is not complete. Only
+/// heads are limited by the parser itself.
+inline constexpr std::size_t kMaxReadAheadBytes = 256U << 10U;
+
 /// Body of a message from another process. It takes as much memory as has arrived: a peer may announce any length, so
 /// nothing is reserved for it.
 struct received_body
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -76,7 +76,7 @@
 
   ref<server_impl> mServer;
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMaxReadAheadBytes };
   http_request mRequest;
   bool mRequestKeepAlive = false;
   bool mIsHead = false;
--- a/src/policy/event_cursor.h
+++ b/src/policy/event_cursor.h
@@ -38,6 +38,7 @@
   std::uint64_t Count() const { return mCount; }
   /// Whether the last bytes ended in the middle of an event.
   bool HasPartialEvent() const { return !mPartial.empty(); }
+  std::size_t PartialBytes() const { return mPartial.size(); }
   /// Number of events forwarded from the current source.
   std::uint64_t CountFromSource() const { return mCountFromSource; }
   /// Whether the caller has all events of the current source, and none beyond them. A source without events is taken to
--- a/tests/contract/gateway_caller_session_test.cpp
+++ b/tests/contract/gateway_caller_session_test.cpp
@@ -130,6 +130,12 @@
     { "long trailer field",
       Request("/", "Transfer-Encoding: chunked\r\n", "0\r\nX-Filler: " + std::string(70'000, 'x') + "\r\n\r\n"),
       "431" },
+    { "trailer without end",
+      Request("/", "Transfer-Encoding: chunked\r\n", "0\r\n") + std::string(300'000, 'x'),
+      "431" },
+    { "chunk extension without end",
+      Request("/", "Transfer-Encoding: chunked\r\n", "5;") + std::string(300'000, 'x'),
+      "431" },
     { "incomplete head", "POST / HTTP/1.1\r\nHost: ", "408" },
     { "incomplete body", Request("/", "Content-Length: 3\r\n", "tw"), "408" },
   };
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -44,6 +44,7 @@
 constexpr unsigned kRefusedShare = 4;
 constexpr unsigned kRepeatMoments = 3;
 constexpr duration kRepeatPause = std::chrono::milliseconds(3);
+constexpr std::size_t kFloodPieceBytes = 64U << 10U;
 constexpr duration kPollInterval = std::chrono::milliseconds(5);
 constexpr std::uint64_t kTokensPerEvent = 2;
 /// Events in a response that only looks like a stream; more than a test's streams have.
@@ -377,6 +378,10 @@
     co_await aExchange.Reply(std::move(reply));
     co_return;
   }
+  if (mState == "flooding") {
+    co_await Flood(aExchange, id);
+    co_return;
+  }
   if (mState.starts_with(kFailing)) {
     RecordEnd("broke_off", id, 0);
     const std::uint64_t status = ParseNumber(std::string_view(mState).substr(kFailing.size()));
@@ -407,6 +412,22 @@
   co_await aExchange.Reply(std::move(head));
 }
 
+/// Sends a response whose body never ends, until the gateway closes the connection.
+asio::awaitable<void> fleet_server::Flood(net::http_exchange& aExchange, const std::string& aId)
+{
+  net::http_reply head;
+  head.mHeaders.Set("X-Attempt-Id", aId);
+  head.mHeaders.Set("X-Response-Stamp", mName);
+  co_await aExchange.Begin(std::move(head));
+  while (true) {
+    const auto written = co_await aExchange.Write(std::string(kFloodPieceBytes, 'x'));
+    if (!written) {
+      break;
+    }
+  }
+  RecordEnd("left", aId, 0);
+}
+
 asio::awaitable<void> fleet_server::RunRepeating(net::http_exchange& aExchange)
 {
   const net::http_request request = aExchange.Request();
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -47,6 +47,7 @@
   /// - "unstamped": responds with such a body, status 200 and no stamp
   /// - "mistyped": responds with such a body, status 200 and the content type of a page
   /// - "encoded": responds with such a body, status 200 and a content encoding
+  /// - "flooding": sends a response without end
   /// - "cutting": closes the connection before or in the middle of a response
   /// - "announcing": works, and every response says that it leaves; the list does not
   /// - "limitedN": works, and every response names N as the requests a second that it takes from all gateways
@@ -90,6 +91,7 @@
   bool IsDark() const { return mState == "dark" || mState == "gone"; }
   boost::asio::awaitable<void> Handle(net::http_exchange& aExchange);
   boost::asio::awaitable<void> Run(net::http_exchange& aExchange);
+  boost::asio::awaitable<void> Flood(net::http_exchange& aExchange, const std::string& aId);
   boost::asio::awaitable<void> RunRepeating(net::http_exchange& aExchange);
   boost::asio::awaitable<void> RepeatRefusal(net::http_exchange& aExchange, net::http_reply aRefusal);
   boost::asio::awaitable<void> Stream(net::http_exchange& aExchange, std::string aId, net::http_reply aHead);
