--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -35,6 +35,8 @@
 constexpr std::size_t kMaxUnrelatedBytes = 1U << 20U;
 /// Limit on interim responses (1xx) before the final one; servers send at most one.
 constexpr unsigned kMaxInterimResponses = 8;
+/// The parser takes any three digits.
+constexpr unsigned kMinStatus = 100;
 constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
 /// Limit on bytes that the parser leaves unconsumed while it waits for the end of a head, of a chunk's size line or of
 /// the trailer; the parser itself limits only heads.
@@ -357,6 +359,10 @@
 {
   mIsHeadHandled = true;
   const auto& head = mParser->get();
+  if (head.result_int() < kMinStatus) {
+    End(call_end::Abort, "invalid response: status " + std::to_string(head.result_int()));
+    return false;
+  }
   if (head.result_int() < 200) {
     mIsUnrelated = false;
     if (++mInterimResponses > kMaxInterimResponses) {
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -110,6 +110,9 @@
   mHasHead = false;
   mStatus = 0;
   mIsWhole = false;
+  mHeaders = {};
+  mResponseMetadata = {};
+  mIsResponseCertain = false;
   mBody.clear();
   wire::dispatch dispatch;
   dispatch.mExpected = *mServer;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -110,6 +110,7 @@
   mIsEventStream = false;
   mStatus = 0;
   mIsWhole = false;
+  mResponseMetadata = {};
   mFailureBody.clear();
   mCursor.SourceChanged();
   mSentAt = aNow;
--- a/tests/contract/gateway_backend_call_test.cpp
+++ b/tests/contract/gateway_backend_call_test.cpp
@@ -275,6 +275,23 @@
   CHECK(mHandler.mReason == "End of file, 800800800800795 bytes missing");
 }
 
+// Bytes that are no response must not pass for an interim one: the request would count as rejected, or as answered with
+// these bytes before the real response.
+TEST_CASE("backend_call_with_a_status_below_100_fails_without_a_head")
+{
+  for (const std::string& bytes : { std::string("HTTP/1.1 000 \r\n\r\n"),
+                                    std::string("HTTP/1.1 020 x\r\nContent-Length: 4\r\n\r\nbody"
+                                                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") }) {
+    backend_call_fixture fixture;
+    endless_server server(fixture.mContext, bytes, "");
+    server.CloseAfterFirst(false);
+    fixture.Call(server);
+    CHECK(fixture.mHandler.mEnd == call_end::Abort);
+    CHECK(fixture.mHandler.mStatus == 0);
+    CHECK(fixture.mHandler.mBytes == 0);
+  }
+}
+
 // A trailer field that the library's container can't hold must not end the process.
 TEST_CASE_METHOD(backend_call_fixture, "backend_call_with_a_trailer_field_of_over_64_KiB_fails_alone")
 {
--- a/tests/contract/gateway_cut_failure_test.cpp
+++ b/tests/contract/gateway_cut_failure_test.cpp
@@ -51,6 +51,25 @@
   }
 }
 
+// What an earlier server said of the request must not be taken for the word of the next one.
+TEST_CASE("call_that_was_rejected_and_then_got_bytes_that_are_no_response_is_not_sent_again")
+{
+  for (const char* const bytes : { "HTTP/1.1 000 \r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Le", "no response" }) {
+    scripted_engines_fixture fixture;
+    fixture.mKind = request_kind::AtMostOnce;
+    fixture.mEngines.Answer(
+      Frame("HTTP/1.1 503 Busy\r\nX-Attempt-Id: mine\r\nX-Not-Executed: 1\r\n", "", framing::Length));
+    engine_response other;
+    other.mBytes = bytes;
+    other.mCloses = true;
+    fixture.mEngines.AnswerAllOthers(other);
+    fixture.Call();
+    INFO(bytes << "; received: " << fixture.mReceived);
+    CHECK(fixture.mEngines.Requests() == 2);
+    CHECK(fixture.mReceived.starts_with("HTTP/1.1 502 "));
+  }
+}
+
 TEST_CASE("failure_response_that_is_whole_is_passed_on_with_its_stamp")
 {
   for (const auto& [name, kind] : kKinds) {
