A request with a transfer coding that does not end with chunked gets 400

Seen: such a request without a length ran without its body, and the text of its body ran as a request of its own (UNASKED, from a client that is not sound).

Cause: the library takes a coding that it does not know for no body; RFC 9112, 6.3, asks for 400.

Fix: both servers ask the parser for it before a body is read, and close the connection after the response.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -136,6 +136,10 @@
 
 void session_impl::ReadBody()
 {
+  if (net::HasUnknownLength(*mParser)) {
+    RejectRequest(http::error::bad_transfer_encoding);
+    return;
+  }
   if (mParser->is_done()) {
     HandleRequest();
     return;
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -78,6 +78,13 @@
   }
 };
 
+/// Whether a request has a transfer coding that does not end with chunked (RFC 9112, 6.3). The library takes such a
+/// request for one without a body, and its body would be read as the next request.
+inline bool HasUnknownLength(const message_parser<true>& aParser)
+{
+  return !aParser.chunked() && aParser.get().count(http::field::transfer_encoding) > 0;
+}
+
 using request_message_parser = message_parser<true>;
 using response_message_parser = message_parser<false>;
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -212,8 +212,10 @@
   mIsReading = true;
   const auto [error, size] = co_await http::async_read(mStream, mBuffer, parser, kAwait);
   mIsReading = false;
-  if (error) {
-    co_await RefuseRequest(error);
+  const boost::system::error_code fault =
+    !error && HasUnknownLength(parser) ? http::make_error_code(http::error::bad_transfer_encoding) : error;
+  if (fault) {
+    co_await RefuseRequest(fault);
     co_return false;
   }
   auto message = parser.release();
--- a/tests/contract/gateway_caller_session_test.cpp
+++ b/tests/contract/gateway_caller_session_test.cpp
@@ -136,6 +136,9 @@
     { "chunk extension without end",
       Request("/", "Transfer-Encoding: chunked\r\n", "5;") + std::string(300'000, 'x'),
       "431" },
+    { "transfer coding that does not end with chunked",
+      Request("/", "Transfer-Encoding: gzip\r\n", Request("/", "", "")),
+      "400" },
     { "incomplete head", "POST / HTTP/1.1\r\nHost: ", "408" },
     { "incomplete body", Request("/", "Content-Length: 3\r\n", "tw"), "408" },
   };
