The limit on incomplete responses fits the smallest instances

Cause: 64 MB of held bytes took 200,112 and 205,824 KB of a gateway in the flood test, as strings take up to twice their size and more while they grow. The smallest machines of the users' deployments have 160 MB.

Change: 24 MB; the test asks for less than 160 MB.

--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -73,9 +73,9 @@
   instant mDeadline; ///< deadline of the caller or of the route, whichever is earlier
 };
 
-/// Limit on the bytes of incomplete responses that all requests hold together: a quarter of the memory that instances
-/// have on the users' platform. Many requests may be at a server that sends without end.
-inline constexpr std::size_t kMaxHeldBytes = 64U << 20U;
+/// Limit on the bytes of incomplete responses that all requests hold together, as many requests may be at a server that
+/// sends without end. The memory behind them can be some times as large, and the smallest instances have 160 MB.
+inline constexpr std::size_t kMaxHeldBytes = 24U << 20U;
 /// A request that holds less than this is not checked against the limit.
 inline constexpr std::size_t kFreeHeldBytes = 64U << 10U;
 /// Ends the attempt of the request that holds the most, if all requests together hold more than kMaxHeldBytes.
--- a/tests/processes/gateway_flood_test.cpp
+++ b/tests/processes/gateway_flood_test.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Memory that a gateway may have on the users' platform.
-constexpr std::size_t kMaxMemoryKb = 260U << 10U;
+/// Memory of the smallest instances on the users' platform.
+constexpr std::size_t kMaxMemoryKb = 160U << 10U;
 constexpr unsigned kCalls = 60;
 
 /// The most memory that a process has had, in KB.
@@ -63,7 +63,8 @@
   SetServer("service-0", "flooding");
   SetServer("service-1", "flooding");
   CHECK(LookAtOnce("flood-") == kCalls);
-  CHECK(PeakMemoryKb(*mGateways[0]) < kMaxMemoryKb);
+  const std::size_t peak = PeakMemoryKb(*mGateways[0]);
+  CHECK(peak < kMaxMemoryKb);
   CHECK_FALSE(mGateways[0]->Status());
   SetServer("service-1", "ok");
   CHECK(WaitUntil([&] { return Look("after-" + std::to_string(Records("run").size())).mStatus == 200; }));
