Held bytes of waiting requests are dropped; a gateway merges its stored crashes once

Found by reading the change: a request that waits for a permit may still hold the body of its last attempt, and ending "its attempt" would have used a server that it no longer has. The bytes are dropped, and an attempt is ended only if one is running; the same for streams. A conflict of a later write is with this process's own lost write, whose dropped entries must not come back, so only the first write merges what it finds.

--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t kMaxUnrelatedBytes = 1U << 20U;
 /// Limit on interim responses (1xx) before the final one; servers send at most one.
 constexpr unsigned kMaxInterimResponses = 8;
-/// The parser takes any three digits.
+/// Smallest status of a response; the parser accepts any three digits.
 constexpr unsigned kMinStatus = 100;
 constexpr std::uint32_t kMaxHeadBytes = 64U << 10U;
 /// Limit on bytes that the parser leaves unconsumed while it waits for the end of a head, of a chunk's size line or of
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -19,8 +19,8 @@
 class caller_session;
 
 /// Produces the response to a request. The session keeps it alive until the response is complete or the caller has
-/// disconnected. Both functions are called from the event loop and never from within a call of the session, so that a
-/// handler which ends its request there does not end it below itself.
+/// disconnected. Both functions are called from the event loop and never from within a call of the session, so a
+/// handler may end its request in them.
 class request_handler : public ref_counted
 {
 public:
--- a/src/gateway/crash_store.cpp
+++ b/src/gateway/crash_store.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -84,7 +85,7 @@
   }
 }
 
-/// Reads the objects of all gateways once. Not from a copy of the store: that may lack the last crashes.
+/// Reads the objects of all gateways once. A cheaper read that may be stale could lack the last crashes.
 boost::asio::awaitable<bool> crash_store::Read()
 {
   const instant begun = Now();
@@ -124,6 +125,7 @@
     }
     if (found && object.mName == mSelf.Str()) {
       mCrashes->Journal().Adopt(*found, Now());
+      FindingsChanged(false);
     }
   }
   log_line(log_event::CrashesRead)
@@ -160,6 +162,7 @@
   const std::string spec = wire::EncodeFindings(findings, Now(), CalendarNow());
   const auto request = mRevision ? wire::EncodeReplace(wire::object_kind::Crashes, mSelf.Str(), spec, *mRevision)
                                  : wire::EncodeCreate(wire::object_kind::Crashes, mSelf.Str(), spec);
+  const bool isFirst = !std::exchange(mHasSent, true);
   const auto response = co_await mStore->Call(request, kStoreTimeout);
   std::string fault;
   const auto object = wire::DecodeRecord(response.mBody, response.mEra, fault);
@@ -168,7 +171,7 @@
   } else if (response.mStatus == 404) {
     mRevision.reset();
   }
-  if (response.mStatus == 409 && object) {
+  if (response.mStatus == 409 && object && isFirst) {
     MergeOwn(*object);
   }
   log_line(log_event::CrashesWritten)
@@ -198,7 +201,7 @@
   co_return false;
 }
 
-/// Adopts what a write of the process before this one, or one whose response was lost, has left in the object.
+/// Adopts what a late write of the process before this one has left in the object.
 void crash_store::MergeOwn(const wire::record& aObject)
 {
   std::string fault;
--- a/src/gateway/crash_store.h
+++ b/src/gateway/crash_store.h
@@ -42,6 +42,7 @@
   boost::asio::steady_timer mTimer;
   std::optional<instant> mWriteAt;                 ///< when changes of the findings are written
   std::optional<policy::store_revision> mRevision; ///< of this gateway's object
+  bool mHasSent = false;                           ///< a write, which may have taken effect
   bool mIsRead = false;
 };
 
--- a/src/gateway/service_request.cpp
+++ b/src/gateway/service_request.cpp
@@ -191,7 +191,9 @@
 void service_request::HandleOversized(instant aNow)
 {
   mBody = {};
-  HandleFailure("response too large", aNow);
+  if (mCall) {
+    HandleFailure("response too large", aNow);
+  }
 }
 
 void service_request::OnEnd(call_end aEnd, const std::string& aReason)
--- a/src/gateway/service_request.h
+++ b/src/gateway/service_request.h
@@ -27,7 +27,7 @@
 
   /// Bytes of the incomplete response.
   std::size_t HeldBytes() const { return mBody.size(); }
-  /// Ends the current attempt, whose response is too large.
+  /// Drops the bytes of the response and ends the attempt, if one is running.
   void HandleOversized(instant aNow);
 
   void OnCallerGone() override;
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -339,16 +339,15 @@
 
 void stream_request::HandleOversized(instant aNow)
 {
+  mFailureBody = {};
+  mCursor.SourceChanged();
   if (mPhase != phase::Running) {
     return;
   }
-  mFailureBody = {};
-  mCursor.SourceChanged();
   if (mResponseMetadata.mDidNotRun) {
     HandleRefusal(aNow);
     return;
   }
-  mStatus = mHasBegun ? mStatus : 0;
   HandleFailure("response too large", aNow);
 }
 
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -44,8 +44,8 @@
 
   /// Bytes of an incomplete failure response or event.
   std::size_t HeldBytes() const { return mFailureBody.size() + mCursor.PartialBytes(); }
-  /// Ends the current attempt, whose failure response or event is too large. If the head of a failure response says
-  /// that the request did not run, that holds however long the body is.
+  /// Drops these bytes and ends the attempt, if one is running. If the head of a failure response says that the request
+  /// did not run, that holds however long the body is.
   void HandleOversized(instant aNow);
 
   void OnCallerGone() override;
--- a/src/policy/crash_journal.h
+++ b/src/policy/crash_journal.h
@@ -6,7 +6,7 @@
 /// holds the crashes and blocks that this gateway has found itself; those of the others are in their own objects.
 namespace chervilpulley::policy {
 
-/// Bounds on the object of one gateway: about 30 KB with 31 parts in each prompt.
+/// Bounds on the object of one gateway: about 70 KB if each prompt has 31 parts.
 inline constexpr std::size_t kMaxJournalCrashes = 32;
 inline constexpr std::size_t kMaxJournalBlocks = 16;
 
