--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -39,6 +39,8 @@
     {
     }
 
+    // The library calls these by the names of its BodyReader concept.
+    // NOLINTBEGIN(readability-identifier-naming)
     void init(const boost::optional<std::uint64_t>&, boost::system::error_code& aError) { aError = {}; }
 
     template<class Buffers>
@@ -53,6 +55,7 @@
     }
 
     void finish(boost::system::error_code& aError) { aError = {}; }
+    // NOLINTEND(readability-identifier-naming)
 
   private:
     value_type& mBody;
