Gateways announce their load to each other

The fleet holds the announcements; the hints socket sends and receives them; the registry sets the peers.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -18,6 +18,7 @@
   : mHome(std::move(aHome))
   , mMembers(aReturnTime)
   , mLimits(mHome)
+  , mAnnouncements(mHome)
   , mRetries(aRetryBounds)
 {
 }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -11,6 +11,7 @@
 #include "gateway/backend_call.h"
 #include "gateway/configuration.h"
 #include "gateway/retry_limits.h"
+#include "gateway/load_announcements.h"
 #include "gateway/server_limits.h"
 #include "gateway/wire.h"
 #include "net/endpoint.h"
@@ -260,6 +261,9 @@
   /// The limits that servers name, with the permits to send requests to them.
   server_limits& Limits() { return mLimits; }
   const server_limits& Limits() const { return mLimits; }
+  /// What the gateways tell each other about their load.
+  load_announcements& Announcements() { return mAnnouncements; }
+  const load_announcements& Announcements() const { return mAnnouncements; }
   /// Limits of the listed servers.
   std::vector<server_limit> LimitsInForce(instant aNow) const;
   /// Responds to another gateway's ask for permits.
@@ -318,6 +322,7 @@
   std::map<backend_id, departed_backend> mDeparted;
   instant mCopyUntil; ///< entries of departed servers may be of a copy of the store until then
   server_limits mLimits;
+  load_announcements mAnnouncements;
   policy::interconnect_load mInterconnect;
   retry_limits mRetries;
   std::size_t mGateways = 1;
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -188,6 +188,11 @@
       mHints->SetPeers(std::move(peersAfter));
       std::erase_if(permitPeers,
                     [&](const permit_peer& aPeer) { return !mPeerCounter.IsLive(aPeer.mInstance, Now()); });
+      std::vector<announcement_peer> announcementPeers;
+      for (const permit_peer& peer : permitPeers) {
+        announcementPeers.push_back({ peer.mDomain, peer.mAddress });
+      }
+      mFleet->Announcements().SetPeers(std::move(announcementPeers));
       mFleet->Limits().SetPeers(std::move(permitPeers));
       co_return true;
     }
--- a/src/gateway/peer_hints.cpp
+++ b/src/gateway/peer_hints.cpp
@@ -253,7 +253,7 @@
     HandleSlow(slow);
   } else if (textIn(kAskField) == kBlockedField) {
     AnswerAsker();
-  } else if (object == nullptr || !(HandlePermits(*object) || HandleCrash(*object))) {
+  } else if (object == nullptr || !(HandleAnnouncement(*object) || HandlePermits(*object) || HandleCrash(*object))) {
     log_line(log_event::HintUnreadable).Count("bytes", aDatagram.size());
   }
 }
@@ -288,6 +288,27 @@
   return false;
 }
 
+void peer_hints::SendAnnouncement(const std::vector<net::endpoint>& aTo, std::string_view aDatagram)
+{
+  for (const net::endpoint& peer : aTo) {
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(peer.mAddress, error);
+    if (!error) {
+      mSocket.send_to(asio::buffer(aDatagram), { address, peer.mPort }, 0, error);
+    }
+  }
+}
+
+bool peer_hints::HandleAnnouncement(const boost::json::object& aMessage)
+{
+  auto announcement = DecodeAnnouncement(aMessage);
+  if (!announcement) {
+    return false;
+  }
+  mFleet->Announcements().Received({ mFrom.address().to_string(), mFrom.port() }, std::move(*announcement), Now());
+  return true;
+}
+
 bool peer_hints::HandleCrash(const boost::json::object& aHint)
 {
   if (!mOnCrash) {
--- a/src/gateway/peer_hints.h
+++ b/src/gateway/peer_hints.h
@@ -14,9 +14,9 @@
 #include "policy/crash_record.h"
 
 /// Datagrams between gateways about engines that were found lost or slow, or that are about to move to other layers,
-/// and about what makes requests crash backend servers. They spread a failure faster than the platform's list. The
-/// receiver of a hint about a lost or slow engine probes the engine first, so that a gateway which is itself cut off
-/// from the network misleads nobody.
+/// and about what makes requests crash backend servers; and announcements of load (load_announcements.h). Hints spread
+/// a failure faster than the platform's list. The receiver of a hint about a lost or slow engine probes the engine
+/// first, so that a gateway which is itself cut off from the network misleads nobody.
 namespace chervilpulley::gateway {
 
 /// Largest number of gateways that a hint is sent to. With more gateways, those listed first after this one get it.
@@ -55,6 +55,9 @@
                std::function<void(const std::vector<run_trait>&, instant)> aCleared);
   /// Asks another gateway for permits of a limited server. Its response goes to the limits of the fleet.
   void AskPermits(const net::endpoint& aCoordinator, const permit_ask& aAsk);
+  /// Sends an encoded announcement of load to other gateways. It is not logged: there are several a second. The
+  /// announcements of others go to those of the fleet.
+  void SendAnnouncement(const std::vector<net::endpoint>& aTo, std::string_view aDatagram);
 
 private:
   void Receive();
@@ -63,6 +66,7 @@
   void HandleSlow(const backend_id& aEngine);
   bool HandleCrash(const boost::json::object& aHint);
   bool HandlePermits(const boost::json::object& aMessage);
+  bool HandleAnnouncement(const boost::json::object& aMessage);
   void AnswerAsker();
   void Broadcast(const boost::json::object& aHint);
   void Send(const boost::json::object& aHint, const std::vector<boost::asio::ip::udp::endpoint>& aTo);
