--- a/tests/unit/policy_workspace_fairness_test.cpp
+++ b/tests/unit/policy_workspace_fairness_test.cpp
@@ -106,7 +106,7 @@
           const int requests = aRequests[w] * (w + 1 == kWorkspaces ? aTimes.at(gateway) : 1);
           for (int i = 0; i < requests; ++i) {
             const double tokens = 100.0 * (1 + i % 3);
-            mMeters.at(gateway).Arrived(kRank, hash, tokens, now);
+            mMeters.at(gateway).Arrived(kRank, hash, tokens, now + 125ms);
             const double fraction = AdmittedFraction(demand, split, hash);
             const bool admitted = mCredits.at(gateway).Admit(kRank, hash, fraction, now);
             const bool counts = step >= 40;
