Overload control of streams, consistent across gateways, in pools with different priorities

Requests are ranked by priority and by whether they can be on time; all gateways allocate the engines' memory from the same announcements and admit, hold back or reject by rank and workspace while it is scarce.

--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -87,6 +87,8 @@
   RequestCondemned,
   StreamSent,
   NoPath,
+  CapacityScarce,
+  CapacitySufficient,
   EngineRefused,
   RetryShareHeld,
   RetryPermitted,
--- a/src/gateway/capacity_queue.cpp
+++ b/src/gateway/capacity_queue.cpp
@@ -11,6 +11,8 @@
 /// Number of waiting requests that may find no capacity before the rest is not tried: small requests fit where a large
 /// one does not, and each try costs a search for a path.
 constexpr std::size_t kMaxMisses = 3;
+/// The same under overload control, where most tries end at the quota without a search.
+constexpr std::size_t kMaxRankedMisses = 6;
 
 } // namespace
 
@@ -26,18 +28,29 @@
 
 std::size_t capacity_queue::Ahead(const stream_request& aRequest, instant aNow) const
 {
-  const policy::waiting_request request = aRequest.ToWaitingRequest();
+  const policy::waiting_request request = aRequest.ToWaitingRequest(aNow);
   return static_cast<std::size_t>(std::count_if(mWaiting.begin(), mWaiting.end(), [&](const auto& aWaiting) {
     return aWaiting.get() != &aRequest && aWaiting->IsWaiting() && aWaiting->Pool() == aRequest.Pool() &&
-           policy::IsServedBefore(aWaiting->ToWaitingRequest(), request, aNow);
+           policy::IsServedBefore(aWaiting->ToWaitingRequest(aNow), request, aNow);
   }));
 }
 
+std::map<pool_name, std::vector<stream_demand>> capacity_queue::RankedDemand(instant aNow) const
+{
+  std::map<pool_name, std::vector<stream_demand>> demand;
+  for (const ref<stream_request>& request : mWaiting) {
+    if (request->IsWaiting() && request->IsRanked()) {
+      demand[request->Pool()].push_back(request->Demand(aNow));
+    }
+  }
+  return demand;
+}
+
 void capacity_queue::Add(const ref<stream_request>& aRequest, instant aNow)
 {
   policy::queue_state state = QueueState(mWaiting.size());
   state.mPermitWait = aRequest->PermitWait(aNow);
-  if (policy::MayWait(aRequest->ToWaitingRequest(), state, aNow)) {
+  if (policy::MayWait(aRequest->ToWaitingRequest(aNow), state, aNow) && aRequest->StaysAdmitted(aNow)) {
     mWaiting.push_back(aRequest);
   } else {
     aRequest->RefuseForCapacity(aNow);
@@ -51,14 +64,14 @@
   }
   std::vector<ref<stream_request>> waiting = std::exchange(mWaiting, {});
   std::stable_sort(waiting.begin(), waiting.end(), [&](const auto& aLeft, const auto& aRight) {
-    return policy::IsServedBefore(aLeft->ToWaitingRequest(), aRight->ToWaitingRequest(), aNow);
+    return policy::IsServedBefore(aLeft->ToWaitingRequest(aNow), aRight->ToWaitingRequest(aNow), aNow);
   });
   std::size_t misses = 0;
   for (const ref<stream_request>& request : waiting) {
     if (!request->IsWaiting()) {
       continue;
     }
-    if (misses < kMaxMisses) {
+    if (misses < (request->IsRanked() ? kMaxRankedMisses : kMaxMisses)) {
       if (request->SendIfCapacity(aNow)) {
         continue;
       }
--- a/src/gateway/capacity_queue.h
+++ b/src/gateway/capacity_queue.h
@@ -26,6 +26,8 @@
   /// Records how long a served request ran, from its last send to its end.
   void Ran(duration aTime) { mRunTime.Ran(aTime); }
   std::size_t Size() const { return mWaiting.size(); }
+  /// The waiting requests under overload control, by pool.
+  std::map<pool_name, std::vector<stream_demand>> RankedDemand(instant aNow) const;
   /// Number of waiting requests for the same pool that are served before this one.
   std::size_t Ahead(const stream_request& aRequest, instant aNow) const;
   /// Predicted time until there is capacity for a request behind all that wait now.
--- a/src/gateway/configuration.cpp
+++ b/src/gateway/configuration.cpp
@@ -1,6 +1,7 @@
 #include "gateway/configuration.h"
 
 #include <algorithm>
+#include <set>
 
 namespace chervilpulley::gateway {
 
@@ -19,6 +20,43 @@
   for (const pool& each : mPools) {
     mPoolsByName.emplace(each.mName, &each);
   }
+  IndexPriorities();
+}
+
+void configuration::IndexPriorities()
+{
+  std::set<std::optional<std::uint32_t>> ofWorkspaces;
+  for (const workspace& each : mWorkspaces) {
+    ofWorkspaces.insert(each.mPriority);
+  }
+  std::unordered_map<pool_name, policy::priority_levels> levels;
+  for (const route& each : mRoutes) {
+    for (const pool_share& share : each.mPools) {
+      const pool* pool = FindPool(share.mPool);
+      if (each.mKind != request_kind::Stream || pool == nullptr || !pool->mEngine) {
+        continue;
+      }
+      policy::priority_levels& ofPool = levels[share.mPool];
+      const bool hasWorkspace = each.mNeedsKey && !mWorkspaces.empty();
+      for (const auto& priority :
+           hasWorkspace ? ofWorkspaces : std::set<std::optional<std::uint32_t>>{ std::nullopt }) {
+        ofPool.Add(policy::request_priority::Of(priority, each.mPriority));
+      }
+    }
+  }
+  mMixedPriorities.clear();
+  for (auto& [name, ofPool] : levels) {
+    ofPool.Sort();
+    if (ofPool.AreMixed()) {
+      mMixedPriorities.emplace(name, std::move(ofPool));
+    }
+  }
+}
+
+const policy::priority_levels* configuration::MixedPriorities(const pool_name& aPool) const
+{
+  const auto found = mMixedPriorities.find(aPool);
+  return found == mMixedPriorities.end() ? nullptr : &found->second;
 }
 
 const route* configuration::FindRoute(std::string_view aHost, std::string_view aPath) const
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -7,6 +7,7 @@
 
 #include "base/ref_counted.h"
 #include "policy/engine_model.h"
+#include "policy/priority_levels.h"
 
 /// The operators' configuration in the form that a gateway uses for each request: routes, pools of backend servers,
 /// workspaces and their keys. It is immutable, so that a request keeps the version that it began with.
@@ -86,12 +87,17 @@
   const route* FindRoute(std::string_view aHost, std::string_view aPath) const;
   const pool* FindPool(const pool_name& aName) const;
   const workspace* FindWorkspace(const std::string& aKey) const;
+  /// The priorities of the streams of a pool of model engines; nullptr when they don't differ.
+  const policy::priority_levels* MixedPriorities(const pool_name& aPool) const;
   /// Whether the streams of all routes that use a pool can be resumed.
   bool AllStreamsResumable(const pool_name& aPool) const;
 
 private:
+  void IndexPriorities();
+
   std::unordered_map<std::string, std::vector<const route*>> mByHost; ///< longest prefix first
   std::unordered_map<pool_name, const pool*> mPoolsByName;
+  std::unordered_map<pool_name, policy::priority_levels> mMixedPriorities; ///< of pools with more than one
 };
 
 /// Chooses the pool for a request of a route, at random by weight.
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -11,6 +11,9 @@
 
 /// Weight of the newest outcome in the moving average of a server's failures.
 constexpr double kOutcomeWeight = 0.15;
+/// Own streams in a failure domain whose engines are as good a guide to those of the other gateways as the memory of
+/// the engines.
+constexpr double kPriorStreams = 5;
 
 } // namespace
 
@@ -18,8 +21,8 @@
   : mHome(std::move(aHome))
   , mMembers(aReturnTime)
   , mLimits(mHome)
-  , mAnnouncements(mHome)
   , mRetries(aRetryBounds)
+  , mAnnouncements(mHome)
 {
 }
 
@@ -88,6 +91,7 @@
     engine.mHeld = aMember.mLayers;
     mEngines.push_back(std::move(engine));
   });
+  FillEngineShares(*aPool.mEngine);
 }
 
 std::optional<chosen_path> fleet::ChoosePath(const path_query& aQuery, instant aNow)
@@ -108,11 +112,16 @@
   request.mMaxQueueWait = policy::fractional_ms(aQuery.mMaxQueueWait);
   request.mFastEnginesOnly = aQuery.mFastEnginesOnly;
   std::vector<backend_id> overLimit;
+  const overload_control* overload = Overload(aQuery.mPool);
+  overload = overload != nullptr && overload->State().mIsScarce ? overload : nullptr;
   for (policy::path_engine& engine : mEngines) {
     const backend_state& state = State(engine.mId);
-    const double sharingGateways = engine.mDomain == mHome ? static_cast<double>(mGatewaysInDomain) : 1.0;
+    const double sharingGateways =
+      overload == nullptr && engine.mDomain == mHome ? static_cast<double>(mGatewaysInDomain) : 1.0;
     engine.mReservedTokenLayers = state.mReserved * sharingGateways;
     engine.mRunning = state.mRunning * sharingGateways;
+    // Without announcements the estimate is coarse, so any use of the engine counts.
+    engine.mBegun = (overload != nullptr ? state.mBegun : state.mRunning) * sharingGateways;
     engine.mQueueWait = policy::fractional_ms(state.mQueue.Wait(aNow));
     engine.mSlowdownFactor = state.mSlowdownFactor;
     engine.mUsable = MayGetWork(state, aNow) && state.mRefusingUntil <= aNow && !IsMoving(engine.mId, aNow) &&
@@ -122,6 +131,9 @@
       overLimit.push_back(engine.mId);
     }
   }
+  if (overload != nullptr) {
+    AddOthersLoad(*pool->mEngine, *overload);
+  }
   const auto path = policy::ChoosePath(*pool->mEngine, mEngines, request);
   // A path that begins in another failure domain is worse, so permits are wanted for the engines of this one.
   std::erase_if(overLimit, [&](const backend_id& aId) { return path && DomainOf(aId) != mHome; });
@@ -139,6 +151,107 @@
   return chosen;
 }
 
+overload_control* fleet::Overload(const pool_name& aPool)
+{
+  if (!mConfiguration || mConfiguration->MixedPriorities(aPool) == nullptr) {
+    return nullptr;
+  }
+  return &mOverload.try_emplace(aPool, mHome).first->second;
+}
+
+/// The capacity of a pool's engines for requests, and this gateway's use of them.
+pool_load fleet::LoadOf(const pool& aPool, instant aNow)
+{
+  FillEngines(aPool);
+  const std::uint32_t layers = aPool.mEngine->mLayers;
+  pool_load load;
+  load.mGateways = mGateways;
+  std::vector<double> tokens(layers, 0.0);
+  for (const policy::path_engine& engine : mEngines) {
+    const backend_state& state = State(engine.mId);
+    load.mInUse[engine.mDomain] += state.mReserved / std::max(1U, layers);
+    if (engine.mHeld.IsEmpty() || !MayGetWork(state, aNow) || IsMoving(engine.mId, aNow)) {
+      continue;
+    }
+    const double perLayer = policy::MemoryForRequests(*aPool.mEngine, engine.mKind, engine.mHeld) / engine.mHeld.Size();
+    for (std::uint32_t layer = engine.mHeld.mFrom; layer < std::min(engine.mHeld.mEnd, layers); ++layer) {
+      tokens[layer] += perLayer;
+    }
+  }
+  load.mCapacity = tokens.empty() ? 0 : *std::min_element(tokens.begin(), tokens.end());
+  return load;
+}
+
+void fleet::FillEngineShares(const policy::engine_model& aModel)
+{
+  const auto memoryPerLayer = [&](const policy::path_engine& aEngine) {
+    return policy::MemoryForRequests(aModel, aEngine.mKind, aEngine.mHeld) / std::max(1U, aEngine.mHeld.Size());
+  };
+  std::map<failure_domain_id, std::vector<double>> ofDomains; // memory by layer
+  for (const policy::path_engine& engine : mEngines) {
+    std::vector<double>& memory = ofDomains[engine.mDomain];
+    memory.resize(aModel.mLayers, 0.0);
+    for (std::uint32_t layer = engine.mHeld.mFrom; layer < std::min(engine.mHeld.mEnd, aModel.mLayers); ++layer) {
+      memory[layer] += memoryPerLayer(engine);
+    }
+  }
+  mEngineShares.assign(mEngines.size(), {});
+  for (std::size_t index = 0; index < mEngines.size(); ++index) {
+    const policy::path_engine& engine = mEngines[index];
+    const std::vector<double>& memory = ofDomains.at(engine.mDomain);
+    for (std::uint32_t layer = engine.mHeld.mFrom; layer < std::min(engine.mHeld.mEnd, aModel.mLayers); ++layer) {
+      const double share = memory[layer] > 0 ? memoryPerLayer(engine) / memory[layer] : 0;
+      mEngineShares[index].mTokenLayers += share;
+      mEngineShares[index].mBegun = layer == 0 ? share : mEngineShares[index].mBegun;
+    }
+  }
+}
+
+/// Adds to the load of each engine what the other gateways have in use there, estimated from what they have in its
+/// failure domain: like this gateway's own use of the engines, and, the less that is, like their memory.
+void fleet::AddOthersLoad(const policy::engine_model& aModel, const overload_control& aOverload)
+{
+  const double streamTokens = std::max(1.0, aModel.mTypicalInputTokens + aModel.mTypicalOutputTokens);
+  std::map<failure_domain_id, double> begun;
+  for (const policy::path_engine& engine : mEngines) {
+    begun[engine.mDomain] += engine.mBegun;
+  }
+  for (std::size_t index = 0; index < mEngines.size(); ++index) {
+    policy::path_engine& engine = mEngines[index];
+    const engine_share& share = mEngineShares[index];
+    const double others = aOverload.OthersInUse(engine.mDomain);
+    const double otherStreams = others / streamTokens;
+    const double ownWeight = aOverload.OwnInUse(engine.mDomain) + kPriorStreams * streamTokens;
+    const double priorTokens = kPriorStreams * streamTokens;
+    const double tokenLayers =
+      others * (engine.mReservedTokenLayers + priorTokens * share.mTokenLayers) / std::max(1.0, ownWeight);
+    engine.mBegun +=
+      otherStreams * (engine.mBegun + kPriorStreams * share.mBegun) / (begun[engine.mDomain] + kPriorStreams);
+    engine.mRunning += tokenLayers / (streamTokens * std::max(1U, engine.mHeld.Size()));
+    engine.mReservedTokenLayers += tokenLayers;
+  }
+}
+
+void fleet::UpdateOverload(const std::map<pool_name, std::vector<stream_demand>>& aWaiting, instant aNow)
+{
+  if (!mConfiguration) {
+    return;
+  }
+  for (const pool& each : mConfiguration->mPools) {
+    overload_control* overload = Overload(each.mName);
+    if (overload == nullptr) {
+      continue;
+    }
+    const auto waiting = aWaiting.find(each.mName);
+    pool_load load = LoadOf(each, aNow);
+    if (waiting != aWaiting.end()) {
+      load.mWaiting = waiting->second;
+    }
+    overload->Update(load, mAnnouncements, aNow);
+    mAnnouncements.Announce(*overload->Own(), aNow);
+  }
+}
+
 engine_availability fleet::Availability(const pool_name& aPool, instant aNow)
 {
   engine_availability availability;
@@ -240,6 +353,7 @@
     if (found != mStates.end()) {
       found->second.mReserved += aPath.mTokens * stage.mRange.Size();
       ++found->second.mRunning;
+      found->second.mBegun += &stage == &aPath.mStages.front() ? 1 : 0;
     }
   }
 }
@@ -251,6 +365,7 @@
     if (found != mStates.end()) {
       found->second.mReserved = std::max(0.0, found->second.mReserved - aPath.mTokens * stage.mRange.Size());
       found->second.mRunning -= found->second.mRunning > 0 ? 1 : 0;
+      found->second.mBegun -= &stage == &aPath.mStages.front() && found->second.mBegun > 0 ? 1 : 0;
     }
   }
 }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -11,6 +11,7 @@
 #include "gateway/backend_call.h"
 #include "gateway/configuration.h"
 #include "gateway/load_announcements.h"
+#include "gateway/overload_control.h"
 #include "gateway/retry_limits.h"
 #include "gateway/server_limits.h"
 #include "gateway/wire.h"
@@ -71,6 +72,7 @@
   net::endpoint mAddress;
   double mReserved = 0;        ///< tokens x layers reserved for requests of this gateway
   std::uint32_t mRunning = 0;  ///< requests of this gateway
+  std::uint32_t mBegun = 0;    ///< of these, those whose path begins here
   policy::engine_queue mQueue; ///< requests of this gateway whose path begins here
   instant mLostUntil;
   instant mRefusingUntil;
@@ -261,9 +263,6 @@
   /// The limits that servers name, with the permits to send requests to them.
   server_limits& Limits() { return mLimits; }
   const server_limits& Limits() const { return mLimits; }
-  /// What the gateways tell each other about their load.
-  load_announcements& Announcements() { return mAnnouncements; }
-  const load_announcements& Announcements() const { return mAnnouncements; }
   /// Limits of the listed servers.
   std::vector<server_limit> LimitsInForce(instant aNow) const;
   /// Responds to another gateway's ask for permits.
@@ -290,6 +289,13 @@
   std::optional<backend_id> AtAddress(const std::string& aAddress) const;
 
   retry_limits& Retries() { return mRetries; }
+  /// What this gateway has heard of the load of the others.
+  load_announcements& Announcements() { return mAnnouncements; }
+  /// Overload control of a pool, or nullptr when its requests don't differ in priority.
+  overload_control* Overload(const pool_name& aPool);
+  /// Computes the allocation of each pool anew, and announces this gateway's load; called periodically.
+  /// @param aWaiting the streams that wait for capacity, by pool.
+  void UpdateOverload(const std::map<pool_name, std::vector<stream_demand>>& aWaiting, instant aNow);
   /// Number of gateways that share each global limit.
   std::size_t Gateways() const { return mGateways; }
   /// Sets the number of live gateways, in all and in this failure domain.
@@ -310,6 +316,9 @@
   failure_domain_id DomainOf(const backend_id& aId) const;
   void MissPermits(const std::vector<backend_id>& aServers, bool aIsNew, instant aNow);
   void FillEngines(const pool& aPool);
+  void FillEngineShares(const policy::engine_model& aModel);
+  void AddOthersLoad(const policy::engine_model& aModel, const overload_control& aOverload);
+  pool_load LoadOf(const pool& aPool, instant aNow);
   void AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow);
 
   failure_domain_id mHome;
@@ -322,11 +331,20 @@
   std::map<backend_id, departed_backend> mDeparted;
   instant mCopyUntil; ///< entries of departed servers may be of a copy of the store until then
   server_limits mLimits;
-  load_announcements mAnnouncements;
   policy::interconnect_load mInterconnect;
   retry_limits mRetries;
+  load_announcements mAnnouncements;
+  std::map<pool_name, overload_control> mOverload;
   std::size_t mGateways = 1;
   std::size_t mGatewaysInDomain = 1;
+  /// Part of what is in use in an engine's failure domain that it has, if the engines that hold a layer share it in
+  /// proportion to their memory.
+  struct engine_share
+  {
+    double mTokenLayers = 0; ///< for each token in use
+    double mBegun = 0;       ///< of the paths that begin in the domain
+  };
+  std::vector<engine_share> mEngineShares;   ///< of mEngines
   std::vector<policy::path_engine> mEngines; ///< of the pool, list version and configuration below
   pool_name mEnginesOf;
   std::uint64_t mEnginesVersion = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -257,6 +257,10 @@
   mFleet->Limits().OnAsk([hints = mHints](const net::endpoint& aCoordinator, const permit_ask& aAsk) {
     hints->AskPermits(aCoordinator, aAsk);
   });
+  mFleet->Announcements().OnAnnounce(
+    [hints = mHints](const std::vector<net::endpoint>& aTo, const std::string& aDatagram) {
+      hints->SendAnnouncement(aTo, aDatagram);
+    });
   mFleet->OnSlowFound([hints = mHints](const backend_id& aEngine) { hints->NotifySlow(aEngine); });
   return true;
 }
@@ -347,6 +351,7 @@
     return;
   }
   admitted.mPriority = admitted.mRoute->mPriority;
+  std::optional<std::uint32_t> workspacePriority;
   if (admitted.mRoute->mNeedsKey && !admitted.mConfiguration->mWorkspaces.empty()) {
     if (!trustsKeys) {
       Refuse(aSession, admitted.mMetadata, 503, "configuration not confirmed");
@@ -358,7 +363,8 @@
       return;
     }
     admitted.mWorkspace = workspace->mName.Str();
-    admitted.mPriority = workspace->mPriority.value_or(admitted.mPriority);
+    workspacePriority = workspace->mPriority;
+    admitted.mPriority = workspacePriority.value_or(admitted.mPriority);
   }
   admitted.mPool = DrawPool(*admitted.mRoute, mEnvironment.mRandom());
   admitted.mArrived = Now();
@@ -373,6 +379,10 @@
     return;
   }
   const pool* pool = admitted.mConfiguration->FindPool(admitted.mPool);
+  if (const auto* levels = admitted.mConfiguration->MixedPriorities(admitted.mPool)) {
+    admitted.mPriority = static_cast<std::uint32_t>(
+      levels->LevelOf(policy::request_priority::Of(workspacePriority, admitted.mRoute->mPriority)));
+  }
   if (admitted.mRoute->mKind == request_kind::Stream && pool != nullptr && pool->mEngine) {
     MakeRef<stream_request>(mEnvironment, std::move(admitted))->Start();
   } else {
@@ -409,6 +419,7 @@
       kept->TimePassed(now);
     }
     mFleet->Limits().TimePassed(now);
+    mFleet->UpdateOverload(mCapacityQueue.RankedDemand(now), now);
     mCapacityQueue.TimePassed(now);
     mMetrics->CrashesFound(mCrashes->Confirm(now));
   }
--- a/src/gateway/load_announcements.cpp
+++ b/src/gateway/load_announcements.cpp
@@ -67,7 +67,7 @@
   return amounts;
 }
 
-boost::json::array EncodeDomain(const policy::domain_load& aLoad)
+boost::json::array EncodeDomain(const domain_load& aLoad)
 {
   boost::json::array amounts{ ToAmount(aLoad.mInUse) };
   for (std::size_t rank = 0; rank < policy::kRankCount; ++rank) {
@@ -99,10 +99,10 @@
                                const std::vector<foreign_amount>& aForeign,
                                std::size_t aCount)
 {
-  std::map<failure_domain_id, policy::domain_load> kept;
+  std::map<failure_domain_id, domain_load> kept;
   for (std::size_t index = 0; index < aCount; ++index) {
     const foreign_amount& amount = aForeign[index];
-    policy::domain_load& load = kept[*amount.mDomain];
+    domain_load& load = kept[*amount.mDomain];
     (amount.mRank ? load.mWanted[*amount.mRank] : load.mInUse) = static_cast<double>(amount.mAmount);
   }
   boost::json::object domains;
@@ -147,13 +147,13 @@
   return count && *count <= aMax ? count : std::nullopt;
 }
 
-std::optional<policy::domain_load> DecodeDomain(const boost::json::value& aValue)
+std::optional<domain_load> DecodeDomain(const boost::json::value& aValue)
 {
   const auto* amounts = aValue.if_array();
   if (amounts == nullptr || amounts->size() % 2 == 0 || amounts->size() > 1 + 2 * policy::kRankCount) {
     return std::nullopt;
   }
-  policy::domain_load load;
+  domain_load load;
   const auto inUse = CountUpTo(amounts->data(), kMaxAnnouncedAmount);
   if (!inUse) {
     return std::nullopt;
@@ -264,7 +264,7 @@
       return std::nullopt;
     }
   }
-  announcement.mDomains.try_emplace(announcement.mHome).first->second.mIsHome = true;
+  announcement.mDomains.try_emplace(announcement.mHome);
   if (announcement.mDomains.size() > kMaxAnnouncedDomains) {
     return std::nullopt;
   }
--- a/src/gateway/load_announcements.h
+++ b/src/gateway/load_announcements.h
@@ -38,13 +38,19 @@
 /// Bytes of the name of a failure domain in an announcement.
 inline constexpr std::size_t kMaxAnnouncedNameBytes = 64;
 
+/// What a gateway uses of the engines of one failure domain, and wants.
+struct domain_load
+{
+  double mInUse = 0;              ///< tokens of its streams in progress there
+  policy::rank_amounts mWanted{}; ///< tokens that it would start within policy::kAllocationHorizon
+};
+
 /// What a gateway announces.
 struct load_announcement
 {
   failure_domain_id mHome;
-  /// By failure domain: the gateway's own, and those that it uses or wants to use. mIsHome is not transferred; it
-  /// follows from mHome.
-  std::map<failure_domain_id, policy::domain_load> mDomains;
+  /// By failure domain: the gateway's own, under which all that it wants is, and those that it uses.
+  std::map<failure_domain_id, domain_load> mDomains;
   std::vector<policy::workspace_demand> mLargest; ///< at most kMaxAnnouncedWorkspaces
   std::size_t mWorkspaces = 0;                    ///< number of workspaces with demand
   /// Time of sending in units of 100 ms of the sender's steady clock, modulo 2^16; set by
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -67,7 +67,9 @@
   const route* mRoute = nullptr;
   pool_name mPool;
   std::string mWorkspace;
-  std::uint32_t mPriority = 0;    ///< priority of the workspace, or of the route if the workspace has none
+  /// Priority of the workspace, or of the route if the workspace has none. In a pool whose streams differ in priority
+  /// it is the level that both make together (policy/priority_levels.h).
+  std::uint32_t mPriority = 0;
   std::vector<run_trait> mTraits; ///< what it has in common with other requests; see crash_watch::TraitsOf()
   instant mArrived;
   instant mDeadline; ///< deadline of the caller or of the route, whichever is earlier
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -72,9 +72,54 @@
   mEnvironment.mStreams.push_back(*this);
   mRequest.mSession->SetHandler(ref<request_handler>(this));
   mEnvironment.mFleet->Retries().RequestArrived(mRequest.mPool, BootNow());
+  if (!IsAdmitted(mRequest.mArrived)) {
+    GiveUp("capacity is allocated to more urgent requests", mRequest.mArrived);
+    return;
+  }
   TryPath(mRequest.mArrived);
 }
 
+/// Whether overload control admits the request. A stream that its caller resumes has begun and is always admitted.
+bool stream_request::IsAdmitted(instant aNow)
+{
+  overload_control* overload = mEnvironment.mFleet->Overload(mRequest.mPool);
+  mIsRanked = overload != nullptr && !mRequest.mMetadata.mLastEvent;
+  if (!mIsRanked) {
+    return true;
+  }
+  if (mRequest.mMetadata.mCallerTimeout) {
+    mIsCallerRetry = overload->IsRetry(mRequest.mRoute->mName, *mRequest.mMetadata.mCallerTimeout, aNow);
+  }
+  const stream_demand demand = Demand(aNow);
+  mIsLate = !policy::IsOnTimeRank(demand.mRank);
+  overload->Arrived(demand, aNow);
+  return overload->Admits(demand, aNow);
+}
+
+/// Whether the first event may still be within the objective, which counts from the caller's first attempt.
+bool stream_request::CanBeOnTime(instant aNow) const
+{
+  return !mIsCallerRetry && policy::waiting_request{ mRequest.mArrived, mRequest.mRoute->mObjective }.CanBeOnTime(aNow);
+}
+
+stream_demand stream_request::Demand(instant aNow) const
+{
+  return { policy::RankOf(mRequest.mPriority, CanBeOnTime(aNow)),
+           policy::HashWorkspace(workspace_id(mRequest.mWorkspace)),
+           mRequest.mMetadata.mPromptTokens + TokensLeft() };
+}
+
+bool stream_request::StaysAdmitted(instant aNow)
+{
+  overload_control* overload = Overload();
+  if (overload == nullptr || mIsLate) {
+    return true;
+  }
+  const stream_demand demand = Demand(aNow);
+  mIsLate = !policy::IsOnTimeRank(demand.mRank);
+  return !mIsLate || overload->Admits(demand, aNow);
+}
+
 double stream_request::EstimatedOutputTokens() const
 {
   const pool* pool = mRequest.mConfiguration->FindPool(mRequest.mPool);
@@ -523,6 +568,9 @@
   if (served && mPath) {
     mEnvironment.mFleet->RecordOutcome(mPath->mStages.front().mEngine, false);
     mEnvironment.mCapacityQueue.Ran(now - mSentAt);
+    if (overload_control* overload = Overload()) {
+      overload->Ran(now - mSentAt);
+    }
     if (!mRequest.mMetadata.mLastEvent && mRequest.mMetadata.mMaxOutputTokens > 0) {
       mEnvironment.mStreamPaces[mRequest.mPool].Ended(mCursor.Count(), EstimatedOutputTokens());
     }
--- a/src/gateway/stream_request.h
+++ b/src/gateway/stream_request.h
@@ -28,8 +28,14 @@
   void TimePassed(instant aNow);
   bool IsWaiting() const { return mPhase == phase::Waiting; }
   bool IsRunning() const { return mPhase == phase::Running; }
-  policy::waiting_request ToWaitingRequest() const;
+  policy::waiting_request ToWaitingRequest(instant aNow) const;
   const pool_name& Pool() const { return mRequest.mPool; }
+  /// Whether overload control decides about this request.
+  bool IsRanked() const { return mIsRanked; }
+  /// This request as overload control sees it.
+  stream_demand Demand(instant aNow) const;
+  /// Whether a waiting request is still admitted now that it may have become late.
+  bool StaysAdmitted(instant aNow);
   /// Time until this request gets a permit for a server at which it can begin, behind those that wait and are served
   /// before it; zero when it needs none.
   duration PermitWait(instant aNow) const;
@@ -76,6 +82,10 @@
     int mTries = 0; ///< new paths that the first engine has refused
   };
 
+  bool IsAdmitted(instant aNow);
+  bool HasQuota() const;
+  overload_control* Overload() const;
+  bool CanBeOnTime(instant aNow) const;
   void TryPath(instant aNow);
   void LogAvailability(instant aNow);
   void LogCut(instant aNow) const;
@@ -165,9 +175,12 @@
   policy::gap_statistics mGaps;
   duration mLongestGap{ 0 };
   duration mFirstEventAfter{ 0 };
-  bool mIsPaused = false; ///< reading is paused because the caller reads slowly
-  instant mNextMove;      ///< the stream is not moved off leaving engines before this time
-  instant mNextRepath;    ///< no new path is searched for before this time
+  bool mIsRanked = false;      ///< new stream of a pool under overload control
+  bool mIsCallerRetry = false; ///< its caller was rejected before, by what it gives as its timeout
+  bool mIsLate = false;        ///< was admitted as a late request
+  bool mIsPaused = false;      ///< reading is paused because the caller reads slowly
+  instant mNextMove;           ///< the stream is not moved off leaving engines before this time
+  instant mNextRepath;         ///< no new path is searched for before this time
 };
 
 /// Interval at which all streams are checked.
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -33,9 +33,9 @@
     GiveUp("leaving", aNow, kRetryElsewhereAfter);
     return;
   }
-  // Permits go to the requests that wait for them, in their order.
-  const bool isNext =
-    mHasBegun || PermitWait(aNow) <= duration::zero() || mEnvironment.mCapacityQueue.Ahead(*this, aNow) == 0;
+  // Permits and quota go to the requests that wait for them, in their order.
+  const bool isNext = mHasBegun || (!mIsRanked && PermitWait(aNow) <= duration::zero()) ||
+                      mEnvironment.mCapacityQueue.Ahead(*this, aNow) == 0;
   if (isNext && SendIfCapacity(aNow)) {
     return;
   }
@@ -56,7 +56,7 @@
     GiveUp("blocked because it crashes engines", aNow, *blockedFor);
     return true;
   }
-  if (!MaySendByBudget()) {
+  if (!MaySendByBudget() || !HasQuota()) {
     return false;
   }
   path_query query;
@@ -85,10 +85,27 @@
     return false;
   }
   mEnvironment.mFleet->AddInterconnectLoad(mRequest.mPool, *path, path->mTokens, aNow);
+  if (overload_control* overload = Overload()) {
+    overload->Started(path->mTokens);
+  }
   Send(std::move(*path), aNow);
   return true;
 }
 
+/// Whether overload control, if it decides about this request, lets it start now. What has begun is not held back.
+bool stream_request::HasQuota() const
+{
+  const overload_control* overload = mHasBegun ? nullptr : Overload();
+  return overload == nullptr || !overload->State().mIsScarce ||
+         overload->MayStart(mRequest.mMetadata.mPromptTokens + TokensLeft());
+}
+
+/// Overload control of the pool if it decides about this request; otherwise nullptr.
+overload_control* stream_request::Overload() const
+{
+  return mIsRanked ? mEnvironment.mFleet->Overload(mRequest.mPool) : nullptr;
+}
+
 /// The measured pace of the streams of this request's pool.
 policy::stream_pace stream_request::Pace() const
 {
@@ -126,9 +143,13 @@
          mEnvironment.mStop.MayBegin(ExpectedTime(aPath), aNow);
 }
 
-policy::waiting_request stream_request::ToWaitingRequest() const
+policy::waiting_request stream_request::ToWaitingRequest(instant aNow) const
 {
-  return { mRequest.mArrived, mRequest.mRoute->mObjective, mRequest.mDeadline - mRequest.mArrived, mRequest.mPriority };
+  return { mRequest.mArrived,
+           mRequest.mRoute->mObjective,
+           mRequest.mDeadline - mRequest.mArrived,
+           mRequest.mPriority,
+           mIsRanked ? std::optional(policy::RankOf(mRequest.mPriority, CanBeOnTime(aNow))) : std::nullopt };
 }
 
 duration stream_request::PermitWait(instant aNow) const
@@ -149,6 +170,13 @@
 duration stream_request::RetryAfter(instant aNow)
 {
   const pool* pool = mRequest.mConfiguration->FindPool(mRequest.mPool);
+  const duration patience = mRequest.mMetadata.mCallerTimeout.value_or(TimeLeft(aNow)) - (aNow - mRequest.mArrived);
+  const overload_control* overload = Overload();
+  if (const auto after = overload != nullptr
+                           ? overload->RetryAfter(patience, policy::ToFraction(mEnvironment.mRandom()), aNow)
+                           : std::optional<duration>()) {
+    return *after;
+  }
   policy::shortage shortage;
   shortage.mQueueWait = mEnvironment.mCapacityQueue.Forecast();
   if (pool != nullptr && pool->mEngine) {
@@ -158,7 +186,6 @@
     shortage.mLayers = pool->mEngine->mLayers;
     shortage.mLoadTime = pool->mEngine->mLoadTime;
   }
-  const duration patience = mRequest.mMetadata.mCallerTimeout.value_or(TimeLeft(aNow)) - (aNow - mRequest.mArrived);
   return policy::RetryAfterDelay(shortage, patience, mEnvironment.mRandom());
 }
 
--- a/src/policy/capacity_wait.cpp
+++ b/src/policy/capacity_wait.cpp
@@ -1,6 +1,7 @@
 #include "policy/capacity_wait.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chervilpulley::policy {
 
@@ -48,6 +49,9 @@
 
 bool IsServedBefore(const waiting_request& aLeft, const waiting_request& aRight, instant aNow)
 {
+  if (aLeft.mRank && aRight.mRank) {
+    return std::pair(*aLeft.mRank, aLeft.mArrived) < std::pair(*aRight.mRank, aRight.mArrived);
+  }
   const bool left = aLeft.CanBeOnTime(aNow);
   const bool right = aRight.CanBeOnTime(aNow);
   return left != right ? left : AdjustedArrival(aLeft) < AdjustedArrival(aRight);
--- a/src/policy/capacity_wait.h
+++ b/src/policy/capacity_wait.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "chervilpulley/policy_types.h"
 
 /// Decides whether a request waits for capacity or is refused, and which request is served first. Guards against a
@@ -31,8 +33,9 @@
 {
   instant mArrived;
   duration mObjective{ 0 };
-  duration mPatience{ 0 };     ///< how long its caller waits for the complete response
-  std::uint32_t mPriority = 0; ///< 0 is the most urgent
+  duration mPatience{ 0 };          ///< how long its caller waits for the complete response
+  std::uint32_t mPriority = 0;      ///< 0 is the most urgent
+  std::optional<std::size_t> mRank; ///< of requests under overload control; see policy/request_rank.h
 
   /// Whether the first event may still be within the objective.
   bool CanBeOnTime(instant aNow) const
@@ -45,8 +48,8 @@
 duration WaitForecast(const queue_state& aQueue);
 /// Whether a request may wait; false means that it must be refused now.
 bool MayWait(const waiting_request& aRequest, const queue_state& aQueue, instant aNow);
-/// Whether the left request is served before the right one: requests that can be on time first, then by age and
-/// priority.
+/// Whether the left request is served before the right one: by rank and age under overload control; otherwise requests
+/// that can be on time first, then by age and priority.
 bool IsServedBefore(const waiting_request& aLeft, const waiting_request& aRight, instant aNow);
 
 /// Moving average of the run times of requests; a default before the first one.
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -171,7 +171,7 @@
     if (!aEngine.mMayBegin) {
       return false;
     }
-    if (mModel.mSlots > 0 && aEngine.mRunning + 1 > std::max(1.0, kUsableSlotShare * mModel.mSlots)) {
+    if (mModel.mSlots > 0 && aEngine.mBegun + 1 > std::max(1.0, kUsableSlotShare * mModel.mSlots)) {
       return false;
     }
     const double wait = aEngine.mQueueWait.count();
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -39,6 +39,7 @@
   double mSlowdownFactor = 1;      ///< reported by the engine; 1 is normal speed
   double mReservedTokenLayers = 0; ///< memory reserved for running requests of all gateways
   double mRunning = 0;             ///< running requests of all gateways
+  double mBegun = 0;               ///< of these, those whose path begins here
   fractional_ms mQueueWait{ 0 };   ///< wait of a request whose path begins here, before the engine starts it
   bool mUsable = true;
   bool mMayBegin = true; ///< a path may begin here
--- a/src/policy/request_rank.h
+++ b/src/policy/request_rank.h
@@ -11,9 +11,9 @@
 namespace chervilpulley::policy {
 
 /// Number of priority levels that are distinguished, as in the engines.
-inline constexpr std::size_t kPriorityLevels = 10;
+inline constexpr std::size_t kRankedLevels = 10;
 /// Number of ranks; rank 0 is served first.
-inline constexpr std::size_t kRankCount = 2 * kPriorityLevels + 2;
+inline constexpr std::size_t kRankCount = 2 * kRankedLevels + 2;
 
 /// An amount for each rank, in tokens unless said otherwise.
 using rank_amounts = std::array<double, kRankCount>;
@@ -23,7 +23,7 @@
 /// @param aLevel 0 is the most urgent.
 constexpr std::size_t RankOf(std::size_t aLevel, bool aCanBeOnTime)
 {
-  return 2 * std::min(aLevel, kPriorityLevels - 1) + (aCanBeOnTime ? 0 : 3);
+  return 2 * std::min(aLevel, kRankedLevels - 1) + (aCanBeOnTime ? 0 : 3);
 }
 
 /// Whether requests of a rank can be on time.
--- a/src/policy/retry_after.cpp
+++ b/src/policy/retry_after.cpp
@@ -26,9 +26,7 @@
     time = std::max(time, kRepairSlack + std::chrono::duration_cast<duration>(aShortage.mLoadTime * share));
   }
   time = std::max(time, aShortage.mPause);
-  // The top 53 bits of the random number give a fraction with the full precision of a double.
-  const double fraction = static_cast<double>(aRandom >> 11U) / static_cast<double>(1ULL << 53U);
-  const double factor = 1 + kJitter * (2 * fraction - 1);
+  const double factor = 1 + kJitter * (2 * ToFraction(aRandom) - 1);
   time = duration(static_cast<duration::rep>(static_cast<double>(time.count()) * factor));
   return std::min<duration>(time, std::max<duration>(aPatience / kPatienceDivisor, duration::zero()));
 }
--- a/src/policy/retry_after.h
+++ b/src/policy/retry_after.h
@@ -17,6 +17,12 @@
   duration mPause{ 0 };             ///< until engines that asked for a pause want requests again
 };
 
+/// A number in [0, 1) from a random one: its top 53 bits give a fraction with the full precision of a double.
+inline double ToFraction(std::uint64_t aRandom)
+{
+  return static_cast<double>(aRandom >> 11U) / static_cast<double>(1ULL << 53U);
+}
+
 /// Returns the delay after which a refused caller should retry.
 /// @param aPatience how long the caller still waits in total; the delay is at most a third of that.
 /// @param aRandom random number that spreads the delays.
