--- a/src/gateway/configuration.cpp
+++ b/src/gateway/configuration.cpp
@@ -30,12 +30,14 @@
     ofWorkspaces.insert(each.mPriority);
   }
   std::unordered_map<pool_name, policy::priority_levels> levels;
+  std::unordered_map<pool_name, std::set<std::uint32_t>> ofRoutes;
   for (const route& each : mRoutes) {
     for (const pool_share& share : each.mPools) {
       const pool* pool = FindPool(share.mPool);
       if (each.mKind != request_kind::Stream || pool == nullptr || !pool->mEngine) {
         continue;
       }
+      ofRoutes[share.mPool].insert(each.mPriority);
       policy::priority_levels& ofPool = levels[share.mPool];
       const bool hasWorkspace = each.mNeedsKey && !mWorkspaces.empty();
       for (const auto& priority :
@@ -47,7 +49,7 @@
   mMixedPriorities.clear();
   for (auto& [name, ofPool] : levels) {
     ofPool.Sort();
-    if (ofPool.AreMixed()) {
+    if (ofRoutes[name].size() > 1) {
       mMixedPriorities.emplace(name, std::move(ofPool));
     }
   }
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -87,7 +87,7 @@
   const route* FindRoute(std::string_view aHost, std::string_view aPath) const;
   const pool* FindPool(const pool_name& aName) const;
   const workspace* FindWorkspace(const std::string& aKey) const;
-  /// The priorities of the streams of a pool of model engines; nullptr when they don't differ.
+  /// The priorities of the streams of a pool of model engines; nullptr when the pool's routes don't differ in priority.
   const policy::priority_levels* MixedPriorities(const pool_name& aPool) const;
   /// Whether the streams of all routes that use a pool can be resumed.
   bool AllStreamsResumable(const pool_name& aPool) const;
@@ -97,7 +97,7 @@
 
   std::unordered_map<std::string, std::vector<const route*>> mByHost; ///< longest prefix first
   std::unordered_map<pool_name, const pool*> mPoolsByName;
-  std::unordered_map<pool_name, policy::priority_levels> mMixedPriorities; ///< of pools with more than one
+  std::unordered_map<pool_name, policy::priority_levels> mMixedPriorities; ///< of pools whose routes differ in priority
 };
 
 /// Chooses the pool for a request of a route, at random by weight.
--- a/src/policy/priority_levels.h
+++ b/src/policy/priority_levels.h
@@ -36,8 +36,6 @@
     std::sort(mPriorities.begin(), mPriorities.end());
     mPriorities.erase(std::unique(mPriorities.begin(), mPriorities.end()), mPriorities.end());
   }
-  /// Whether requests differ in priority.
-  bool AreMixed() const { return mPriorities.size() > 1; }
   /// Index of a priority, from 0 for the most urgent to kRankedLevels - 1; a priority that was not added has the
   /// level of the next less urgent one.
   std::size_t LevelOf(request_priority aPriority) const
