--- a/tests/standin/main.cpp
+++ b/tests/standin/main.cpp
@@ -35,6 +35,7 @@
 DEFINE_uint32(layers_that_fit, 4, "fleet: layers that fit on one engine");
 DEFINE_uint32(services, 2, "fleet: number of plain services");
 DEFINE_uint32(event_ms, 10, "fleet: time between the events of a stream, in milliseconds");
+DEFINE_uint32(max_body_bytes, 10'000, "fleet: limit on the bodies of callers' requests");
 DEFINE_bool(once_route, false, "fleet: add a route /once/ whose streams may not be resumed");
 DEFINE_string(target, "", "relay: address to forward to, ip:port");
 
@@ -138,6 +139,7 @@
     options.mLayersPerEngine = FLAGS_layers_that_fit;
     options.mEventInterval = std::chrono::milliseconds(FLAGS_event_ms);
     options.mHasOnceRoute = FLAGS_once_route;
+    options.mMaxBodyBytes = FLAGS_max_body_bytes;
     standin::fleet fleet(context, options);
     Serve(context, role, fleet);
   } else if (role == "relay") {
--- a/tests/standin/standin_fleet.h
+++ b/tests/standin/standin_fleet.h
@@ -25,6 +25,7 @@
   std::uint32_t mServices = 2;
   std::uint32_t mLayers = 8;
   std::uint32_t mLayersPerEngine = 4;                      ///< layers that fit on one engine
+  std::uint32_t mMaxBodyBytes = 10'000;                    ///< limit on callers' bodies in the configuration
   bool mHasOnceRoute = false;                              ///< streams under /once/ may not be resumed
   duration mEventInterval = std::chrono::milliseconds(10); ///< time between the events of a stream
 };
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -20,6 +20,8 @@
 constexpr double kSlowPace = 12;
 /// Additional time that an engine in state "slow" takes for each event.
 constexpr duration kSlowEventTime = std::chrono::milliseconds(700);
+/// Largest body that a server reads; more than the gateways' limit in any test.
+constexpr std::size_t kMaxBodyBytes = 16U << 20U;
 /// Body of a request that crashes every server which starts to run it; the server restarts at once without its state.
 constexpr std::string_view kCrashRequestBody = "ends its server";
 /// ID of a part of a prompt that crashes every engine which starts to write an output on it. The engine restarts at
@@ -70,8 +72,10 @@
   , mName(std::move(aName))
   , mPool(std::move(aPool))
 {
+  net::http_limits limits;
+  limits.mMaxBodyBytes = kMaxBodyBytes;
   auto server = net::http_server::Start(
-    aContext, { "127.0.0.1", 0 }, [this](net::http_exchange& aExchange) { return Handle(aExchange); }, {});
+    aContext, { "127.0.0.1", 0 }, [this](net::http_exchange& aExchange) { return Handle(aExchange); }, limits);
   mServer = server.value();
   Register();
 }
