--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -432,6 +432,20 @@
     "the process stops while a caller's connection is open: bytes of a response are unsent, or bytes of a request "
     "unread" },
   { AcceptFailed, "accept_failed", Notable, Other, "reason", "a caller's connection could not be accepted" },
+  { CallerMemoryLimited,
+    "caller_memory_limited",
+    Notable,
+    Other,
+    "rejected bytes held budget",
+    "callers' connections held more than the budget, so the largest `request` that had not been passed on was rejected "
+    "with 503, or the connection with the largest waiting `response` closed" },
+  { CallerConnectionsLimited,
+    "caller_connections_limited",
+    Notable,
+    Other,
+    "open limit closed",
+    "too many connections are open, so an idle one or the newest was closed; `closed` since the start, logged at most "
+    "once a second" },
 });
 
 /// Whether each entry is at the index of its enumerator, on which EntryOf() relies.
--- a/src/base/log_events.h
+++ b/src/base/log_events.h
@@ -106,7 +106,9 @@
   ResponseInvalid,
   RequestCut,
   ConnectionCut,
-  AcceptFailed
+  AcceptFailed,
+  CallerMemoryLimited,
+  CallerConnectionsLimited
 };
 
 /// The catalogue's entry for an event.
--- a/src/gateway/backend_call.cpp
+++ b/src/gateway/backend_call.cpp
@@ -125,6 +125,7 @@
 
   ref<backend_call> Start(const call_options& aOptions, net::http_request aRequest, call_handler& aHandler) override;
   std::uint64_t ConnectionsOpened() const override { return mOpenedCount; }
+  void LimitIdle(std::size_t aConnections) override { mConnections.SetMaxSize(aConnections); }
   void OnEachHead(head_observer aObserver) override { mObserver = std::move(aObserver); }
 
   connection_pool<idle_socket>& Connections() { return mConnections; }
--- a/src/gateway/backend_call.h
+++ b/src/gateway/backend_call.h
@@ -93,6 +93,8 @@
   virtual ref<backend_call> Start(const call_options& aOptions, net::http_request aRequest, call_handler& aHandler) = 0;
   /// Number of connections opened so far.
   virtual std::uint64_t ConnectionsOpened() const = 0;
+  /// Limits the number of idle connections to all servers, which are kept for further requests.
+  virtual void LimitIdle(std::size_t aConnections) = 0;
 };
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/caller_listener.cpp
+++ b/src/gateway/caller_listener.cpp
@@ -1,3 +1,4 @@
+#include "base/clock.h"
 #include "base/decision_log.h"
 #include "gateway/caller_session_p.h"
 
@@ -11,6 +12,8 @@
 
 /// Pause after accepting a connection failed, for example because no file descriptors were left.
 constexpr duration kAcceptPause = std::chrono::milliseconds(50);
+/// Interval of log lines about connections that are closed because there are too many.
+constexpr duration kRoomLogInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -32,7 +35,7 @@
   mAcceptor.async_accept([self = ref<listener_impl>(this)](const error_code& aError, tcp::socket aSocket) {
     if (!aError) {
       // Accepted before the acceptor was closed, even if this runs after it.
-      MakeRef<session_impl>(self, std::move(aSocket))->WaitForRequest();
+      self->Serve(std::move(aSocket));
     }
     if (!self->mAcceptor.is_open()) {
       return;
@@ -47,6 +50,52 @@
   });
 }
 
+/// Serves a connection, or closes it if there are too many and all others are in use.
+void listener_impl::Serve(tcp::socket aSocket)
+{
+  if (MakeRoom()) {
+    MakeRef<session_impl>(ref<listener_impl>(this), std::move(aSocket))->WaitForRequest();
+  }
+}
+
+/// Closes a connection if no other may be opened: the one that has been idle for longest since a response, else the
+/// newest on which no request has begun. Returns false when all are in use.
+bool listener_impl::MakeRoom()
+{
+  const std::size_t limit = mHost->MaxConnections();
+  if (mOpenSockets < limit) {
+    return true;
+  }
+  session_impl* unused = nullptr;
+  session_impl* newest = nullptr;
+  for (session_impl& session : mSessions) {
+    const bool isOlder = unused == nullptr || session.PhaseSince() < unused->PhaseSince();
+    if (session.HasHadRequest() && isOlder && session.IsUnused()) {
+      unused = &session;
+    }
+  }
+  for (auto session = mSessions.rbegin(); unused == nullptr && newest == nullptr && session != mSessions.rend();
+       ++session) {
+    newest = session->IsUnused() ? &*session : nullptr;
+  }
+  ++mClosedForRoom;
+  const instant now = Now();
+  if (now >= mNextRoomLog) {
+    mNextRoomLog = now + kRoomLogInterval;
+    log_line(log_event::CallerConnectionsLimited)
+      .Count("open", mOpenSockets)
+      .Count("limit", limit)
+      .Count("closed", mClosedForRoom);
+  }
+  session_impl* closed = unused != nullptr ? unused : newest;
+  if (closed == nullptr) {
+    return false;
+  }
+  const ref<session_impl> kept(closed);
+  kept->CloseForRoom();
+  return true;
+}
+
 net::endpoint listener_impl::LocalEndpoint() const
 {
   error_code ignored;
@@ -64,7 +113,7 @@
     tcp::socket socket(mContext);
     mAcceptor.accept(socket, error);
     if (!error) {
-      MakeRef<session_impl>(ref<listener_impl>(this), std::move(socket))->WaitForRequest();
+      Serve(std::move(socket));
     }
   }
   mAcceptor.close(error);
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/decision_log.h"
+#include "gateway/wire.h"
 
 namespace chervilpulley::gateway {
 
@@ -28,6 +29,10 @@
 constexpr std::size_t kMaxDiscardedBytes = 16U << 20U;
 /// Filled and dropped within one read; all sessions share it because there is a single thread.
 std::array<char, 16U << 10U> sDiscarded;
+/// Bytes of a request from one read. They are parsed at once, and only what can't be parsed yet is kept.
+std::array<char, 16U << 10U> sReceived;
+/// A buffer that is larger than this is freed when it becomes empty, as its connection may stay open for long.
+constexpr std::size_t kMaxKeptBytes = 16U << 10U;
 
 std::string_view NameOf(session_phase aPhase)
 {
@@ -60,6 +65,12 @@
 
 session_impl::~session_impl()
 {
+  if (request_memory* memory = mListener->Host().Memory()) {
+    memory->Remove(*this);
+  }
+  if (mIsCounted) {
+    mListener->SocketClosed();
+  }
   mListener->Remove(*this);
 }
 
@@ -73,9 +84,7 @@
     if (self->mPhase == session_phase::Reading) {
       net::http_reply reply;
       reply.mStatus = 408;
-      self->mKeepAlive = false;
-      self->mPhase = session_phase::Responding;
-      self->Respond(std::move(reply));
+      self->Reject(std::move(reply));
       return;
     }
     // A request that arrived in time is read, even if this runs first.
@@ -117,49 +126,158 @@
   mIsHead = false;
   mIsChunked = false;
   mIsComplete = false;
-  StartTimeout(mListener->Host().Limits().mHeaderTimeout);
+  const caller_limits& limits = mListener->Host().Limits();
+  StartTimeout(limits.mHeaderTimeout);
+  mHeadBytes = 0;
   mParser.emplace();
-  mParser->header_limit(static_cast<std::uint32_t>(mListener->Host().Limits().mMaxHeaderBytes));
-  mParser->body_limit(mListener->Host().Limits().mMaxBodyBytes);
-  http::async_read_header(
-    mSocket, mBuffer, *mParser, [self = ref<session_impl>(this)](const error_code& aError, std::size_t) {
-      if (self->mPhase != session_phase::Reading) {
-        return;
-      }
-      if (aError) {
-        self->RejectRequest(aError);
-        return;
-      }
-      self->ReadBody();
-    });
+  mParser->header_limit(static_cast<std::uint32_t>(limits.mMaxHeaderBytes));
+  mParser->body_limit(limits.mMaxBodyBytes);
+  mParser->TrailerLimit(limits.mMaxHeaderBytes);
+  if (mBuffer.size() == 0) {
+    ReadSome();
+    return;
+  }
+  // From the event loop: a response to a pipelined request leads here again.
+  asio::post(mListener->Context(), [self = ref<session_impl>(this)] {
+    if (self->mPhase == session_phase::Reading) {
+      self->Parse({});
+    }
+  });
+}
+
+void session_impl::AwaitBytes()
+{
+  mSocket.async_wait(tcp::socket::wait_read, [self = ref<session_impl>(this)](const error_code& aError) {
+    if (self->mPhase != session_phase::Reading) {
+      return;
+    }
+    if (aError) {
+      self->Close();
+      return;
+    }
+    self->ReadSome();
+  });
+}
+
+void session_impl::ReadSome()
+{
+  error_code error;
+  const std::size_t size = mSocket.read_some(asio::buffer(sReceived), error);
+  if (error == asio::error::would_block) {
+    AwaitBytes();
+  } else if (error) {
+    Close();
+  } else {
+    Parse(std::string_view(sReceived.data(), size));
+  }
 }
 
-void session_impl::ReadBody()
+/// Parses the bytes kept so far and those that have arrived since.
+void session_impl::Parse(std::string_view aBytes)
 {
-  if (net::HasUnknownLength(*mParser)) {
-    RejectRequest(http::error::bad_transfer_encoding);
+  const bool isBuffered = mBuffer.size() > 0;
+  if (isBuffered && mBuffer.size() + aBytes.size() > mBuffer.max_size()) {
+    RejectRequest(http::error::buffer_overflow);
+    return;
+  }
+  if (isBuffered) {
+    mBuffer.commit(asio::buffer_copy(mBuffer.prepare(aBytes.size()), asio::buffer(aBytes)));
+    aBytes = std::string_view(static_cast<const char*>(mBuffer.data().data()), mBuffer.size());
+  }
+  const error_code error = ParseMore(aBytes);
+  if (mPhase != session_phase::Reading) {
+    return;
+  }
+  KeepUnparsed(aBytes, isBuffered);
+  if (error && error != http::error::need_more) {
+    RejectRequest(error);
     return;
   }
   if (mParser->is_done()) {
     HandleRequest();
     return;
   }
+  // Behind the head, only an incomplete chunk line or trailer section is left unparsed.
+  if (mParser->is_header_done() && mBuffer.size() > mListener->Host().Limits().mMaxHeaderBytes) {
+    RejectRequest(http::error::header_limit);
+    return;
+  }
+  UpdateMemory();
+  if (mPhase == session_phase::Reading) {
+    AwaitBytes();
+  }
+}
+
+/// Parses until the request is complete, more bytes are needed or the connection has ended. Removes the parsed bytes
+/// from aBytes.
+error_code session_impl::ParseMore(std::string_view& aBytes)
+{
+  error_code error;
+  while (!error && !aBytes.empty() && !mParser->is_done()) {
+    const bool wasInHead = !mParser->is_header_done();
+    const std::size_t size = mParser->put(asio::buffer(aBytes), error);
+    aBytes.remove_prefix(size);
+    if (wasInHead) {
+      mHeadBytes += size;
+      if (!error && mParser->is_header_done()) {
+        if (net::HasUnknownLength(*mParser)) {
+          return http::error::bad_transfer_encoding;
+        }
+        HeadArrived();
+        if (mPhase != session_phase::Reading) {
+          return {};
+        }
+      }
+    }
+  }
+  return error;
+}
+
+/// Keeps the bytes that were not parsed. @param aIsBuffered whether they are the end of mBuffer.
+void session_impl::KeepUnparsed(std::string_view aBytes, bool aIsBuffered)
+{
+  if (aIsBuffered) {
+    mBuffer.consume(mBuffer.size() - aBytes.size());
+  } else if (!aBytes.empty()) {
+    mBuffer.commit(asio::buffer_copy(mBuffer.prepare(aBytes.size()), asio::buffer(aBytes)));
+  }
+  if (mBuffer.size() == 0) {
+    mBuffer.shrink_to_fit();
+  }
+}
+
+void session_impl::HeadArrived()
+{
+  mParser->eager(true);
+  if (mParser->is_done()) {
+    return;
+  }
   ++mGeneration;
   StartTimeout(mListener->Host().Limits().mHeaderTimeout * kBodyTimeoutFactor);
   if (boost::beast::iequals(mParser->get()[http::field::expect], "100-continue")) {
     mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
     Flush();
   }
-  http::async_read(mSocket, mBuffer, *mParser, [self = ref<session_impl>(this)](const error_code& aError, std::size_t) {
-    if (self->mPhase != session_phase::Reading) {
-      return;
-    }
-    if (aError) {
-      self->RejectRequest(aError);
-      return;
-    }
-    self->HandleRequest();
-  });
+}
+
+/// Size of the request that is being read.
+std::size_t session_impl::RequestBytes() const
+{
+  return mParser ? mHeadBytes + mParser->get().body().size() : 0;
+}
+
+/// Reports what the connection holds. If that is too much, the connection may be closed, or its request rejected.
+void session_impl::UpdateMemory()
+{
+  request_memory* memory = mListener->Host().Memory();
+  if (memory == nullptr) {
+    return;
+  }
+  const bool isReading = mPhase == session_phase::Reading;
+  memory->Update(*this,
+                 { isReading ? RequestBytes() + mBuffer.capacity() : 0,
+                   isReading ? 0 : mRunningBytes + mBuffer.capacity(),
+                   mOutput.size() });
 }
 
 void session_impl::HandleRequest()
@@ -167,8 +285,18 @@
   mPhase = session_phase::Responding;
   mPhaseSince = Now();
   ++mGeneration;
-  mHasHadRequest = true;
   mTimer.cancel();
+  request_memory* memory = mListener->Host().Memory();
+  mRunningBytes = RunningBytes(RequestBytes());
+  if (memory != nullptr &&
+      !memory->TryRun(*this, { 0, mRunningBytes + mBuffer.capacity(), mOutput.size() })) {
+    RejectForMemory();
+    return;
+  }
+  if (IsEnded()) {
+    return;
+  }
+  mHasHadRequest = true;
   auto message = mParser->release();
   mParser.reset();
   mKeepAlive = message.keep_alive();
@@ -202,9 +330,58 @@
     return;
   }
   log_line(log_event::RequestUnreadable).Text("reason", aError.message()).Count("status", reply.mStatus);
+  Reject(std::move(reply));
+}
+
+/// Frees a request that has not been passed on and responds with an error. The connection is closed after it.
+void session_impl::Reject(net::http_reply aReply)
+{
   mKeepAlive = false;
   mPhase = session_phase::Responding;
-  Respond(std::move(reply));
+  mParser.reset();
+  mRunningBytes = 0;
+  mBuffer.clear();
+  mBuffer.shrink_to_fit();
+  Respond(std::move(aReply));
+}
+
+void session_impl::RejectForMemory()
+{
+  const request_memory* memory = mListener->Host().Memory();
+  log_line(log_event::CallerMemoryLimited)
+    .Text("rejected", "request")
+    .Count("bytes", RequestBytes() + mBuffer.size())
+    .Count("held", memory->Held())
+    .Count("budget", memory->Budget());
+  net::http_reply reply;
+  reply.mStatus = 503;
+  const net::http_header header = wire::RetryAfterHeader(kMemoryRetryAfter);
+  reply.mHeaders.Add(header.mName, header.mValue);
+  Reject(std::move(reply));
+}
+
+void session_impl::RejectIncomplete()
+{
+  const ref<session_impl> self(this);
+  RejectForMemory();
+}
+
+void session_impl::DropResponse()
+{
+  const ref<session_impl> self(this);
+  const request_memory* memory = mListener->Host().Memory();
+  log_line(log_event::CallerMemoryLimited)
+    .Text("rejected", "response")
+    .Count("bytes", Backlog())
+    .Count("held", memory->Held())
+    .Count("budget", memory->Budget());
+  HandleDisconnect();
+}
+
+bool session_impl::IsUnused()
+{
+  error_code error;
+  return mPhase == session_phase::Idle && mBuffer.size() == 0 && mSocket.available(error) == 0;
 }
 
 void session_impl::SetHandler(ref<request_handler> aHandler)
@@ -301,6 +478,7 @@
 {
   mIsComplete = true;
   mHandler.reset();
+  mRunningBytes = 0;
   Flush();
 }
 
@@ -312,13 +490,20 @@
 
 void session_impl::Flush()
 {
-  if (mIsWriting || IsEnded()) {
+  if (IsEnded()) {
+    return;
+  }
+  if (mIsWriting) {
+    UpdateMemory();
     return;
   }
   while (mOutputSent < mOutput.size()) {
     error_code error;
     mOutputSent += mSocket.write_some(asio::buffer(mOutput.data() + mOutputSent, mOutput.size() - mOutputSent), error);
     if (error == asio::error::would_block) {
+      if (mOutputSent > kMaxKeptBytes) {
+        mOutput.erase(0, std::exchange(mOutputSent, 0));
+      }
       mIsWriting = true;
       mSocket.async_wait(tcp::socket::wait_write, [self = ref<session_impl>(this)](const error_code& aError) {
         self->mIsWriting = false;
@@ -335,6 +520,7 @@
           handler->OnWritten();
         }
       });
+      UpdateMemory();
       return;
     }
     if (error) {
@@ -344,6 +530,9 @@
   }
   mOutput.clear();
   mOutputSent = 0;
+  if (mOutput.capacity() > kMaxKeptBytes) {
+    mOutput.shrink_to_fit();
+  }
   OnFlushed();
 }
 
@@ -356,6 +545,7 @@
     }
     WaitForRequest();
   }
+  UpdateMemory();
 }
 
 /// Waits for the caller to close its connection while a request is being answered.
@@ -438,6 +628,7 @@
   mPhase = session_phase::Lingering;
   mPhaseSince = Now();
   ++mGeneration;
+  Free();
   error_code error;
   mSocket.shutdown(tcp::socket::shutdown_send, error);
   if (error) {
@@ -487,9 +678,25 @@
   });
 }
 
+/// Frees what the connection holds, at its end.
+void session_impl::Free()
+{
+  mParser.reset();
+  mRunningBytes = 0;
+  mOutput = {};
+  mOutputSent = 0;
+  mBuffer.clear();
+  mBuffer.shrink_to_fit();
+  UpdateMemory();
+}
+
 void session_impl::Close()
 {
   mPhase = session_phase::Closed;
+  Free();
+  if (std::exchange(mIsCounted, false)) {
+    mListener->SocketClosed();
+  }
   mTimer.cancel();
   error_code ignored;
   mSocket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -4,6 +4,7 @@
 #include <boost/intrusive/list_hook.hpp>
 
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -17,6 +18,7 @@
 namespace chervilpulley::gateway {
 
 class caller_session;
+class request_memory;
 
 /// Produces the response to a request. The session keeps it alive until the response is complete or the caller has
 /// disconnected. Both functions are called from the event loop and never from within a call of the session, so a
@@ -58,6 +60,10 @@
   virtual const caller_limits& Limits() const = 0;
   /// Whether the instance is leaving, so that connections are closed after the current response.
   virtual bool IsLeaving() const = 0;
+  /// Counts what the connections hold; null if that is not limited.
+  virtual request_memory* Memory() { return nullptr; }
+  /// Maximum number of open connections.
+  virtual std::size_t MaxConnections() const { return std::numeric_limits<std::size_t>::max(); }
   /// Handles a request that was read completely, and responds through aSession.
   virtual void Handle(const ref<caller_session>& aSession, net::http_request aRequest) = 0;
 };
@@ -81,6 +87,8 @@
   virtual void LogOpen(instant aNow) const = 0;
   /// Number of open connections.
   virtual std::size_t Open() const = 0;
+  /// Number of connections closed since the start because there were too many.
+  virtual std::uint64_t ClosedForRoom() const = 0;
 };
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/connection_pool.h
+++ b/src/gateway/connection_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <limits>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -38,8 +39,9 @@
   {
     Sweep(aNow);
     auto& idle = mByServer[aServer];
-    if (idle.size() < kMaxIdlePerServer) {
+    if (idle.size() < kMaxIdlePerServer && mSize < mMaxSize) {
       idle.push_back({ std::move(aConnection), aNow + aLifetime });
+      ++mSize;
     }
   }
 
@@ -56,6 +58,7 @@
     while (!idle.empty()) {
       entry last = std::move(idle.back());
       idle.pop_back();
+      --mSize;
       if (last.mExpiry >= aNow && last.mConnection.IsReusable()) {
         return std::move(last.mConnection);
       }
@@ -63,14 +66,9 @@
     return std::nullopt;
   }
 
-  std::size_t Size() const
-  {
-    std::size_t size = 0;
-    for (const auto& [server, idle] : mByServer) {
-      size += idle.size();
-    }
-    return size;
-  }
+  std::size_t Size() const { return mSize; }
+  /// Limits the number of idle connections to all servers.
+  void SetMaxSize(std::size_t aSize) { mMaxSize = aSize; }
 
 private:
   struct entry
@@ -86,13 +84,15 @@
     }
     mNextSweep = aNow + kSweepInterval;
     for (auto server = mByServer.begin(); server != mByServer.end();) {
-      std::erase_if(server->second, [&](const entry& aEntry) { return aEntry.mExpiry < aNow; });
+      mSize -= std::erase_if(server->second, [&](const entry& aEntry) { return aEntry.mExpiry < aNow; });
       server = server->second.empty() ? mByServer.erase(server) : std::next(server);
     }
   }
 
   std::unordered_map<net::endpoint, std::vector<entry>> mByServer;
   instant mNextSweep;
+  std::size_t mSize = 0;
+  std::size_t mMaxSize = std::numeric_limits<std::size_t>::max();
 };
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -18,6 +19,7 @@
 #include "gateway/gateway_registry.h"
 #include "gateway/placement_leader.h"
 #include "gateway/request_context.h"
+#include "gateway/request_memory.h"
 #include "gateway/service_request.h"
 #include "gateway/store_relay.h"
 #include "gateway/store_sync.h"
@@ -50,6 +52,9 @@
 constexpr duration kConfigurationPollInterval = std::chrono::milliseconds(4);
 /// Number of ticks in which a measured delay falls to about a third.
 constexpr int kTickDelayMemory = 16;
+constexpr int kMmapThresholdBytes = 128 << 10;
+/// Readiness checks and scrapes have no body.
+constexpr std::size_t kMaxControlBodyBytes = 4U << 10U;
 constexpr duration kReportInterval = std::chrono::milliseconds(1000);
 
 duration Milliseconds(double aTime)
@@ -71,6 +76,8 @@
     : mContext(aContext)
     , mSettings(aSettings)
     , mMetrics(gateway_metrics::Create())
+    , mMemory(MakeRef<request_memory>(aSettings.gateway().memory_mb()))
+    , mConnections(DivideDescriptors(aSettings.gateway().max_descriptors()))
     , mFleet(MakeRef<fleet>(failure_domain_id(aSettings.instance().failure_domain()),
                             Milliseconds(aSettings.gateway().membership_return_s() * 1000),
                             RetryBounds(aSettings.gateway())))
@@ -103,8 +110,15 @@
     return mFleet->Configuration() ? mFleet->Configuration()->mLimits : mDefaultLimits;
   }
   bool IsLeaving() const override { return mIsLeaving; }
+  request_memory* Memory() override
+  {
+    mMemory->SetLargestRequest(Limits().mMaxHeaderBytes + Limits().mMaxBodyBytes);
+    return mMemory.get();
+  }
+  std::size_t MaxConnections() const override { return mConnections.mCallers; }
   void Handle(const ref<caller_session>& aSession, net::http_request aRequest) override;
 
+  std::size_t MaxControlConnections() const { return mConnections.mControl; }
   /// Responds to the balancer's readiness check and to metrics scrapers.
   net::http_reply HandleControl(const net::http_request& aRequest);
 
@@ -135,6 +149,8 @@
   asio::io_context& mContext;
   settings::settings mSettings;
   ref<gateway_metrics> mMetrics;
+  ref<request_memory> mMemory;
+  connection_limits mConnections;
   ref<fleet> mFleet;
   ref<backend_calls> mCalls;
   ref<engine_probes> mProbes;
@@ -165,9 +181,11 @@
   explicit control_host(ref<gateway_process> aProcess)
     : mProcess(std::move(aProcess))
   {
+    mLimits.mMaxBodyBytes = kMaxControlBodyBytes;
   }
   const caller_limits& Limits() const override { return mLimits; }
   bool IsLeaving() const override { return false; }
+  std::size_t MaxConnections() const override { return mProcess->MaxControlConnections(); }
   void Handle(const ref<caller_session>& aSession, net::http_request aRequest) override
   {
     aSession->Respond(mProcess->HandleControl(aRequest));
@@ -190,6 +208,7 @@
   const store_bounds bounds{ Milliseconds(mSettings.gateway().configuration_bound_ms()),
                              Milliseconds(mSettings.gateway().key_bound_ms()),
                              Milliseconds(mSettings.gateway().drain_bound_ms()) };
+  mCalls->LimitIdle(mConnections.mIdle);
   mCalls->OnEachHead([fleet = mFleet](const policy::server_start& aServer,
                                       const wire::response_metadata& aResponse,
                                       instant aSentAt) { fleet->HandleHead(aServer, aResponse, aSentAt, Now()); });
@@ -204,7 +223,8 @@
   auto calls = MakeRef<store_client>(mContext, store.value(), mMetrics);
   mSync = MakeRef<store_sync>(mContext, calls, mFleet, mMetrics, bounds);
   mCrashStore = MakeRef<crash_store>(mContext, instance_id(mSettings.instance().id()), calls, mCrashes);
-  mRelay = MakeRef<store_relay>(mContext, mSync->Cache(), [sync = mSync] { return sync->MayRelay(); });
+  mRelay = MakeRef<store_relay>(
+    mContext, mSync->Cache(), [sync = mSync] { return sync->MayRelay(); }, mConnections.mRelay);
   if (!mSettings.gateway().peers().empty() && !StartRelay()) {
     return false;
   }
@@ -297,6 +317,13 @@
   mMetrics->PeersAndQueue(mFleet->Gateways(), mCapacityQueue.Size());
   mMetrics->Relaying(mSync->IsFollowing(), mRelay->Readers());
   mMetrics->LogLinesDropped(DroppedLogLines());
+  mMetrics->CallerLimits({ mMemory->Held(),
+                           mMemory->Budget(),
+                           mCallers->Open(),
+                           mConnections.mCallers,
+                           mMemory->Counters().mRejectedRequests,
+                           mMemory->Counters().mDroppedResponses,
+                           mCallers->ClosedForRoom() });
 }
 
 net::http_reply gateway_process::HandleControl(const net::http_request& aRequest)
@@ -506,11 +533,21 @@
   mContext.stop();
 }
 
+/// Keeps the C library from raising the size from which memory is returned to the system when it is freed. It does so
+/// after each larger block that is freed, and bodies then fragment the heap.
+void FixMmapThreshold()
+{
+#ifdef __GLIBC__
+  ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
+#endif
+}
+
 } // namespace
 
 int Run(const settings::settings& aSettings)
 {
   std::signal(SIGPIPE, SIG_IGN);
+  FixMmapThreshold();
   SetUpLogs(aSettings.log().level(), aSettings.log().format(), aSettings.instance().id());
   asio::io_context context(1);
   const auto process = MakeRef<gateway_process>(context, aSettings);
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -57,6 +57,13 @@
     , mBlockedTraits(
         Gauge("gateway_blocked_traits", "Prompt parts and requests that are refused because they crash servers"))
     , mDropped(Gauge("gateway_log_lines_dropped", "Log lines dropped since the start"))
+    , mCallerBytes(Gauge("gateway_caller_bytes", "Bytes that all callers' connections hold"))
+    , mCallerBudget(Gauge("gateway_caller_bytes_limit", "Maximum of the bytes that all callers' connections hold"))
+    , mCallerConnections(Gauge("gateway_caller_connections", "Open connections of callers"))
+    , mCallerMaximum(Gauge("gateway_caller_connections_limit", "Maximum of the open connections of callers"))
+    , mCallerRejections(Gauges("gateway_caller_limit_rejections",
+                               "Requests rejected, responses dropped and connections closed for the limits on what "
+                               "callers hold, since the start"))
   {
     for (std::size_t index = 0; index < kOutcomeLabels.size(); ++index) {
       mByOutcome[index] = &mTimes.Add({ { "outcome", kOutcomeLabels[index] } }, kTimeBuckets);
@@ -131,6 +138,16 @@
   void CrashesFound(std::size_t aCount) override { mCrashes.Increment(static_cast<double>(aCount)); }
   void BlockedTraits(std::size_t aCount) override { mBlockedTraits.Set(static_cast<double>(aCount)); }
   void LogLinesDropped(std::uint64_t aLines) override { mDropped.Set(static_cast<double>(aLines)); }
+  void CallerLimits(const caller_load& aLoad) override
+  {
+    mCallerBytes.Set(static_cast<double>(aLoad.mHeldBytes));
+    mCallerBudget.Set(static_cast<double>(aLoad.mBudgetBytes));
+    mCallerConnections.Set(static_cast<double>(aLoad.mConnections));
+    mCallerMaximum.Set(static_cast<double>(aLoad.mMaxConnections));
+    mCallerRejections.Add({ { "kind", "request" } }).Set(static_cast<double>(aLoad.mRejectedRequests));
+    mCallerRejections.Add({ { "kind", "response" } }).Set(static_cast<double>(aLoad.mDroppedResponses));
+    mCallerRejections.Add({ { "kind", "connection" } }).Set(static_cast<double>(aLoad.mClosedConnections));
+  }
   std::string Text() const override { return prometheus::TextSerializer().Serialize(mRegistry.Collect()); }
 
 private:
@@ -175,6 +192,11 @@
   prometheus::Counter& mCrashes;
   prometheus::Gauge& mBlockedTraits;
   prometheus::Gauge& mDropped;
+  prometheus::Gauge& mCallerBytes;
+  prometheus::Gauge& mCallerBudget;
+  prometheus::Gauge& mCallerConnections;
+  prometheus::Gauge& mCallerMaximum;
+  prometheus::Family<prometheus::Gauge>& mCallerRejections;
   std::array<Histogram*, kOutcomeLabels.size()> mByOutcome{};
   std::array<prometheus::Counter*, kRepairLabels.size()> mByRepair{};
 };
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -24,6 +24,18 @@
   NotAllowed ///< no route, no valid key, or not a valid request
 };
 
+/// What callers' connections hold, and what was rejected for it since the start.
+struct caller_load
+{
+  std::size_t mHeldBytes;
+  std::size_t mBudgetBytes;
+  std::size_t mConnections;
+  std::size_t mMaxConnections;
+  std::uint64_t mRejectedRequests;
+  std::uint64_t mDroppedResponses;
+  std::uint64_t mClosedConnections;
+};
+
 /// How a request continued after its backend server failed.
 enum class repair_kind
 {
@@ -67,6 +79,7 @@
   virtual void CrashesFound(std::size_t aCount) = 0;
   virtual void BlockedTraits(std::size_t aCount) = 0;
   virtual void LogLinesDropped(std::uint64_t aLines) = 0;
+  virtual void CallerLimits(const caller_load& aLoad) = 0;
   /// All metrics in the Prometheus text format.
   virtual std::string Text() const = 0;
 };
--- a/src/gateway/store_relay.cpp
+++ b/src/gateway/store_relay.cpp
@@ -62,11 +62,16 @@
   }
 }
 
-store_relay::store_relay(boost::asio::io_context& aContext, ref<store_cache> aCache, std::function<bool()> aMayServe)
+store_relay::store_relay(boost::asio::io_context& aContext,
+                         ref<store_cache> aCache,
+                         std::function<bool()> aMayServe,
+                         std::size_t aMaxConnections)
   : mContext(aContext)
   , mCache(std::move(aCache))
   , mMayServe(std::move(aMayServe))
+  , mMaxConnections(aMaxConnections)
 {
+  mLimits.mMaxBodyBytes = kMaxRelayBodyBytes;
 }
 
 store_relay::~store_relay() = default;
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -17,6 +17,8 @@
 /// Number of requests that may wait for updates at the same time; further ones are refused. A relay has about twenty
 /// readers.
 inline constexpr std::size_t kMaxReaders = 128;
+/// Maximum size of a request's body; readers send none.
+inline constexpr std::size_t kMaxRelayBodyBytes = 4U << 10U;
 /// Maximum wait of a request, even if it asks for more.
 inline constexpr duration kMaxRelayWait = std::chrono::seconds(5);
 
@@ -57,7 +59,11 @@
 {
 public:
   /// @param aMayServe returns whether readers may be served; they are refused otherwise.
-  store_relay(boost::asio::io_context& aContext, ref<store_cache> aCache, std::function<bool()> aMayServe);
+  /// @param aMaxConnections maximum number of open connections of readers.
+  store_relay(boost::asio::io_context& aContext,
+              ref<store_cache> aCache,
+              std::function<bool()> aMayServe,
+              std::size_t aMaxConnections);
   ~store_relay() override;
 
   /// Listens; false if the address can't be bound.
@@ -70,6 +76,7 @@
 
   const caller_limits& Limits() const override { return mLimits; }
   bool IsLeaving() const override { return mIsLeaving; }
+  std::size_t MaxConnections() const override { return mMaxConnections; }
   void Handle(const ref<caller_session>& aSession, net::http_request aRequest) override;
 
 private:
@@ -81,6 +88,7 @@
   std::function<bool()> mMayServe;
   ref<caller_listener> mListener;
   caller_limits mLimits;
+  std::size_t mMaxConnections;
   boost::intrusive::list<waiting_reader, boost::intrusive::constant_time_size<false>> mReaders;
   bool mIsLeaving = false;
 };
--- a/src/net/http_p.h
+++ b/src/net/http_p.h
@@ -66,6 +66,10 @@
 template<bool IsRequest>
 class message_parser : public http::parser<IsRequest, received_body>
 {
+public:
+  /// Limits the size of the trailer section.
+  void TrailerLimit(std::size_t aBytes) { mTrailerLimit = aBytes; }
+
 private:
   /// Also called for the fields of a trailer, which header_limit() does not cover.
   void on_field_impl(http::field aField,
@@ -77,8 +81,21 @@
       aError = http::error::header_limit;
       return;
     }
+    if (this->is_header_done()) {
+      mTrailerBytes += aName.size() + aValue.size() + kFieldFramingBytes;
+      if (mTrailerBytes > mTrailerLimit) {
+        aError = http::error::header_limit;
+        return;
+      }
+    }
     this->get().insert(aField, aName, aValue);
   }
+
+  /// Of the colon, the space and the end of the line.
+  static constexpr std::size_t kFieldFramingBytes = 4;
+
+  std::size_t mTrailerBytes = 0;
+  std::size_t mTrailerLimit = kMaxReadAheadBytes;
 };
 
 /// Whether a request has a transfer coding that does not end with chunked (RFC 9112, 6.3). The library takes such a
--- a/tests/unit/log_events_test.cpp
+++ b/tests/unit/log_events_test.cpp
@@ -79,7 +79,7 @@
 {
   const auto written = WrittenFields();
   std::size_t known = 0;
-  for (auto at = log_event::Started; at <= log_event::AcceptFailed;
+  for (auto at = log_event::Started; at <= log_event::CallerConnectionsLimited;
        at = static_cast<log_event>(static_cast<unsigned>(at) + 1)) {
     const log_event_entry& entry = EntryOf(at);
     INFO(entry.mName);
