--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -222,7 +222,10 @@
 void crash_watch::HandleBlockHint(const policy::trait_block& aBlock, instant aNow)
 {
   const policy::block_verdict verdict = mRecord.Blocked(aBlock, aNow);
-  mBlockHintAt[aBlock.mTrait] = aNow;
+  // Anyone may send hints; the times are swept once a second.
+  if (mBlockHintAt.size() < policy::kMaxCrashRecords || mBlockHintAt.contains(aBlock.mTrait)) {
+    mBlockHintAt[aBlock.mTrait] = aNow;
+  }
   if (verdict == policy::block_verdict::Adopted) {
     log_line(log_event::CrashTraitBlocked)
       .Count("trait", aBlock.mTrait.Value())
--- a/src/gateway/server_limits.cpp
+++ b/src/gateway/server_limits.cpp
@@ -18,6 +18,9 @@
 constexpr duration kSilentTime = std::chrono::seconds(2);
 /// What is known of a server is dropped when nothing was sent to it or heard of it for this time.
 constexpr duration kRetention = std::chrono::minutes(10);
+/// Maximum number of servers of which something is kept. Anyone may send datagrams that name servers, and the largest
+/// deployments have 3,400 engines.
+constexpr std::size_t kMaxServers = 8192;
 /// Rate assumed before any grant was measured, as a share of the limit.
 constexpr double kAssumedShare = 0.5;
 /// Lower limit of a rate that a wait is computed from, per second.
@@ -280,13 +283,16 @@
 
 permit_grant server_limits::Grant(const permit_ask& aAsk, const failure_domain_id& aDomain, instant aNow)
 {
+  permit_grant grant;
+  grant.mServer = aAsk.mServer;
+  if (mServers.size() >= kMaxServers && !mServers.contains(aAsk.mServer)) {
+    return grant;
+  }
   limited_server& state = State(aAsk.mServer, aDomain, aNow);
   const instant namedAt = aNow - aAsk.mKnownFor;
   if (namedAt > state.mChangedAt) {
     Set(aAsk.mServer, state, aAsk.mLimit, limit_source::Hint, namedAt);
   }
-  permit_grant grant;
-  grant.mServer = aAsk.mServer;
   grant.mLimit = state.mLimit;
   grant.mKnownFor = aNow - state.mChangedAt;
   if (state.mLimit) {
--- a/tests/processes/gateway_hostile_callers_test.cpp
+++ b/tests/processes/gateway_hostile_callers_test.cpp
@@ -112,6 +112,21 @@
     }
   }
 
+  /// Opens more connections than the gateway has descriptors, and sends nothing.
+  std::vector<std::unique_ptr<raw_caller>> OpenIdle(std::string_view aPurpose)
+  {
+    rlimit limit{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    limit.rlim_cur = std::max<rlim_t>(limit.rlim_cur, std::min<rlim_t>(limit.rlim_max, 8 * kIdleConnections));
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (unsigned each = 0; each < kIdleConnections; ++each) {
+      callers.push_back(std::make_unique<raw_caller>(mGateways[0]->Address(aPurpose)));
+      Observe();
+    }
+    return callers;
+  }
+
   void Observe() { mMostDescriptors = std::max(mMostDescriptors, OpenDescriptors(*mGateways[0])); }
 
   gateway_response Look(const std::string& aId) const
@@ -183,18 +198,35 @@
   Check();
 }
 
+// Requests inside the limits that wait for servers which do not respond are kept in memory, once more than they arrived.
+TEST_CASE_METHOD(hostile_callers_fixture, "gateway_with_many_large_bodies_at_silent_servers_stays_within_memory")
+{
+  SetServer("service-0", "dark");
+  SetServer("service-1", "dark");
+  const std::string body(kMaxBodyBytes, 'x');
+  RunCrowd([&](raw_caller& aCaller) {
+    aCaller.Send(Head("Content-Length: " + std::to_string(kMaxBodyBytes) + "\r\n\r\n"));
+    aCaller.Send(body);
+    aCaller.ReadUntil("\r\n\r\n", kHold);
+  });
+  SetServer("service-0", "ok");
+  SetServer("service-1", "ok");
+  CHECK(WaitUntil([&] { return Look("later-" + std::to_string(Records("run").size())).mStatus == 200; }));
+  Check();
+}
+
 // Idle connections must not take the descriptors that the gateway needs for its own and for further callers.
 TEST_CASE_METHOD(hostile_callers_fixture, "gateway_with_more_idle_connections_than_descriptors_serves_another_caller")
 {
-  rlimit limit{};
-  REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
-  limit.rlim_cur = std::max<rlim_t>(limit.rlim_cur, std::min<rlim_t>(limit.rlim_max, 8 * kIdleConnections));
-  REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
-  std::vector<std::unique_ptr<raw_caller>> callers;
-  for (unsigned each = 0; each < kIdleConnections; ++each) {
-    callers.push_back(std::make_unique<raw_caller>(mGateways[0]->Address("http")));
-    Observe();
-  }
+  const auto callers = OpenIdle("http");
+  Check();
+}
+
+// The listener for readiness checks and metrics had no limit on connections.
+TEST_CASE_METHOD(hostile_callers_fixture, "gateway_with_many_idle_connections_for_control_reports_that_it_is_ready")
+{
+  const auto callers = OpenIdle("admin");
+  CHECK(IsReady(*mGateways[0]));
   Check();
 }
 
--- a/tests/unit/gateway_server_limits_test.cpp
+++ b/tests/unit/gateway_server_limits_test.cpp
@@ -230,3 +230,13 @@
   CHECK_FALSE(mAsks.back().second.mLimit);
   CHECK(mAsks.back().first == mAsks.front().first);
 }
+
+// Datagrams that name ever other servers must not fill the memory of the gateway.
+TEST_CASE_METHOD(server_limits_fixture, "gateway_that_is_asked_for_permits_of_countless_servers_keeps_few_of_them")
+{
+  constexpr unsigned kAsked = 20'000;
+  for (unsigned each = 0; each < kAsked; ++each) {
+    mLimits.Grant({ { backend_id("s-" + std::to_string(each)), 1 }, instance_id("b"), {}, 5.0, 10ms }, mEast, mNow);
+  }
+  CHECK(mLimits.InForce(mNow).size() < kAsked / 2);
+}
