--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -288,8 +288,7 @@
   mTimer.cancel();
   request_memory* memory = mListener->Host().Memory();
   mRunningBytes = RunningBytes(RequestBytes());
-  if (memory != nullptr &&
-      !memory->TryRun(*this, { 0, mRunningBytes + mBuffer.capacity(), mOutput.size() })) {
+  if (memory != nullptr && !memory->TryRun(*this, { 0, mRunningBytes + mBuffer.capacity(), mOutput.size() })) {
     RejectForMemory();
     return;
   }
--- a/src/gateway/caller_session_p.h
+++ b/src/gateway/caller_session_p.h
@@ -152,8 +152,10 @@
   boost::asio::steady_timer mRetryTimer;
   ref<session_host> mHost;
   /// In the order in which they were accepted.
-  boost::intrusive::list<session_impl, boost::intrusive::base_hook<
-    boost::intrusive::list_base_hook<boost::intrusive::tag<session_impl>>>> mSessions;
+  boost::intrusive::list<
+    session_impl,
+    boost::intrusive::base_hook<boost::intrusive::list_base_hook<boost::intrusive::tag<session_impl>>>>
+    mSessions;
   std::size_t mOpenSockets = 0;
   std::uint64_t mClosedForRoom = 0;
   instant mNextRoomLog;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -77,7 +77,7 @@
     , mSettings(aSettings)
     , mMetrics(gateway_metrics::Create())
     , mMemory(MakeRef<request_memory>(aSettings.gateway().memory_mb()))
-    , mConnections(DivideDescriptors(aSettings.gateway().max_descriptors()))
+    , mConnections(DivideDescriptors(static_cast<std::size_t>(aSettings.gateway().max_descriptors())))
     , mFleet(MakeRef<fleet>(failure_domain_id(aSettings.instance().failure_domain()),
                             Milliseconds(aSettings.gateway().membership_return_s() * 1000),
                             RetryBounds(aSettings.gateway())))
@@ -185,6 +185,7 @@
   }
   const caller_limits& Limits() const override { return mLimits; }
   bool IsLeaving() const override { return false; }
+  request_memory* Memory() override { return mProcess->Memory(); }
   std::size_t MaxConnections() const override { return mProcess->MaxControlConnections(); }
   void Handle(const ref<caller_session>& aSession, net::http_request aRequest) override
   {
--- a/src/gateway/request_memory.cpp
+++ b/src/gateway/request_memory.cpp
@@ -8,12 +8,12 @@
 
 namespace {
 
-constexpr std::size_t kBytesPerMb = 1U << 20U;
+constexpr double kBytesPerMb = 1U << 20U;
 /// Memory that is assumed when the settings do not give it.
-constexpr std::uint32_t kDefaultMemoryMb = 4096;
+constexpr double kDefaultMemoryMb = 4096;
 /// The budget is this part of the machine's memory: with 112 MB, a gateway takes 28 MB without callers, and up to 24 MB
 /// of incomplete responses of backend servers are held besides; allocated memory exceeds the counted bytes.
-constexpr std::size_t kPartOfMachine = 4;
+constexpr double kPartOfMachine = 4;
 /// Large requests in progress take at most this share of the budget, so that others can still be read meanwhile.
 constexpr std::size_t kLargeShareNumerator = 3;
 constexpr std::size_t kLargeShareDenominator = 4;
@@ -37,8 +37,9 @@
 
 } // namespace
 
-request_memory::request_memory(std::uint32_t aMemoryMb)
-  : mShareOfMachine((aMemoryMb == 0 ? kDefaultMemoryMb : aMemoryMb) * kBytesPerMb / kPartOfMachine)
+request_memory::request_memory(double aMemoryMb)
+  : mShareOfMachine(
+      static_cast<std::size_t>((aMemoryMb > 0 ? aMemoryMb : kDefaultMemoryMb) * kBytesPerMb / kPartOfMachine))
   , mBudget(std::max(mShareOfMachine, kLargestResponse))
 {
 }
--- a/src/gateway/request_memory.h
+++ b/src/gateway/request_memory.h
@@ -52,7 +52,7 @@
 {
 public:
   /// @param aMemoryMb memory of the machine; 0 if unknown.
-  explicit request_memory(std::uint32_t aMemoryMb);
+  explicit request_memory(double aMemoryMb);
 
   /// Adapts the budget to the largest request that the configuration allows, in bytes with its head.
   void SetLargestRequest(std::size_t aBytes);
--- a/tests/contract/gateway_caller_limits_test.cpp
+++ b/tests/contract/gateway_caller_limits_test.cpp
@@ -160,7 +160,8 @@
 }
 
 // A connection whose request has been read, or is being read, must not be closed for a new one.
-TEST_CASE_METHOD(caller_limits_fixture, "caller_that_connects_over_the_limit_takes_the_place_of_one_idle_since_a_response")
+TEST_CASE_METHOD(caller_limits_fixture,
+                 "caller_that_connects_over_the_limit_takes_the_place_of_one_idle_since_a_response")
 {
   const auto served = Connect();
   Send(*served, Request("Content-Length: 0\r\n"));
--- a/tests/contract/gateway_store_relay_test.cpp
+++ b/tests/contract/gateway_store_relay_test.cpp
@@ -29,7 +29,11 @@
   boost::asio::io_context mContext{ 1 };
   ref<store_cache> mCache = MakeRef<store_cache>();
   bool mMayServe = true;
-  ref<store_relay> mRelay = MakeRef<store_relay>(mContext, mCache, [this] { return mMayServe; }, 2 * kMaxReaders);
+  ref<store_relay> mRelay = MakeRef<store_relay>(
+    mContext,
+    mCache,
+    [this] { return mMayServe; },
+    2 * kMaxReaders);
   ref<net::http_client> mClient = net::http_client::Create(mContext);
   std::optional<unsigned> mStatus;
   std::optional<relay_response> mResponse;
--- a/tests/processes/gateway_hostile_callers_test.cpp
+++ b/tests/processes/gateway_hostile_callers_test.cpp
@@ -198,7 +198,8 @@
   Check();
 }
 
-// Requests inside the limits that wait for servers which do not respond are kept in memory, once more than they arrived.
+// Requests inside the limits that wait for servers which do not respond are kept in memory, once more than they
+// arrived.
 TEST_CASE_METHOD(hostile_callers_fixture, "gateway_with_many_large_bodies_at_silent_servers_stays_within_memory")
 {
   SetServer("service-0", "dark");
--- a/tests/standin/standin_fleet.cpp
+++ b/tests/standin/standin_fleet.cpp
@@ -101,7 +101,8 @@
     { "services",
       json::array{ json::object{ { "name", "engines" }, { "healthPath", "/h" }, { "engine", engine } },
                    json::object{ { "name", "services" }, { "healthPath", "/h" } } } },
-    { "limits", { { "maxHeaderBytes", 4'096 }, { "maxBodyBytes", mOptions.mMaxBodyBytes }, { "headerTimeoutMs", 1'000 } } },
+    { "limits",
+      { { "maxHeaderBytes", 4'096 }, { "maxBodyBytes", mOptions.mMaxBodyBytes }, { "headerTimeoutMs", 1'000 } } },
     { "tenants", json::array{ json::object{ { "name", "workspace-1" }, { "apiKeys", json::array{ aKey } } } } }
   };
   mStore.Write("config", "main", std::move(spec));
