--- a/src/policy/capacity_allocation.cpp
+++ b/src/policy/capacity_allocation.cpp
@@ -70,7 +70,8 @@
   const double usableSlack = slack > 0 && wanted > slack ? slack * kUsableSlack : slack;
   const double free = aCapacity > 0 ? std::max(becomesFree * kMinReuse, becomesFree + usableSlack) : 0;
   allocation.mStarts = StartsByRank(allocation.mWanted, free);
-  allocation.mUnclaimed = free - Sum(allocation.mStarts);
+  // Not computed from the starts, whose rounding would leave a tiny rest under scarcity, which then would not be seen.
+  allocation.mUnclaimed = std::max(0.0, free - wanted);
   return allocation;
 }
 
