Overload control: gateways that were not heard of also demand capacity

They were taken to use an equal share of the capacity and to want none. The average demand of the known gateways is assumed now.

--- a/src/gateway/overload_control.cpp
+++ b/src/gateway/overload_control.cpp
@@ -52,6 +52,20 @@
   return load;
 }
 
+/// The load that is assumed of a gateway that was not heard of: an equal share of the capacity in use, and the average
+/// demand of the others. Without a demand, each gateway that hears nobody would start all that becomes free.
+policy::gateway_load UnknownLoad(const std::vector<policy::gateway_load>& aKnown, double aEqualShare)
+{
+  policy::gateway_load unknown;
+  unknown.mInUse = aEqualShare;
+  for (const policy::gateway_load& known : aKnown) {
+    for (std::size_t rank = 0; rank < policy::kRankCount; ++rank) {
+      unknown.mWanted[rank] += known.mWanted[rank] / static_cast<double>(aKnown.size());
+    }
+  }
+  return unknown;
+}
+
 policy::gateway_demand DemandOf(const load_announcement& aAnnouncement)
 {
   policy::gateway_demand demand;
@@ -130,9 +144,8 @@
     }
   });
   const double capacity = aLoad.mCapacity * kAllocatedMemoryShare;
-  while (loads.size() < aLoad.mGateways) {
-    // Gateways that were not heard of are taken to use an equal share each.
-    loads.push_back({ capacity / static_cast<double>(aLoad.mGateways), {} });
+  if (loads.size() < aLoad.mGateways) {
+    loads.resize(aLoad.mGateways, UnknownLoad(loads, capacity / static_cast<double>(aLoad.mGateways)));
   }
   mAllocation = policy::AllocateCapacity(capacity, mRunTime, loads);
   for (std::size_t rank = 0; rank < policy::kRankCount; ++rank) {
