Overload control: faults on configuration changes, mixed queues and excessive deadlines; tests through streams

The state of a pool that stops being mixed is dropped, so that a later shortage doesn't begin with the former one. Requests with and without ranks are ordered consistently: the comparison was cyclic, which is undefined in a sort.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -237,6 +237,9 @@
   if (!mConfiguration) {
     return;
   }
+  // A pool whose priorities differ again later must not begin with the state of a former shortage.
+  std::erase_if(mOverload,
+                [&](const auto& aEntry) { return mConfiguration->MixedPriorities(aEntry.first) == nullptr; });
   for (const pool& each : mConfiguration->mPools) {
     overload_control* overload = Overload(each.mName);
     if (overload == nullptr) {
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -88,7 +88,10 @@
     return true;
   }
   if (mRequest.mMetadata.mCallerTimeout) {
-    mIsCallerRetry = overload->IsRetry(mRequest.mRoute->mName, *mRequest.mMetadata.mCallerTimeout, aNow);
+    // Time beyond the route's timeout is not used. If it counted, one caller that gives more would make all others
+    // late.
+    const duration patience = std::min(*mRequest.mMetadata.mCallerTimeout, mRequest.mRoute->mTimeout);
+    mIsCallerRetry = overload->IsRetry(mRequest.mRoute->mName, patience, aNow);
   }
   const stream_demand demand = Demand(aNow);
   mIsLate = !policy::IsOnTimeRank(demand.mRank);
--- a/src/policy/capacity_wait.cpp
+++ b/src/policy/capacity_wait.cpp
@@ -52,6 +52,10 @@
   if (aLeft.mRank && aRight.mRank) {
     return std::pair(*aLeft.mRank, aLeft.mArrived) < std::pair(*aRight.mRank, aRight.mArrived);
   }
+  if (aLeft.mRank.has_value() != aRight.mRank.has_value()) {
+    // Compared by age, requests with and without ranks would have no consistent order.
+    return !aLeft.mRank.has_value();
+  }
   const bool left = aLeft.CanBeOnTime(aNow);
   const bool right = aRight.CanBeOnTime(aNow);
   return left != right ? left : AdjustedArrival(aLeft) < AdjustedArrival(aRight);
--- a/src/policy/capacity_wait.h
+++ b/src/policy/capacity_wait.h
@@ -49,7 +49,8 @@
 /// Whether a request may wait; false means that it must be refused now.
 bool MayWait(const waiting_request& aRequest, const queue_state& aQueue, instant aNow);
 /// Whether the left request is served before the right one: by rank and age under overload control; otherwise requests
-/// that can be on time first, then by age and priority.
+/// that can be on time first, then by age and priority. Requests without overload control come before those under it:
+/// they are of other pools, or resume a stream that has begun.
 bool IsServedBefore(const waiting_request& aLeft, const waiting_request& aRight, instant aNow);
 
 /// Moving average of the run times of requests; a default before the first one.
--- a/tests/support/scripted_engines.h
+++ b/tests/support/scripted_engines.h
@@ -245,8 +245,10 @@
   duration mDeadline = kLimit;
   request_kind mKind = request_kind::Stream;
   unsigned mMaxAttempts = 9;
-  route mRoute;          ///< of the last request
-  std::string mReceived; ///< by the caller
+  std::uint32_t mPriority = 0;   ///< of the next request
+  std::function<void()> mOnTick; ///< called every kStreamTick while a request runs
+  route mRoute;                  ///< of the last request
+  std::string mReceived;         ///< by the caller
 
   /// Starts a stream for each request.
   class host : public session_host
@@ -265,6 +267,7 @@
       admitted.mConfiguration = mFixture.mFleet->Configuration();
       admitted.mRoute = &admitted.mConfiguration->mRoutes.front();
       admitted.mPool = mFixture.mPool;
+      admitted.mPriority = mFixture.mPriority;
       admitted.mArrived = Now();
       admitted.mDeadline = admitted.mArrived + mFixture.mDeadline;
       admitted.mSession = aSession;
@@ -336,6 +339,9 @@
         if (!aError && !mStreams.empty()) {
           mStreams.front().TimePassed(Now());
         }
+        if (!aError && mOnTick) {
+          mOnTick();
+        }
         if (!aError) {
           check();
         }
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -445,3 +445,147 @@
   ListOnly({ restarted });
   CHECK(ChosenEngine(mAfterReturnTime) == "east-1");
 }
+
+namespace {
+
+/// The fleet with two streaming routes to the pool, and announcements of another gateway.
+struct overload_fixture : fleet_fixture
+{
+  const net::endpoint mOther{ "127.0.0.1", 1 };
+
+  explicit overload_fixture(std::uint32_t aSecondPriority = 1)
+  {
+    Configure(0, aSecondPriority);
+    mFleet->Announcements().SetPeers({ { failure_domain_id("east"), mOther } });
+    mFleet->SetGateways(2, 2);
+  }
+
+  void Configure(std::uint32_t aFirst, std::uint32_t aSecond, std::vector<workspace> aWorkspaces = {})
+  {
+    auto newConfiguration = MakeRef<configuration>();
+    for (const char* name : { "engines", "plain" }) {
+      pool pool;
+      pool.mName = pool_name(name);
+      pool.mEngine = pool.mName == mPool ? std::optional(Model()) : std::nullopt;
+      newConfiguration->mPools.push_back(pool);
+    }
+    for (const std::uint32_t priority : { aFirst, aSecond }) {
+      route route;
+      route.mKind = request_kind::Stream;
+      route.mPriority = priority;
+      route.mPools = { { mPool, 1 }, { pool_name("plain"), 1 } };
+      newConfiguration->mRoutes.push_back(route);
+    }
+    newConfiguration->mWorkspaces = std::move(aWorkspaces);
+    newConfiguration->Index();
+    mFleet->SetConfiguration(newConfiguration);
+  }
+
+  /// Another gateway has this much in use, in the domain of this one, and wants aWanted of a less urgent rank.
+  void HearOther(double aInUse, double aWanted, instant aNow)
+  {
+    load_announcement announcement;
+    announcement.mHome = failure_domain_id("east");
+    announcement.mDomains[announcement.mHome].mInUse = aInUse;
+    announcement.mDomains[announcement.mHome].mWanted[policy::RankOf(1, true)] = aWanted;
+    mFleet->Announcements().Received(mOther, announcement, aNow);
+  }
+
+  const overload_state& Update(instant aNow)
+  {
+    mFleet->UpdateOverload({}, aNow);
+    return mFleet->Overload(mPool)->State();
+  }
+};
+
+/// Tokens that an engine of the fixture with all layers has memory for.
+constexpr double kEngineTokens = (16'000.0 - 8'000.0) * 1e6 / 4'000 / 8;
+
+} // namespace
+
+// Guards against another behaviour, or announcements, in deployments that do not call for overload control.
+TEST_CASE("fleet_with_a_pool_without_different_priorities_has_no_overload_control_for_it_and_announces_nothing")
+{
+  overload_fixture fixture(0);
+  bool hasAnnounced = false;
+  fixture.mFleet->Announcements().OnAnnounce([&](const auto&, const auto&) { hasAnnounced = true; });
+  const auto checkNone = [&] {
+    CHECK(fixture.mFleet->Configuration()->MixedPriorities(fixture.mPool) == nullptr);
+    fixture.mFleet->UpdateOverload({}, fixture.mBegin);
+    CHECK(fixture.mFleet->Overload(fixture.mPool) == nullptr);
+    CHECK_FALSE(hasAnnounced);
+  };
+  checkNone();
+  // The priority of all workspaces takes precedence, but leaves the routes different.
+  fixture.Configure(0, 1, { { workspace_id("a"), 1 } });
+  CHECK(fixture.mFleet->Overload(fixture.mPool) != nullptr);
+  CHECK(fixture.mFleet->Overload(pool_name("plain")) == nullptr);
+  CHECK(fixture.mFleet->Overload(pool_name("unknown")) == nullptr);
+  // Equal routes, and workspaces that differ.
+  fixture.Configure(2, 2, { { workspace_id("a"), 1 }, { workspace_id("b"), std::nullopt } });
+  CHECK(fixture.mFleet->Overload(fixture.mPool) != nullptr);
+  fixture.Configure(2, 2, { { workspace_id("a"), 1 }, { workspace_id("b"), 1 } });
+  checkNone();
+}
+
+// Guards against a capacity in other units, and against engines without layers that count as memory.
+TEST_CASE("fleet_capacity_is_the_least_memory_of_any_layer_over_the_usable_engines")
+{
+  overload_fixture fixture;
+  const auto capacity = [&](instant aNow) { return fixture.Update(aNow).mCapacity / kAllocatedMemoryShare; };
+  CHECK(capacity(fixture.mBegin) == Approx(4 * kEngineTokens));
+  fixture.mFleet->MarkLost(backend_id("west-1"), fixture.mBegin);
+  CHECK(capacity(fixture.mBegin) == Approx(3 * kEngineTokens));
+  fixture.ListOnly({ fixture.Engine("east-1", "east"), fixture.Engine("east-2", "east", {}) });
+  CHECK(capacity(fixture.mAfterReturnTime) == Approx(kEngineTokens));
+  fixture.ListOnly({ fixture.Engine("east-1", "east"), fixture.Engine("east-3", "east", { 0, 4 }) });
+  CHECK(capacity(fixture.mAfterReturnTime) == Approx(kEngineTokens));
+}
+
+// Guards against division by zero and against engines without layers that get work.
+TEST_CASE("fleet_with_no_engines_or_none_with_layers_has_no_capacity_and_chooses_no_path")
+{
+  overload_fixture fixture;
+  for (const bool hasEngine : { false, true }) {
+    const auto engines =
+      hasEngine ? std::vector{ fixture.Engine("east-9", "east", {}) } : std::vector<policy::backend_member>();
+    fixture.ListOnly(engines);
+    fixture.HearOther(1'000, 1'000, fixture.mAfterReturnTime);
+    const overload_state& state = fixture.Update(fixture.mAfterReturnTime);
+    CHECK(state.mCapacity == 0);
+    CHECK(state.mIsScarce);
+    CHECK(state.mAdmitted[policy::RankOf(1, true)] == 0);
+    CHECK(fixture.ChosenEngine(fixture.mAfterReturnTime).empty());
+  }
+}
+
+// Guards against engines that are sent more than they have memory for: what others have in use there must count.
+TEST_CASE("fleet_under_scarcity_chooses_no_engine_that_the_other_gateways_have_filled")
+{
+  overload_fixture fixture;
+  fixture.Update(fixture.mBegin);
+  CHECK(fixture.ChosenEngine(fixture.mBegin).starts_with("east"));
+  fixture.HearOther(2 * kEngineTokens, 100 * kEngineTokens, fixture.mBegin);
+  CHECK(fixture.Update(fixture.mBegin).mIsScarce);
+  CHECK(fixture.ChosenEngine(fixture.mBegin).starts_with("west"));
+  // The announcement has expired.
+  const instant after = fixture.mBegin + kAnnouncementTime * 2;
+  fixture.Update(after);
+  CHECK_FALSE(fixture.Update(after + std::chrono::seconds(2)).mIsScarce);
+  CHECK(fixture.ChosenEngine(after + std::chrono::seconds(2)).starts_with("east"));
+}
+
+// Guards against a shortage of the past that counts when a pool gets different priorities again.
+TEST_CASE("fleet_whose_pool_stops_and_begins_to_differ_in_priority_begins_without_the_former_state")
+{
+  overload_fixture fixture;
+  fixture.HearOther(4 * kEngineTokens, 100 * kEngineTokens, fixture.mBegin);
+  REQUIRE(fixture.Update(fixture.mBegin).mIsScarce);
+  fixture.Configure(1, 1);
+  fixture.mFleet->UpdateOverload({}, fixture.mBegin);
+  CHECK(fixture.mFleet->Overload(fixture.mPool) == nullptr);
+  fixture.Configure(0, 1);
+  REQUIRE(fixture.mFleet->Overload(fixture.mPool) != nullptr);
+  CHECK_FALSE(fixture.mFleet->Overload(fixture.mPool)->State().mIsScarce);
+  CHECK(fixture.mFleet->Overload(fixture.mPool)->OthersInUse(failure_domain_id("east")) == 0);
+}
--- a/tests/unit/policy_capacity_wait_test.cpp
+++ b/tests/unit/policy_capacity_wait_test.cpp
@@ -1,6 +1,7 @@
 #include "policy/capacity_wait.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <array>
@@ -188,3 +189,42 @@
   CHECK(IsServedBefore(waiting(200), waiting(100), now));
   CHECK(IsServedBefore(waiting(900), waiting(800), now));
 }
+
+// Guards against an urgent request that waits behind an older one of a later rank, or behind a younger one of its own.
+TEST_CASE("capacity_wait_of_ranked_requests_serves_them_by_rank_and_then_by_age")
+{
+  const instant now = instant() + std::chrono::seconds(10);
+  const auto waiting = [&](int aAgo, std::size_t aRank) {
+    return waiting_request{ now - milliseconds(aAgo), milliseconds(500), milliseconds(20'000), 0, aRank };
+  };
+  CHECK(IsServedBefore(waiting(10, 0), waiting(290, 2), now));
+  CHECK(IsServedBefore(waiting(10, 2), waiting(900, 3), now));
+  CHECK(IsServedBefore(waiting(20, 2), waiting(10, 2), now));
+  CHECK_FALSE(IsServedBefore(waiting(10, 2), waiting(10, 2), now));
+}
+
+// Guards against a sort with an order that is none: requests of pools with and without overload control, and streams
+// that their callers resume, wait in one queue.
+TEST_CASE("capacity_wait_of_requests_with_and_without_ranks_has_a_strict_weak_order")
+{
+  const instant now = instant() + std::chrono::seconds(10);
+  REQUIRE(rc::check([&] {
+    std::array<waiting_request, 3> of;
+    for (waiting_request& each : of) {
+      each.mArrived = now - milliseconds(*rc::gen::inRange(0, 10) * 100);
+      each.mObjective = milliseconds(*rc::gen::element(500, 600, 1200));
+      each.mPriority = *rc::gen::inRange(0U, 3U);
+      each.mRank = *rc::gen::element(false, true) ? std::optional(*rc::gen::inRange<std::size_t>(0, 6)) : std::nullopt;
+    }
+    const auto before = [&](std::size_t aLeft, std::size_t aRight) {
+      return IsServedBefore(of.at(aLeft), of.at(aRight), now);
+    };
+    const auto areEqual = [&](std::size_t aLeft, std::size_t aRight) {
+      return !before(aLeft, aRight) && !before(aRight, aLeft);
+    };
+    RC_ASSERT(!before(0, 0));
+    RC_ASSERT(!(before(0, 1) && before(1, 0)));
+    RC_ASSERT(!(before(0, 1) && before(1, 2)) || before(0, 2));
+    RC_ASSERT(!(areEqual(0, 1) && areEqual(1, 2)) || areEqual(0, 2));
+  }));
+}
