Command explain-route: where a gateway would route a request now

The control listener of a gateway answers GET /explain-route with the route, workspace, overload state, predicted path and each candidate's verdict. The path search is split so that a preview records no missed permit; admission is tried on a copy of the overload control. CheckCaller() decides for requests and explanations alike.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -111,6 +111,7 @@
   for (auto group : { ChangeCommands(), OperatorCommands(), LogCommands(), LocalCommands() }) {
     all.insert(all.end(), group.begin(), group.end());
   }
+  all.push_back(ExplainRouteCommand());
   all.push_back(LoadCommand());
   return all;
 }
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -15,6 +15,8 @@
 std::vector<command> OperatorCommands();
 /// explain, requests, late, events-reference.
 std::vector<command> LogCommands();
+/// explain-route.
+command ExplainRouteCommand();
 /// load.
 command LoadCommand();
 /// The command that runs a process in a role.
--- a/src/gateway/capacity_queue.cpp
+++ b/src/gateway/capacity_queue.cpp
@@ -28,10 +28,24 @@
 
 std::size_t capacity_queue::Ahead(const stream_request& aRequest, instant aNow) const
 {
-  const policy::waiting_request request = aRequest.ToWaitingRequest(aNow);
+  return CountBefore(aRequest.Pool(), aRequest.ToWaitingRequest(aNow), &aRequest, aNow);
+}
+
+policy::queue_view capacity_queue::View(const pool_name& aPool,
+                                        const policy::waiting_request& aRequest,
+                                        instant aNow) const
+{
+  return { CountBefore(aPool, aRequest, nullptr, aNow), QueueState(mWaiting.size()) };
+}
+
+std::size_t capacity_queue::CountBefore(const pool_name& aPool,
+                                        const policy::waiting_request& aRequest,
+                                        const stream_request* aExcept,
+                                        instant aNow) const
+{
   return static_cast<std::size_t>(std::count_if(mWaiting.begin(), mWaiting.end(), [&](const auto& aWaiting) {
-    return aWaiting.get() != &aRequest && aWaiting->IsWaiting() && aWaiting->Pool() == aRequest.Pool() &&
-           policy::IsServedBefore(aWaiting->ToWaitingRequest(aNow), request, aNow);
+    return aWaiting.get() != aExcept && aWaiting->IsWaiting() && aWaiting->Pool() == aPool &&
+           policy::IsServedBefore(aWaiting->ToWaitingRequest(aNow), aRequest, aNow);
   }));
 }
 
--- a/src/gateway/capacity_queue.h
+++ b/src/gateway/capacity_queue.h
@@ -30,10 +30,16 @@
   std::map<pool_name, std::vector<stream_demand>> RankedDemand(instant aNow) const;
   /// Number of waiting requests for the same pool that are served before this one.
   std::size_t Ahead(const stream_request& aRequest, instant aNow) const;
+  /// The queue as a request that is not in it would find it; for explanations.
+  policy::queue_view View(const pool_name& aPool, const policy::waiting_request& aRequest, instant aNow) const;
   /// Predicted time until there is capacity for a request behind all that wait now.
   duration Forecast() const { return policy::WaitForecast(QueueState(mWaiting.size())); }
 
 private:
+  std::size_t CountBefore(const pool_name& aPool,
+                          const policy::waiting_request& aRequest,
+                          const stream_request* aExcept,
+                          instant aNow) const;
   /// The state of the queue as seen by a request with aAhead others before it.
   policy::queue_state QueueState(std::size_t aAhead) const;
 
--- a/src/gateway/configuration.cpp
+++ b/src/gateway/configuration.cpp
@@ -94,6 +94,28 @@
   return found == mKeys.end() ? nullptr : &mWorkspaces[found->second];
 }
 
+caller_verdict CheckCaller(const configuration* aConfiguration, const caller_query& aQuery)
+{
+  if (aConfiguration == nullptr || !aQuery.mIsConfigured) {
+    return { nullptr, nullptr, 503, "not configured yet" };
+  }
+  const route* route = aConfiguration->FindRoute(aQuery.mHost, aQuery.mPath);
+  if (route == nullptr) {
+    return { nullptr, nullptr, aQuery.mTrustsKeys ? 404U : 503U, "no route" };
+  }
+  if (!route->mNeedsKey || aConfiguration->mWorkspaces.empty()) {
+    return { route, nullptr, 0, {} };
+  }
+  if (!aQuery.mTrustsKeys) {
+    return { route, nullptr, 503, "configuration not confirmed" };
+  }
+  const workspace* workspace = aConfiguration->FindWorkspace(aQuery.mKey);
+  if (workspace == nullptr) {
+    return { route, nullptr, 401, "unknown key" };
+  }
+  return { route, workspace, 0, {} };
+}
+
 const pool_name& DrawPool(const route& aRoute, std::uint64_t aDraw)
 {
   static const pool_name kNone;
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -100,6 +100,28 @@
   std::unordered_map<pool_name, policy::priority_levels> mMixedPriorities; ///< of pools with more than one
 };
 
+/// What decides whether a caller's request is admitted.
+struct caller_query
+{
+  std::string_view mHost;
+  std::string_view mPath;
+  std::string mKey;
+  bool mIsConfigured = false; ///< the configuration and the keys have been read
+  bool mTrustsKeys = false;   ///< they were confirmed recently
+};
+
+/// The route and workspace of an admitted request, or the status with which it is rejected.
+struct caller_verdict
+{
+  const route* mRoute = nullptr;
+  const workspace* mWorkspace = nullptr; ///< set if the route needs a key
+  unsigned mStatus = 0;                  ///< 0: admitted
+  std::string_view mReason;
+};
+
+/// @param aConfiguration may be null. Owns what the result refers to.
+caller_verdict CheckCaller(const configuration* aConfiguration, const caller_query& aQuery);
+
 /// Chooses the pool for a request of a route, at random by weight.
 /// @param aDraw a random number that is the same for each attempt of one request.
 const pool_name& DrawPool(const route& aRoute, std::uint64_t aDraw);
--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -94,13 +94,10 @@
   FillEngineShares(*aPool.mEngine);
 }
 
-std::optional<chosen_path> fleet::ChoosePath(const path_query& aQuery, instant aNow)
+/// Sets the load and usability of mEngines for a search.
+policy::path_request fleet::PrepareSearch(const pool& aPool, const path_query& aQuery, instant aNow)
 {
-  const pool* pool = mConfiguration ? mConfiguration->FindPool(aQuery.mPool) : nullptr;
-  if (pool == nullptr || !pool->mEngine) {
-    return std::nullopt;
-  }
-  FillEngines(*pool);
+  FillEngines(aPool);
   policy::path_request request;
   request.mInputTokens = aQuery.mInputTokens;
   request.mOutputTokens = aQuery.mOutputTokens;
@@ -111,8 +108,7 @@
   request.mDomainAfter = aQuery.mDomainAfter;
   request.mMaxQueueWait = policy::fractional_ms(aQuery.mMaxQueueWait);
   request.mFastEnginesOnly = aQuery.mFastEnginesOnly;
-  std::vector<backend_id> overLimit;
-  const overload_control* overload = Overload(aQuery.mPool);
+  const overload_control* overload = FindOverload(aQuery.mPool);
   overload = overload != nullptr && overload->State().mIsScarce ? overload : nullptr;
   for (policy::path_engine& engine : mEngines) {
     const backend_state& state = State(engine.mId);
@@ -127,17 +123,19 @@
     engine.mUsable = MayGetWork(state, aNow) && state.mRefusingUntil <= aNow && !IsMoving(engine.mId, aNow) &&
                      !aQuery.mExcluded.contains(engine.mId);
     engine.mMayBegin = mLimits.MayBegin({ engine.mId, state.mStartedAt }, aNow);
-    if (!engine.mMayBegin && engine.mUsable && engine.mHeld.Holds(0) && !aQuery.mSpan) {
-      overLimit.push_back(engine.mId);
-    }
   }
   if (overload != nullptr) {
-    AddOthersLoad(*pool->mEngine, *overload);
+    AddOthersLoad(*aPool.mEngine, *overload);
   }
-  const auto path = policy::ChoosePath(*pool->mEngine, mEngines, request);
-  // A path that begins in another failure domain is worse, so permits are wanted for the engines of this one.
-  std::erase_if(overLimit, [&](const backend_id& aId) { return path && DomainOf(aId) != mHome; });
-  MissPermits(overLimit, !aQuery.mIsRepeated, aNow);
+  return request;
+}
+
+/// Searches a path through mEngines.
+std::optional<chosen_path> fleet::FindPath(const pool& aPool,
+                                           const path_query& aQuery,
+                                           const policy::path_request& aRequest) const
+{
+  const auto path = policy::ChoosePath(*aPool.mEngine, mEngines, aRequest);
   if (!path) {
     return std::nullopt;
   }
@@ -151,6 +149,73 @@
   return chosen;
 }
 
+std::optional<chosen_path> fleet::ChoosePath(const path_query& aQuery, instant aNow)
+{
+  const pool* pool = mConfiguration ? mConfiguration->FindPool(aQuery.mPool) : nullptr;
+  if (pool == nullptr || !pool->mEngine) {
+    return std::nullopt;
+  }
+  auto path = FindPath(*pool, aQuery, PrepareSearch(*pool, aQuery, aNow));
+  std::vector<backend_id> overLimit;
+  for (const policy::path_engine& engine : mEngines) {
+    // A path that begins in another failure domain is worse, so permits are wanted for the engines of this one.
+    if (!engine.mMayBegin && engine.mUsable && engine.mHeld.Holds(0) && !aQuery.mSpan &&
+        (!path || engine.mDomain == mHome)) {
+      overLimit.push_back(engine.mId);
+    }
+  }
+  MissPermits(overLimit, !aQuery.mIsRepeated, aNow);
+  return path;
+}
+
+path_preview fleet::PreviewPath(const path_query& aQuery, instant aNow)
+{
+  path_preview preview;
+  const pool* pool = mConfiguration ? mConfiguration->FindPool(aQuery.mPool) : nullptr;
+  if (pool != nullptr && pool->mEngine) {
+    preview.mRequest = PrepareSearch(*pool, aQuery, aNow);
+    preview.mPath = FindPath(*pool, aQuery, preview.mRequest);
+    preview.mEngines = mEngines;
+  }
+  return preview;
+}
+
+std::vector<service_preview> fleet::PreviewServices(const pool_name& aPool, instant aNow) const
+{
+  std::vector<service_preview> services;
+  for (const auto& [id, member] : mMembers.Members()) {
+    const backend_state* state = FindState(id);
+    if (member.mPool != aPool || state == nullptr) {
+      continue;
+    }
+    service_preview service;
+    service.mId = id;
+    service.mIsReplaced = IsReplaced(id);
+    service.mIsOverLimit = !mLimits.MayBegin({ id, member.mStartedAt }, aNow);
+    const double refusing = state->mRefusingUntil > aNow ? 1.0 : 0.0;
+    service.mCandidate = { member.mDomain == mHome,
+                           state->mRunning,
+                           std::max(state->mFailures, refusing),
+                           MayGetWork(*state, aNow) && !service.mIsReplaced && !service.mIsOverLimit };
+    services.push_back(std::move(service));
+  }
+  return services;
+}
+
+const backend_state* fleet::FindState(const backend_id& aId) const
+{
+  const auto found = mStates.find(aId);
+  return found == mStates.end() ? nullptr : &found->second;
+}
+
+const overload_control* fleet::FindOverload(const pool_name& aPool) const
+{
+  const auto found = mOverload.find(aPool);
+  return found == mOverload.end() || !mConfiguration || mConfiguration->MixedPriorities(aPool) == nullptr
+           ? nullptr
+           : &found->second;
+}
+
 overload_control* fleet::Overload(const pool_name& aPool)
 {
   if (!mConfiguration || mConfiguration->MixedPriorities(aPool) == nullptr) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -20,6 +20,7 @@
 #include "policy/key_freshness.h"
 #include "policy/member_table.h"
 #include "policy/path_choice.h"
+#include "policy/service_choice.h"
 
 /// This gateway's view of the backend servers: which are listed, the layers that they hold, the requests of this
 /// gateway that run on them, and which were seen failing. Requests choose their path here, so that a server which dies,
@@ -142,6 +143,23 @@
   bool mIsRepeated = false; ///< a path for the same request was searched for before, and none was found
 };
 
+/// The path that a request would get, and the engines among which it was chosen.
+struct path_preview
+{
+  std::optional<chosen_path> mPath;
+  std::vector<policy::path_engine> mEngines; ///< empty for a pool without model engines
+  policy::path_request mRequest;
+};
+
+/// A plain service as a candidate for a request.
+struct service_preview
+{
+  backend_id mId;
+  policy::service_candidate mCandidate;
+  bool mIsReplaced = false;  ///< a server started later is listed at its address
+  bool mIsOverLimit = false; ///< no permit is left
+};
+
 /// A server that is no longer listed. It has terminated, or it is leaving without having reported it and serves its
 /// requests for a while.
 struct departed_backend
@@ -177,6 +195,12 @@
 
   /// Chooses the cheapest path through usable engines; nothing when some layer has none.
   std::optional<chosen_path> ChoosePath(const path_query& aQuery, instant aNow);
+  /// Like ChoosePath(), but without recording a missed permit, for explanations: no decision changes.
+  path_preview PreviewPath(const path_query& aQuery, instant aNow);
+  /// The plain services of a pool, each with the facts from which one is chosen. Records nothing.
+  std::vector<service_preview> PreviewServices(const pool_name& aPool, instant aNow) const;
+  /// State of a listed server, or nullptr.
+  const backend_state* FindState(const backend_id& aId) const;
   /// Counts for logs and metrics; all zero for a pool without model engines.
   engine_availability Availability(const pool_name& aPool, instant aNow);
   /// Chooses a plain service of a pool; nothing when none is usable.
@@ -293,6 +317,7 @@
   load_announcements& Announcements() { return mAnnouncements; }
   /// Overload control of a pool, or nullptr when its requests don't differ in priority.
   overload_control* Overload(const pool_name& aPool);
+  const overload_control* FindOverload(const pool_name& aPool) const;
   /// Computes the allocation of each pool anew, and announces this gateway's load; called periodically.
   /// @param aWaiting the streams that wait for capacity, by pool.
   void UpdateOverload(const std::map<pool_name, std::vector<stream_demand>>& aWaiting, instant aNow);
@@ -316,6 +341,10 @@
   failure_domain_id DomainOf(const backend_id& aId) const;
   void MissPermits(const std::vector<backend_id>& aServers, bool aIsNew, instant aNow);
   void FillEngines(const pool& aPool);
+  policy::path_request PrepareSearch(const pool& aPool, const path_query& aQuery, instant aNow);
+  std::optional<chosen_path> FindPath(const pool& aPool,
+                                      const path_query& aQuery,
+                                      const policy::path_request& aRequest) const;
   void FillEngineShares(const policy::engine_model& aModel);
   void AddOthersLoad(const policy::engine_model& aModel, const overload_control& aOverload);
   pool_load LoadOf(const pool& aPool, instant aNow);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 #include "gateway/gateway_registry.h"
 #include "gateway/placement_leader.h"
 #include "gateway/request_context.h"
+#include "gateway/route_explanation.h"
 #include "gateway/service_request.h"
 #include "gateway/store_relay.h"
 #include "gateway/store_sync.h"
@@ -32,8 +33,6 @@
 
 constexpr part_log kLog("gateway");
 
-/// Time limit of a request whose caller gives none.
-constexpr duration kDefaultCallerTimeout = std::chrono::seconds(60);
 /// Time until the balancer has noticed that this instance is leaving and the last connection that it has assigned to
 /// this instance has arrived.
 constexpr duration kBalancerDetectionTime = std::chrono::milliseconds(2600);
@@ -118,6 +117,11 @@
   bool StartRelay();
   bool IsReady() const;
   void UpdateGauges();
+  caller_query CallerQuery(std::string_view aHost, std::string_view aPath, std::string aKey) const
+  {
+    return { aHost, aPath, std::move(aKey), mSync->IsComplete(), mSync->Keys().MayTrustKeys(BootNow()) };
+  }
+  net::http_reply HandleExplainRoute(const net::http_request& aRequest);
   /// Responds to a request that is not admitted.
   void Refuse(const ref<caller_session>& aSession,
               const wire::request_metadata& aMetadata,
@@ -312,12 +316,37 @@
     reply.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
     UpdateGauges();
     reply.mBody = mMetrics->Text();
+  } else if (net::PathOf(aRequest.mTarget) == "/explain-route") {
+    return HandleExplainRoute(aRequest);
   } else {
     reply.mStatus = 404;
   }
   return reply;
 }
 
+/// Explains where a request would be routed now. The key comes in a header, since targets may be logged by proxies.
+net::http_reply gateway_process::HandleExplainRoute(const net::http_request& aRequest)
+{
+  const auto question = ReadRouteQuestion(aRequest);
+  if (!question) {
+    net::http_reply reply;
+    reply.mStatus = 400;
+    return reply;
+  }
+  const instant now = Now();
+  const caller_query caller = CallerQuery(question->mHost, net::PathOf(question->mPath), question->mKey);
+  route_explanation explanation = ExplainRoute(
+    *mFleet,
+    *question,
+    caller,
+    [&](const pool_name& aPool, const policy::waiting_request& aWaiting) {
+      return mCapacityQueue.View(aPool, aWaiting, now);
+    },
+    now);
+  explanation.mIsLeaving = mIsLeaving;
+  return net::JsonReply(200, ToJson(explanation));
+}
+
 void gateway_process::Refuse(const ref<caller_session>& aSession,
                              const wire::request_metadata& aMetadata,
                              unsigned aStatus,
@@ -340,30 +369,19 @@
   admitted_request admitted;
   admitted.mMetadata = wire::DecodeMetadata(aRequest.mHeaders);
   admitted.mConfiguration = mFleet->Configuration();
-  if (!admitted.mConfiguration || !mSync->IsComplete()) {
-    Refuse(aSession, admitted.mMetadata, 503, "not configured yet");
-    return;
-  }
-  admitted.mRoute = admitted.mConfiguration->FindRoute(admitted.mMetadata.mHost, net::PathOf(aRequest.mTarget));
-  const bool trustsKeys = mSync->Keys().MayTrustKeys(BootNow());
-  if (admitted.mRoute == nullptr) {
-    Refuse(aSession, admitted.mMetadata, trustsKeys ? 404 : 503, "no route");
+  const caller_verdict verdict =
+    CheckCaller(admitted.mConfiguration.get(),
+                CallerQuery(admitted.mMetadata.mHost, net::PathOf(aRequest.mTarget), admitted.mMetadata.mKey));
+  if (verdict.mStatus != 0) {
+    Refuse(aSession, admitted.mMetadata, verdict.mStatus, std::string(verdict.mReason));
     return;
   }
+  admitted.mRoute = verdict.mRoute;
   admitted.mPriority = admitted.mRoute->mPriority;
   std::optional<std::uint32_t> workspacePriority;
-  if (admitted.mRoute->mNeedsKey && !admitted.mConfiguration->mWorkspaces.empty()) {
-    if (!trustsKeys) {
-      Refuse(aSession, admitted.mMetadata, 503, "configuration not confirmed");
-      return;
-    }
-    const workspace* workspace = admitted.mConfiguration->FindWorkspace(admitted.mMetadata.mKey);
-    if (workspace == nullptr) {
-      Refuse(aSession, admitted.mMetadata, 401, "unknown key");
-      return;
-    }
-    admitted.mWorkspace = workspace->mName.Str();
-    workspacePriority = workspace->mPriority;
+  if (verdict.mWorkspace != nullptr) {
+    admitted.mWorkspace = verdict.mWorkspace->mName.Str();
+    workspacePriority = verdict.mWorkspace->mPriority;
     admitted.mPriority = workspacePriority.value_or(admitted.mPriority);
   }
   admitted.mPool = DrawPool(*admitted.mRoute, mEnvironment.mRandom());
--- a/src/gateway/overload_control.h
+++ b/src/gateway/overload_control.h
@@ -67,6 +67,8 @@
   void Update(const pool_load& aLoad, const load_announcements& aOthers, instant aNow);
   /// Whether a stream that arrives, or has just become late, is admitted; false means that it must be rejected now.
   bool Admits(const stream_demand& aStream, instant aNow);
+  /// Admitted fraction of streams of the same rank and workspace.
+  double AdmittedFraction(const stream_demand& aStream) const { return Fraction(aStream.mRank, aStream.mWorkspace); }
   /// Whether a stream of this size may start now.
   bool MayStart(double aTokens) const;
   /// Adds a stream that starts, until the next Update().
--- a/src/gateway/request_context.cpp
+++ b/src/gateway/request_context.cpp
@@ -25,6 +25,13 @@
 
 } // namespace
 
+double EstimateOutputTokens(const pool* aPool, std::optional<double> aHint, double aLimit)
+{
+  const double typical = aPool != nullptr && aPool->mEngine ? aPool->mEngine->mTypicalOutputTokens : 0;
+  // Callers' estimates are often far off, so half of the weight stays with the typical output.
+  return std::min(std::max(1.0, (aHint.value_or(typical) + typical) / 2), std::max(1.0, aLimit));
+}
+
 void LimitHeldBytes(request_environment& aEnvironment, std::size_t aOwnBytes, instant aNow)
 {
   if (aOwnBytes < kFreeHeldBytes) {
--- a/src/gateway/request_context.h
+++ b/src/gateway/request_context.h
@@ -37,6 +37,17 @@
 /// another instance can serve the retry.
 inline constexpr duration kRetryElsewhereAfter = std::chrono::milliseconds(100);
 
+/// Share of the objective that a request may spend in an engine's queue: prefill and the first pass need the rest.
+inline constexpr double kQueueShareOfObjective = 0.5;
+/// Time limit of a request whose caller gives none.
+inline constexpr duration kDefaultCallerTimeout = std::chrono::seconds(60);
+
+/// Expected number of tokens in the output of a stream.
+/// @param aPool may be null.
+/// @param aHint the caller's estimate.
+/// @param aLimit the maximum that the caller allows.
+double EstimateOutputTokens(const pool* aPool, std::optional<double> aHint, double aLimit);
+
 /// Objects of a gateway that all its requests use.
 struct request_environment
 {
--- a/src/gateway/stream_request.cpp
+++ b/src/gateway/stream_request.cpp
@@ -122,11 +122,9 @@
 
 double stream_request::EstimatedOutputTokens() const
 {
-  const pool* pool = mRequest.mConfiguration->FindPool(mRequest.mPool);
-  const double typical = pool != nullptr && pool->mEngine ? pool->mEngine->mTypicalOutputTokens : 0;
-  const double estimate = mRequest.mMetadata.mOutputTokensHint.value_or(typical);
-  // Callers' estimates are often far off, so half of the weight stays with the typical output.
-  return std::min(std::max(1.0, (estimate + typical) / 2), std::max(1.0, mRequest.mMetadata.mMaxOutputTokens));
+  return EstimateOutputTokens(mRequest.mConfiguration->FindPool(mRequest.mPool),
+                              mRequest.mMetadata.mOutputTokensHint,
+                              mRequest.mMetadata.mMaxOutputTokens);
 }
 
 double stream_request::TokensLeft() const
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-/// Share of the objective that a request may spend in an engine's queue: prefill and the first pass need the rest.
-constexpr double kQueueShareOfObjective = 0.5;
 /// Time after which a request may go back to an engine that failed it: longer than a change of an engine takes to reach
 /// this gateway's list of backend servers.
 constexpr duration kExclusionTime = std::chrono::milliseconds(600);
--- a/src/policy/capacity_wait.h
+++ b/src/policy/capacity_wait.h
@@ -28,6 +28,13 @@
   duration mPermitWait{ 0 };     ///< until a server that names a limit takes the request; zero if another one does
 };
 
+/// The queue as found by a request.
+struct queue_view
+{
+  std::size_t mAhead = 0; ///< waiting requests for the same pool that are served before it
+  queue_state mState;     ///< from which it is decided whether the request may wait
+};
+
 /// A request that waits for capacity.
 struct waiting_request
 {
--- a/src/policy/path_choice.cpp
+++ b/src/policy/path_choice.cpp
@@ -76,9 +76,7 @@
           (aHomeOnly && engine.mDomain != mRequest.mHome)) {
         continue;
       }
-      const double freeMemory =
-        MemoryForRequests(mModel, engine.mKind, engine.mHeld) * kReservableMemoryShare - engine.mReservedTokenLayers;
-      const double layers = freeMemory / std::max(1.0, mRequest.mInputTokens + mRequest.mOutputTokens);
+      const double layers = LayersWithMemory(mModel, engine, mRequest);
       if (layers >= 1) {
         mChosen.push_back({ index, CostOf(engine), layers });
       }
@@ -168,10 +166,7 @@
   /// Begins at the first engine of a request, which queues it when its slots or its memory are taken.
   bool BeginPath(const path_engine& aEngine, state& aBest) const
   {
-    if (!aEngine.mMayBegin) {
-      return false;
-    }
-    if (mModel.mSlots > 0 && aEngine.mBegun + 1 > std::max(1.0, kUsableSlotShare * mModel.mSlots)) {
+    if (!aEngine.mMayBegin || !HasSlot(mModel, aEngine)) {
       return false;
     }
     const double wait = aEngine.mQueueWait.count();
@@ -272,6 +267,18 @@
   return freeMb * 1e6 / aModel.mBytesPerTokenAndLayer;
 }
 
+double LayersWithMemory(const engine_model& aModel, const path_engine& aEngine, const path_request& aRequest)
+{
+  const double freeMemory =
+    MemoryForRequests(aModel, aEngine.mKind, aEngine.mHeld) * kReservableMemoryShare - aEngine.mReservedTokenLayers;
+  return freeMemory / std::max(1.0, aRequest.mInputTokens + aRequest.mOutputTokens);
+}
+
+bool HasSlot(const engine_model& aModel, const path_engine& aEngine)
+{
+  return aModel.mSlots == 0 || aEngine.mBegun + 1 <= std::max(1.0, kUsableSlotShare * aModel.mSlots);
+}
+
 fractional_ms TransferTime(const engine_model& aModel, double aTokens)
 {
   if (aModel.mInterconnectMbps <= 0) {
--- a/src/policy/path_choice.h
+++ b/src/policy/path_choice.h
@@ -74,6 +74,12 @@
 /// Time for which the activations of this many tokens occupy the interconnect between two failure domains.
 fractional_ms TransferTime(const engine_model& aModel, double aTokens);
 
+/// Number of layers at which an engine has free memory for the whole request.
+double LayersWithMemory(const engine_model& aModel, const path_engine& aEngine, const path_request& aRequest);
+
+/// Whether a path may begin at an engine without exceeding its slots.
+bool HasSlot(const engine_model& aModel, const path_engine& aEngine);
+
 /// Predicted latency of a path.
 struct path_cost
 {
