--- a/src/cli/route_text.cpp
+++ b/src/cli/route_text.cpp
@@ -47,7 +47,11 @@
     return text;
   }
   if (outcome == "waits") {
-    return fmt::format("waits behind {:.0f}: {}", Number(aPool, "ahead"), Text(aPool, "reason"));
+    std::string text = fmt::format("waits behind {:.0f}: {}", Number(aPool, "ahead"), Text(aPool, "reason"));
+    if (aPool.contains("wait_forecast_ms")) {
+      text += fmt::format(" (forecast {})", Ms(aPool, "wait_forecast_ms"));
+    }
+    return text;
   }
   return outcome;
 }
--- a/src/gateway/route_explanation.cpp
+++ b/src/gateway/route_explanation.cpp
@@ -142,6 +142,7 @@
       return;
     }
     mPool.mOutcome = route_outcome::Waits;
+    mPool.mWaitForecast = policy::WaitForecast(aQueue.mState);
     mPool.mReason = !hasQuota ? "the quota of this gateway is used up"
                     : !isNext ? "other requests are served first"
                               : "no path has capacity";
@@ -338,6 +339,9 @@
                        { "status", aPool.mStatus },         { "reason", aPool.mReason },
                        { "ahead", aPool.mAhead },           { "permit_wait_ms", ToMs(aPool.mPermitWait) },
                        { "tokens", Rounded(aPool.mTokens) } };
+  if (aPool.mWaitForecast > duration::zero()) {
+    object["wait_forecast_ms"] = Rounded(ToMs(aPool.mWaitForecast));
+  }
   if (aPool.mRetryAfter) {
     object["retry_after_ms"] = Rounded(ToMs(*aPool.mRetryAfter));
   }
--- a/src/gateway/route_explanation.h
+++ b/src/gateway/route_explanation.h
@@ -94,7 +94,8 @@
   std::optional<duration> mRetryAfter; ///< longest that a rejection would carry, if overload control gives it
   std::size_t mAhead = 0;              ///< waiting requests that are served before it
   duration mPermitWait{ 0 };
-  double mTokens = 0; ///< prompt and expected output
+  duration mWaitForecast{ 0 }; ///< until there is capacity for a request that waits; zero if it does not wait
+  double mTokens = 0;          ///< prompt and expected output
   std::optional<explained_overload> mOverload;
   std::optional<chosen_path> mPath; ///< through model engines, if one has capacity
   std::vector<explained_candidate> mCandidates;
