--- a/tests/unit/gateway_route_explanation_test.cpp
+++ b/tests/unit/gateway_route_explanation_test.cpp
@@ -1,9 +1,12 @@
 #include "gateway/route_explanation.h"
 
+#include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 
+#include "cli/route_text.h"
+
 using namespace chervilpulley;
 using namespace chervilpulley::gateway;
 using std::chrono::milliseconds;
@@ -338,6 +341,23 @@
   CHECK(asks > 0);
 }
 
+// Fails if the gateway's encoding and the command line's reading of it differ in a member.
+TEST_CASE_METHOD(explanation_fixture,
+                 "route_explanation_under_overload_control_is_printed_with_level_rank_and_fractions")
+{
+  const auto print = [&] { return cli::RouteText(boost::json::parse(ToJson(Explain(mNow))).as_object()); };
+  mFleet->UpdateOverload({}, mNow);
+  CHECK(print().find("  priority level 0, rank 0; admitted fraction 1.000\n  capacity not scarce: 0 of ") !=
+        std::string::npos);
+  CHECK(print().find("  admitted fractions below 1, by rank: none\n") != std::string::npos);
+  mQueue.mAhead = 2;
+  mQueue.mState.mTypicalRunTime = milliseconds(100);
+  CHECK(print().find("waits behind 2: other requests are served first (forecast 100.0 ms)\n") != std::string::npos);
+  MakeScarce({ 0, policy::HashWorkspace(workspace_id("harbour")), 100'000 });
+  CHECK(print().find("  capacity scarce: ") != std::string::npos);
+  CHECK(print().find("by rank: 0: 0.") != std::string::npos);
+}
+
 TEST_CASE_METHOD(explanation_fixture, "route_explanation_of_plain_services_names_the_server_and_the_reasons")
 {
   mCaller.mPath = "/look/x";
