--- a/src/gateway/overload_control.cpp
+++ b/src/gateway/overload_control.cpp
@@ -52,18 +52,19 @@
   return load;
 }
 
-/// The load that is assumed of a gateway that was not heard of: an equal share of the capacity in use, and the average
-/// demand of the others. Without a demand, each gateway that hears nobody would start all that becomes free.
-policy::gateway_load UnknownLoad(const std::vector<policy::gateway_load>& aKnown, double aEqualShare)
+/// The load that is assumed of a gateway that was not heard of: the average of the known ones. Under scarcity, a gateway
+/// that hears nobody so takes an equal share; while there is enough capacity, it rejects nothing.
+policy::gateway_load AverageOf(const std::vector<policy::gateway_load>& aKnown)
 {
-  policy::gateway_load unknown;
-  unknown.mInUse = aEqualShare;
+  policy::gateway_load average;
+  const auto count = static_cast<double>(aKnown.size());
   for (const policy::gateway_load& known : aKnown) {
+    average.mInUse += known.mInUse / count;
     for (std::size_t rank = 0; rank < policy::kRankCount; ++rank) {
-      unknown.mWanted[rank] += known.mWanted[rank] / static_cast<double>(aKnown.size());
+      average.mWanted[rank] += known.mWanted[rank] / count;
     }
   }
-  return unknown;
+  return average;
 }
 
 policy::gateway_demand DemandOf(const load_announcement& aAnnouncement)
@@ -145,7 +146,7 @@
   });
   const double capacity = aLoad.mCapacity * kAllocatedMemoryShare;
   if (loads.size() < aLoad.mGateways) {
-    loads.resize(aLoad.mGateways, UnknownLoad(loads, capacity / static_cast<double>(aLoad.mGateways)));
+    loads.resize(aLoad.mGateways, AverageOf(loads));
   }
   mAllocation = policy::AllocateCapacity(capacity, mRunTime, loads);
   for (std::size_t rank = 0; rank < policy::kRankCount; ++rank) {
