--- a/src/gateway/configuration.cpp
+++ b/src/gateway/configuration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace chervilpulley::gateway {
 
@@ -31,6 +32,7 @@
   }
   std::unordered_map<pool_name, policy::priority_levels> levels;
   std::unordered_map<pool_name, std::set<std::uint32_t>> ofRoutes;
+  std::unordered_map<pool_name, double> weights;
   for (const route& each : mRoutes) {
     for (const pool_share& share : each.mPools) {
       const pool* pool = FindPool(share.mPool);
@@ -38,6 +40,7 @@
         continue;
       }
       ofRoutes[share.mPool].insert(each.mPriority);
+      weights[share.mPool] += share.mWeight;
       policy::priority_levels& ofPool = levels[share.mPool];
       const bool hasWorkspace = each.mNeedsKey && !mWorkspaces.empty();
       for (const auto& priority :
@@ -46,13 +49,20 @@
       }
     }
   }
-  mMixedPriorities.clear();
-  for (auto& [name, ofPool] : levels) {
-    ofPool.Sort();
-    if (ofRoutes[name].size() > 1) {
-      mMixedPriorities.emplace(name, std::move(ofPool));
+  // Gateways announce the load of one pool, so all of them must choose the same one.
+  const pool_name* chosen = nullptr;
+  for (const auto& [name, ofPool] : levels) {
+    const bool isMixed = ofRoutes[name].size() > 1;
+    const auto order = [&](const pool_name& aName) { return std::pair(-weights[aName], aName); };
+    if (isMixed && (chosen == nullptr || order(name) < order(*chosen))) {
+      chosen = &name;
     }
   }
+  mMixedPriorities.clear();
+  if (chosen != nullptr) {
+    levels[*chosen].Sort();
+    mMixedPriorities.emplace(*chosen, levels[*chosen]);
+  }
 }
 
 const policy::priority_levels* configuration::MixedPriorities(const pool_name& aPool) const
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -88,6 +88,7 @@
   const pool* FindPool(const pool_name& aName) const;
   const workspace* FindWorkspace(const std::string& aKey) const;
   /// The priorities of the streams of a pool of model engines; nullptr when the pool's routes don't differ in priority.
+  /// Of several pools whose routes do, only the one with the largest sum of route weights has any.
   const policy::priority_levels* MixedPriorities(const pool_name& aPool) const;
   /// Whether the streams of all routes that use a pool can be resumed.
   bool AllStreamsResumable(const pool_name& aPool) const;
@@ -97,7 +98,7 @@
 
   std::unordered_map<std::string, std::vector<const route*>> mByHost; ///< longest prefix first
   std::unordered_map<pool_name, const pool*> mPoolsByName;
-  std::unordered_map<pool_name, policy::priority_levels> mMixedPriorities; ///< of pools whose routes differ in priority
+  std::unordered_map<pool_name, policy::priority_levels> mMixedPriorities; ///< of at most one pool
 };
 
 /// What decides whether a caller's request is admitted.
--- a/src/gateway/overload_control.cpp
+++ b/src/gateway/overload_control.cpp
@@ -52,8 +52,8 @@
   return load;
 }
 
-/// The load that is assumed of a gateway that was not heard of: the average of the known ones. Under scarcity, a gateway
-/// that hears nobody so takes an equal share; while there is enough capacity, it rejects nothing.
+/// The load that is assumed of a gateway that was not heard of: the average of the known ones. Under scarcity, a
+/// gateway that hears nobody so takes an equal share; while there is enough capacity, it rejects nothing.
 policy::gateway_load AverageOf(const std::vector<policy::gateway_load>& aKnown)
 {
   policy::gateway_load average;
@@ -121,16 +121,16 @@
 
 void overload_control::Update(const pool_load& aLoad, const load_announcements& aOthers, instant aNow)
 {
-  const std::vector<policy::gateway_demand> demands = Demands(aOthers, aNow);
-  policy::rank_amounts waiting{};
+  std::vector<policy::gateway_demand> demands = Demands(aOthers, aNow);
   for (const stream_demand& stream : aLoad.mWaiting) {
-    waiting[stream.mRank] += stream.mTokens;
+    auto& largest = demands.front().mLargest;
+    const auto found = std::find_if(largest.begin(), largest.end(), [&](const policy::workspace_demand& aDemand) {
+      return aDemand.mRank == stream.mRank && aDemand.mWorkspace == stream.mWorkspace;
+    });
+    (found != largest.end() ? found->mTokens : demands.front().mOthers[stream.mRank]) += stream.mTokens;
   }
   policy::gateway_load own;
   own.mWanted = WantedBy(demands.front());
-  for (std::size_t rank = 0; rank < policy::kRankCount; ++rank) {
-    own.mWanted[rank] += waiting[rank];
-  }
   mOwnInUse = aLoad.mInUse;
   mStarted = 0;
   for (const auto& [domain, tokens] : mOwnInUse) {
@@ -160,21 +160,20 @@
   Announce(aLoad, own, demands.front());
   mState.mCapacity = capacity;
   mState.mInUse = mAllocation.mInUse;
-  mState.mQuota = policy::QuotaOf(mAllocation, own, OwnStarts(demands.front(), waiting));
+  mState.mQuota = policy::QuotaOf(mAllocation, own, OwnStarts(demands.front()));
   UpdateState(aNow);
 }
 
 /// Of what this gateway wants, what may start.
-double overload_control::OwnStarts(const policy::gateway_demand& aDemand, const policy::rank_amounts& aWaiting) const
+double overload_control::OwnStarts(const policy::gateway_demand& aDemand) const
 {
   double starts = 0;
   for (const policy::workspace_demand& each : aDemand.mLargest) {
     starts += each.mTokens * Fraction(each.mRank, each.mWorkspace);
   }
   for (std::size_t rank = 0; rank < policy::kRankCount; ++rank) {
-    const double ofOthers = mAllocation.AdmittedFraction(rank) * mSplit[rank].mOthersAdmitted;
-    starts += aDemand.mOthers[rank] * std::min(ofOthers, mSplit[rank].mOthersAdmitted);
-    starts += aWaiting[rank] * mAllocation.AdmittedFraction(rank);
+    const bool isWhole = mAllocation.AdmittedFraction(rank) >= kFullyAdmitted;
+    starts += aDemand.mOthers[rank] * (isWhole ? 1 : mSplit[rank].mOthersAdmitted);
   }
   return starts;
 }
@@ -182,8 +181,9 @@
 /// Admitted fraction of the requests of a workspace in a rank.
 double overload_control::Fraction(std::size_t aRank, policy::workspace_hash aWorkspace) const
 {
-  if (mAllocation.AdmittedFraction(aRank) >= kFullyAdmitted) {
-    return 1;
+  const double ofRank = mAllocation.AdmittedFraction(aRank);
+  if (ofRank >= kFullyAdmitted || ofRank <= 0) {
+    return ofRank > 0 ? 1 : 0;
   }
   return policy::AdmittedFraction(mDemand[aRank], mSplit[aRank], aWorkspace);
 }
--- a/src/gateway/overload_control.h
+++ b/src/gateway/overload_control.h
@@ -87,7 +87,7 @@
 private:
   std::vector<policy::gateway_demand> Demands(const load_announcements& aOthers, instant aNow);
   void Announce(const pool_load& aLoad, const policy::gateway_load& aOwn, const policy::gateway_demand& aDemand);
-  double OwnStarts(const policy::gateway_demand& aDemand, const policy::rank_amounts& aWaiting) const;
+  double OwnStarts(const policy::gateway_demand& aDemand) const;
   double Fraction(std::size_t aRank, policy::workspace_hash aWorkspace) const;
   void UpdateState(instant aNow);
 
