--- a/src/gateway/overload_control.cpp
+++ b/src/gateway/overload_control.cpp
@@ -208,7 +208,7 @@
   for (std::size_t rank = 0; rank < policy::kRankCount; ++rank) {
     mState.mAdmitted[rank] = mAllocation.AdmittedFraction(rank);
   }
-  if (mAllocation.IsScarce()) {
+  if (mAllocation.mIsScarce) {
     mScarceAt = aNow;
     mScarceSince = mScarceSince.value_or(aNow);
   } else if (aNow - mScarceAt > kScarcityHoldTime) {
--- a/src/policy/capacity_allocation.cpp
+++ b/src/policy/capacity_allocation.cpp
@@ -13,6 +13,9 @@
 /// Part of the capacity that becomes free which may be used again even when more is in use than there is capacity, as
 /// after the loss of an engine: streams that moved to other engines should not stop all new ones for seconds.
 constexpr double kMinReuse = 0.3;
+/// Excess of the demand over what becomes free up to which all may start: engines absorb it with short queues, and
+/// rejecting costs callers more.
+constexpr double kToleratedExcess = 0.1;
 /// Part of the unclaimed capacity that the gateways share equally; the rest is shared by demand.
 constexpr double kEqualShare = 0.5;
 
@@ -48,7 +51,7 @@
     return std::min(1.0, mStarts[aRank] / mWanted[aRank]);
   }
   // On-time requests have a minimum share of any capacity, and the first ones show the demand of their rank.
-  return IsOnTimeRank(aRank) || !IsScarce() ? 1 : 0;
+  return IsOnTimeRank(aRank) || !mIsScarce ? 1 : 0;
 }
 
 capacity_allocation AllocateCapacity(double aCapacity, duration aRunTime, const std::vector<gateway_load>& aLoads)
@@ -69,8 +72,8 @@
   const double becomesFree = allocation.mInUse * allocation.mEnding;
   const double usableSlack = slack > 0 && wanted > slack ? slack * kUsableSlack : slack;
   const double free = aCapacity > 0 ? std::max(becomesFree * kMinReuse, becomesFree + usableSlack) : 0;
-  allocation.mStarts = StartsByRank(allocation.mWanted, free);
-  // Not computed from the starts, whose rounding would leave a tiny rest under scarcity, which then would not be seen.
+  allocation.mIsScarce = wanted > free * (1 + kToleratedExcess);
+  allocation.mStarts = allocation.mIsScarce ? StartsByRank(allocation.mWanted, free) : allocation.mWanted;
   allocation.mUnclaimed = std::max(0.0, free - wanted);
   return allocation;
 }
--- a/src/policy/capacity_allocation.h
+++ b/src/policy/capacity_allocation.h
@@ -32,11 +32,10 @@
   rank_amounts mStarts{}; ///< of these, those that may start within kAllocationHorizon
   double mInUse = 0;      ///< tokens in use by all gateways
   double mUnclaimed = 0;  ///< tokens that become free and that nobody wants
+  bool mIsScarce = false; ///< clearly more is wanted than becomes free, so that not all may start
   double mEnding = 1;     ///< part of what is in use that ends within kAllocationHorizon
   std::size_t mGateways = 0;
 
-  /// Whether more is wanted than may start.
-  bool IsScarce() const { return mUnclaimed <= 0; }
   /// The fraction of a rank's demand that may start, from 0 to 1.
   double AdmittedFraction(std::size_t aRank) const;
 };
--- a/tests/unit/policy_capacity_allocation_test.cpp
+++ b/tests/unit/policy_capacity_allocation_test.cpp
@@ -127,7 +127,7 @@
       // Use above the capacity, as after the loss of an engine, is not interrupted, but must not grow.
       const double limit = std::max(pool.mCapacity, allocation.mInUse);
       RC_ASSERT(sum <= limit * (1 + kRounding) + kRounding);
-      if (!allocation.IsScarce() && allocation.mInUse <= pool.mCapacity) {
+      if (!allocation.mIsScarce && allocation.mInUse <= pool.mCapacity) {
         RC_ASSERT(sum >= Sum(allocation.mWanted));
       }
     }));
@@ -162,7 +162,7 @@
                 pool.mLoads.end());
     std::reverse(pool.mLoads.begin(), pool.mLoads.end());
     const capacity_allocation second = pool.Allocate();
-    RC_ASSERT(first.IsScarce() == second.IsScarce());
+    RC_ASSERT(first.mIsScarce == second.mIsScarce);
     for (std::size_t rank = 0; rank < kRankCount; ++rank) {
       RC_ASSERT(std::abs(first.AdmittedFraction(rank) - second.AdmittedFraction(rank)) <= kRounding);
     }
