--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -324,6 +324,14 @@
   mMetrics->Retries(mFleet->Retries().InForce(BootNow()));
   mMetrics->BlockedTraits(mCrashes->BlockCount(Now()));
   mMetrics->PeersAndQueue(mFleet->Gateways(), mCapacityQueue.Size());
+  if (const auto& configuration = mFleet->Configuration()) {
+    for (const pool& each : configuration->mPools) {
+      if (const overload_control* overload = mFleet->Overload(each.mName)) {
+        const load_announcements& announcements = mFleet->Announcements();
+        mMetrics->Overload(overload->State(), announcements.HeardCount(Now()), announcements.SentBytes());
+      }
+    }
+  }
   mMetrics->Relaying(mSync->IsFollowing(), mRelay->Readers());
   mMetrics->LogLinesDropped(DroppedLogLines());
   mMetrics->CallerLimits({ mMemory->Held(),
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -51,6 +51,11 @@
     , mAge(Gauge("gateway_configuration_age_seconds", "Time since the configuration was confirmed as the newest"))
     , mGateways(Gauge("gateway_gateways", "Gateways that share what is bounded for all, this one too"))
     , mWaiting(Gauge("gateway_waiting_requests", "Requests that wait for room on engines"))
+    , mScarce(Gauge("gateway_capacity_scarce", "1 while requests are rejected by rank because memory is scarce"))
+    , mTokens(Gauges("gateway_capacity_tokens", "Tokens that a pool's engines have memory for, and that are in use"))
+    , mAdmitted(Gauges("gateway_admitted_fraction", "Fraction of the on-time requests of each level that is admitted"))
+    , mHeard(Gauge("gateway_load_announcements_heard", "Gateways whose announcements of load are recent"))
+    , mAnnounced(Gauge("gateway_load_announcement_bytes", "Bytes sent for announcements of load since the start"))
     , mFollows(Gauge("gateway_follows_relay", "1 when what the store says is taken from another gateway"))
     , mReaders(Gauge("gateway_relay_readers", "Gateways that wait here for news of the store"))
     , mCrashes(Counters("gateway_crashes_total", "Servers that were ended by a request of this gateway").Add({}))
@@ -130,6 +135,18 @@
     mGateways.Set(static_cast<double>(aGateways));
     mWaiting.Set(static_cast<double>(aWaiting));
   }
+  void Overload(const overload_state& aState, std::size_t aHeard, std::uint64_t aAnnouncedBytes) override
+  {
+    mScarce.Set(aState.mIsScarce ? 1 : 0);
+    mTokens.Add({ { "kind", "capacity" } }).Set(aState.mCapacity);
+    mTokens.Add({ { "kind", "in_use" } }).Set(aState.mInUse);
+    mTokens.Add({ { "kind", "quota" } }).Set(aState.mQuota);
+    for (std::size_t level = 0; level < policy::kRankedLevels; ++level) {
+      mAdmitted.Add({ { "level", std::to_string(level) } }).Set(aState.mAdmitted[policy::RankOf(level, true)]);
+    }
+    mHeard.Set(static_cast<double>(aHeard));
+    mAnnounced.Set(static_cast<double>(aAnnouncedBytes));
+  }
   void Relaying(bool aReadsThroughRelay, std::size_t aReaders) override
   {
     mFollows.Set(aReadsThroughRelay ? 1 : 0);
@@ -187,6 +204,11 @@
   prometheus::Gauge& mAge;
   prometheus::Gauge& mGateways;
   prometheus::Gauge& mWaiting;
+  prometheus::Gauge& mScarce;
+  prometheus::Family<prometheus::Gauge>& mTokens;
+  prometheus::Family<prometheus::Gauge>& mAdmitted;
+  prometheus::Gauge& mHeard;
+  prometheus::Gauge& mAnnounced;
   prometheus::Gauge& mFollows;
   prometheus::Gauge& mReaders;
   prometheus::Counter& mCrashes;
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -5,6 +5,7 @@
 
 #include "base/ref_counted.h"
 #include "chervilpulley/units.h"
+#include "gateway/overload_control.h"
 #include "gateway/retry_limits.h"
 #include "gateway/server_limits.h"
 
@@ -73,6 +74,8 @@
   virtual void Configuration(std::uint64_t aVersion, duration aAge) = 0;
   /// Live gateways including this one, and requests that wait for capacity on engines.
   virtual void PeersAndQueue(std::size_t aGateways, std::size_t aWaiting) = 0;
+  /// Overload control of a pool, and the announcements that it is based on.
+  virtual void Overload(const overload_state& aState, std::size_t aHeard, std::uint64_t aAnnouncedBytes) = 0;
   /// Whether this gateway reads the store through another one, and the number of gateways that read through this one.
   virtual void Relaying(bool aReadsThroughRelay, std::size_t aReaders) = 0;
   /// Adds to the number of servers that were found crashed by a request.
