--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -14,6 +14,10 @@
 /// Own streams in a failure domain whose engines are as good a guide to those of the other gateways as the memory of
 /// the engines.
 constexpr double kPriorStreams = 5;
+/// Time between two computations of a pool's capacity. With 3,000 engines one takes some milliseconds, and small
+/// machines have a tenth of a processor.
+constexpr duration kMinCapacityInterval = std::chrono::milliseconds(200);
+constexpr duration kCapacityIntervalPerEngine = std::chrono::microseconds(500);
 
 } // namespace
 
@@ -91,7 +95,7 @@
     engine.mHeld = aMember.mLayers;
     mEngines.push_back(std::move(engine));
   });
-  FillEngineShares(*aPool.mEngine);
+  mEngineShares.clear();
 }
 
 /// Sets the load and usability of mEngines for a search.
@@ -140,6 +144,7 @@
     return std::nullopt;
   }
   chosen_path chosen;
+  chosen.mPool = aPool.mName;
   chosen.mTokens = aQuery.mInputTokens + aQuery.mOutputTokens;
   chosen.mCost = path->mCost;
   for (const policy::path_stage& stage : path->mStages) {
@@ -224,17 +229,23 @@
   return &mOverload.try_emplace(aPool, mHome).first->second;
 }
 
-/// The capacity of a pool's engines for requests, and this gateway's use of them.
-pool_load fleet::LoadOf(const pool& aPool, instant aNow)
+/// Computes the capacity of a pool's engines for requests anew, if it is time to.
+void fleet::UpdateCapacity(const pool& aPool, instant aNow)
 {
+  pool_capacity& capacity = mCapacities[aPool.mName];
+  if (aNow < capacity.mNextUpdate) {
+    return;
+  }
   FillEngines(aPool);
+  capacity.mNextUpdate =
+    aNow +
+    std::max<duration>(kMinCapacityInterval, kCapacityIntervalPerEngine * static_cast<duration::rep>(mEngines.size()));
   const std::uint32_t layers = aPool.mEngine->mLayers;
-  pool_load load;
-  load.mGateways = mGateways;
   std::vector<double> tokens(layers, 0.0);
   for (const policy::path_engine& engine : mEngines) {
+    // Gateways of all failure domains with engines of the pool get announcements.
+    capacity.mTokenLayersInUse.try_emplace(engine.mDomain, 0.0);
     const backend_state& state = State(engine.mId);
-    load.mInUse[engine.mDomain] += state.mReserved / std::max(1U, layers);
     if (engine.mHeld.IsEmpty() || !MayGetWork(state, aNow) || IsMoving(engine.mId, aNow)) {
       continue;
     }
@@ -243,8 +254,20 @@
       tokens[layer] += perLayer;
     }
   }
-  load.mCapacity = tokens.empty() ? 0 : *std::min_element(tokens.begin(), tokens.end());
-  return load;
+  capacity.mTokens = tokens.empty() ? 0 : *std::min_element(tokens.begin(), tokens.end());
+}
+
+/// Adds the tokens of a stream to those in use in the failure domains of its path, or subtracts them.
+void fleet::AddTokensInUse(const chosen_path& aPath, double aTokens)
+{
+  if (!mConfiguration || (mCapacities.empty() && mConfiguration->MixedPriorities(aPath.mPool) == nullptr)) {
+    return;
+  }
+  domain_tokens& inUse = mCapacities[aPath.mPool].mTokenLayersInUse;
+  for (const chosen_path::stage& stage : aPath.mStages) {
+    double& ofDomain = inUse[stage.mDomain];
+    ofDomain = std::max(0.0, ofDomain + aTokens * stage.mRange.Size());
+  }
 }
 
 void fleet::FillEngineShares(const policy::engine_model& aModel)
@@ -276,6 +299,9 @@
 /// failure domain: like this gateway's own use of the engines, and, the less that is, like their memory.
 void fleet::AddOthersLoad(const policy::engine_model& aModel, const overload_control& aOverload)
 {
+  if (mEngineShares.size() != mEngines.size()) {
+    FillEngineShares(aModel);
+  }
   const double streamTokens = std::max(1.0, aModel.mTypicalInputTokens + aModel.mTypicalOutputTokens);
   std::map<failure_domain_id, double> begun;
   for (const policy::path_engine& engine : mEngines) {
@@ -310,8 +336,15 @@
     if (overload == nullptr) {
       continue;
     }
+    UpdateCapacity(each, aNow);
+    const pool_capacity& capacity = mCapacities.at(each.mName);
+    pool_load load;
+    load.mCapacity = capacity.mTokens;
+    load.mGateways = mGateways;
+    for (const auto& [domain, tokenLayers] : capacity.mTokenLayersInUse) {
+      load.mInUse[domain] = tokenLayers / std::max(1U, each.mEngine->mLayers);
+    }
     const auto waiting = aWaiting.find(each.mName);
-    pool_load load = LoadOf(each, aNow);
     if (waiting != aWaiting.end()) {
       load.mWaiting = waiting->second;
     }
@@ -415,6 +448,7 @@
 
 void fleet::Reserve(const chosen_path& aPath)
 {
+  AddTokensInUse(aPath, aPath.mTokens);
   for (const chosen_path::stage& stage : aPath.mStages) {
     // A server that has left the list has no state, though streams may still pass through it.
     const auto found = mStates.find(stage.mEngine);
@@ -428,6 +462,7 @@
 
 void fleet::Release(const chosen_path& aPath)
 {
+  AddTokensInUse(aPath, -aPath.mTokens);
   for (const chosen_path::stage& stage : aPath.mStages) {
     const auto found = mStates.find(stage.mEngine);
     if (found != mStates.end()) {
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -106,6 +106,7 @@
     failure_domain_id mDomain;
   };
   std::vector<stage> mStages;
+  pool_name mPool;
   double mTokens = 0; ///< reserved at each layer
   policy::path_cost mCost;
 };
@@ -347,7 +348,8 @@
                                       const policy::path_request& aRequest) const;
   void FillEngineShares(const policy::engine_model& aModel);
   void AddOthersLoad(const policy::engine_model& aModel, const overload_control& aOverload);
-  pool_load LoadOf(const pool& aPool, instant aNow);
+  void UpdateCapacity(const pool& aPool, instant aNow);
+  void AddTokensInUse(const chosen_path& aPath, double aTokens);
   void AddDeparted(const backend_id& aId, const backend_state& aState, instant aNow);
 
   failure_domain_id mHome;
@@ -364,6 +366,14 @@
   retry_limits mRetries;
   load_announcements mAnnouncements;
   std::map<pool_name, overload_control> mOverload;
+  /// The capacity of the pool under overload control, and the tokens x layers of this gateway's streams.
+  struct pool_capacity
+  {
+    double mTokens = 0;
+    instant mNextUpdate;
+    domain_tokens mTokenLayersInUse;
+  };
+  std::map<pool_name, pool_capacity> mCapacities;
   std::size_t mGateways = 1;
   std::size_t mGatewaysInDomain = 1;
   /// Part of what is in use in an engine's failure domain that it has, if the engines that hold a layer share it in
--- a/src/gateway/stream_request_path.cpp
+++ b/src/gateway/stream_request_path.cpp
@@ -40,6 +40,7 @@
 std::optional<chosen_path> stream_request::FindReplacementPath(const backend_id& aLost, instant aNow)
 {
   chosen_path path;
+  path.mPool = mPath->mPool;
   path.mTokens = mPath->mTokens;
   for (std::size_t index = 0; index < mPath->mStages.size(); ++index) {
     const chosen_path::stage& stage = mPath->mStages[index];
