Limits of the machine come from the environment; review/ as it was

The template of the settings had placeholders that the stand-in of review/ doesn't fill, so that review/ had been changed.

--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -666,8 +666,6 @@
       { "bounds.retryBudgetRatio", "0.2" },
       { "bounds.budgetSlack", "202" },
       { "bounds.budgetWindowS", "10" },
-      { "limits.memoryMb", "512" },
-      { "limits.maxFds", "8192" },
     };
     for (const auto& [name, value] : values) {
       const std::string holder = "{{" + name + "}}";
--- a/src/base/log_events.cpp
+++ b/src/base/log_events.cpp
@@ -15,7 +15,13 @@
 using enum log_topic;
 
 constexpr auto kEntries = std::to_array<log_event_entry>({
-  { Started, "started", Notable, Gateway, "callers ready failure_domain", "the process listens at these addresses" },
+  { Started,
+    "started",
+    Notable,
+    Gateway,
+    "callers ready failure_domain caller_bytes caller_connections",
+    "the process listens at these addresses; the maxima of what callers' connections hold together, and of their "
+    "number" },
   { CallersAccepted,
     "callers_accepted",
     Notable,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -255,7 +255,9 @@
   log_line(log_event::Started)
     .Text("callers", mCallers->LocalEndpoint().Str())
     .Text("ready", mControl->LocalEndpoint().Str())
-    .Text("failure_domain", mSettings.instance().failure_domain());
+    .Text("failure_domain", mSettings.instance().failure_domain())
+    .Count("caller_bytes", mMemory->Budget())
+    .Count("caller_connections", mConnections.mCallers);
   mControl->Accept();
   mSync->Start();
   Spawn(mContext, AcceptCallers());
