--- a/src/policy/priority_levels.h
+++ b/src/policy/priority_levels.h
@@ -22,7 +22,8 @@
   {
     return { aWorkspace.value_or(aRoute), aRoute };
   }
-  auto operator<=>(const request_priority&) const = default;
+  auto operator<=>(const request_priority&) const =
+    default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14
 };
 
 /// The distinct priorities of the requests of one pool, most urgent first.
