--- a/src/cli/commands_local.cpp
+++ b/src/cli/commands_local.cpp
@@ -4,13 +4,10 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <cstdlib>
-#include <functional>
 #include <ostream>
-#include <string_view>
 
+#include "base/machine_limits.h"
 #include "base/settings.h"
 #include "cli/exit_code.h"
 #include "cli/key.h"
@@ -36,43 +33,6 @@
   return FLAGS_role_settings.empty() && fromEnvironment != nullptr ? fromEnvironment : FLAGS_role_settings;
 }
 
-/// Sets a limit of the machine from the environment, unless the settings file has one.
-/// @return false if the variable is neither empty nor a number from 0 on.
-bool SetFromEnvironment(const char* aVariable, double aInFile, const std::function<void(double)>& aSet)
-{
-  const char* text = std::getenv(aVariable);
-  if (aInFile > 0 || text == nullptr || *text == '\0') {
-    return true;
-  }
-  const std::string_view value = text;
-  double number = 0;
-  const auto [end, error] = std::from_chars(value.begin(), value.end(), number);
-  if (error != std::errc() || end != value.end() || !std::isfinite(number) || number < 0) {
-    return false;
-  }
-  aSet(number);
-  return true;
-}
-
-/// The limits of the machine are the same for all settings files of a deployment, so the platform may give them apart.
-bool SetMachineLimits(settings::settings& aSettings, std::ostream& aErr)
-{
-  settings::gateway_settings& gateway = *aSettings.mutable_gateway();
-  const auto set = [&](const char* aVariable, double aInFile, const std::function<void(double)>& aSet) {
-    const bool isValid = SetFromEnvironment(aVariable, aInFile, aSet);
-    if (!isValid) {
-      aErr << "environment: " << aVariable << " is not a number from 0 on\n";
-    }
-    return isValid;
-  };
-  const bool hasMemory =
-    set("CHERVILPULLEY_MEMORY_MB", gateway.memory_mb(), [&](double aMb) { gateway.set_memory_mb(aMb); });
-  const bool hasDescriptors = set("CHERVILPULLEY_MAX_DESCRIPTORS", gateway.max_descriptors(), [&](double aCount) {
-    gateway.set_max_descriptors(aCount);
-  });
-  return hasMemory && hasDescriptors;
-}
-
 int RunRole(const role_command& aRole, streams aStreams)
 {
   const std::string file = SettingsFile();
@@ -85,7 +45,10 @@
     PrintFaults(loaded.error(), aStreams.mErr);
     return ExitRefused;
   }
-  if (!SetMachineLimits(loaded.value(), aStreams.mErr)) {
+  const auto faults =
+    SetMachineLimits(loaded.value(), { std::getenv(kMemoryVariable), std::getenv(kDescriptorsVariable) });
+  if (!faults.empty()) {
+    PrintFaults(faults, aStreams.mErr);
     return ExitRefused;
   }
   return aRole.mRun(loaded.value());
--- a/src/gateway/stream_request_capacity.cpp
+++ b/src/gateway/stream_request_capacity.cpp
@@ -90,20 +90,6 @@
   return true;
 }
 
-/// Whether overload control, if it decides about this request, lets it start now. What has begun is not held back.
-bool stream_request::HasQuota() const
-{
-  const overload_control* overload = mHasBegun ? nullptr : Overload();
-  return overload == nullptr || !overload->State().mIsScarce ||
-         overload->MayStart(mRequest.mMetadata.mPromptTokens + TokensLeft());
-}
-
-/// Overload control of the pool if it decides about this request; otherwise nullptr.
-overload_control* stream_request::Overload() const
-{
-  return mIsRanked ? mEnvironment.mFleet->Overload(mRequest.mPool) : nullptr;
-}
-
 /// The measured pace of the streams of this request's pool.
 policy::stream_pace stream_request::Pace() const
 {
