Overload control: a burst at many gateways starts no more than the capacity

Cause: each gateway claimed what becomes free for its own burst before it heard of the others'. Under scarcity it now starts what its demand of 0.3 s ago allows, or an equal share.

--- a/src/gateway/overload_control.cpp
+++ b/src/gateway/overload_control.cpp
@@ -1,6 +1,7 @@
 #include "gateway/overload_control.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "base/decision_log.h"
 
@@ -17,6 +18,9 @@
 constexpr double kFullyAdmitted = 0.999;
 /// Part of a stream that must fit into the quota. Streams start whole, so that on average half of one does not fit.
 constexpr double kFittingPart = 0.5;
+/// Time after which others hear of a change of this gateway's demand. Twice and four times that kept more back at 2.5
+/// times the traffic that the engines have memory for.
+constexpr duration kHearingTime = std::chrono::milliseconds(300);
 /// A shortage has ended when capacity was not scarce for this time.
 constexpr duration kScarcityHoldTime = std::chrono::seconds(1);
 constexpr duration kMinRetryAfter = std::chrono::seconds(1);
@@ -160,7 +164,7 @@
   Announce(aLoad, own, demands.front());
   mState.mCapacity = capacity;
   mState.mInUse = mAllocation.mInUse;
-  mState.mQuota = policy::QuotaOf(mAllocation, own, OwnStarts(demands.front()));
+  mState.mQuota = policy::QuotaOf(mAllocation, own, LimitStarts(OwnStarts(demands.front()), aNow));
   UpdateState(aNow);
 }
 
@@ -178,6 +182,24 @@
   return starts;
 }
 
+/// Under scarcity, limits this gateway's starts to those of the demand that the others have heard of, or to an equal
+/// share. A burst often comes at many gateways at once: if each claimed what becomes free for its own before they heard
+/// of each other's, all together would start many times that.
+double overload_control::LimitStarts(double aStarts, instant aNow)
+{
+  mStarts.emplace_back(aNow, aStarts);
+  while (aNow - mStarts.front().first > kHearingTime) {
+    mStarts.pop_front();
+  }
+  if (!mAllocation.mIsScarce) {
+    return aStarts;
+  }
+  const double all = std::accumulate(mAllocation.mStarts.begin(), mAllocation.mStarts.end(), 0.0);
+  const auto least = std::min_element(
+    mStarts.begin(), mStarts.end(), [](const auto& aLeft, const auto& aRight) { return aLeft.second < aRight.second; });
+  return std::min(aStarts, std::max(least->second, all / static_cast<double>(mAllocation.mGateways)));
+}
+
 /// Admitted fraction of the requests of a workspace in a rank.
 double overload_control::Fraction(std::size_t aRank, policy::workspace_hash aWorkspace) const
 {
--- a/src/gateway/overload_control.h
+++ b/src/gateway/overload_control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -88,6 +89,7 @@
   std::vector<policy::gateway_demand> Demands(const load_announcements& aOthers, instant aNow);
   void Announce(const pool_load& aLoad, const policy::gateway_load& aOwn, const policy::gateway_demand& aDemand);
   double OwnStarts(const policy::gateway_demand& aDemand) const;
+  double LimitStarts(double aStarts, instant aNow);
   double Fraction(std::size_t aRank, policy::workspace_hash aWorkspace) const;
   void UpdateState(instant aNow);
 
@@ -97,7 +99,8 @@
   std::array<policy::workspace_split, policy::kRankCount> mSplit; ///< of mDemand
   domain_tokens mOwnInUse;
   domain_tokens mOthersInUse;
-  double mStarted = 0; ///< tokens of streams that have started since the last Update()
+  double mStarted = 0;                            ///< tokens of streams that have started since the last Update()
+  std::deque<std::pair<instant, double>> mStarts; ///< tokens that this gateway could start, lately
   std::optional<load_announcement> mOwn;
   overload_state mState;
   policy::workspace_demand_meter mMeter;
