--- a/tests/processes/gateway_flood_test.cpp
+++ b/tests/processes/gateway_flood_test.cpp
@@ -2,7 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <fstream>
 #include <thread>
 
 using namespace chervilpulley;
@@ -14,20 +13,6 @@
 constexpr std::size_t kMaxMemoryKb = 160U << 10U;
 constexpr unsigned kCalls = 60;
 
-/// The most memory that a process has had, in KB.
-std::size_t PeakMemoryKb(const process& aProcess)
-{
-  std::ifstream status("/proc/" + std::to_string(aProcess.Pid()) + "/status");
-  for (std::string word; status >> word;) {
-    if (word == "VmHWM:") {
-      std::size_t size = 0;
-      status >> size;
-      return size;
-    }
-  }
-  return 0;
-}
-
 struct flood_fixture : gateway_fixture
 {
   flood_fixture() { StartGateway(); }
--- a/tests/processes/gateway_hostile_callers_test.cpp
+++ b/tests/processes/gateway_hostile_callers_test.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <atomic>
 #include <filesystem>
-#include <fstream>
 #include <thread>
 
 using namespace chervilpulley;
@@ -27,20 +26,6 @@
 /// Longest time that a caller waits for the end of its connection.
 constexpr duration kHold = std::chrono::seconds(8);
 
-/// The most memory that a process has had, in KB.
-std::size_t PeakMemoryKb(const process& aProcess)
-{
-  std::ifstream status("/proc/" + std::to_string(aProcess.Pid()) + "/status");
-  for (std::string word; status >> word;) {
-    if (word == "VmHWM:") {
-      std::size_t size = 0;
-      status >> size;
-      return size;
-    }
-  }
-  return 0;
-}
-
 std::size_t OpenDescriptors(const process& aProcess)
 {
   std::error_code error;
--- a/tests/processes/process.cpp
+++ b/tests/processes/process.cpp
@@ -249,4 +249,17 @@
   return { ToExitStatus(waitStatus), ReadFile(folder.File("out")), ReadFile(folder.File("err")) };
 }
 
+std::size_t PeakMemoryKb(const process& aProcess)
+{
+  std::ifstream status("/proc/" + std::to_string(aProcess.Pid()) + "/status");
+  for (std::string word; status >> word;) {
+    if (word == "VmHWM:") {
+      std::size_t size = 0;
+      status >> size;
+      return size;
+    }
+  }
+  return 0;
+}
+
 } // namespace chervilpulley::processes
--- a/tests/processes/process.h
+++ b/tests/processes/process.h
@@ -106,4 +106,7 @@
 /// Runs a program until it exits; throws std::runtime_error when it takes longer than aLimit.
 program_result RunProgram(const std::vector<std::string>& aArguments, duration aLimit = kTestTimeout);
 
+/// The most memory that a process has had, in KB; 0 when it has ended.
+std::size_t PeakMemoryKb(const process& aProcess);
+
 } // namespace chervilpulley::processes
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "support/fleet_engines.h"
+
 using namespace chervilpulley;
 using namespace chervilpulley::gateway;
 using std::chrono::milliseconds;
@@ -30,29 +32,11 @@
     List({ Engine("east-1", "east"), Engine("east-2", "east"), Engine("west-1", "west"), Engine("west-2", "west") });
   }
 
-  static policy::engine_model Model()
-  {
-    policy::engine_model model;
-    model.mLayers = 8;
-    model.mLayerMb = 1000;
-    model.mBytesPerTokenAndLayer = 4000;
-    model.mStep = policy::fractional_ms(1);
-    model.mPrefillTokensPerSecond = 100'000;
-    model.mKinds.push_back({ "card", 16'000, 1, 1 });
-    return model;
-  }
+  static policy::engine_model Model() { return EightLayerModel(); }
 
   policy::backend_member Engine(const std::string& aId, const std::string& aDomain, policy::layer_span aHeld = { 0, 8 })
   {
-    policy::backend_member member;
-    member.mId = backend_id(aId);
-    member.mPool = mPool;
-    member.mAddress = "127.0.0.1:" + std::to_string(9000 + std::hash<std::string>{}(aId) % 1000);
-    member.mDomain = failure_domain_id(aDomain);
-    member.mAccelerator = "card";
-    member.mLayers = aHeld;
-    member.mStartedAt = 1;
-    return member;
+    return EngineMember(mPool, aId, aDomain, aHeld);
   }
 
   void List(std::vector<policy::backend_member> aMembers)
--- a/tests/unit/gateway_route_explanation_test.cpp
+++ b/tests/unit/gateway_route_explanation_test.cpp
@@ -7,6 +7,8 @@
 
 #include "cli/route_text.h"
 
+#include "support/fleet_engines.h"
+
 using namespace chervilpulley;
 using namespace chervilpulley::gateway;
 using std::chrono::milliseconds;
@@ -48,16 +50,10 @@
 
   static policy::engine_model Model()
   {
-    policy::engine_model model;
-    model.mLayers = 8;
-    model.mLayerMb = 1000;
-    model.mBytesPerTokenAndLayer = 4000;
+    policy::engine_model model = EightLayerModel();
     model.mSlots = 10;
-    model.mStep = policy::fractional_ms(1);
-    model.mPrefillTokensPerSecond = 100'000;
     model.mTypicalInputTokens = 100;
     model.mTypicalOutputTokens = 10;
-    model.mKinds.push_back({ "card", 16'000, 1, 1 });
     return model;
   }
 
@@ -77,15 +73,7 @@
 
   policy::backend_member Engine(const std::string& aId, const std::string& aDomain, policy::layer_span aHeld = { 0, 8 })
   {
-    policy::backend_member member;
-    member.mId = backend_id(aId);
-    member.mPool = mPool;
-    member.mAddress = "127.0.0.1:" + std::to_string(9000 + std::hash<std::string>{}(aId) % 1000);
-    member.mDomain = failure_domain_id(aDomain);
-    member.mAccelerator = "card";
-    member.mLayers = aHeld;
-    member.mStartedAt = 1;
-    return member;
+    return EngineMember(mPool, aId, aDomain, aHeld);
   }
 
   policy::backend_member Service(const std::string& aId)
