--- a/tests/contract/gateway_store_sync_test.cpp
+++ b/tests/contract/gateway_store_sync_test.cpp
@@ -21,6 +21,7 @@
 
 constexpr duration kLimit = std::chrono::seconds(20);
 const std::string kSpec = R"({"version":7,"routes":[],"services":[],"tenants":[]})";
+constexpr store_bounds kBounds{ milliseconds(1000), milliseconds(2000), milliseconds(1000) };
 
 /// A store and a relay in one server. The store can be switched off, and the relay's response can be set.
 struct store_sync_fixture
@@ -39,8 +40,9 @@
   std::string mEvents;              ///< sent once, as the changes up to revision 11
   std::string mEra = "1";           ///< of the store's responses; empty: they name none
   std::uint64_t mListRevision = 10; ///< of the list and of watches without events
+  std::string mSpec = kSpec;        ///< of the configuration
 
-  store_sync_fixture()
+  explicit store_sync_fixture(store_bounds aBounds = kBounds, duration aReturnTime = std::chrono::minutes(10))
   {
     mServer = net::http_server::Start(
                 mContext,
@@ -49,12 +51,9 @@
                 net::http_limits())
                 .value();
     const auto metrics = gateway_metrics::Create();
-    mFleet = MakeRef<fleet>(failure_domain_id("here"), std::chrono::minutes(10), policy::retry_bounds());
-    mSync = MakeRef<store_sync>(mContext,
-                                MakeRef<store_client>(mContext, mServer->LocalEndpoint(), metrics),
-                                mFleet,
-                                metrics,
-                                store_bounds{ milliseconds(1000), milliseconds(2000), milliseconds(1000) });
+    mFleet = MakeRef<fleet>(failure_domain_id("here"), aReturnTime, policy::retry_bounds());
+    mSync = MakeRef<store_sync>(
+      mContext, MakeRef<store_client>(mContext, mServer->LocalEndpoint(), metrics), mFleet, metrics, aBounds);
     mSync->Start();
     REQUIRE(RunUntil([this] { return mSync->IsComplete(); }));
     mRelayResponse.mUpdates.mConfigurationVersion = 7;
@@ -94,7 +93,7 @@
     const bool isConfiguration = target.find("main") != std::string::npos;
     net::http_reply reply =
       net::JsonReply(200,
-                     isConfiguration ? R"({"metadata":{"name":"main","revision":5},"spec":)" + kSpec + "}"
+                     isConfiguration ? R"({"metadata":{"name":"main","revision":5},"spec":)" + mSpec + "}"
                                      : R"({"items":[)" + mListItems + R"(],"truncated":false,"currentRev":)" +
                                          std::to_string(mListRevision) + "}");
     SetEra(reply);
@@ -118,11 +117,84 @@
   }
 
   void FollowRelay() { mSync->SetRelays({ { instance_id("relay"), mServer->LocalEndpoint() } }, false); }
+  void AddServer(const std::string& aName) { mFleet->Members().Changed(Member(aName)); }
+  bool HasServer(const std::string& aName) const { return mFleet->Members().Find(backend_id(aName)) != nullptr; }
+  static policy::backend_member Member(const std::string& aName)
+  {
+    policy::backend_member member;
+    member.mId = backend_id(aName);
+    return member;
+  }
   bool TrustsKeys() const { return mSync->Keys().MayTrustKeys(BootNow()); }
 };
 
+/// A relay that is partitioned from the store: it responds, but confirms nothing any more.
+struct partitioned_relay_fixture : store_sync_fixture
+{
+  /// Keys may be used for longer than a configuration may take to be in force.
+  static constexpr store_bounds kLongKeys{ milliseconds(1000), milliseconds(10000), milliseconds(1000) };
+
+  partitioned_relay_fixture()
+    : store_sync_fixture(kLongKeys)
+  {
+    FollowRelay();
+    REQUIRE(RunUntil([this] { return mSync->IsFollowing(); }));
+  }
+
+  /// Writes version 8 to the store; returns the time until it is in force.
+  duration TimeToNextVersion(const std::function<void(duration)>& aTimePassed)
+  {
+    mSpec.replace(mSpec.find('7'), 1, "8");
+    const instant writtenAt = Now();
+    REQUIRE(RunUntil([&] {
+      aTimePassed(Now() - writtenAt);
+      return mFleet->Configuration()->mVersion == 8;
+    }));
+    return Now() - writtenAt;
+  }
+};
+
+/// Lapsed entries are waited for only briefly.
+struct short_return_fixture : store_sync_fixture
+{
+  short_return_fixture()
+    : store_sync_fixture(kBounds, milliseconds(300))
+  {
+  }
+};
+
 } // namespace
 
+// Guards against a follower that relies on a partitioned relay for as long as keys may be used without confirmation.
+TEST_CASE_METHOD(partitioned_relay_fixture,
+                 "store_sync_with_a_relay_that_confirms_nothing_applies_a_new_configuration_within_its_bound")
+{
+  CHECK(TimeToNextVersion([this](duration aTime) { mRelayResponse.mUpdates.mConfirmedAge = aTime; }) <
+        kLongKeys.mConfiguration);
+}
+
+TEST_CASE_METHOD(partitioned_relay_fixture,
+                 "store_sync_with_a_relay_that_stops_responding_applies_a_new_configuration_within_its_bound")
+{
+  mRelayDelay = std::chrono::hours(1);
+  CHECK(TimeToNextVersion([](duration) {}) < kLongKeys.mConfiguration);
+}
+
+// Guards against removals that take effect only when a watch ends.
+TEST_CASE_METHOD(short_return_fixture, "store_sync_drops_a_lapsed_server_in_time_although_its_watch_goes_on")
+{
+  AddServer("lapsed");
+  mStoreResponds = false;
+  REQUIRE(RunUntil([this] { return mSync->Cache()->IsListLost(); }));
+  mWatchDelay = milliseconds(1100);
+  mStoreResponds = true;
+  REQUIRE(RunUntil([this] { return !mSync->Cache()->IsListLost(); }));
+  const instant listedAt = Now();
+  CHECK(HasServer("lapsed"));
+  CHECK(RunUntil([this] { return !HasServer("lapsed"); }));
+  CHECK(Now() - listedAt < milliseconds(700));
+}
+
 TEST_CASE_METHOD(store_sync_fixture, "store_sync_with_a_current_relay_trusts_keys_without_the_store")
 {
   FollowRelay();
@@ -211,18 +283,15 @@
 TEST_CASE_METHOD(store_sync_fixture,
                  "store_sync_that_lists_again_after_an_outage_drops_a_server_whose_entry_became_odd")
 {
-  policy::backend_member member;
-  member.mId = backend_id("one");
-  mFleet->Members().Changed(member);
-  member.mId = backend_id("lapsed");
-  mFleet->Members().Changed(member);
+  AddServer("one");
+  AddServer("lapsed");
   mStoreResponds = false;
   REQUIRE(RunUntil([this] { return mSync->Cache()->IsListLost(); }));
   mListItems = R"({"metadata":{"name":"one","revision":9},"spec":)" + testing::SpecWith("born", "1e9999999999") + "}";
   mStoreResponds = true;
   REQUIRE(RunUntil([this] { return !mSync->Cache()->IsListLost(); }));
-  CHECK(mFleet->Members().Find(backend_id("one")) == nullptr);
-  CHECK(mFleet->Members().Find(backend_id("lapsed")) != nullptr);
+  CHECK_FALSE(HasServer("one"));
+  CHECK(HasServer("lapsed"));
 }
 
 TEST_CASE_METHOD(store_sync_fixture,
--- a/tests/unit/policy_member_table_test.cpp
+++ b/tests/unit/policy_member_table_test.cpp
@@ -44,6 +44,15 @@
   CHECK(Has("b"));
 }
 
+// Guards against a gateway that has just started and goes on sending to a server whose entry was removed.
+TEST_CASE_METHOD(member_table_fixture, "member_table_after_its_first_list_drops_a_removed_server_at_once")
+{
+  List({ "a", "b" });
+  mNow += 55ms;
+  mTable.Removed(backend_id("a"), mNow);
+  CHECK(!Has("a"));
+}
+
 TEST_CASE_METHOD(member_table_fixture, "member_table_keeps_servers_while_the_list_is_lost")
 {
   List({ "a" });
