Readers of a relay leave it by the bound for the configuration

Callers got 404 from a gateway behind a relay that was partitioned from the store, up to 0.8 s beyond the bound. Cause: the age at which a relay's data is stale followed from the bound for keys, was looked at when a response arrived only, and waits and timeouts were not added up. store_schedule derives them from the bounds and adds them up for each way; a reader waits for its relay no longer than that sum allows, and a relay tells its readers of each confirmation, so that a relay that reads in time is told from one that does not. bounds_too_short warns at the start.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -210,9 +210,9 @@
     kLog.Error("An address in the settings is not of the form ip:port.");
     return false;
   }
-  const store_bounds bounds{ Milliseconds(mSettings.gateway().configuration_bound_ms()),
-                             Milliseconds(mSettings.gateway().key_bound_ms()),
-                             Milliseconds(mSettings.gateway().drain_bound_ms()) };
+  const policy::store_bounds bounds{ Milliseconds(mSettings.gateway().configuration_bound_ms()),
+                                     Milliseconds(mSettings.gateway().key_bound_ms()),
+                                     Milliseconds(mSettings.gateway().drain_bound_ms()) };
   mCalls->LimitIdle(mConnections.mIdle);
   mCalls->OnEachHead([fleet = mFleet](const policy::server_start& aServer,
                                       const wire::response_metadata& aResponse,
--- a/src/gateway/relay_messages.cpp
+++ b/src/gateway/relay_messages.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view kWait = "wait_us";
 constexpr std::string_view kWaited = "waited_us";
 constexpr std::string_view kConfirmedAge = "confirmed_age_us";
+constexpr std::string_view kConfirmation = "confirmation";
 constexpr std::string_view kListAge = "list_age_us";
 constexpr std::string_view kConfigurationVersion = "configuration_version";
 constexpr std::string_view kMembersRevision = "members_revision";
@@ -103,7 +104,7 @@
 net::http_request EncodeRelayRequest(const relay_request& aMessage)
 {
   net::http_request request;
-  request.mTarget = fmt::format("{}?{}={}&{}={}&{}={}&{}={}",
+  request.mTarget = fmt::format("{}?{}={}&{}={}&{}={}&{}={}&{}={}",
                                 kPath,
                                 kVersion,
                                 aMessage.mPosition.mConfiguration,
@@ -112,7 +113,9 @@
                                 kEra,
                                 aMessage.mPosition.mMembers.mEra.Value(),
                                 kWait,
-                                Microseconds(aMessage.mWait));
+                                Microseconds(aMessage.mWait),
+                                kConfirmation,
+                                aMessage.mConfirmation.Value());
   return request;
 }
 
@@ -125,12 +128,14 @@
     return std::nullopt;
   }
   const policy::store_era era(NumberIn(aRequest, kEra).value_or(0));
-  return relay_request{ { *configuration, { era, *members } }, FromMicroseconds(*wait) };
+  const relay_confirmation confirmation(NumberIn(aRequest, kConfirmation).value_or(0));
+  return relay_request{ { *configuration, { era, *members } }, FromMicroseconds(*wait), confirmation };
 }
 
 std::string EncodeRelayResponse(const relay_response& aResponse)
 {
   json::object response{ { kWaited, Microseconds(aResponse.mWaited) },
+                         { kConfirmation, aResponse.mUpdates.mConfirmation.Value() },
                          { kConfigurationVersion, aResponse.mUpdates.mConfigurationVersion },
                          { kMembersRevision, aResponse.mUpdates.mMembersRevision.mNumber },
                          { kEra, aResponse.mUpdates.mMembersRevision.mEra.Value() },
@@ -175,6 +180,7 @@
   response.mWaited = FromMicroseconds(*waited);
   response.mUpdates.mConfigurationVersion = *configuration;
   response.mUpdates.mMembersRevision = { EraIn(*value), *members };
+  response.mUpdates.mConfirmation = relay_confirmation(wire::Count(wire::Field(*value, kConfirmation)).value_or(0));
   response.mUpdates.mListIsLost = wire::Flag(wire::Field(*value, kListIsLost));
   response.mUpdates.mIsWhole = wire::Flag(wire::Field(*value, kIsWhole));
   response.mUpdates.mIsTooLarge = wire::Flag(wire::Field(*value, kIsTooLarge));
--- a/src/gateway/relay_messages.h
+++ b/src/gateway/relay_messages.h
@@ -16,7 +16,8 @@
 struct relay_request
 {
   cache_position mPosition;
-  duration mWait{ 0 }; ///< maximum wait for updates
+  duration mWait{ 0 };              ///< maximum wait for updates
+  relay_confirmation mConfirmation; ///< of the last response; another one is an update
 };
 
 /// The relay's response.
--- a/src/gateway/store_cache.cpp
+++ b/src/gateway/store_cache.cpp
@@ -20,8 +20,11 @@
 
 void store_cache::Confirmed(instant aRequestedAt)
 {
-  if (!mConfirmed || aRequestedAt > *mConfirmed) {
-    mConfirmed = aRequestedAt;
+  const bool isLater = !mConfirmed || aRequestedAt >= *mConfirmed + kMinConfirmationStep;
+  mConfirmed = std::max(mConfirmed, std::optional(aRequestedAt));
+  if (isLater) {
+    mConfirmation = relay_confirmation(mConfirmation.Value() + 1);
+    Notify();
   }
 }
 
@@ -94,6 +97,7 @@
   if (mConfirmed) {
     updates.mConfirmedAge = aNow - *mConfirmed;
   }
+  updates.mConfirmation = mConfirmation;
   updates.mListAge = ListAge(aNow);
   updates.mListIsLost = mListIsLost;
   updates.mMembersRevision = mMembersRevision;
--- a/src/gateway/store_cache.h
+++ b/src/gateway/store_cache.h
@@ -23,6 +23,10 @@
 /// the link of a small relay, 20 Mbit/s, for seconds.
 inline constexpr std::size_t kMaxRelayedBytes = 64U << 10U;
 
+/// Readers are told of a confirmation that is later than the previous one by this time or more. One that comes from a
+/// relay is estimated anew with each response.
+inline constexpr duration kMinConfirmationStep = std::chrono::milliseconds(50);
+
 /// What a reader has already; 0: nothing. Configurations are ordered by their versions, which never return, and not by
 /// the store's revisions.
 struct cache_position
@@ -31,11 +35,16 @@
   policy::store_revision mMembers;  ///< of the list of backend servers
 };
 
+/// Number of confirmations of its configuration that a relay has had. A reader compares it with that of the relay's
+/// last response only.
+using relay_confirmation = strong_number<struct relay_confirmation_tag>;
+
 /// The content of the cache that is newer than a reader's position.
 struct cache_updates
 {
   /// Time since the configuration was last known to be current; nothing: it never was.
   std::optional<duration> mConfirmedAge;
+  relay_confirmation mConfirmation;
   std::uint64_t mConfigurationVersion = 0;
   std::optional<wire::record> mConfiguration; ///< if newer than the reader's and not too large
   std::optional<duration> mListAge;           ///< time since the list was last known to be current
@@ -68,6 +77,7 @@
   cache_position Position() const { return { mConfigurationVersion, mMembersRevision }; }
   bool IsComplete() const { return mConfiguration && mMembersRevision.mNumber > 0; }
   bool IsListLost() const { return mListIsLost; }
+  relay_confirmation Confirmation() const { return mConfirmation; }
   /// Whether the cache has anything that a reader at this position needs to know.
   bool HasUpdates(const cache_position& aReader) const;
   cache_updates UpdatesSince(const cache_position& aReader, instant aNow) const;
@@ -88,6 +98,7 @@
   std::optional<wire::record> mConfiguration;
   std::uint64_t mConfigurationVersion = 0;
   std::optional<instant> mConfirmed;
+  relay_confirmation mConfirmation;
   std::map<std::string, wire::record> mMembers;
   policy::store_revision mMembersRevision;
   policy::store_revision mBatchesBegin; ///< before the first batch
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -36,7 +36,10 @@
 
   /// Waits for as long as the request allows, and then responds.
   void Start();
-  bool HasUpdates() const { return mCache->HasUpdates(mRequest.mPosition); }
+  bool HasUpdates() const
+  {
+    return mCache->HasUpdates(mRequest.mPosition) || mCache->Confirmation() != mRequest.mConfirmation;
+  }
   void Respond();
   /// Ends the wait with status 503; the reader turns to another source.
   void Refuse();
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -1,6 +1,7 @@
 #include "gateway/store_sync.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -16,39 +17,39 @@
 
 namespace {
 
-/// Intervals between two reads of the configuration, as shares of the bounds: one read may fail before a bound is
-/// exceeded. Shorter intervals would cost more, since each call is billed.
-constexpr double kConfigurationReadShare = 0.45;
-constexpr double kKeyReadShare = 0.28;
-/// Pause after changes, so that servers that register one after the other need few calls.
-constexpr duration kChangesPause = std::chrono::milliseconds(300);
-/// Maximum wait of one watch. A connection may go silent without an error, and then leaving servers are not noticed
-/// until the watch ends.
-constexpr duration kMaxWatchWait = std::chrono::milliseconds(1500);
-/// Time by which the response of a watch may be late.
-constexpr duration kWatchSlack = std::chrono::milliseconds(400);
 /// Minimum interval between two queries of a relay, or two watches, that respond at once.
 constexpr duration kMinQueryInterval = std::chrono::milliseconds(20);
 /// Pauses after a failed call.
 constexpr duration kShortPause = std::chrono::milliseconds(100);
 constexpr duration kLongPause = std::chrono::milliseconds(500);
-/// Timeout of a call that doesn't watch; the store responds in milliseconds, at worst a hundred times slower.
-constexpr duration kCallTimeout = std::chrono::milliseconds(900);
+/// Timeout of a read of a page of the list.
 constexpr duration kListTimeout = std::chrono::milliseconds(2000);
-/// Share of the bounds for which a relay may delay its response. A silent relay is detected after this time and the
-/// slack, and there is still time to read the missed changes within the bounds.
-constexpr double kRelayWaitShare = 0.35;
 constexpr duration kMaxRequestedRelayWait = std::chrono::milliseconds(1000);
+constexpr duration kMinRequestedRelayWait = std::chrono::milliseconds(50);
 /// Time by which the response of a relay may be late.
 constexpr duration kRelaySlack = std::chrono::milliseconds(250);
-/// Share of the bound for keys after which a relay's data counts as stale.
-constexpr double kMaxRelayedAgeShare = 0.45;
+constexpr duration kMinRelaySlack = std::chrono::milliseconds(100);
+/// Interval at which a reader of a relay looks whether it still is one.
+constexpr duration kSourceCheckInterval = std::chrono::milliseconds(1000);
 /// Share of the bound for keys after which the store counts as failing for a gateway that reads it itself: a read was
 /// missed.
 constexpr double kStoreFailureAgeShare = 0.4;
 /// The spec that is kept for an unreadable entry.
 constexpr const char* kUnreadableSpec = "null";
 
+double Milliseconds(duration aTime)
+{
+  return policy::fractional_ms(aTime).count();
+}
+
+/// Suspends the calling coroutine for this time, or until the timer is cancelled.
+boost::asio::awaitable<void> PauseUntilCancelled(boost::asio::steady_timer& aTimer, duration aTime)
+{
+  boost::system::error_code cancelled;
+  aTimer.expires_after(aTime);
+  co_await aTimer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
+}
+
 } // namespace
 
 void Spawn(boost::asio::io_context& aContext, boost::asio::awaitable<void> aCoroutine)
@@ -129,20 +130,30 @@
                        ref<store_client> aStoreClient,
                        ref<fleet> aFleet,
                        ref<gateway_metrics> aMetrics,
-                       store_bounds aBounds)
+                       policy::store_bounds aBounds)
   : mContext(aContext)
   , mStoreClient(std::move(aStoreClient))
   , mFleet(std::move(aFleet))
   , mMetrics(std::move(aMetrics))
   , mBounds(aBounds)
+  , mSchedule(aBounds)
   , mKeys(aBounds.mKeys)
   , mCache(MakeRef<store_cache>())
   , mRelayClient(net::http_client::Create(aContext))
+  , mConfigurationTimer(aContext)
+  , mMembersTimer(aContext)
 {
 }
 
 void store_sync::Start()
 {
+  if (!mSchedule.Keeps(mBounds)) {
+    log_line(log_event::BoundsTooShort)
+      .Number("configuration_ms", Milliseconds(mSchedule.ConfigurationFromRelay()))
+      .Number("configuration_bound_ms", Milliseconds(mBounds.mConfiguration))
+      .Number("list_ms", Milliseconds(mSchedule.ListFromRelay()))
+      .Number("drain_bound_ms", Milliseconds(mBounds.mDrain));
+  }
   Spawn(mContext, FollowConfiguration());
   Spawn(mContext, FollowMembers());
   Spawn(mContext, FollowRelays());
@@ -162,28 +173,28 @@
 boost::asio::awaitable<void> store_sync::FollowConfiguration()
 {
   const ref<store_sync> self(this);
-  const auto interval = std::chrono::duration_cast<duration>(
-    std::min(mBounds.mConfiguration * kConfigurationReadShare, mBounds.mKeys * kKeyReadShare));
   instant next = Now();
   unsigned failures = 0;
   while (true) {
     if (mIsFollowing || Now() < next) {
-      co_await Pause(kShortPause);
+      const duration pause = mIsFollowing ? kSourceCheckInterval : next - Now();
+      co_await PauseUntilCancelled(mConfigurationTimer, pause);
       continue;
     }
     const instant requestedAt = Now();
-    const bool isRead = co_await ReadConfiguration();
+    // A store that is slow for everyone needs a longer timeout than one that lost a single call.
+    const duration timeout = failures == 0 ? mSchedule.mReadTimeout : policy::kMaxReadTimeout;
+    const bool isRead = co_await ReadConfiguration(timeout);
     failures = isRead ? 0 : failures + 1;
-    next = isRead ? requestedAt + interval : Now() + policy::RetryBackoff(failures);
-    co_await Pause(kShortPause);
+    next = isRead ? requestedAt + mSchedule.mReadInterval : Now() + policy::RetryBackoff(failures);
   }
 }
 
-boost::asio::awaitable<bool> store_sync::ReadConfiguration()
+boost::asio::awaitable<bool> store_sync::ReadConfiguration(duration aTimeout)
 {
   const instant requestedAt = BootNow();
   auto request = wire::EncodeGet(wire::object_kind::Configuration, wire::ConfigurationName(), false);
-  const auto response = co_await mStoreClient->Call(std::move(request), kCallTimeout);
+  const auto response = co_await mStoreClient->Call(std::move(request), aTimeout);
   if (!response.IsSuccess()) {
     co_return false;
   }
@@ -247,7 +258,7 @@
   const ref<store_sync> self(this);
   while (true) {
     if (mIsFollowing) {
-      co_await Pause(kShortPause);
+      co_await PauseUntilCancelled(mMembersTimer, kSourceCheckInterval);
       continue;
     }
     bool isListed = !mCache->IsListLost();
@@ -261,7 +272,7 @@
     }
     const instant watchedAt = Now();
     const bool isWatched = co_await WatchMembers();
-    if (!isWatched) {
+    if (!isWatched && Now() - watchedAt < kShortPause) {
       co_await Pause(kShortPause);
     } else if (Now() - watchedAt < kMinQueryInterval) {
       co_await Pause(kMinQueryInterval);
@@ -365,10 +376,10 @@
 /// Waits for changes once; false if that failed.
 boost::asio::awaitable<bool> store_sync::WatchMembers()
 {
-  const duration wait = std::min<duration>(kMaxWatchWait, mBounds.mDrain * 3 / 4);
+  const duration wait = mSchedule.mWatchWait;
   const instant requestedAt = BootNow();
   auto request = wire::EncodeWatch(wire::object_kind::Backends, mCache->Position().mMembers, wait);
-  const auto response = co_await mStoreClient->Call(std::move(request), wait + kWatchSlack);
+  const auto response = co_await mStoreClient->Call(std::move(request), wait + policy::kWatchSlack);
   if (!response.IsSuccess()) {
     // A compacted history is not an outage: the listed servers stay valid.
     bool isListed = false;
@@ -401,7 +412,7 @@
   mCache->ListConfirmed(requestedAt + (hasChanges ? duration::zero() : std::min(waited, wait)));
   ApplyChanges(std::move(changes->mChanges), changes->mRevision);
   if (hasChanges) {
-    co_await Pause(kChangesPause);
+    co_await Pause(mSchedule.mChangesPause);
   }
   co_return true;
 }
@@ -439,10 +450,17 @@
   mCache->Changed(std::move(aChanges), aRevision);
 }
 
-duration store_sync::RelayWait() const
+void store_sync::SetFollowing(bool aIsFollowing)
 {
-  const auto shortest = std::min(mBounds.mConfiguration, mBounds.mDrain);
-  return std::min(std::chrono::duration_cast<duration>(shortest * kRelayWaitShare), kMaxRequestedRelayWait);
+  if (std::exchange(mIsFollowing, aIsFollowing) != aIsFollowing) {
+    mConfigurationTimer.cancel();
+    mMembersTimer.cancel();
+  }
+}
+
+duration store_sync::ConfigurationAge() const
+{
+  return mKeys.Age(BootNow()).value_or(duration::max());
 }
 
 bool store_sync::IsStoreFailing() const
@@ -455,15 +473,20 @@
 {
   const ref<store_sync> self(this);
   while (true) {
-    const auto relay = mSources.Next(IsStoreFailing(), Now());
+    const bool isStoreFailing = IsStoreFailing();
+    const auto relay = mSources.Next(isStoreFailing, Now());
     const auto address = relay ? mRelayAddresses.find(*relay) : mRelayAddresses.end();
     if (!IsComplete() || address == mRelayAddresses.end()) {
-      mIsFollowing = false;
+      SetFollowing(false);
       co_await Pause(kShortPause);
       continue;
     }
     const instant queriedAt = Now();
-    const std::string fault = co_await QueryRelay(address->second);
+    // Without the store of its own, a gateway takes from a relay what keys may be checked with.
+    const duration maxAge = isStoreFailing
+                              ? std::chrono::duration_cast<duration>(mBounds.mKeys * policy::kMaxRelayedKeyShare)
+                              : mSchedule.mMaxRelayedAge;
+    const std::string fault = co_await QueryRelay(address->second, maxAge);
     if (fault.empty() && !mIsFollowing) {
       log_line(log_event::RelayFollowed).Text("gateway", relay->Str());
     } else if (!fault.empty()) {
@@ -474,7 +497,7 @@
         .Number("confirmed_ms_ago", age ? std::chrono::duration<double, std::milli>(*age).count() : -1);
       mSources.Failed(*relay, Now());
     }
-    mIsFollowing = fault.empty();
+    SetFollowing(fault.empty());
     // A relay that responds at once may have nothing that this gateway can use.
     if (Now() - queriedAt < kMinQueryInterval) {
       co_await Pause(kMinQueryInterval);
@@ -482,18 +505,21 @@
   }
 }
 
-/// Requests updates from a relay once; returns what is wrong with it, or an empty string.
-boost::asio::awaitable<std::string> store_sync::QueryRelay(net::endpoint aRelay)
+/// Requests updates from a relay once; returns what is wrong with it, or an empty string. A relay that is followed is
+/// given up once the configuration has not been confirmed for aMaxAge.
+boost::asio::awaitable<std::string> store_sync::QueryRelay(net::endpoint aRelay, duration aMaxAge)
 {
-  const duration wait = RelayWait();
+  const duration rest = aMaxAge - std::min(aMaxAge, ConfigurationAge());
+  const duration wait = std::clamp(rest - kRelaySlack, kMinRequestedRelayWait, kMaxRequestedRelayWait);
+  const duration timeout = mIsFollowing ? std::max(rest, kMinRelaySlack) : wait + kRelaySlack;
   const instant requestedAt = BootNow();
   cache_position position = mCache->Position();
   if (mCache->IsListLost()) {
     // The member table needs the whole list to retain entries that lapsed in the meantime.
     position.mMembers = {};
   }
-  net::http_request request = EncodeRelayRequest({ position, wait });
-  auto reply = co_await mRelayClient->Fetch(std::move(aRelay), std::move(request), wait + kRelaySlack);
+  net::http_request request = EncodeRelayRequest({ position, wait, mRelayConfirmation });
+  auto reply = co_await mRelayClient->Fetch(std::move(aRelay), std::move(request), timeout);
   if (!reply) {
     co_return reply.error().mMessage;
   }
@@ -505,11 +531,13 @@
   if (!response) {
     co_return fault;
   }
-  std::string relayFault = co_await ApplyUpdates(std::move(*response), requestedAt);
+  std::string relayFault = co_await ApplyUpdates(std::move(*response), requestedAt, aMaxAge);
   co_return relayFault;
 }
 
-boost::asio::awaitable<std::string> store_sync::ApplyUpdates(relay_response aResponse, instant aRequestedAt)
+boost::asio::awaitable<std::string> store_sync::ApplyUpdates(relay_response aResponse,
+                                                             instant aRequestedAt,
+                                                             duration aMaxAge)
 {
   cache_updates& updates = aResponse.mUpdates;
   if (updates.mListIsLost) {
@@ -518,6 +546,7 @@
   if (updates.mMembersRevision.mEra < mStoreClient->Era()) {
     co_return "the relay has not read the store since it came back from a copy";
   }
+  mRelayConfirmation = updates.mConfirmation;
   if (updates.mConfirmedAge) {
     // The relay composed the response no earlier than mWaited after the request was sent; the age counts from then.
     const instant confirmed = aRequestedAt + aResponse.mWaited - *updates.mConfirmedAge;
@@ -543,7 +572,7 @@
   }
   // Objects that are too large to relay are read from the store.
   if (updates.mConfigurationVersion > mCache->Position().mConfiguration) {
-    co_await ReadConfiguration();
+    co_await ReadConfiguration(mSchedule.mReadTimeout);
   }
   if (updates.mIsTooLarge && updates.mMembersRevision >= knownRevision) {
     co_await ListMembers();
@@ -551,8 +580,7 @@
   if (mCache->IsListLost()) {
     co_return "the relay's list is older than the last known one";
   }
-  const auto age = mKeys.Age(BootNow());
-  co_return age&&* age <= mBounds.mKeys* kMaxRelayedAgeShare ? "" : "the relay's data is too old";
+  co_return ConfigurationAge() <= aMaxAge ? "" : "the relay's data is too old";
 }
 
 } // namespace chervilpulley::gateway
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <set>
 
@@ -12,6 +13,7 @@
 #include "gateway/wire.h"
 #include "net/http_client.h"
 #include "policy/source_choice.h"
+#include "policy/store_schedule.h"
 
 /// Keeps the configuration and the list of backend servers up to date with the platform's store, and confirms regularly
 /// that the configuration is current. Reads from the store itself, or from a relay: another gateway of the same failure
@@ -19,14 +21,6 @@
 /// fails for this gateway.
 namespace chervilpulley::gateway {
 
-/// Maximum delays until changes in the store take effect at this gateway.
-struct store_bounds
-{
-  duration mConfiguration{ 0 }; ///< from acceptance of a configuration until it is in force
-  duration mKeys{ 0 };          ///< from acceptance of a key's removal until the key is refused
-  duration mDrain{ 0 };         ///< from a backend server's leaving until it receives no more requests
-};
-
 /// Client of the store. Counts each call, and logs when the store stops responding and when it responds again.
 class store_client : public ref_counted
 {
@@ -72,7 +66,7 @@
              ref<store_client> aStoreClient,
              ref<fleet> aFleet,
              ref<gateway_metrics> aMetrics,
-             store_bounds aBounds);
+             policy::store_bounds aBounds);
 
   void Start();
   /// Sets the relays to read instead of the store, in order of preference.
@@ -91,28 +85,30 @@
 private:
   boost::asio::awaitable<void> FollowConfiguration();
   /// The functions that return bool return false if a read failed and has to be repeated.
-  boost::asio::awaitable<bool> ReadConfiguration();
+  boost::asio::awaitable<bool> ReadConfiguration(duration aTimeout);
   boost::asio::awaitable<void> FollowMembers();
   boost::asio::awaitable<bool> ListMembers();
   boost::asio::awaitable<bool> WatchMembers();
   boost::asio::awaitable<void> FollowRelays();
   /// Each of the following two returns what is wrong with the relay, or an empty string.
-  boost::asio::awaitable<std::string> QueryRelay(net::endpoint aRelay);
-  boost::asio::awaitable<std::string> ApplyUpdates(relay_response aResponse, instant aRequestedAt);
+  boost::asio::awaitable<std::string> QueryRelay(net::endpoint aRelay, duration aMaxAge);
+  boost::asio::awaitable<std::string> ApplyUpdates(relay_response aResponse, instant aRequestedAt, duration aMaxAge);
   void ApplyConfiguration(const wire::record& aObject, instant aRequestedAt);
   void Confirmed(instant aRequestedAt);
   void ApplyList(std::vector<wire::record> aItems, const policy::store_revision& aRevision);
   void ApplyChanges(std::vector<wire::record_change> aChanges, const policy::store_revision& aRevision);
   void AppendMember(wire::record& aObject, std::vector<policy::backend_member>& aMembers, bool aIsLogged);
   void ListLost();
-  duration RelayWait() const;
+  void SetFollowing(bool aIsFollowing);
+  duration ConfigurationAge() const;
   bool IsStoreFailing() const;
 
   boost::asio::io_context& mContext;
   ref<store_client> mStoreClient;
   ref<fleet> mFleet;
   ref<gateway_metrics> mMetrics;
-  store_bounds mBounds;
+  policy::store_bounds mBounds;
+  policy::store_schedule mSchedule;
   policy::key_freshness mKeys;
   ref<store_cache> mCache;
   ref<net::http_client> mRelayClient;
@@ -123,6 +119,9 @@
   std::optional<std::uint64_t> mOlderVersion; ///< last configuration that was older than the one in force
   bool mHasMembers = false;
   bool mIsFollowing = false;
+  boost::asio::steady_timer mConfigurationTimer; ///< ends early when a relay is followed or left
+  boost::asio::steady_timer mMembersTimer;       ///< likewise
+  relay_confirmation mRelayConfirmation;         ///< the last one received
 };
 
 /// Starts a coroutine. An exception that it does not handle leaves the event loop and ends the process: the process
--- a/tests/contract/gateway_store_relay_test.cpp
+++ b/tests/contract/gateway_store_relay_test.cpp
@@ -47,7 +47,7 @@
 
   void SendRequest(const cache_position& aPosition, duration aWait)
   {
-    boost::asio::co_spawn(mContext, Fetch({ aPosition, aWait }), boost::asio::detached);
+    boost::asio::co_spawn(mContext, Fetch({ aPosition, aWait, mCache->Confirmation() }), boost::asio::detached);
   }
 
   boost::asio::awaitable<void> Fetch(relay_request aRequest)
@@ -86,6 +86,19 @@
   CHECK(mRelay->Readers() == 0);
 }
 
+// Guards against a reader that can't tell a relay which reads the store in time from one that no longer does.
+TEST_CASE_METHOD(store_relay_fixture, "store_relay_tells_a_waiting_reader_at_once_that_the_configuration_is_confirmed")
+{
+  const instant startedAt = Now();
+  SendRequest({ 5, At(10) }, kLongWait);
+  Run([this] { return mRelay->Readers() == 1; });
+  mCache->Confirmed(BootNow() + kMinConfirmationStep);
+  Run([this] { return mStatus.has_value(); });
+  CHECK(Now() - startedAt < kLongWait / 2);
+  REQUIRE(mResponse);
+  CHECK(mResponse->mUpdates.mConfirmation == mCache->Confirmation());
+}
+
 TEST_CASE_METHOD(store_relay_fixture, "store_relay_without_updates_responds_after_the_wait_and_reports_its_length")
 {
   SendRequest({ 5, At(10) }, milliseconds(200));
--- a/tests/contract/gateway_store_sync_test.cpp
+++ b/tests/contract/gateway_store_sync_test.cpp
@@ -21,7 +21,7 @@
 
 constexpr duration kLimit = std::chrono::seconds(20);
 const std::string kSpec = R"({"version":7,"routes":[],"services":[],"tenants":[]})";
-constexpr store_bounds kBounds{ milliseconds(1000), milliseconds(2000), milliseconds(1000) };
+constexpr policy::store_bounds kBounds{ milliseconds(1000), milliseconds(2000), milliseconds(1000) };
 
 /// A store and a relay in one server. The store can be switched off, and the relay's response can be set.
 struct store_sync_fixture
@@ -42,7 +42,7 @@
   std::uint64_t mListRevision = 10; ///< of the list and of watches without events
   std::string mSpec = kSpec;        ///< of the configuration
 
-  explicit store_sync_fixture(store_bounds aBounds = kBounds, duration aReturnTime = std::chrono::minutes(10))
+  explicit store_sync_fixture(policy::store_bounds aBounds = kBounds, duration aReturnTime = std::chrono::minutes(10))
   {
     mServer = net::http_server::Start(
                 mContext,
@@ -132,7 +132,7 @@
 struct partitioned_relay_fixture : store_sync_fixture
 {
   /// Keys may be used for longer than a configuration may take to be in force.
-  static constexpr store_bounds kLongKeys{ milliseconds(1000), milliseconds(10000), milliseconds(1000) };
+  static constexpr policy::store_bounds kLongKeys{ milliseconds(1000), milliseconds(10000), milliseconds(1000) };
 
   partitioned_relay_fixture()
     : store_sync_fixture(kLongKeys)
