Servers whose entry is missing get requests only if no listed one can take them

While a gateway can't tell whether an entry lapsed or was removed, requests go to listed servers first; without one, to the unlisted, so that an outage of the store in which entries lapse refuses nobody.

--- a/src/gateway/fleet.cpp
+++ b/src/gateway/fleet.cpp
@@ -135,8 +135,7 @@
     engine.mBegun = (overload != nullptr ? state.mBegun : state.mRunning) * sharingGateways;
     engine.mQueueWait = policy::fractional_ms(state.mQueue.Wait(aNow));
     engine.mSlowdownFactor = state.mSlowdownFactor;
-    engine.mUsable = MayGetWork(state, aNow) && state.mRefusingUntil <= aNow && !IsMoving(engine.mId, aNow) &&
-                     !aQuery.mExcluded.contains(engine.mId);
+    engine.mUsable = IsUsable(engine.mId, state, aQuery, aNow) && !state.mIsUnlisted;
     engine.mMayBegin = mLimits.MayBegin({ engine.mId, state.mStartedAt }, aNow);
   }
   if (overload != nullptr) {
@@ -145,6 +144,38 @@
   return request;
 }
 
+bool fleet::IsUsable(const backend_id& aId, const backend_state& aState, const path_query& aQuery, instant aNow) const
+{
+  return MayGetWork(aState, aNow) && aState.mRefusingUntil <= aNow && !IsMoving(aId, aNow) &&
+         !aQuery.mExcluded.contains(aId);
+}
+
+/// Makes engines whose entry is missing usable for a search that found no path without them; false if there are none.
+bool fleet::AdmitUnlisted(const path_query& aQuery, instant aNow)
+{
+  bool isAnyAdmitted = false;
+  for (policy::path_engine& engine : mEngines) {
+    const backend_state& state = State(engine.mId);
+    if (state.mIsUnlisted && IsUsable(engine.mId, state, aQuery, aNow)) {
+      engine.mUsable = true;
+      isAnyAdmitted = true;
+    }
+  }
+  return isAnyAdmitted;
+}
+
+std::optional<chosen_path> fleet::SearchPath(const pool& aPool,
+                                             const path_query& aQuery,
+                                             const policy::path_request& aRequest,
+                                             instant aNow)
+{
+  auto path = FindPath(aPool, aQuery, aRequest);
+  if (!path && AdmitUnlisted(aQuery, aNow)) {
+    path = FindPath(aPool, aQuery, aRequest);
+  }
+  return path;
+}
+
 /// Searches a path through mEngines.
 std::optional<chosen_path> fleet::FindPath(const pool& aPool,
                                            const path_query& aQuery,
@@ -171,7 +202,7 @@
   if (pool == nullptr || !pool->mEngine) {
     return std::nullopt;
   }
-  auto path = FindPath(*pool, aQuery, PrepareSearch(*pool, aQuery, aNow));
+  auto path = SearchPath(*pool, aQuery, PrepareSearch(*pool, aQuery, aNow), aNow);
   std::vector<backend_id> overLimit;
   for (const policy::path_engine& engine : mEngines) {
     // A path that begins in another failure domain is worse, so permits are wanted for the engines of this one.
@@ -258,7 +289,8 @@
       overLimit.push_back(id);
     }
     const double refusing = state.mRefusingUntil > aNow ? 1.0 : 0.0;
-    candidates.push_back({ member.mDomain == mHome, state.mRunning, std::max(state.mFailures, refusing), usable });
+    candidates.push_back(
+      { member.mDomain == mHome, state.mRunning, std::max(state.mFailures, refusing), usable, !state.mIsUnlisted });
     ids.push_back(&id);
   }
   MissPermits(overLimit, true, aNow);
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -345,6 +345,13 @@
   void MissPermits(const std::vector<backend_id>& aServers, bool aIsNew, instant aNow);
   void FillEngines(const pool& aPool);
   policy::path_request PrepareSearch(const pool& aPool, const path_query& aQuery, instant aNow);
+  bool IsUsable(const backend_id& aId, const backend_state& aState, const path_query& aQuery, instant aNow) const;
+  bool AdmitUnlisted(const path_query& aQuery, instant aNow);
+  /// Searches a path through listed engines, or, where there is none, also through engines that may be listed again.
+  std::optional<chosen_path> SearchPath(const pool& aPool,
+                                        const path_query& aQuery,
+                                        const policy::path_request& aRequest,
+                                        instant aNow);
   std::optional<chosen_path> FindPath(const pool& aPool,
                                       const path_query& aQuery,
                                       const policy::path_request& aRequest) const;
--- a/src/gateway/fleet_preview.cpp
+++ b/src/gateway/fleet_preview.cpp
@@ -11,7 +11,7 @@
   const pool* pool = mConfiguration ? mConfiguration->FindPool(aQuery.mPool) : nullptr;
   if (pool != nullptr && pool->mEngine) {
     preview.mRequest = PrepareSearch(*pool, aQuery, aNow);
-    preview.mPath = FindPath(*pool, aQuery, preview.mRequest);
+    preview.mPath = SearchPath(*pool, aQuery, preview.mRequest, aNow);
     preview.mEngines = mEngines;
   }
   return preview;
@@ -33,7 +33,8 @@
     service.mCandidate = { member.mDomain == mHome,
                            state->mRunning,
                            std::max(state->mFailures, refusing),
-                           MayGetWork(*state, aNow) && !service.mIsReplaced && !service.mIsOverLimit };
+                           MayGetWork(*state, aNow) && !service.mIsReplaced && !service.mIsOverLimit,
+                           !state->mIsUnlisted };
     services.push_back(std::move(service));
   }
   return services;
--- a/src/policy/service_choice.cpp
+++ b/src/policy/service_choice.cpp
@@ -23,7 +23,8 @@
     }
     const double work =
       candidate.mRunning + (candidate.mIsLocal ? 0 : kRemoteWorkPenalty) + kFailureWorkPenalty * candidate.mFailures;
-    if (!best || work < leastWork) {
+    const bool isBestListed = best && aCandidates[*best].mIsListed;
+    if (!best || (candidate.mIsListed != isBestListed ? candidate.mIsListed : work < leastWork)) {
       best = index;
       leastWork = work;
     }
--- a/tests/unit/gateway_fleet_test.cpp
+++ b/tests/unit/gateway_fleet_test.cpp
@@ -287,6 +287,25 @@
   CHECK(ChosenEngine(mBegin) == first);
 }
 
+// Guards against requests to a server that may have left, when another one can take them.
+TEST_CASE_METHOD(fleet_fixture, "fleet_with_servers_whose_entry_is_missing_chooses_them_only_without_a_listed_one")
+{
+  const instant now = mAfterReturnTime;
+  const auto chosenService = [&] { return mFleet->ChooseService(mPool, {}, 0, now); };
+  const auto list = [&](std::vector<policy::backend_member> aMembers) {
+    mFleet->Members().Listed(std::move(aMembers), now, now);
+    mFleet->MembersChanged(now);
+  };
+  const std::string preferred = ChosenEngine(now);
+  const std::string other = preferred == "west-1" ? "west-2" : "west-1";
+  list({ Engine(other, "west") });
+  CHECK(ChosenEngine(now) == other);
+  CHECK(chosenService() == backend_id(other));
+  list({});
+  CHECK(ChosenEngine(now) == preferred);
+  CHECK(chosenService().has_value());
+}
+
 TEST_CASE_METHOD(fleet_fixture,
                  "fleet_with_a_plain_service_that_says_it_leaves_chooses_the_other_and_none_when_both_do")
 {
