--- a/tests/contract/gateway_store_sync_test.cpp
+++ b/tests/contract/gateway_store_sync_test.cpp
@@ -8,7 +8,9 @@
 #include <functional>
 
 #include "base/clock.h"
+#include "gateway/gateway_registry.h"
 #include "net/http_server.h"
+#include "policy/config_propagation.h"
 #include "support/odd_entries.h"
 #include "support/store_revisions.h"
 
@@ -28,6 +30,7 @@
 {
   boost::asio::io_context mContext{ 1 };
   ref<net::http_server> mServer;
+  ref<store_client> mStoreClient;
   ref<store_sync> mSync;
   bool mStoreResponds = true;
   relay_response mRelayResponse;
@@ -52,8 +55,8 @@
                 .value();
     const auto metrics = gateway_metrics::Create();
     mFleet = MakeRef<fleet>(failure_domain_id("here"), aReturnTime, policy::retry_bounds());
-    mSync = MakeRef<store_sync>(
-      mContext, MakeRef<store_client>(mContext, mServer->LocalEndpoint(), metrics), mFleet, metrics, aBounds);
+    mStoreClient = MakeRef<store_client>(mContext, mServer->LocalEndpoint(), metrics);
+    mSync = MakeRef<store_sync>(mContext, mStoreClient, mFleet, metrics, aBounds);
     mSync->Start();
     REQUIRE(RunUntil([this] { return mSync->IsComplete(); }));
     mRelayResponse.mUpdates.mConfigurationVersion = 7;
@@ -154,6 +157,27 @@
   }
 };
 
+/// This gateway and a relay of its failure domain are registered in the store.
+struct registered_gateway_fixture : store_sync_fixture
+{
+  const failure_domain_id mDomain{ "here" };
+  ref<engine_probes> mProbes = MakeRef<engine_probes>(mContext, mFleet, backend_calls::Create(mContext));
+  ref<peer_hints> mHints = MakeRef<peer_hints>(mContext, mFleet, mProbes);
+  ref<gateway_registry> mRegistry;
+
+  registered_gateway_fixture()
+  {
+    const policy::propagation_plan plan({ instance_id("one"), mDomain }, { { instance_id("two"), mDomain } });
+    const instance_id relay = plan.RelaysOf(mDomain).front();
+    const instance_id self(relay == instance_id("one") ? "two" : "one");
+    const std::string spec = wire::EncodeGateway({ mDomain, "", mServer->LocalEndpoint().Str(), BootNow() });
+    mListItems = R"({"metadata":{"name":")" + relay.Str() + R"(","revision":9},"spec":)" + spec + "}";
+    mRegistry = MakeRef<gateway_registry>(mContext, self, mDomain, "", mStoreClient, mSync, mFleet, mHints);
+    mRegistry->Start();
+    REQUIRE(RunUntil([this] { return mSync->IsFollowing(); }));
+  }
+};
+
 /// Lapsed entries are waited for only briefly.
 struct short_return_fixture : store_sync_fixture
 {
@@ -180,6 +204,16 @@
   CHECK(TimeToNextVersion([](duration) {}) < kLongKeys.mConfiguration);
 }
 
+// Guards against a gateway that forgets its relays once it can't read their addresses from the store.
+TEST_CASE_METHOD(registered_gateway_fixture, "store_sync_of_a_gateway_partitioned_from_the_store_keeps_its_relay")
+{
+  mStoreResponds = false;
+  const instant startedAt = Now();
+  CHECK(RunUntil([&] { return Now() - startedAt > milliseconds(2000); }));
+  CHECK(mSync->IsFollowing());
+  CHECK(TrustsKeys());
+}
+
 // Guards against removals that take effect only when a watch ends.
 TEST_CASE_METHOD(short_return_fixture, "store_sync_drops_a_lapsed_server_in_time_although_its_watch_goes_on")
 {
