Registry: addresses of relays are replaced by a complete read, not forgotten at the start of one

A gateway that was partitioned from the store alone lost its relays with the next read of the gateways' objects, served by what it had and refused keys 4 s later, though its neighbours were current.

--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -163,7 +163,7 @@
   std::string after;
   std::vector<net::endpoint> peersBefore;
   std::vector<net::endpoint> peersAfter;
-  mRelayAddresses.clear();
+  std::map<instance_id, net::endpoint> relayAddresses;
   std::vector<permit_peer> permitPeers;
   while (true) {
     auto request = wire::EncodeList(wire::object_kind::Gateways, after, true);
@@ -177,7 +177,7 @@
       if (const auto gateway = wire::DecodeGateway(object.mSpec, fault)) {
         mPeerCounter.Seen(instance_id(object.mName), gateway->mDomain, object.mRevision, Now());
         if (const auto relay = net::ParseEndpoint(gateway->mRelay)) {
-          mRelayAddresses.insert_or_assign(instance_id(object.mName), relay.value());
+          relayAddresses.insert_or_assign(instance_id(object.mName), relay.value());
         }
         const auto address = net::ParseEndpoint(gateway->mAddress);
         if (address && object.mName != mSelf.Str()) {
@@ -187,6 +187,7 @@
       }
     }
     if (!list->mIsTruncated || list->mItems.empty()) {
+      mRelayAddresses = std::move(relayAddresses);
       peersAfter.insert(peersAfter.end(), peersBefore.begin(), peersBefore.end());
       mHints->SetPeers(std::move(peersAfter));
       std::erase_if(permitPeers,
