Store schedule: no more reads than before, and room for a slow store

The interval of configuration reads was 900 ms and two polls of 100 ms; it is half of the bound without polls now, and the timeout of a first read a fifth.

--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -24,10 +24,10 @@
 constexpr duration kLongPause = std::chrono::milliseconds(500);
 /// Timeout of a read of a page of the list.
 constexpr duration kListTimeout = std::chrono::milliseconds(2000);
-constexpr duration kMaxRequestedRelayWait = std::chrono::milliseconds(1000);
+constexpr duration kMaxRequestedRelayWait = std::chrono::milliseconds(2000);
 constexpr duration kMinRequestedRelayWait = std::chrono::milliseconds(50);
 /// Time by which the response of a relay may be late.
-constexpr duration kRelaySlack = std::chrono::milliseconds(250);
+constexpr duration kRelaySlack = std::chrono::milliseconds(150);
 constexpr duration kMinRelaySlack = std::chrono::milliseconds(100);
 /// Minimum interval between two questions to the same witnesses.
 constexpr duration kWitnessInterval = std::chrono::milliseconds(500);
--- a/src/policy/store_schedule.h
+++ b/src/policy/store_schedule.h
@@ -21,7 +21,7 @@
 /// Time that a read takes while the store is slow, including the delay on the way to it.
 inline constexpr duration kSlowStoreRead = std::chrono::milliseconds(200);
 /// Time by which the response of a watch may be late.
-inline constexpr duration kWatchSlack = std::chrono::milliseconds(300);
+inline constexpr duration kWatchSlack = std::chrono::milliseconds(250);
 /// Maximum wait of a watch. A connection may go silent without an error, and changes are then missed until it ends.
 inline constexpr duration kMaxWatchWait = std::chrono::milliseconds(1500);
 inline constexpr duration kMaxChangesPause = std::chrono::milliseconds(300);
@@ -39,13 +39,13 @@
   duration mChangesPause;  ///< after changes of the list, so that servers that register in turn need few calls
 
   explicit constexpr store_schedule(const store_bounds& aBounds)
-    : mReadInterval(std::min(Share(aBounds.mConfiguration, 0.45), Share(aBounds.mKeys, 0.28)))
-    , mReadTimeout(std::min(Share(aBounds.mConfiguration, 0.25), kMaxReadTimeout))
+    : mReadInterval(std::min(Share(aBounds.mConfiguration, 0.5), Share(aBounds.mKeys, 0.28)))
+    , mReadTimeout(std::min(Share(aBounds.mConfiguration, 0.2), kMaxReadTimeout))
     , mMaxRelayedAge(std::clamp(duration(aBounds.mConfiguration - mReadTimeout - kInitialRetryBackoff - kSlowStoreRead),
                                 duration::zero(),
                                 Share(aBounds.mKeys, kMaxRelayedKeyShare)))
     , mWatchWait()
-    , mChangesPause(std::min(Share(aBounds.mDrain, 0.1), kMaxChangesPause))
+    , mChangesPause(std::min(Share(aBounds.mDrain, 0.075), kMaxChangesPause))
   {
     const duration rest = aBounds.mDrain - mChangesPause - kWatchSlack - kSlowStoreRead;
     mWatchWait = std::clamp(rest, Share(aBounds.mDrain, 0.25), kMaxWatchWait);
