--- a/tests/processes/gateway_fixture.cpp
+++ b/tests/processes/gateway_fixture.cpp
@@ -37,6 +37,7 @@
 
 gateway_fixture::gateway_fixture(std::vector<std::string> aFlags)
   : mFleet(FleetArguments(std::move(aFlags)), mFolder.File("fleet.log"))
+  , mStore(mFleet.Address("http"))
 {
 }
 
@@ -44,7 +45,7 @@
 {
   const std::string name = "gateway-" + std::to_string(mGateways.size());
   const std::string settings =
-    mFolder.Write(name + ".ini", SettingsText(name, mFleet.Address("http"), aDrainMs, mGraceS, mMoreSettings));
+    mFolder.Write(name + ".ini", SettingsText(name, mStore, aDrainMs, mGraceS, mMoreSettings));
   mGateways.push_back(std::make_unique<process>(
     std::vector<std::string>{ BinaryPath(), "gateway", "--settings", settings }, mFolder.File(name + ".log")));
   return *mGateways.back();
--- a/tests/processes/gateway_fixture.h
+++ b/tests/processes/gateway_fixture.h
@@ -42,7 +42,8 @@
   temporary_folder mFolder;
   process mFleet;
   std::vector<std::unique_ptr<process>> mGateways;
-  double mGraceS = 8; ///< time from SIGTERM to SIGKILL in the settings of the next gateways
+  double mGraceS = 8;   ///< time from SIGTERM to SIGKILL in the settings of the next gateways
+  net::endpoint mStore; ///< the address at which the next gateways find the store; by default that of the fleet
   /// Lines added to the section [gateway] of the next gateways. A gateway that has just started has no share of the
   /// slack of retries, so by default its requests alone earn enough for every test that retries few of them.
   std::string mMoreSettings = "retry_ratio = 10\n";
--- a/tests/standin/standin_fleet_server.cpp
+++ b/tests/standin/standin_fleet_server.cpp
@@ -99,7 +99,7 @@
 
 void fleet_server::RegisterAgain()
 {
-  if (!IsDark()) {
+  if (!IsDark() && mState != "unlisted") {
     Register();
   }
 }
@@ -116,8 +116,10 @@
   if (IsDark() || aState == "reborn") {
     mFleet.RecordSilence(Address());
   }
-  if (aState == "gone") {
+  if (aState == "gone" || aState == "unlisted") {
     mFleet.Store().Remove("servers", mName);
+    mFleet.Records().Append(
+      { { "kind", "removed" }, { "server", mName }, { "started_at", mStartedAt }, { "at_ms", NowMs() }, { "id", "" } });
   } else if (aState != "dark") {
     Register();
   }
--- a/tests/standin/standin_fleet_server.h
+++ b/tests/standin/standin_fleet_server.h
@@ -54,6 +54,7 @@
   /// - "uneven": a plain service of which every eighth call takes 24 times as long as the others
   /// - "leaving": listed as draining, and refuses to join a new path of a running stream
   /// - "gone": dark, and removed from the list
+  /// - "unlisted": works, and is removed from the list
   /// - "reborn": restarted under the same ID without its former state; "ok" from then on
   void SetState(const std::string& aState);
   /// Writes the entry of this server again, unless it is dark or gone.
