--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -192,8 +192,9 @@
       continue;
     }
     const instant requestedAt = Now();
-    // A store that is slow for everyone needs a longer timeout than one that lost a single call.
-    const duration timeout = failures == 0 ? mSchedule.mReadTimeout : policy::kMaxReadTimeout;
+    // A slow store, or a large configuration on a slow link, needs a longer timeout than a call that is lost.
+    const duration timeout = failures == 0 ? std::clamp(2 * mReadTime, mSchedule.mReadTimeout, policy::kMaxReadTimeout)
+                                           : policy::kMaxReadTimeout;
     const bool isRead = co_await ReadConfiguration(timeout);
     failures = isRead ? 0 : failures + 1;
     next = isRead ? requestedAt + mSchedule.mReadInterval : Now() + policy::RetryBackoff(failures);
@@ -208,6 +209,7 @@
   if (!response.IsSuccess()) {
     co_return false;
   }
+  mReadTime = BootNow() - requestedAt;
   if (response.mBody == mLastBody) {
     Confirmed(requestedAt);
     co_return true;
@@ -629,7 +631,7 @@
   }
   // Objects that are too large to relay are read from the store.
   if (updates.mConfigurationVersion > mCache->Position().mConfiguration) {
-    co_await ReadConfiguration(mSchedule.mReadTimeout);
+    co_await ReadConfiguration(policy::kMaxReadTimeout);
   }
   if (updates.mIsTooLarge && updates.mMembersRevision >= knownRevision) {
     co_await ListMembers();
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -124,6 +124,7 @@
   std::optional<instant> mWitnessesAskedAt;
   boost::asio::steady_timer mRemovalTimer;    ///< ends when the next held removal takes effect
   std::set<std::string> mUnreadableEntries;   ///< names of listed entries that name no backend server to use
+  duration mReadTime{ 0 };                    ///< of the last read of the configuration
   std::string mLastBody;                      ///< of the configuration; an equal body needs no parsing
   std::optional<std::uint64_t> mOlderVersion; ///< last configuration that was older than the one in force
   bool mHasMembers = false;
