--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -381,7 +381,7 @@
 /// Waits for changes once; false if that failed.
 boost::asio::awaitable<bool> store_sync::WatchMembers()
 {
-  const duration wait = mSchedule.mWatchWait;
+  const duration wait = std::exchange(mHasPaused, false) ? mSchedule.mWatchWaitAfterPause : mSchedule.mWatchWait;
   const instant requestedAt = BootNow();
   auto request = wire::EncodeWatch(wire::object_kind::Backends, mCache->Position().mMembers, wait);
   const auto response = co_await mStoreClient->Call(std::move(request), wait + policy::kWatchSlack);
@@ -417,6 +417,7 @@
   mCache->ListConfirmed(requestedAt + (hasChanges ? duration::zero() : std::min(waited, wait)));
   ApplyChanges(std::move(changes->mChanges), changes->mRevision);
   if (hasChanges) {
+    mHasPaused = true;
     co_await Pause(mSchedule.mChangesPause);
   }
   co_return true;
--- a/src/gateway/store_sync.h
+++ b/src/gateway/store_sync.h
@@ -129,6 +129,7 @@
   std::optional<std::uint64_t> mOlderVersion; ///< last configuration that was older than the one in force
   bool mHasMembers = false;
   bool mIsFollowing = false;
+  bool mHasPaused = false;                       ///< after changes of the list, before the next watch
   boost::asio::steady_timer mConfigurationTimer; ///< ends early when a relay is followed or left
   boost::asio::steady_timer mMembersTimer;       ///< likewise
   relay_confirmation mRelayConfirmation;         ///< the last one received
--- a/src/policy/store_schedule.h
+++ b/src/policy/store_schedule.h
@@ -24,6 +24,7 @@
 inline constexpr duration kWatchSlack = std::chrono::milliseconds(250);
 /// Maximum wait of a watch. A connection may go silent without an error, and changes are then missed until it ends.
 inline constexpr duration kMaxWatchWait = std::chrono::milliseconds(1500);
+inline constexpr duration kMinWatchWait = std::chrono::milliseconds(100);
 inline constexpr duration kMaxChangesPause = std::chrono::milliseconds(300);
 /// Share of the bound for keys after which a relay's data counts as stale, whatever the other bounds are.
 inline constexpr double kMaxRelayedKeyShare = 0.45;
@@ -32,11 +33,12 @@
 /// Waits and timeouts for one set of bounds. One read may fail within each bound.
 struct store_schedule
 {
-  duration mReadInterval;  ///< from one read of the configuration to the next
-  duration mReadTimeout;   ///< of a read of the configuration that follows a successful one
-  duration mMaxRelayedAge; ///< time since the last confirmation after which a reader of a relay reads the store
-  duration mWatchWait;     ///< maximum wait of a watch of the list
-  duration mChangesPause;  ///< after changes of the list, so that servers that register in turn need few calls
+  duration mReadInterval;        ///< from one read of the configuration to the next
+  duration mReadTimeout;         ///< of a read of the configuration that follows a successful one
+  duration mMaxRelayedAge;       ///< time since the last confirmation after which a reader of a relay reads the store
+  duration mChangesPause;        ///< after changes of the list, so that servers that register in turn need few calls
+  duration mWatchWait;           ///< maximum wait of a watch of the list
+  duration mWatchWaitAfterPause; ///< of one that follows such a pause
 
   explicit constexpr store_schedule(const store_bounds& aBounds)
     : mReadInterval(std::min(Share(aBounds.mConfiguration, 0.5), Share(aBounds.mKeys, 0.28)))
@@ -44,11 +46,10 @@
     , mMaxRelayedAge(std::clamp(duration(aBounds.mConfiguration - mReadTimeout - kInitialRetryBackoff - kSlowStoreRead),
                                 duration::zero(),
                                 Share(aBounds.mKeys, kMaxRelayedKeyShare)))
-    , mWatchWait()
-    , mChangesPause(std::min(Share(aBounds.mDrain, 0.075), kMaxChangesPause))
+    , mChangesPause(std::min(Share(aBounds.mDrain, 0.15), kMaxChangesPause))
+    , mWatchWait(WatchWait(aBounds.mDrain))
+    , mWatchWaitAfterPause(WatchWait(aBounds.mDrain - mChangesPause))
   {
-    const duration rest = aBounds.mDrain - mChangesPause - kWatchSlack - kSlowStoreRead;
-    mWatchWait = std::clamp(rest, Share(aBounds.mDrain, 0.25), kMaxWatchWait);
   }
 
   /// Longest time until a configuration is in force at an instance that reads the store.
@@ -64,7 +65,10 @@
   }
   /// Longest time until a change of the list takes effect at an instance that reads the store and whose connection goes
   /// silent.
-  constexpr duration ListFromStore() const { return mChangesPause + mWatchWait + kWatchSlack + kSlowStoreRead; }
+  constexpr duration ListFromStore() const
+  {
+    return std::max<duration>(mWatchWait, mChangesPause + mWatchWaitAfterPause) + kWatchSlack + kSlowStoreRead;
+  }
   /// Longest time until a change of the list takes effect at a reader of a relay, which is told when the relay's watch
   /// fails, or leaves a relay that confirms nothing.
   constexpr duration ListFromRelay() const { return std::max(ListFromStore(), mMaxRelayedAge + kSlowStoreRead); }
@@ -78,6 +82,10 @@
   }
 
 private:
+  static constexpr duration WatchWait(duration aTime)
+  {
+    return std::clamp(duration(aTime - kWatchSlack - kSlowStoreRead), kMinWatchWait, kMaxWatchWait);
+  }
   static constexpr duration Share(duration aBound, double aShare)
   {
     return std::chrono::duration_cast<duration>(aBound * aShare);
