--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -92,7 +92,7 @@
     # Messages between gateways
     ("relay_changes_out_of_reach_dropped", "src/gateway/store_cache.cpp", "if (aReader.mMembers >= mBatchesBegin && aReader.mMembers.mNumber > 0)", "if (true)", "unit", "store_cache_*"),
     ("relay_lost_list_not_told", "src/gateway/store_cache.cpp", "updates.mListIsLost = mListIsLost;", "", "unit", "store_cache_*"),
-    ("relay_word_taken_for_fresh", "src/gateway/store_sync.cpp", "aRequestedAt + aResponse.mWaited - *updates.mConfirmedAge", "BootNow()", "contract", "store_sync_*"),
+    ("relay_word_taken_for_fresh", "src/gateway/store_sync_relays.cpp", "aRequestedAt + aResponse.mWaited - *updates.mConfirmedAge", "BootNow()", "contract", "store_sync_*"),
     ("relay_changes_not_pushed", "src/gateway/store_relay.cpp", "mCache->OnUpdates([self = ref<store_relay>(this)] { self->RespondToReaders(); });", "", "contract", "store_relay_*"),
     ("relay_failure_not_left", "src/policy/source_choice.cpp", "if (prefersStore || hasRecentRelayFailure)", "if (prefersStore)", "unit", "source_choice_*"),
     ("relay_read_by_all", "src/policy/source_choice.cpp", "const bool prefersStore = mReadsStore && !aStoreFails;", "const bool prefersStore = true;", "unit", "source_choice_*"),
@@ -129,7 +129,7 @@
     ("bookings_repeated_in_the_soak", "src/gateway/service_request.h", "mRequest.mRoute->mKind == request_kind::Idempotent", "true", "processes", "gateways_under_random_*"),
     # What is believed of the store
     ("stale_relays_left_by_keys_alone", "src/policy/store_schedule.h", "duration(aBounds.mConfiguration - mReadTimeout - kInitialRetryBackoff - kSlowStoreRead)", "aBounds.mKeys", "unit", "store_schedule_*"),
-    ("stale_relays_waited_for", "src/gateway/store_sync.cpp", "const duration timeout = mIsFollowing ? std::max(rest, kMinRelaySlack) : wait + kRelaySlack;", "const duration timeout = std::chrono::seconds(5);", "contract", "store_sync_with_a_relay_that_stops_*"),
+    ("stale_relays_waited_for", "src/gateway/store_sync_relays.cpp", "const duration timeout = mIsFollowing ? std::max(rest, kMinRelaySlack) : wait + kRelaySlack;", "const duration timeout = std::chrono::seconds(5);", "contract", "store_sync_with_a_relay_that_stops_*"),
     ("confirmations_not_told", "src/gateway/store_cache.cpp", "  if (isLater) {", "  if (false) {", "contract", "store_relay_tells_*"),
     ("witnesses_not_believed", "src/policy/store_availability.cpp", "const instant since = aNow - aServedFor;", "const instant since = aNow;", "unit", "store_availability_*"),
     ("witnesses_not_asked", "src/gateway/store_sync.cpp", "      Spawn(mContext, AskWitness(witness));\n", "", "contract", "store_sync_after_a_partition_*"),
--- a/src/gateway/store_sync.cpp
+++ b/src/gateway/store_sync.cpp
@@ -1,4 +1,4 @@
-#include "gateway/store_sync.h"
+#include "gateway/store_sync_p.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -17,25 +17,14 @@
 
 namespace {
 
-/// Minimum interval between two queries of a relay, or two watches, that respond at once.
-constexpr duration kMinQueryInterval = std::chrono::milliseconds(20);
-/// Pauses after a failed call.
-constexpr duration kShortPause = std::chrono::milliseconds(100);
+/// Pause after a read of the list that failed.
 constexpr duration kLongPause = std::chrono::milliseconds(500);
 /// Timeout of a read of a page of the list.
 constexpr duration kListTimeout = std::chrono::milliseconds(2000);
-constexpr duration kMaxRequestedRelayWait = std::chrono::milliseconds(2000);
-constexpr duration kMinRequestedRelayWait = std::chrono::milliseconds(50);
-/// Time by which the response of a relay may be late.
-constexpr duration kRelaySlack = std::chrono::milliseconds(150);
-constexpr duration kMinRelaySlack = std::chrono::milliseconds(100);
 /// Minimum interval between two questions to the same witnesses.
 constexpr duration kWitnessInterval = std::chrono::milliseconds(500);
 /// Interval at which a reader of a relay looks whether it still is one.
 constexpr duration kSourceCheckInterval = std::chrono::milliseconds(1000);
-/// Share of the bound for keys after which the store counts as failing for a gateway that reads it itself: a read was
-/// missed.
-constexpr double kStoreFailureAgeShare = 0.4;
 /// The spec that is kept for an unreadable entry.
 constexpr const char* kUnreadableSpec = "null";
 
@@ -70,70 +59,6 @@
   co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
-store_client::store_client(boost::asio::io_context& aContext, net::endpoint aStore, ref<gateway_metrics> aMetrics)
-  : mStore(std::move(aStore))
-  , mClient(net::http_client::Create(aContext))
-  , mMetrics(std::move(aMetrics))
-{
-}
-
-boost::asio::awaitable<store_client::outcome> store_client::Call(net::http_request aRequest, duration aTimeout)
-{
-  const ref<store_client> self(this);
-  const instant startedAt = Now();
-  const std::string target = aRequest.mMethod + " " + aRequest.mTarget;
-  auto reply = co_await mClient->Fetch(mStore, std::move(aRequest), aTimeout);
-  outcome result;
-  std::string reason;
-  if (reply) {
-    const bool isCurrent = SeeEra(wire::DecodeStoreEra(reply.value().mHeaders), target);
-    result.mStatus = isCurrent ? reply.value().mStatus : 0;
-    result.mBody = std::move(reply.value().mBody);
-    result.mEra = Era();
-    reason = isCurrent ? "status " + std::to_string(result.mStatus) : "of an earlier era";
-  } else {
-    reason = reply.error().mMessage;
-  }
-  // 404, 409 and 410 are valid responses, not failures of the store.
-  const bool hasResponded =
-    result.IsSuccess() || result.mStatus == 404 || result.mStatus == 409 || result.mStatus == 410;
-  mMetrics->StoreCall(hasResponded, Now() - startedAt);
-  if (!hasResponded && !mIsFailing) {
-    log_line(log_event::StoreLost).Text("call", target).Text("reason", reason);
-  } else if (hasResponded && mIsFailing) {
-    log_line(log_event::StoreRegained).Text("call", target);
-  }
-  mIsFailing = !hasResponded;
-  if (hasResponded) {
-    mAvailability.Responded(Now());
-  } else {
-    mAvailability.Failed();
-  }
-  co_return result;
-}
-
-/// Notes the era of a response; false for one of an earlier era, or without an era although the store names them: what
-/// it says may be from before the store came back from a copy.
-bool store_client::SeeEra(const std::optional<policy::store_era>& aEra, const std::string& aCall)
-{
-  if (mEra && aEra && *aEra > *mEra) {
-    log_line(log_event::StoreRestored)
-      .Count("era", aEra->Value())
-      .Count("former_era", mEra->Value())
-      .Text("call", aCall);
-    mAvailability.Restored(Now());
-  }
-  mEra = std::max(mEra, aEra);
-  return mEra == aEra;
-}
-
-void store_client::LearnEra(policy::store_era aEra)
-{
-  if (aEra > Era()) {
-    SeeEra(aEra, "relay");
-  }
-}
-
 store_sync::store_sync(boost::asio::io_context& aContext,
                        ref<store_client> aStoreClient,
                        ref<fleet> aFleet,
@@ -507,140 +432,4 @@
   MembersApplied();
 }
 
-void store_sync::SetFollowing(bool aIsFollowing)
-{
-  if (std::exchange(mIsFollowing, aIsFollowing) != aIsFollowing) {
-    mConfigurationTimer.cancel();
-    mMembersTimer.cancel();
-  }
-}
-
-duration store_sync::ConfigurationAge() const
-{
-  return mKeys.Age(BootNow()).value_or(duration::max());
-}
-
-bool store_sync::IsStoreFailing() const
-{
-  const auto age = mKeys.Age(BootNow());
-  return age && *age > mBounds.mKeys * kStoreFailureAgeShare;
-}
-
-boost::asio::awaitable<void> store_sync::FollowRelays()
-{
-  const ref<store_sync> self(this);
-  while (true) {
-    const bool isStoreFailing = IsStoreFailing();
-    const auto relay = mSources.Next(isStoreFailing, Now());
-    const auto address = relay ? mRelayAddresses.find(*relay) : mRelayAddresses.end();
-    if (!IsComplete() || address == mRelayAddresses.end()) {
-      SetFollowing(false);
-      co_await Pause(kShortPause);
-      continue;
-    }
-    const instant queriedAt = Now();
-    // Without the store of its own, a gateway takes from a relay what keys may be checked with.
-    const duration maxAge = isStoreFailing
-                              ? std::chrono::duration_cast<duration>(mBounds.mKeys * policy::kMaxRelayedKeyShare)
-                              : mSchedule.mMaxRelayedAge;
-    const std::string fault = co_await QueryRelay(address->second, maxAge);
-    if (fault.empty() && !mIsFollowing) {
-      log_line(log_event::RelayFollowed).Text("gateway", relay->Str());
-    } else if (!fault.empty()) {
-      const auto age = mKeys.Age(BootNow());
-      log_line(log_event::RelayFailed)
-        .Text("gateway", relay->Str())
-        .Text("reason", fault)
-        .Number("confirmed_ms_ago", age ? std::chrono::duration<double, std::milli>(*age).count() : -1);
-      mSources.Failed(*relay, Now());
-    }
-    SetFollowing(fault.empty());
-    // A relay that responds at once may have nothing that this gateway can use.
-    if (Now() - queriedAt < kMinQueryInterval) {
-      co_await Pause(kMinQueryInterval);
-    }
-  }
-}
-
-/// Requests updates from a relay once; returns what is wrong with it, or an empty string. A relay that is followed is
-/// given up once the configuration has not been confirmed for aMaxAge.
-boost::asio::awaitable<std::string> store_sync::QueryRelay(net::endpoint aRelay, duration aMaxAge)
-{
-  const duration rest = aMaxAge - std::min(aMaxAge, ConfigurationAge());
-  const duration wait = std::clamp(rest - kRelaySlack, kMinRequestedRelayWait, kMaxRequestedRelayWait);
-  const duration timeout = mIsFollowing ? std::max(rest, kMinRelaySlack) : wait + kRelaySlack;
-  const instant requestedAt = BootNow();
-  cache_position position = mCache->Position();
-  if (mCache->IsListLost()) {
-    // The member table needs the whole list to retain entries that lapsed in the meantime.
-    position.mMembers = {};
-  }
-  net::http_request request = EncodeRelayRequest({ position, wait, mRelayConfirmation });
-  auto reply = co_await mRelayClient->Fetch(std::move(aRelay), std::move(request), timeout);
-  if (!reply) {
-    co_return reply.error().mMessage;
-  }
-  if (reply.value().mStatus != 200) {
-    co_return "status " + std::to_string(reply.value().mStatus);
-  }
-  std::string fault;
-  auto response = DecodeRelayResponse(reply.value().mBody, fault);
-  if (!response) {
-    co_return fault;
-  }
-  std::string relayFault = co_await ApplyUpdates(std::move(*response), requestedAt, aMaxAge);
-  co_return relayFault;
-}
-
-boost::asio::awaitable<std::string> store_sync::ApplyUpdates(relay_response aResponse,
-                                                             instant aRequestedAt,
-                                                             duration aMaxAge)
-{
-  cache_updates& updates = aResponse.mUpdates;
-  if (updates.mListIsLost) {
-    co_return "the relay's list is not up to date";
-  }
-  if (updates.mMembersRevision.mEra < mStoreClient->Era()) {
-    co_return "the relay has not read the store since it came back from a copy";
-  }
-  mRelayConfirmation = updates.mConfirmation;
-  if (updates.mStoreServedFor && updates.mMembersRevision.mEra == mStoreClient->Era()) {
-    mStoreClient->Availability().Witnessed(*updates.mStoreServedFor, Now());
-  }
-  if (updates.mConfirmedAge) {
-    // The relay composed the response no earlier than mWaited after the request was sent; the age counts from then.
-    const instant confirmed = aRequestedAt + aResponse.mWaited - *updates.mConfirmedAge;
-    if (updates.mConfiguration) {
-      ApplyConfiguration(*updates.mConfiguration, confirmed);
-    } else if (updates.mConfigurationVersion == mCache->Position().mConfiguration) {
-      Confirmed(confirmed);
-    }
-  }
-  if (updates.mListAge) {
-    mCache->ListConfirmed(aRequestedAt + aResponse.mWaited - *updates.mListAge);
-  }
-  const policy::store_revision knownRevision = mCache->Position().mMembers;
-  mStoreClient->LearnEra(updates.mMembersRevision.mEra);
-  if (updates.mIsWhole && updates.mMembersRevision >= knownRevision) {
-    std::vector<wire::record> items;
-    for (wire::record_change& change : updates.mChanges) {
-      items.push_back(std::move(change.mObject));
-    }
-    ApplyList(std::move(items), updates.mMembersRevision);
-  } else if (!updates.mIsWhole && !updates.mIsTooLarge) {
-    ApplyChanges(std::move(updates.mChanges), updates.mMembersRevision);
-  }
-  // Objects that are too large to relay are read from the store.
-  if (updates.mConfigurationVersion > mCache->Position().mConfiguration) {
-    co_await ReadConfiguration(policy::kMaxReadTimeout);
-  }
-  if (updates.mIsTooLarge && updates.mMembersRevision >= knownRevision) {
-    co_await ListMembers();
-  }
-  if (mCache->IsListLost()) {
-    co_return "the relay's list is older than the last known one";
-  }
-  co_return ConfigurationAge() <= aMaxAge ? "" : "the relay's data is too old";
-}
-
 } // namespace chervilpulley::gateway
