run-tests.sh: cases that are run by hand stay excluded where known reds are

Cause: once a list of known reds names a case of a test program, run-tests.sh passes Catch2 exclusions only, and a selection that consists of exclusions includes hidden cases.

Fix: the selection also excludes [.]. The new check of run_tests_test.sh asks the real program what it would select; it failed before (the hundred gateways were selected) and passes now.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -21,6 +21,8 @@
   "$program" -r compact "$name" || echo "known red: $name failed"
 done
 if [ "${#excluded[@]}" -gt 0 ]; then
+  # Exclusions alone would also select the cases that are run by hand.
+  excluded+=("~[.]")
   exec "$program" -r compact "$(IFS=; echo "${excluded[*]}")"
 fi
 exec "$program" -r compact
--- a/tests/scripts/run_tests_test.sh
+++ b/tests/scripts/run_tests_test.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
-# run-tests.sh passes over the cases of a list of known faults and over no others, also where a program lists so many
-# cases that it is still writing when the name is found.
+# run_tests_test.sh PROGRAM: run-tests.sh passes over the cases of a list of known faults and over no others, also where
+# a program lists so many cases that it is still writing when the name is found. PROGRAM is a test program with a case
+# that is run by hand only.
 set -uo pipefail
 script=$(dirname "$0")/../../scripts/run-tests.sh
+program=$1
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 
@@ -31,4 +33,18 @@
 check "known_cases_that_fail_are_printed" "$(grep -c '^known red: .* failed$' <<< "$output")" 2
 REST=1 bash "$script" "$folder/program" "$folder/known" > /dev/null
 check "other_cases_that_fail_count" "$?" 1
+
+# With exclusions alone, Catch2 also selects the cases that are run by hand. The wrapper lists what a run would select.
+cat > "$folder/wrapper" <<WRAPPER
+#!/usr/bin/env bash
+[ "\$1" = --list-test-names-only ] && exec "$program" "\$1"
+"$program" --list-test-names-only "\${@:3}" > "$folder/selected"
+WRAPPER
+chmod +x "$folder/wrapper"
+"$program" --list-test-names-only > "$folder/listed"
+printf 'test: %s\n' "$(head -n 1 "$folder/listed")" > "$folder/first"
+bash "$script" "$folder/wrapper" "$folder/first" > /dev/null
+check "cases_run_by_hand_are_not_run_where_known_ones_are_excluded" \
+  "$(cat "$folder/selected")" "$(tail -n +2 "$folder/listed")"
+check "program_has_a_case_that_is_run_by_hand" "$("$program" --list-test-names-only '[.]' | grep -c _)" 1
 exit "$failed"
