Peer counter: instances do not expire while their objects can't be read

A gateway partitioned from the store alone for longer than the lifetime of the gateways' objects (18 s) counted only itself, kept no relay and no witness, and so refused keyed requests though its neighbours were current.

Cause: liveness was judged by the present time, although renewals since the last complete read of the objects are unknown. Fix: it is judged by the time of the last complete read. A count that is too high only makes shares smaller.

--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -145,9 +145,8 @@
     // When all gateways are killed at once, their objects remain, so the restarted gateways count each other at once.
     const instant sentAt = BootNow();
     if (co_await ReadAll()) {
-      mPeerCounter.ListRead(Now());
       mIsRead = true;
-      mShareHolder.ListRead(sentAt, mPeerCounter.CountAll(Now()), BootNow());
+      mShareHolder.ListRead(sentAt, mPeerCounter.CountAll(), BootNow());
     }
     Count();
     UpdateShare();
@@ -187,11 +186,11 @@
       }
     }
     if (!list->mIsTruncated || list->mItems.empty()) {
+      mPeerCounter.ListRead(Now());
       mRelayAddresses = std::move(relayAddresses);
       peersAfter.insert(peersAfter.end(), peersBefore.begin(), peersBefore.end());
       mHints->SetPeers(std::move(peersAfter));
-      std::erase_if(permitPeers,
-                    [&](const permit_peer& aPeer) { return !mPeerCounter.IsLive(aPeer.mInstance, Now()); });
+      std::erase_if(permitPeers, [&](const permit_peer& aPeer) { return !mPeerCounter.IsLive(aPeer.mInstance); });
       std::vector<announcement_peer> announcementPeers;
       announcementPeers.reserve(permitPeers.size());
       for (const permit_peer& peer : permitPeers) {
@@ -208,8 +207,8 @@
 void gateway_registry::Count()
 {
   const bool settling = Now() - mStartedAt < kSettleTime;
-  const std::size_t all = std::max(mPeerCounter.CountAll(Now()), settling ? policy::kAssumedPeers : 1);
-  const std::size_t inDomain = mPeerCounter.CountInDomain(mDomain, Now());
+  const std::size_t all = std::max(mPeerCounter.CountAll(), settling ? policy::kAssumedPeers : 1);
+  const std::size_t inDomain = mPeerCounter.CountInDomain(mDomain);
   if (all != mGatewayCount) {
     log_line(log_event::GatewaysCounted).Count("all", all).Count("in_domain", inDomain);
   }
@@ -232,7 +231,7 @@
     return;
   }
   std::vector<policy::propagation_member> members;
-  for (const instance_id& live : mPeerCounter.LiveInDomain(mDomain, Now())) {
+  for (const instance_id& live : mPeerCounter.LiveInDomain(mDomain)) {
     members.push_back({ live, mDomain });
   }
   const policy::propagation_plan plan({ mSelf, mDomain }, std::move(members));
@@ -254,7 +253,7 @@
 {
   std::map<std::uint64_t, relay_address> ordered;
   for (const auto& [instance, address] : mRelayAddresses) {
-    if (instance != mSelf && mPeerCounter.IsLive(instance, Now())) {
+    if (instance != mSelf && mPeerCounter.IsLive(instance)) {
       ordered.emplace(StableHash(mSelf.Str() + "/" + instance.Str()), relay_address{ instance, address });
     }
   }
