Permits expire by the time of the ask, not of the response

A permit whose response was delayed, or came after the ask was repeated, could be used for 1 s from its arrival, so later than the coordinator counts on.

Fix: the time counts from the first sending of the ask, as nobody can have granted it before. Evidence: the scenario of the new test on the former code: a permit asked for 1 s ago and received 0.3 s late was still usable.

--- a/src/gateway/server_limits.cpp
+++ b/src/gateway/server_limits.cpp
@@ -229,10 +229,10 @@
     return;
   }
   if (coordinator == mSelf) {
-    Receive(aState, Grant(aAsk, aState.mDomain, aNow).mPermits, aNow);
+    Receive(aState, Grant(aAsk, aState.mDomain, aNow).mPermits, aNow, aNow);
     return;
   }
-  aState.mPending = { coordinator, aAsk, aNow };
+  aState.mPending = { coordinator, aAsk, aNow, aNow };
   if (mSender) {
     mSender(coordinators.front()->mAddress, aAsk);
   }
@@ -313,17 +313,18 @@
   if (peer == mPeers.end() || !(peer->mAddress == aFrom)) {
     return; // a late response of a coordinator that was given up
   }
+  const instant askedAt = state.mPending->mAskedAt;
   state.mPending.reset();
   const instant changedAt = aNow - aGrant.mKnownFor;
   if (changedAt > state.mChangedAt) {
     Set(aGrant.mServer, state, aGrant.mLimit, limit_source::Hint, changedAt);
   }
-  Receive(state, aGrant.mPermits, aNow);
+  Receive(state, aGrant.mPermits, askedAt, aNow);
 }
 
-void server_limits::Receive(limited_server& aState, std::uint32_t aPermits, instant aNow)
+void server_limits::Receive(limited_server& aState, std::uint32_t aPermits, instant aAskedAt, instant aNow)
 {
-  aState.mPermits.Received(aPermits, aNow);
+  aState.mPermits.Received(aPermits, aAskedAt, aNow);
   if (mOnPermits) {
     mOnPermits();
   }
--- a/src/gateway/server_limits.h
+++ b/src/gateway/server_limits.h
@@ -122,7 +122,8 @@
   {
     instance_id mCoordinator;
     permit_ask mAsk;
-    instant mSentAt;
+    instant mAskedAt; ///< when it was first sent
+    instant mSentAt;  ///< when it was last sent
     int mSends = 1;
   };
 
@@ -151,7 +152,7 @@
   void Ask(const policy::server_start& aServer, limited_server& aState, const permit_ask& aAsk, instant aNow);
   void NotifyEnd(const policy::server_start& aServer, const limited_server& aState, instant aNow);
   void RepeatAsk(const policy::server_start& aServer, limited_server& aState, instant aNow);
-  void Receive(limited_server& aState, std::uint32_t aPermits, instant aNow);
+  void Receive(limited_server& aState, std::uint32_t aPermits, instant aAskedAt, instant aNow);
 
   failure_domain_id mHome;
   instance_id mSelf;
--- a/src/policy/permits.cpp
+++ b/src/policy/permits.cpp
@@ -70,12 +70,10 @@
   return static_cast<std::uint32_t>(granted);
 }
 
-void held_permits::Received(std::uint32_t aCount, instant aNow)
+void held_permits::Received(std::uint32_t aCount, instant aAskedAt, instant aNow)
 {
+  mExpiries.insert(mExpiries.end(), aCount, aAskedAt + kPermitTime);
   DropExpired(aNow);
-  for (std::uint32_t each = 0; each < aCount; ++each) {
-    mExpiries.push_back(aNow + kPermitTime);
-  }
   if (mReceivedAt && aNow - *mReceivedAt < kPermitTime * 2) {
     const double rate = aCount / std::max(Seconds(aNow - *mReceivedAt), Seconds(kPermitMissInterval));
     const double known = mGrantedPerSecond.value_or(rate);
--- a/src/policy/permits.h
+++ b/src/policy/permits.h
@@ -56,7 +56,9 @@
 {
 public:
   /// Adds permits that were granted in response to an ask.
-  void Received(std::uint32_t aCount, instant aNow);
+  /// @param aAskedAt when the ask was first sent. The permits' time counts from then, as they may have been granted at
+  /// any time since.
+  void Received(std::uint32_t aCount, instant aAskedAt, instant aNow);
   bool Has(instant aNow) const;
   /// Uses up a permit, if there is one, for a request that is sent.
   void Use(instant aNow);
--- a/tests/unit/gateway_server_limits_test.cpp
+++ b/tests/unit/gateway_server_limits_test.cpp
@@ -166,6 +166,18 @@
   }
 }
 
+// Guards against permits that count from the repeated ask though the first one was granted.
+TEST_CASE_METHOD(server_limits_fixture, "permits_granted_after_a_repeated_ask_expire_by_the_time_of_the_first_ask")
+{
+  NameAtOthersServer();
+  const instant askedAt = mNow;
+  Pass(200ms);
+  REQUIRE(mAsks.size() == 2);
+  mLimits.Granted(mAsks[0].first, GrantOf(mAsks[0].second, 3), mNow);
+  CHECK(MayBegin());
+  CHECK_FALSE(mLimits.MayBegin(mServer, askedAt + policy::kPermitTime));
+}
+
 TEST_CASE_METHOD(server_limits_fixture, "server_without_a_coordinator_that_answers_gets_nothing")
 {
   mLimits.SetPeers({ Peer("a", "west", 1), Peer("b", "west", 2), Peer("c", "west", 3) });
--- a/tests/unit/policy_permits_test.cpp
+++ b/tests/unit/policy_permits_test.cpp
@@ -39,7 +39,7 @@
           ++mAsks;
           permit_source& source = mSources[gateway % mSources.size()];
           const auto granted = source.Grant(instance_id(std::to_string(gateway)), *demand, mLimit, mNow);
-          mHeld[gateway].Received(granted, mNow);
+          mHeld[gateway].Received(granted, mNow, mNow);
         }
       }
     }
@@ -151,14 +151,26 @@
 {
   held_permits held;
   const instant now = instant() + 1h;
-  held.Received(2, now);
+  held.Received(2, now, now);
   CHECK(held.Has(now + kPermitTime - 1ms));
   CHECK_FALSE(held.Has(now + kPermitTime));
   held.Use(now + kPermitTime);
-  held.Received(1, now + kPermitTime);
+  held.Received(1, now + kPermitTime, now + kPermitTime);
   CHECK(held.Has(now + kPermitTime));
 }
 
+// Guards against permits that are used long after they were granted because the response was delayed.
+TEST_CASE("permits_whose_response_is_delayed_expire_by_the_time_of_the_ask")
+{
+  held_permits held;
+  const instant askedAt = instant() + 1h;
+  held.Received(1, askedAt, askedAt + 300ms);
+  CHECK(held.Has(askedAt + kPermitTime - 1ms));
+  CHECK_FALSE(held.Has(askedAt + kPermitTime));
+  held.Received(1, askedAt, askedAt + kPermitTime);
+  CHECK_FALSE(held.Has(askedAt + kPermitTime));
+}
+
 TEST_CASE("permits_are_asked_for_while_there_are_requests_and_no_longer")
 {
   held_permits held;
