Own form: readers turn away from a relay that no longer reaches the platform

An instance that pulls from a relay which is partitioned from the platform and from the other failure domains, but responds, had no change of the configuration and of the live list for as long as the partition lasted, though the domain's second relay was current.

Cause: a reply had no age, and the reader took the time at which it arrived for the time at which the list was read.

Fix: a reply tells how long ago its list was read from the platform, counted from the sending of that read and passed on from level to level. A relay whose list is older than 3 s is tried after the other sources, as one that does not respond; at most 5 s go by (3 s and a held pull of 2 s), below the 6 s. While all sources are old nothing changes, so that an outage of the platform brings no burst of reads. Earlier releases don't send the age and count as current.

--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -90,7 +90,8 @@
   /// Sets the function that is called with a live list received from a peer.
   virtual void SetInstancesCallback(instances_callback aCallback) = 0;
   /// Passes in the live list each time it was read from the platform.
-  virtual void UpdateInstances(std::vector<platform::live_instance> aInstances) = 0;
+  /// @param aRequestedAt when the read was begun.
+  virtual void UpdateInstances(std::vector<platform::live_instance> aInstances, instant aRequestedAt) = 0;
   /// Passes in the revision that another process reported in a message. A higher revision than the own one is fetched.
   virtual void ObserveRevision(const instance_id& aInstance,
                                const failure_domain_id& aDomain,
--- a/src/config/peer_sync.cpp
+++ b/src/config/peer_sync.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kDomainQuorum = 2;
 /// For this time after a failure, a source is tried after all others.
 constexpr duration kFailedSourceTime = std::chrono::seconds(10);
+/// Maximum age of a live list that is told to peers.
+constexpr duration kMaxListAge = std::chrono::hours(24);
 
 std::uint32_t Milliseconds(duration aTime)
 {
@@ -36,13 +38,21 @@
 {
 }
 
-void peer_sync::SetInstances(const std::vector<platform::live_instance>& aInstances)
+void peer_sync::SetInstances(const std::vector<platform::live_instance>& aInstances, instant aRequestedAt)
 {
+  mListReadAt = std::max(mListReadAt.load(), aRequestedAt);
   if (mInstances.Set(aInstances)) {
     mDirectory.Set(aInstances);
   }
 }
 
+rpc::list_difference peer_sync::ListDifferenceSince(std::uint64_t aDigest) const
+{
+  auto difference = mInstances.DifferenceSince(aDigest);
+  difference.mAgeMs = Milliseconds(std::min(Now() - mListReadAt.load(), kMaxListAge));
+  return difference;
+}
+
 void peer_sync::SetInstancesCallback(instances_callback aCallback)
 {
   std::lock_guard lock(mCallbackMutex);
@@ -63,6 +73,7 @@
   }
   duration wait = aWait;
   while (true) {
+    const instant requestedAt = Now();
     rpc::pull_config_request request;
     request.mAfterRevision = mReplica->Revision().Value();
     request.mInstance = mOptions.mInstance.Str();
@@ -72,13 +83,13 @@
     request.mWantsList = aWithList;
     request.mListDigest = mInstances.Digest();
     auto reply = co_await mClient->PullConfig(*endpoint, request, mOptions.mPeerTimeout);
-    RecordHealth(aSource, reply.has_value());
+    RecordHealth(aSource, reply.has_value() && !(aWithList && IsOutdated(aSource, reply.value().mList)));
     if (!reply) {
       mRollout.MarkUndelivered();
       co_return false;
     }
     if (aWithList) {
-      ApplyListDifference(reply.value().mList);
+      ApplyListDifference(reply.value().mList, requestedAt);
     }
     const bool progressed = ApplyReply(reply.value());
     if (!progressed || reply.value().mRevision <= mReplica->Revision().Value()) {
@@ -246,12 +257,23 @@
   return mReplica->Revision() != before;
 }
 
-void peer_sync::ApplyListDifference(const rpc::list_difference& aDifference)
+bool peer_sync::IsOutdated(const instance_id& aSource, const rpc::list_difference& aDifference) const
+{
+  const auto relays = mDirectory.Plan()->RelaysOf(mOptions.mFailureDomain);
+  const bool isRelay = std::find(relays.begin(), relays.end(), aSource) != relays.end();
+  // Below the relays each level adds up to the wait of a pull.
+  const duration maxAge = isRelay ? mOptions.mListTimeout / 2 : mOptions.mListTimeout;
+  return std::chrono::milliseconds(aDifference.mAgeMs) > maxAge;
+}
+
+void peer_sync::ApplyListDifference(const rpc::list_difference& aDifference, instant aRequestedAt)
 {
   if (aDifference.mDigest == 0) {
     return; // the source has no live list
   }
   mListConfirmedAt = Now();
+  const instant readAt = aRequestedAt - std::chrono::milliseconds(aDifference.mAgeMs);
+  mListReadAt = std::max(mListReadAt.load(), readAt);
   if (!mInstances.Apply(aDifference)) {
     return;
   }
@@ -275,10 +297,10 @@
   return sources;
 }
 
-void peer_sync::RecordHealth(const instance_id& aSource, bool aResponded)
+void peer_sync::RecordHealth(const instance_id& aSource, bool aIsHealthy)
 {
   std::lock_guard lock(mHealthMutex);
-  if (aResponded) {
+  if (aIsHealthy) {
     mFailedAt.erase(aSource);
   } else {
     mFailedAt[aSource] = Now();
--- a/src/config/peer_sync.h
+++ b/src/config/peer_sync.h
@@ -28,9 +28,10 @@
 
   peer_directory& Directory() { return mDirectory; }
   rollout_table& Rollout() { return mRollout; }
-  instance_table& Instances() { return mInstances; }
-  /// Replaces the live list with one read from the platform.
-  void SetInstances(const std::vector<platform::live_instance>& aInstances);
+  /// Replaces the live list with one read from the platform by a request that was sent at aRequestedAt.
+  void SetInstances(const std::vector<platform::live_instance>& aInstances, instant aRequestedAt);
+  /// What a peer whose list has the given digest does not have, with the age of the own list.
+  rpc::list_difference ListDifferenceSince(std::uint64_t aDigest) const;
   /// Sets the function that is called with each live list received from a peer.
   void SetInstancesCallback(instances_callback aCallback);
   /// Time since a source last confirmed or changed the live list.
@@ -60,10 +61,12 @@
   rpc::instance_report OwnReport() const;
   /// Applies the entries or the snapshot of a reply. Returns whether the revision has changed.
   bool ApplyReply(const rpc::pull_config_reply& aReply);
-  void ApplyListDifference(const rpc::list_difference& aDifference);
-  /// Sources of the own failure domain; those that failed lately come last.
+  void ApplyListDifference(const rpc::list_difference& aDifference, instant aRequestedAt);
+  /// Whether a source's list is so old that the source probably does not reach the platform, or reads from such a one.
+  bool IsOutdated(const instance_id& aSource, const rpc::list_difference& aDifference) const;
+  /// Sources of the own failure domain; those that failed lately, or had old data, come last.
   std::vector<instance_id> SourcesByHealth();
-  void RecordHealth(const instance_id& aSource, bool aResponded);
+  void RecordHealth(const instance_id& aSource, bool aIsHealthy);
   /// Pulls from aSource and pushes aDomain if it responded, or else an invalid id.
   boost::asio::awaitable<void> PullAndNotify(instance_id aSource, failure_domain_id aDomain, domain_mailbox aMailbox);
   /// Pushes aDomain once the relay has aRevision; nothing if the call fails.
@@ -79,7 +82,8 @@
   peer_directory mDirectory;
   rollout_table mRollout;
   instance_table mInstances;
-  std::atomic<instant> mListConfirmedAt{ instant{} };
+  std::atomic<instant> mListConfirmedAt{ instant{} }; ///< when a source last sent its list, however old
+  std::atomic<instant> mListReadAt{ instant{} };      ///< when the list was read from the platform, by any instance
   std::mutex mCallbackMutex;
   instances_callback mInstancesCallback;
   std::atomic<std::size_t> mNextRelay{ 0 };
--- a/src/config/replicated_config_store.h
+++ b/src/config/replicated_config_store.h
@@ -103,7 +103,10 @@
     return RunOnStrand(mContext, mReplica->WaitForRevisionAbove(aAfter, aTimeout));
   }
 
-  void UpdateInstances(std::vector<platform::live_instance> aInstances) override { mSync->SetInstances(aInstances); }
+  void UpdateInstances(std::vector<platform::live_instance> aInstances, instant aRequestedAt) override
+  {
+    mSync->SetInstances(aInstances, aRequestedAt);
+  }
 
   bool ReadsLiveList() const override
   {
@@ -134,7 +137,7 @@
     }
     auto reply = MakePullReply(*mReplica, revision_number(aRequest.mAfterRevision));
     if (aRequest.mWantsList) {
-      reply.mList = mSync->Instances().DifferenceSince(aRequest.mListDigest);
+      reply.mList = mSync->ListDifferenceSince(aRequest.mListDigest);
     }
     return reply;
   }
--- a/src/rpc/peer_calls_client.cpp
+++ b/src/rpc/peer_calls_client.cpp
@@ -142,6 +142,8 @@
       reply.mList.mFull = ReadBool(aResult, "list_full");
       reply.mList.mChanged = ReadString(aResult, "list_changed");
       reply.mList.mRemoved = ReadStrings(aResult, "list_removed");
+      // Earlier releases do not send it.
+      reply.mList.mAgeMs = aResult.isMember("list_age_ms") ? ReadNumber(aResult, "list_age_ms") : 0;
       return reply;
     });
 }
--- a/src/rpc/peer_calls_server.cpp
+++ b/src/rpc/peer_calls_server.cpp
@@ -75,6 +75,7 @@
     value["list_full"] = reply.mList.mFull;
     value["list_changed"] = reply.mList.mChanged;
     value["list_removed"] = StringsToJson(reply.mList.mRemoved);
+    value["list_age_ms"] = ToInt(reply.mList.mAgeMs);
     return value;
   }
 
--- a/src/rpc/peer_messages.h
+++ b/src/rpc/peer_messages.h
@@ -36,6 +36,7 @@
   bool mFull = false;                ///< mChanged holds the complete list
   std::string mChanged;              ///< encoded instances that were added or have changed
   std::vector<std::string> mRemoved; ///< instances that were removed
+  std::uint32_t mAgeMs = 0;          ///< time since the receiver's list was read from the platform
 };
 
 struct pull_config_reply
--- a/src/runtime/instance_core.cpp
+++ b/src/runtime/instance_core.cpp
@@ -104,10 +104,11 @@
   boost::asio::steady_timer timer(mContext);
   while (true) {
     if (mConfig->ReadsLiveList()) {
+      const instant requestedAt = Now();
       const auto list = co_await platform::ReadLiveList(mHttp, mAddresses.mPlatform, timeout);
       RecordPlatformState(list.has_value());
       if (list.has_value()) {
-        mConfig->UpdateInstances(list.value());
+        mConfig->UpdateInstances(list.value(), requestedAt);
         HandleLiveList(list.value());
       }
     }
--- a/tests/contract/config_store_fixture.h
+++ b/tests/contract/config_store_fixture.h
@@ -58,6 +58,7 @@
     options.mCatchUpDelay = std::chrono::milliseconds(10);
     options.mPropagationTimeout = mPropagationTimeout;
     options.mSnapshotInterval = mSnapshotInterval;
+    options.mListTimeout = mListTimeout;
     auto objects = std::make_unique<fake_object_store>(mContext, mPlatform);
     auto store = MakeConfigStore(mContext, *objects, mPeers, options);
     const auto port = static_cast<std::uint16_t>(mInstances.size() + 1);
@@ -79,8 +80,16 @@
     REQUIRE(RunUntil([&] { return AllReady(); }));
   }
 
-  /// Passes the list of all instances to each of them.
-  void UpdateLiveLists()
+  instance& Find(const std::string& aName)
+  {
+    const auto found = std::find_if(
+      mInstances.begin(), mInstances.end(), [&](const instance& aInstance) { return aInstance.mName == aName; });
+    REQUIRE(found != mInstances.end());
+    return *found;
+  }
+
+  /// Passes the list of all instances to each of them but one that does not reach the platform.
+  void UpdateLiveLists(const std::string& aUnreached = "")
   {
     std::vector<platform::live_instance> list;
     for (const auto& instance : mInstances) {
@@ -91,7 +100,9 @@
       list.push_back(live);
     }
     for (auto& instance : mInstances) {
-      instance.mStore->UpdateInstances(list);
+      if (instance.mName != aUnreached) {
+        instance.mStore->UpdateInstances(list, Now());
+      }
     }
   }
 
@@ -219,6 +230,7 @@
   std::deque<instance> mInstances;
   std::uint64_t mSnapshotInterval = 1000;
   duration mPropagationTimeout = std::chrono::seconds(5);
+  duration mListTimeout = std::chrono::seconds(6);
 };
 
 } // namespace chervilpulley::test
--- a/tests/contract/config_store_propagation_test.cpp
+++ b/tests/contract/config_store_propagation_test.cpp
@@ -139,6 +139,36 @@
   REQUIRE(CheckPropagation() == "");
 }
 
+// Guards against a reader that relies on a relay which responds but no longer reaches the platform.
+TEST_CASE_METHOD(config_store_fixture, "config_store_change_reaches_the_readers_of_a_relay_that_is_partitioned")
+{
+  mListTimeout = std::chrono::milliseconds(400);
+  mPropagationTimeout = std::chrono::milliseconds(50);
+  AddNineInstances();
+  const failure_domain_id domain("a");
+  const policy::propagation_plan plan({ instance_id("a0"), domain },
+                                      { { instance_id("a1"), domain }, { instance_id("a2"), domain } });
+  for (const instance_id& relay : plan.RelaysOf(domain)) {
+    instance& partitioned = Find(relay.Str());
+    partitioned.mObjects->mPlatformUnreachable = true;
+    mPeers->mIsolatedInstances.insert(relay.Str());
+    REQUIRE(Apply(mInstances[3], Put("c-" + relay.Str(), Workspace("w-" + relay.Str()))).has_value());
+    const std::uint64_t revision = mInstances[3].mStore->Current()->Revision().Value();
+    CHECK(RunUntil([&] {
+      UpdateLiveLists(relay.Str());
+      return std::all_of(mInstances.begin(), mInstances.end(), [&](const instance& aInstance) {
+        return aInstance.mName == relay.Str() || aInstance.mStore->Current()->Revision().Value() == revision;
+      });
+    }));
+    partitioned.mObjects->mPlatformUnreachable = false;
+    mPeers->mIsolatedInstances.clear();
+    REQUIRE(RunUntil([&] {
+      UpdateLiveLists();
+      return AllAtRevision(revision);
+    }));
+  }
+}
+
 TEST_CASE("config_store_unreadable_object_in_the_platform_is_reported_and_changes_nothing")
 {
   struct row
@@ -194,7 +224,7 @@
   }
   for (auto& instance : mInstances) {
     if (instance.mStore->ReadsLiveList()) {
-      instance.mStore->UpdateInstances(list);
+      instance.mStore->UpdateInstances(list, Now());
     }
   }
   REQUIRE(RunUntil([&] { return notified == mInstances.size() - readers; }));
--- a/tests/unit/rpc_peer_calls_test.cpp
+++ b/tests/unit/rpc_peer_calls_test.cpp
@@ -13,7 +13,7 @@
   pull_config_reply PullConfig(const pull_config_request& aRequest) override
   {
     mPull = aRequest;
-    return { kBigRevision, { "e1", "e2" }, "s", { 9, true, "changed", { "gone" } } };
+    return { kBigRevision, { "e1", "e2" }, "s", { 9, true, "changed", { "gone" }, 1500 } };
   }
   drain_reply Drain(const drain_request& aRequest) override
   {
@@ -52,6 +52,7 @@
   REQUIRE(pulled.value().mList.mFull);
   REQUIRE(pulled.value().mList.mChanged == "changed");
   REQUIRE(pulled.value().mList.mRemoved == std::vector<std::string>{ "gone" });
+  REQUIRE(pulled.value().mList.mAgeMs == 1500);
   REQUIRE(ParseDrainReply(HandlePeerCall(*this, MakeDrainCall({ true }))).value().mRunning == 3);
   REQUIRE(mUndo);
   const auto suspect = HandlePeerCall(*this, MakeReportSuspectCall({ "d", 1, 60000 }));
