--- a/tests/gateways/partition_soak_test.cpp
+++ b/tests/gateways/partition_soak_test.cpp
@@ -97,6 +97,7 @@
     std::size_t mGateway;
     instant mAskedAt;
     std::uint64_t mVersion;
+    duration mProcessorWait; ///< of the gateway's process so far
   };
 
   void ChangeConfiguration()
@@ -162,7 +163,7 @@
       const instant askedAt = Now();
       const auto version = static_cast<std::uint64_t>(Metric(aGateway, "gateway_configuration_version"));
       const std::lock_guard lock(mMutex);
-      mSightings.push_back({ aGateway, askedAt, version });
+      mSightings.push_back({ aGateway, askedAt, version, ProcessorWait(*mGateways[aGateway]) });
     }
   }
 
@@ -174,6 +175,18 @@
     });
   }
 
+  /// Time for which a gateway's process waited for a processor between a moment and a sighting.
+  duration ProcessorWaitSince(instant aFrom, const sighting& aUntil) const
+  {
+    duration before{ 0 };
+    for (const sighting& seen : mSightings) {
+      if (seen.mGateway == aUntil.mGateway && seen.mAskedAt <= aFrom) {
+        before = std::max(before, seen.mProcessorWait);
+      }
+    }
+    return aUntil.mProcessorWait - before;
+  }
+
   /// A configuration is in force at each gateway in touch within the bound after it was written.
   void CheckConfigurations()
   {
@@ -186,11 +199,14 @@
       ++judged;
       const std::uint64_t expected = std::prev(later)->second;
       if (seen.mVersion < expected) {
-        FAIL_CHECK("gateway " << seen.mGateway << " had version " << seen.mVersion << " in force, not " << expected
-                              << ", which was written "
-                              << std::chrono::duration<double>(seen.mAskedAt - std::prev(later)->first).count()
-                              << " s before\n"
-                              << mGateways[seen.mGateway]->Output());
+        FAIL_CHECK(
+          "gateway " << seen.mGateway << " had version " << seen.mVersion << " in force, not " << expected
+                     << ", which was written "
+                     << std::chrono::duration<double>(seen.mAskedAt - std::prev(later)->first).count()
+                     << " s before; its process waited "
+                     << std::chrono::duration<double>(ProcessorWaitSince(std::prev(later)->first, seen)).count()
+                     << " s for a processor meanwhile\n"
+                     << mGateways[seen.mGateway]->Output());
       }
     }
     std::cout << "soak: " << judged << " of " << mSightings.size() << " configurations seen in touch\n";
--- a/tests/processes/process.cpp
+++ b/tests/processes/process.cpp
@@ -262,4 +262,13 @@
   return 0;
 }
 
+duration ProcessorWait(const process& aProcess)
+{
+  std::ifstream status("/proc/" + std::to_string(aProcess.Pid()) + "/schedstat");
+  std::uint64_t ran = 0;
+  std::uint64_t waited = 0;
+  status >> ran >> waited;
+  return std::chrono::duration_cast<duration>(std::chrono::nanoseconds(waited));
+}
+
 } // namespace chervilpulley::processes
--- a/tests/processes/process.h
+++ b/tests/processes/process.h
@@ -109,4 +109,7 @@
 /// The most memory that a process has had, in KB; 0 when it has ended.
 std::size_t PeakMemoryKb(const process& aProcess);
 
+/// Time for which a process's first thread was ready to run and waited for a processor; 0 when it has ended.
+duration ProcessorWait(const process& aProcess);
+
 } // namespace chervilpulley::processes
