Own form: ages of the list are rounded up; test of the age at readers, mutations of the new mechanisms

An age that is cut to whole milliseconds would make the list of each level a little younger than it is.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -138,7 +138,12 @@
     ("second_outage_prolongs_removals", "src/policy/member_table.cpp", "std::min(removal.mUntil, aReturnedAt ? *aReturnedAt + mRelistTime : aNow)", "aReturnedAt ? *aReturnedAt + mRelistTime : aNow", "unit", "member_table_*"),
     ("unlisted_servers_chosen_like_others", "src/policy/service_choice.cpp", "candidate.mIsListed != isBestListed ? candidate.mIsListed : work < leastWork", "work < leastWork", "unit", "fleet_with_servers_whose_entry_*"),
     ("relays_forgotten_without_the_store", "src/gateway/gateway_registry.cpp", "  std::map<instance_id, net::endpoint> relayAddresses;\n", "  std::map<instance_id, net::endpoint> relayAddresses;\n  mRelayAddresses.clear();\n", "contract", "store_sync_of_a_gateway_*"),
+    ("instances_never_expire", "src/policy/peer_counter.cpp", "return !mListReadAt || aPeer.mRenewedAt + mTimeToLive >= *mListReadAt;", "return true;", "unit", "peer_counter_*"),
+    ("permits_valid_from_their_arrival", "src/policy/permits.cpp", "aAskedAt + kPermitTime", "aNow + kPermitTime", "unit", "permits_whose_*"),
+    ("permits_valid_from_the_repeated_ask", "src/gateway/server_limits.cpp", "state.mPending->mAskedAt;", "state.mPending->mSentAt;", "unit", "permits_granted_*"),
     # Entries, sidecars and the parts that they share
+    ("relays_with_old_lists_preferred", "src/config/peer_sync.cpp", "return std::chrono::milliseconds(aDifference.mAgeMs) > maxAge;", "return maxAge < duration::zero();", "contract", "config_store_change_reaches_the_readers_*"),
+    ("lists_aged_from_their_arrival", "src/config/peer_sync.cpp", "const instant readAt = aRequestedAt - std::chrono::milliseconds(aDifference.mAgeMs);", "const instant readAt = Now();", "contract", "config_store_list_of_a_reader_*"),
     ("older_attempts_run", "src/policy/stage_progress.cpp", "if (aAttempt != mCurrent)", "if (false)", "unit", "stage_progress_*"),
     ("known_positions_run_again", "src/policy/stage_progress.cpp", "if (kept->second.mDigest == aDigest)", "if (false)", "unit", "stage_progress_*"),
     ("lost_sidecars_did_not_run_it", "src/entry/service_run.cpp", "during a call.\", name);\n  mMayHaveRun = true;\n", "during a call.\", name);\n", "contract", "service_run_faults_*"),
--- a/src/config/peer_sync.cpp
+++ b/src/config/peer_sync.cpp
@@ -49,7 +49,8 @@
 rpc::list_difference peer_sync::ListDifferenceSince(std::uint64_t aDigest) const
 {
   auto difference = mInstances.DifferenceSince(aDigest);
-  difference.mAgeMs = Milliseconds(std::min(Now() - mListReadAt.load(), kMaxListAge));
+  const duration age = std::min<duration>(Now() - mListReadAt.load(), kMaxListAge);
+  difference.mAgeMs = Milliseconds(std::chrono::ceil<std::chrono::milliseconds>(age));
   return difference;
 }
 
--- a/tests/contract/config_store_propagation_test.cpp
+++ b/tests/contract/config_store_propagation_test.cpp
@@ -169,6 +169,25 @@
   }
 }
 
+// Guards against an age that counts from the arrival of a reply: each level would pass old data on as current.
+TEST_CASE_METHOD(config_store_fixture, "config_store_list_of_a_reader_is_as_old_as_the_relay_read_of_the_platform")
+{
+  AddNineInstances();
+  const instant readAt = Now();
+  UpdateLiveLists();
+  const duration pulls = std::chrono::milliseconds(400);
+  const duration rounding = std::chrono::milliseconds(2); // ages are rounded up by each instance
+  CHECK_FALSE(RunUntil([] { return false; }, pulls));
+  rpc::pull_config_request request;
+  request.mWantsList = true;
+  for (const instance& each : mInstances) {
+    CAPTURE(each.mName);
+    const std::chrono::milliseconds age(each.mStore->HandlePull(request).mList.mAgeMs);
+    CHECK(age >= pulls);
+    CHECK(age <= Now() - readAt + rounding);
+  }
+}
+
 TEST_CASE("config_store_unreadable_object_in_the_platform_is_reported_and_changes_nothing")
 {
   struct row
