--- a/bench/compare_limits.cpp
+++ b/bench/compare_limits.cpp
@@ -137,7 +137,7 @@
     for (std::size_t gateway = 0; gateway < mHeld.size(); ++gateway) {
       if (const auto due = mHeld[gateway].DueAsk(At(aNow))) {
         const auto granted = mSource.Grant(instance_id(std::to_string(gateway)), *due, mLimit, At(aNow));
-        mHeld[gateway].Received(granted, At(aNow));
+        mHeld[gateway].Received(granted, At(aNow), At(aNow));
         messages += 2;
         for (; mWaiting[gateway] > 0 && mHeld[gateway].Has(At(aNow)); --mWaiting[gateway]) {
           mHeld[gateway].Use(At(aNow));
