--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -238,8 +238,11 @@
 void connection::Shut(bool aReset)
 {
   if (aReset) {
-    const linger now{ 1, 0 };
-    ::setsockopt(mFd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    // Ends the connection with RST at once; shutdown() would send FIN.
+    sockaddr none{};
+    none.sa_family = AF_UNSPEC;
+    ::connect(mFd, &none, sizeof(none));
+    return;
   }
   ::shutdown(mFd, SHUT_RDWR);
 }
