--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -553,7 +553,13 @@
   return Reply(405, "{}", headers);
 }
 
-worker::worker(store& aStore, std::string aService, std::string aId, std::string aZone, double aWorkMs, int aSlots)
+worker::worker(store& aStore,
+               std::string aService,
+               std::string aId,
+               std::string aZone,
+               double aWorkMs,
+               int aSlots,
+               int aPort)
   : mStore(aStore)
   , mService(std::move(aService))
   , mId(std::move(aId))
@@ -563,7 +569,7 @@
   , mBorn(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch())
             .count())
 {
-  mServer = std::make_unique<server>(0, [this](const auto& aConnection) { Serve(aConnection); });
+  mServer = std::make_unique<server>(aPort, [this](const auto& aConnection) { Serve(aConnection); });
   mStore.Put("servers", mId, Entry());
   mBeats = std::thread([this] { Beat(); });
 }
@@ -621,12 +627,12 @@
   Log("worker %s removes its entry", mId.c_str());
 }
 
-void worker::Exit()
+void worker::Exit(bool aReset)
 {
   Log("worker %s exits", mId.c_str());
   mIsStopped = true;
   mServer->StopListening();
-  mServer->CloseAll(false);
+  mServer->CloseAll(aReset);
 }
 
 std::vector<worker::run> worker::Runs()
--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -155,7 +155,13 @@
 class worker
 {
 public:
-  worker(store& aStore, std::string aService, std::string aId, std::string aZone, double aWorkMs, int aSlots = 6);
+  worker(store& aStore,
+         std::string aService,
+         std::string aId,
+         std::string aZone,
+         double aWorkMs,
+         int aSlots = 6,
+         int aPort = 0);
   ~worker();
   int Port() const { return mServer->Port(); }
   const std::string& Id() const { return mId; }
@@ -163,8 +169,8 @@
   double Drain();
   /// Removes its entry, as it does when it has left.
   void Leave();
-  /// Stops: no more listening, and all connections end.
-  void Exit();
+  /// Stops: no more listening, and all connections end, with RST if aReset.
+  void Exit(bool aReset = false);
   struct run
   {
     double mAtMs = 0;
